Lay out the crate and the types at its borders

Cause: an empty repository; the slices can only be built side by side once the types they share stand. Change: crate with lints and Fuchsia formatting, clock, resources, jobs, tasks, epochs, and the trait objects towards workers, log and instance list. Conclusion: slices may now be written against these borders.

--- /dev/null
+++ b/src/bin/oriolefork-standin.rs
@@ -0,0 +1,3 @@
+//! Placeholder until its slice lands.
+
+fn main() {}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,120 @@
+//! Time as the scheduler sees it: a monotonic clock for leases and timeouts, and a wall clock for
+//! deadlines that people and callers name.
+//!
+//! Decision logic takes the present time as an argument. Tasks that wait take a [`Clock`], so that
+//! tests can pause and advance time.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use serde::{Deserialize, Serialize};
+
+/// A point on the monotonic clock of one process, in milliseconds since that clock's start.
+///
+/// Instants of two processes cannot be compared.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Instant(u64);
+
+impl Instant {
+    /// Builds an instant from milliseconds since the clock's start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Milliseconds since the clock's start.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// The instant `span` later.
+    ///
+    /// ```
+    /// use oriolefork::clock::Instant;
+    /// use std::time::Duration;
+    /// let start = Instant::from_millis(5);
+    /// assert_eq!(start.after(Duration::from_millis(7)).as_millis(), 12);
+    /// ```
+    pub fn after(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(millis(span)))
+    }
+
+    /// Time passed since `earlier`, or zero when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A point on the wall clock, in milliseconds since the Unix epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Unix(u64);
+
+impl Unix {
+    /// Builds a wall-clock point from milliseconds since the Unix epoch.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// The point `span` later.
+    pub fn after(self, span: Duration) -> Self {
+        Self(self.0.saturating_add(millis(span)))
+    }
+
+    /// Time passed since `earlier`, or zero when `earlier` lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// Whole milliseconds of a span, capped at `u64::MAX`.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Source of time and of timers.
+pub trait Clock {
+    /// The present on the monotonic clock.
+    fn now(&self) -> Instant;
+
+    /// The present on the wall clock.
+    fn unix(&self) -> Unix;
+
+    /// Completes once `span` has passed on the monotonic clock.
+    fn sleep(&self, span: Duration) -> LocalBoxFuture<'static, ()>;
+}
+
+/// The clock of the runtime.
+#[derive(Clone, Debug)]
+pub struct System {
+    start: monoio::time::Instant,
+}
+
+impl System {
+    /// Starts a clock at zero.
+    pub fn start() -> Self {
+        Self { start: monoio::time::Instant::now() }
+    }
+}
+
+impl Clock for System {
+    fn now(&self) -> Instant {
+        Instant(millis(self.start.elapsed()))
+    }
+
+    fn unix(&self) -> Unix {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Unix(millis(since_epoch))
+    }
+
+    fn sleep(&self, span: Duration) -> LocalBoxFuture<'static, ()> {
+        monoio::time::sleep(span).boxed_local()
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,13 @@
+//! A cluster scheduler for small regional hosting and mail services.
+//!
+//! The crate is a library with thin daemons over it. Each folder holds one duty with its own
+//! state, messages and errors; `docs/ARCHITECTURE.md` shows how they work together.
+
+pub mod clock;
+pub mod domain;
+pub mod job;
+pub mod membership;
+pub mod resource;
+pub mod store;
+pub mod task;
+pub mod worker;
--- /dev/null
+++ b/src/resource.rs
@@ -0,0 +1,100 @@
+//! What workers have and tasks need: processors, memory and accelerators.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// An amount of each resource.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    Hash,
+    Serialize,
+    Deserialize,
+    schemars::JsonSchema,
+)]
+#[display("{cpu_millis}m cpu, {memory_mib} MiB, {accelerators} accelerators")]
+#[serde(deny_unknown_fields)]
+pub struct Amount {
+    /// Processor time in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+impl Amount {
+    /// No resources at all.
+    pub const ZERO: Self = Self { cpu_millis: 0, memory_mib: 0, accelerators: 0 };
+
+    /// Whether this amount fits into `room` in every dimension.
+    ///
+    /// ```
+    /// use oriolefork::resource::Amount;
+    /// let need = Amount { cpu_millis: 500, memory_mib: 64, accelerators: 0 };
+    /// let room = Amount { cpu_millis: 1_000, memory_mib: 64, accelerators: 0 };
+    /// assert!(need.fits(&room));
+    /// assert!(!room.fits(&need));
+    /// ```
+    pub fn fits(&self, room: &Self) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_mib <= room.memory_mib
+            && self.accelerators <= room.accelerators
+    }
+
+    /// The sum, or `None` on overflow.
+    pub fn checked_add(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu_millis: self.cpu_millis.checked_add(other.cpu_millis)?,
+            memory_mib: self.memory_mib.checked_add(other.memory_mib)?,
+            accelerators: self.accelerators.checked_add(other.accelerators)?,
+        })
+    }
+
+    /// The difference, or `None` when `other` does not fit.
+    pub fn checked_sub(&self, other: &Self) -> Option<Self> {
+        Some(Self {
+            cpu_millis: self.cpu_millis.checked_sub(other.cpu_millis)?,
+            memory_mib: self.memory_mib.checked_sub(other.memory_mib)?,
+            accelerators: self.accelerators.checked_sub(other.accelerators)?,
+        })
+    }
+
+    /// The sum, capped at the largest value of each dimension.
+    pub fn saturating_add(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// The difference, with zero in each dimension where `other` is larger.
+    pub fn saturating_sub(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_sub(other.memory_mib),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// This amount `count` times, or `None` on overflow.
+    pub fn checked_mul(&self, count: u64) -> Option<Self> {
+        Some(Self {
+            cpu_millis: self.cpu_millis.checked_mul(count)?,
+            memory_mib: self.memory_mib.checked_mul(count)?,
+            accelerators: self.accelerators.checked_mul(count)?,
+        })
+    }
+
+    /// Whether every dimension is zero.
+    pub fn is_zero(&self) -> bool {
+        *self == Self::ZERO
+    }
+}
--- /dev/null
+++ b/tests/logic/main.rs
@@ -0,0 +1,3 @@
+//! Tests of decision logic and codecs: no sockets, no sleeping.
+
+mod job;
