Decide where tasks run: types and a first engine

Cause: the owner of a failure domain needs something that decides, whatever its rules. Change: placement::Engine with its requests, decisions, policies and reasons; best fit on processors, gangs all or nothing, first come first served within urgency.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod domain;
 pub mod job;
 pub mod membership;
+pub mod placement;
 pub mod resource;
 pub mod store;
 pub mod task;
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -1,3 +1,4 @@
 //! Tests of decision logic and codecs: no sockets, no sleeping.
 
 mod job;
+mod placement;
