Add the callers' and operators' interface as a trait

Cause: the HTTP layer and the daemon need a border between them before either is written. Change: api::Backend with the views, orders and refusals that pass it. Refusals say whether the work may have run.

--- /dev/null
+++ b/src/api/mod.rs
@@ -0,0 +1,11 @@
+//! The interface for callers and operators: HTTP/1.1 with JSON bodies.
+//!
+//! The HTTP layer checks what arrives and hands it, as model types, to a [`Backend`]. Everything
+//! that the backend answers is a [`view`] or a [`Refusal`] that says whether the work may have run.
+
+pub mod backend;
+pub mod refusal;
+pub mod view;
+
+pub use backend::{Answer, Backend, Call};
+pub use refusal::{Ran, Reason, Refusal};
--- /dev/null
+++ b/src/api/view/alert.rs
@@ -0,0 +1,63 @@
+//! Alerts, which stay until a person acknowledges them.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Unix;
+use crate::domain;
+
+/// What an alert is about.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// A deadline will probably be missed.
+    #[display("at-risk")]
+    AtRisk,
+    /// A deadline was missed.
+    #[display("late")]
+    Late,
+    /// A job ended without its work done.
+    #[display("lost")]
+    Lost,
+    /// It is not known whether a task still runs.
+    #[display("uncertain")]
+    Uncertain,
+    /// A job can never run.
+    #[display("impossible")]
+    Impossible,
+    /// A worker fails what it starts and gets no more work.
+    #[display("quarantined")]
+    Quarantined,
+    /// A fault of the scheduler or of the platform.
+    #[display("system")]
+    System,
+}
+
+/// Something that a person has to see.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Alert {
+    /// Its identity.
+    pub id: String,
+    /// What it is about.
+    pub kind: Kind,
+    /// Failure domain in which it arose.
+    pub domain: domain::Name,
+    /// Job or worker concerned.
+    pub subject: String,
+    /// What happened, in a sentence for people.
+    pub message: String,
+    /// When it was raised.
+    pub raised: Unix,
+    /// How often the same was raised.
+    pub count: u64,
+    /// Who has seen it, and when.
+    pub acknowledged: Option<Acknowledgement>,
+}
+
+/// A person's word that an alert was seen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acknowledgement {
+    /// The person.
+    pub by: String,
+    /// When they said so.
+    pub at: Unix,
+}
