Serve and call HTTP/1.1 within bounds, and stop on request

Cause: every outside protocol needs HTTP/1.1, and the codec bounds neither sizes nor times, shares its listening port, and takes an answer without a length for an empty one. Change: `http::Server` and `http::Client` over the codec, with limits on head, body, time and connections; an error says whether the request may have been sent; a connection is reused only after a whole answer. `shutdown::Shutdown` is the flag on which a process stops, also raised by SIGTERM and SIGINT.

--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,187 @@
+//! Client with pooled connections that tells surely-not-sent from maybe-sent.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::HOST;
+use http::{HeaderValue, Version};
+use monoio::time::Instant;
+
+use super::message::Fault;
+use super::pool::{Answer, Connection, Pool};
+use super::{Error, Limits, Request, Response, Step};
+
+/// Sends requests to peers named by address.
+///
+/// Each request has a connection of its own until its whole answer is read. A connection that saw a
+/// timeout, an error, a cut answer or an unasked byte, or whose caller went away, is closed, so
+/// that a late answer can never reach another caller.
+///
+/// Nothing is retried, with one exception: a pooled connection that fails before it took one byte
+/// of the request is replaced by a fresh one.
+pub struct Client {
+    limits: Limits,
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    swept: Cell<Instant>,
+}
+
+impl Client {
+    /// Builds a client without connections.
+    pub fn new(limits: Limits) -> Self {
+        Self { limits, pools: RefCell::new(HashMap::new()), swept: Cell::new(Instant::now()) }
+    }
+
+    /// Sends `request` to `peer` and reads the whole answer, both within `timeout`.
+    ///
+    /// The request's path and query are used, its authority is not; `host` is added when it is
+    /// missing. Dropping the future abandons the request and closes its connection.
+    ///
+    /// # Errors
+    /// When no whole answer was read. [`Error::sent`] tells whether the peer may have acted.
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        mut request: Request,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        let deadline = Instant::now() + timeout;
+        prepare(&mut request, peer);
+        self.sweep();
+        let pool = self.pool(peer);
+        let Some(permit) = before(deadline, pool.permits().acquire()).await else {
+            return Err(unsent(Step::Timeout, peer, "no free connection in time"));
+        };
+        let _permit = permit.map_err(|cause| unsent(Step::Acquire, peer, cause))?;
+        if let Some(connection) = pool.take(self.max_rest()) {
+            let result = self.exchange(&pool, connection, peer, &request, deadline).await;
+            match result {
+                // The peer closed the resting connection and the system took nothing for it.
+                Err(Error { step: Step::Send, sent: false, .. }) => {}
+                result => return result,
+            }
+        }
+        let connection = open(peer, deadline).await?;
+        self.exchange(&pool, connection, peer, &request, deadline).await
+    }
+
+    async fn exchange(
+        &self,
+        pool: &Pool,
+        mut connection: Connection,
+        peer: SocketAddr,
+        request: &Request,
+        deadline: Instant,
+    ) -> Result<Response, Error> {
+        connection.begin();
+        let outcome = before(deadline, converse(&mut connection, request, &self.limits)).await;
+        let sent = connection.is_sent();
+        match outcome {
+            Some(Ok(answer)) => {
+                if answer.reusable {
+                    pool.put(connection);
+                }
+                Ok(answer.response)
+            }
+            Some(Err(Failure { step, cause })) => Err(Error { step, peer, sent, cause }),
+            None => Err(Error { step: Step::Timeout, peer, sent, cause: late(sent) }),
+        }
+    }
+
+    fn pool(&self, peer: SocketAddr) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        pools.entry(peer).or_insert_with(|| Rc::new(Pool::new(self.limits.connections))).clone()
+    }
+
+    fn max_rest(&self) -> Duration {
+        self.limits.idle_timeout / 2
+    }
+
+    /// Lets go of connections and peers that are no longer used.
+    fn sweep(&self) {
+        if self.swept.get().elapsed() < self.max_rest() {
+            return;
+        }
+        self.swept.set(Instant::now());
+        let max_rest = self.max_rest();
+        let connections = self.limits.connections;
+        self.pools
+            .borrow_mut()
+            .retain(|_, pool| Rc::strong_count(pool) > 1 || pool.sweep(max_rest, connections));
+    }
+}
+
+/// What went wrong on one connection, before peer and progress are known.
+struct Failure {
+    step: Step,
+    cause: String,
+}
+
+impl From<Fault> for Failure {
+    fn from(fault: Fault) -> Self {
+        let step = match fault {
+            Fault::Closed | Fault::Truncated | Fault::TimedOut | Fault::Io(_) => Step::Receive,
+            Fault::HeadTooLarge | Fault::BodyTooLarge { .. } | Fault::Malformed(_) => Step::Decode,
+        };
+        Self { step, cause: fault.to_string() }
+    }
+}
+
+fn prepare(request: &mut Request, peer: SocketAddr) {
+    *request.version_mut() = Version::HTTP_11;
+    if let Ok(host) = HeaderValue::try_from(peer.to_string()) {
+        request.headers_mut().entry(HOST).or_insert(host);
+    }
+}
+
+async fn open(peer: SocketAddr, deadline: Instant) -> Result<Connection, Error> {
+    match before(deadline, Connection::open(peer)).await {
+        Some(Ok(connection)) => Ok(connection),
+        Some(Err(cause)) => Err(unsent(Step::Connect, peer, cause)),
+        None => Err(unsent(Step::Timeout, peer, "no connection in time")),
+    }
+}
+
+async fn converse(
+    connection: &mut Connection,
+    request: &Request,
+    limits: &Limits,
+) -> Result<Answer, Failure> {
+    if let Err(cause) = connection.write(request).await {
+        let failure = Failure { step: Step::Send, cause: cause.to_string() };
+        return early_answer(connection, request, limits, failure).await;
+    }
+    connection.read(request.method(), limits).await.map_err(Failure::from)
+}
+
+/// Reads the answer of a peer that refused the request before taking it whole.
+async fn early_answer(
+    connection: &mut Connection,
+    request: &Request,
+    limits: &Limits,
+    failure: Failure,
+) -> Result<Answer, Failure> {
+    if !connection.is_sent() {
+        return Err(failure);
+    }
+    match connection.read(request.method(), limits).await {
+        Ok(answer) => Ok(Answer { reusable: false, ..answer }),
+        Err(_) => Err(failure),
+    }
+}
+
+fn late(sent: bool) -> String {
+    if sent { "no whole answer in time".to_owned() } else { "request not taken in time".to_owned() }
+}
+
+fn unsent(step: Step, peer: SocketAddr, cause: impl Display) -> Error {
+    Error { step, peer, sent: false, cause: cause.to_string() }
+}
+
+async fn before<F: Future>(deadline: Instant, future: F) -> Option<F::Output> {
+    monoio::time::timeout_at(deadline, future).await.ok()
+}
--- /dev/null
+++ b/src/http/pool.rs
@@ -0,0 +1,185 @@
+//! Connections to one peer that rest between two requests.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use http::{HeaderMap, Method, StatusCode, Version};
+use local_sync::semaphore::Semaphore;
+use monoio::io::sink::Sink;
+use monoio::io::{OwnedReadHalf, Splitable};
+use monoio::net::TcpStream;
+use monoio::time::Instant;
+use monoio_http::common::body::HttpBody;
+use monoio_http::common::error::HttpError;
+use monoio_http::common::request::{RequestHeadRef, RequestRef};
+use monoio_http::h1::codec::decoder::{GenericHeadDecoder, ResponseHeadDecoder};
+use monoio_http::h1::codec::encoder::GenericEncoder;
+
+use super::limited::{Reader, Writer};
+use super::message::{self, Fault, Source};
+use super::{Limits, Request, Response};
+
+/// Interim answers that are passed over before the final one.
+const INTERIM_LIMIT: usize = 4;
+
+/// One connection to a peer, used by one request at a time.
+pub(super) struct Connection {
+    source: Source<ResponseHeadDecoder>,
+    sink: GenericEncoder<Writer>,
+    written: Rc<Cell<usize>>,
+    rested: Instant,
+}
+
+/// An answer, and whether the connection may carry another request.
+pub(super) struct Answer {
+    pub(super) response: Response,
+    pub(super) reusable: bool,
+}
+
+impl Connection {
+    pub(super) async fn open(peer: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect_addr(peer).await?;
+        stream.set_nodelay(true)?;
+        let (read, write) = stream.into_split();
+        Ok(Self::over(read, write))
+    }
+
+    fn over(read: OwnedReadHalf<TcpStream>, write: monoio::io::OwnedWriteHalf<TcpStream>) -> Self {
+        let written = Rc::new(Cell::new(0));
+        let reader = Reader::new(read);
+        Self {
+            source: Source::new(reader, GenericHeadDecoder::new(ResponseHeadDecoder)),
+            sink: GenericEncoder::new(Writer::new(write, written.clone())),
+            written,
+            rested: Instant::now(),
+        }
+    }
+
+    /// Whether any byte of the present request has been taken by the system.
+    pub(super) fn is_sent(&self) -> bool {
+        self.written.get() > 0
+    }
+
+    /// Forgets the bytes of the request before.
+    pub(super) fn begin(&mut self) {
+        self.written.set(0);
+    }
+
+    /// Writes `request` whole.
+    pub(super) async fn write(&mut self, request: &Request) -> Result<(), HttpError> {
+        let item =
+            RequestRef { parts: RequestHeadRef::from_http(request), body: outgoing(request) };
+        self.sink.send(item).await?;
+        Sink::<RequestRef<'_, HttpBody>>::flush(&mut self.sink).await
+    }
+
+    /// Reads the whole answer to a request of `method`.
+    pub(super) async fn read(&mut self, method: &Method, limits: &Limits) -> Result<Answer, Fault> {
+        let (head, framing) = self.final_head(limits).await?;
+        let bodiless = is_bodiless(method, head.status);
+        if !bodiless {
+            check_end(head.version, &head.headers, limits.body_bytes)?;
+        }
+        let body = if bodiless {
+            Bytes::new()
+        } else {
+            message::body(&mut self.source, framing, limits.body_bytes).await?
+        };
+        // Bytes after the answer belong to no request of this connection: a peer that crosses or
+        // repeats answers shows itself so, and the next caller must not meet them.
+        let reusable = message::keeps_alive(head.version, &head.headers)
+            && self.source.read_buffer().is_empty()
+            && !(bodiless && message::is_delimited(&head.headers));
+        Ok(Answer { response: Response::from_parts(head, body), reusable })
+    }
+
+    async fn final_head(
+        &mut self,
+        limits: &Limits,
+    ) -> Result<(http::response::Parts, message::Framing), Fault> {
+        for _ in 0..INTERIM_LIMIT {
+            let (head, framing) = message::head(&mut self.source, limits.head_bytes()).await?;
+            if !head.status.is_informational() {
+                return Ok((head, framing));
+            }
+        }
+        Err(Fault::Malformed("too many interim answers".to_owned()))
+    }
+
+    /// Whether the peer has neither closed the connection nor sent anything on it.
+    ///
+    /// A byte that arrives while no request is out is a late or crossed answer; it must not reach
+    /// the next caller, so that the connection is given up.
+    fn is_quiet(&mut self) -> bool {
+        self.source.get_mut().allow(1);
+        self.source.read_buffer().is_empty() && self.source.peek_data().now_or_never().is_none()
+    }
+}
+
+/// The body to send; none only where the method commonly has none.
+fn outgoing(request: &Request) -> HttpBody {
+    let none = matches!(*request.method(), Method::GET | Method::HEAD | Method::DELETE);
+    if none && request.body().is_empty() {
+        return HttpBody::Ready(None);
+    }
+    HttpBody::Ready(Some(request.body().clone()))
+}
+
+fn is_bodiless(method: &Method, status: StatusCode) -> bool {
+    method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
+/// Refuses an answer whose end cannot be told from a cut connection.
+fn check_end(version: Version, headers: &HeaderMap, limit: usize) -> Result<(), Fault> {
+    if !message::is_delimited(headers) {
+        let reason = "the answer has neither content-length nor chunked encoding";
+        return Err(Fault::Malformed(reason.to_owned()));
+    }
+    message::check_framing(version, headers, limit)
+}
+
+/// The connections to one peer.
+pub(super) struct Pool {
+    permits: Semaphore,
+    resting: RefCell<Vec<Connection>>,
+}
+
+impl Pool {
+    pub(super) fn new(connections: usize) -> Self {
+        Self { permits: Semaphore::new(connections), resting: RefCell::new(Vec::new()) }
+    }
+
+    /// The right to use one connection; waits while all are in use.
+    pub(super) fn permits(&self) -> &Semaphore {
+        &self.permits
+    }
+
+    /// Takes the connection that was used last, when it is young and quiet.
+    pub(super) fn take(&self, max_rest: Duration) -> Option<Connection> {
+        let mut resting = self.resting.borrow_mut();
+        while let Some(mut connection) = resting.pop() {
+            if connection.rested.elapsed() < max_rest && connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub(super) fn put(&self, mut connection: Connection) {
+        connection.rested = Instant::now();
+        self.resting.borrow_mut().push(connection);
+    }
+
+    /// Closes connections that rested too long; whether any connection is left or in use.
+    pub(super) fn sweep(&self, max_rest: Duration, connections: usize) -> bool {
+        let mut resting = self.resting.borrow_mut();
+        resting.retain(|connection| connection.rested.elapsed() < max_rest);
+        !resting.is_empty() || self.permits.available_permits() < connections
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod api;
 pub mod clock;
 pub mod domain;
+pub mod http;
 pub mod job;
 pub mod membership;
 pub mod placement;
 pub mod resource;
+pub mod shutdown;
 pub mod store;
 pub mod task;
 pub mod worker;
--- /dev/null
+++ b/src/shutdown.rs
@@ -0,0 +1,79 @@
+//! The request to stop, as one flag that any number of tasks can watch.
+
+use std::io;
+use std::os::unix::net::UnixStream;
+use std::rc::Rc;
+
+use local_sync::semaphore::Semaphore;
+use monoio::io::AsyncReadRent;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::low_level::pipe;
+
+/// A flag that is raised once and wakes every task that waits for it.
+///
+/// Clones share the flag.
+///
+/// ```
+/// use oriolefork::shutdown::Shutdown;
+/// let stop = Shutdown::new();
+/// let seen_by_task = stop.clone();
+/// stop.trigger();
+/// assert!(seen_by_task.is_triggered());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Shutdown {
+    // Holds no permits; closing it wakes every waiter, at present and later.
+    gate: Rc<Semaphore>,
+}
+
+impl Shutdown {
+    /// Builds a flag that is not raised.
+    pub fn new() -> Self {
+        Self { gate: Rc::new(Semaphore::new(0)) }
+    }
+
+    /// Raises the flag; raising it again changes nothing.
+    pub fn trigger(&self) {
+        self.gate.close();
+    }
+
+    /// Whether the flag is raised.
+    pub fn is_triggered(&self) -> bool {
+        self.gate.is_closed()
+    }
+
+    /// Completes once the flag is raised.
+    pub async fn wait(&self) {
+        let _ = self.gate.acquire().await;
+    }
+
+    /// Raises the flag when the process receives SIGTERM or SIGINT.
+    ///
+    /// Needs a running runtime on this thread.
+    ///
+    /// # Errors
+    /// When the handlers cannot be installed.
+    pub fn trigger_on_signals(&self) -> io::Result<()> {
+        let (receiver, sender) = UnixStream::pair()?;
+        receiver.set_nonblocking(true)?;
+        pipe::register(SIGTERM, sender.try_clone()?)?;
+        pipe::register(SIGINT, sender)?;
+        let mut receiver = monoio::net::UnixStream::from_std(receiver)?;
+        let stop = self.clone();
+        monoio::spawn(async move {
+            let (received, _) = receiver.read(vec![0; 1]).await;
+            match received {
+                Ok(_) => log::info!("event=shutdown.signal"),
+                Err(cause) => log::error!("event=shutdown.signal_lost cause={cause:?}"),
+            }
+            stop.trigger();
+        });
+        Ok(())
+    }
+}
+
+impl Default for Shutdown {
+    fn default() -> Self {
+        Self::new()
+    }
+}
