--- /dev/null
+++ b/src/store/http.rs
@@ -0,0 +1,105 @@
+//! The log over HTTP/1.1 and JSON.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ::http::{Method, StatusCode};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use super::{Error, Offset, Outcome, Page, Step, Store, wire};
+use crate::clock::millis;
+use crate::http;
+
+/// Records asked for at once.
+const PAGE_RECORDS: u32 = 1_000;
+
+/// Reaches the log at one address.
+pub struct Client {
+    peer: SocketAddr,
+    http: Rc<http::Client>,
+    timeout: Duration,
+}
+
+impl Client {
+    /// Reaches the log at `peer`, giving each call `timeout` on top of the time it asks to wait.
+    pub fn new(peer: SocketAddr, http: Rc<http::Client>, timeout: Duration) -> Self {
+        Self { peer, http, timeout }
+    }
+
+    async fn append(&self, stream: &str, payload: Bytes) -> Result<Offset, Error> {
+        let fail = |outcome, cause| self.error(Step::Append, outcome, cause);
+        let request = ::http::Request::builder()
+            .method(Method::POST)
+            .uri(format!("/v1/streams/{stream}"))
+            .body(payload)
+            .map_err(|error| fail(Outcome::NotWritten, error.to_string()))?;
+        let sent = self.http.send(self.peer, request, self.timeout).await;
+        let response = sent.map_err(|error| fail(outcome(&error), error.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(fail(refusal(response.status()), response.status().to_string()));
+        }
+        let appended: wire::Appended = serde_json::from_slice(response.body())
+            .map_err(|error| fail(Outcome::Unknown, error.to_string()))?;
+        Ok(appended.offset)
+    }
+
+    async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page, Error> {
+        let fail = |cause| self.error(Step::Read, Outcome::NotWritten, cause);
+        let wait_ms = millis(wait);
+        let query = format!("from={from}&wait_ms={wait_ms}&limit={PAGE_RECORDS}");
+        let request = ::http::Request::builder()
+            .uri(format!("/v1/streams/{stream}?{query}"))
+            .body(Bytes::new())
+            .map_err(|error| fail(error.to_string()))?;
+        let sent = self.http.send(self.peer, request, self.timeout + wait).await;
+        let response = sent.map_err(|error| fail(error.to_string()))?;
+        if response.status() != StatusCode::OK {
+            return Err(fail(response.status().to_string()));
+        }
+        let page: wire::Page =
+            serde_json::from_slice(response.body()).map_err(|error| fail(error.to_string()))?;
+        page.try_into().map_err(|error: wire::Error| fail(error.to_string()))
+    }
+
+    fn error(&self, step: Step, outcome: Outcome, cause: String) -> Error {
+        Error { step, peer: self.peer, outcome, cause }
+    }
+}
+
+impl Store for Client {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        payload: Bytes,
+    ) -> LocalBoxFuture<'a, Result<Offset, Error>> {
+        self.append(stream, payload).boxed_local()
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: Offset,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Page, Error>> {
+        self.read(stream, from, wait).boxed_local()
+    }
+}
+
+fn outcome(error: &http::Error) -> Outcome {
+    if error.sent { Outcome::Unknown } else { Outcome::NotWritten }
+}
+
+/// What an answer other than success tells of the record.
+///
+/// The log refuses with 4xx or 503 before it writes. Any other status may come from something that
+/// failed after the write.
+fn refusal(status: StatusCode) -> Outcome {
+    if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+        Outcome::NotWritten
+    } else {
+        Outcome::Unknown
+    }
+}
