Stand in for the platform and the upstreams

Cause: the scheduler needs a log, a list of instances, workers and runners to run against, and faults of the network between them.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod placement;
 pub mod resource;
 pub mod shutdown;
+pub mod standin;
 pub mod store;
 pub mod task;
 pub mod worker;
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -2,3 +2,4 @@
 
 mod job;
 mod placement;
+mod standin;
