--- /dev/null
+++ b/src/codec.rs
@@ -0,0 +1,103 @@
+//! Binary form of messages between instances and of records in the log: one version byte, then
+//! `bincode`.
+//!
+//! Both ways are bounded, so that neither a hostile peer nor a damaged record can make the process
+//! allocate without end.
+
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Version of the form, the first byte of each message.
+pub const VERSION: u8 = 1;
+
+/// Largest encoded message, version byte included, in bytes.
+pub const MAX_BYTES: usize = 16 * 1024 * 1024;
+
+const CONFIG: Configuration<LittleEndian, Varint, Limit<MAX_BYTES>> =
+    bincode::config::standard().with_limit::<MAX_BYTES>();
+
+/// Why a message could not be encoded or decoded.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum Error {
+    /// The message is larger than [`MAX_BYTES`].
+    #[display("message of {bytes} bytes, {MAX_BYTES} allowed")]
+    TooLarge {
+        /// Its size.
+        bytes: usize,
+    },
+    /// The bytes end before the version.
+    #[display("empty message")]
+    Empty,
+    /// The message is of a version that this program does not know.
+    #[display("message of version {version}, {VERSION} expected")]
+    Version {
+        /// The version found.
+        version: u8,
+    },
+    /// The value cannot be encoded.
+    #[display("cannot encode: {cause}")]
+    Encode {
+        /// What the encoder says.
+        cause: String,
+    },
+    /// The bytes are not a message of the expected type.
+    #[display("cannot decode: {cause}")]
+    Decode {
+        /// What the decoder says.
+        cause: String,
+    },
+    /// The message is followed by bytes that belong to nothing.
+    #[display("{bytes} bytes after the message")]
+    Trailing {
+        /// How many.
+        bytes: usize,
+    },
+}
+
+/// Encodes `value`.
+///
+/// # Errors
+/// When the result is larger than [`MAX_BYTES`], or `value` has no binary form.
+///
+/// ```
+/// use oriolefork::codec;
+/// let bytes = codec::encode(&("rebuild", 7_u32)).unwrap();
+/// assert_eq!(codec::decode::<(String, u32)>(&bytes).unwrap(), ("rebuild".to_owned(), 7));
+/// ```
+pub fn encode<T: Serialize + ?Sized>(value: &T) -> Result<Bytes, Error> {
+    let mut bytes = vec![VERSION];
+    bincode::serde::encode_into_std_write(value, &mut bytes, CONFIG)
+        .map_err(|cause| Error::Encode { cause: cause.to_string() })?;
+    if bytes.len() > MAX_BYTES {
+        return Err(Error::TooLarge { bytes: bytes.len() });
+    }
+    Ok(Bytes::from(bytes))
+}
+
+/// Decodes a whole message.
+///
+/// # Errors
+/// When `bytes` are too many, of another version, cut short, followed by others, or not a `T`.
+///
+/// ```
+/// use oriolefork::codec::{self, Error};
+/// assert_eq!(codec::decode::<u8>(&[9, 1]), Err(Error::Version { version: 9 }));
+/// ```
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    if bytes.len() > MAX_BYTES {
+        return Err(Error::TooLarge { bytes: bytes.len() });
+    }
+    let (&version, payload) = bytes.split_first().ok_or(Error::Empty)?;
+    if version != VERSION {
+        return Err(Error::Version { version });
+    }
+    let (value, used) = bincode::serde::decode_from_slice(payload, CONFIG)
+        .map_err(|cause| Error::Decode { cause: cause.to_string() })?;
+    match payload.len() - used {
+        0 => Ok(value),
+        bytes => Err(Error::Trailing { bytes }),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,12 @@
 
 pub mod api;
 pub mod clock;
+pub mod codec;
 pub mod domain;
 pub mod http;
 pub mod job;
 pub mod membership;
+pub mod peer;
 pub mod placement;
 pub mod resource;
 pub mod shutdown;
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -1,5 +1,6 @@
 //! Tests of decision logic and codecs: no sockets, no sleeping.
 
+mod codec;
 mod job;
 mod placement;
 mod standin;
