--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -6,6 +6,7 @@
 pub mod backend;
 pub mod refusal;
 pub mod view;
+pub mod wire;
 
 pub use backend::{Answer, Backend, Call};
 pub use refusal::{Ran, Reason, Refusal};
--- a/src/api/refusal.rs
+++ b/src/api/refusal.rs
@@ -7,6 +7,7 @@
 
 /// Whether the work that a call asked for may have run.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Ran {
     /// It did not run and never will because of this call.
     #[display("not-run")]
@@ -18,6 +19,7 @@
 
 /// Why a call was refused.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// The call is malformed or a field is out of its range.
     #[display("invalid")]
--- a/src/api/view/alert.rs
+++ b/src/api/view/alert.rs
@@ -8,6 +8,7 @@
 
 /// What an alert is about.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// A deadline will probably be missed.
     #[display("at-risk")]
--- a/src/api/view/job.rs
+++ b/src/api/view/job.rs
@@ -27,6 +27,7 @@
 
 /// Where an accepted job's record is kept.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Durability {
     /// In the log.
     #[display("log")]
@@ -49,6 +50,7 @@
 
 /// Where a job stands as a whole.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum State {
     /// No task has started.
     #[display("waiting")]
--- a/src/api/view/mod.rs
+++ b/src/api/view/mod.rs
@@ -1,7 +1,7 @@
 //! What callers and operators are told, and what they ask for, as model types.
 //!
 //! The types serialise with `bincode` too, so that an instance can pass them on to the owner of its
-//! failure domain. Their form in JSON is that of `api::wire`.
+//! failure domain. Their form in JSON is that of [`crate::api::wire`].
 
 pub mod alert;
 pub mod job;
--- a/src/api/view/status.rs
+++ b/src/api/view/status.rs
@@ -24,6 +24,7 @@
 
 /// How the log answers an instance.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Health {
     /// Appends are answered in time.
     #[display("up")]
--- a/src/api/view/worker.rs
+++ b/src/api/view/worker.rs
@@ -8,6 +8,7 @@
 
 /// How a worker stands with the owner of its failure domain.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum State {
     /// Takes work.
     #[display("live")]
@@ -48,6 +49,7 @@
 
 /// An operator's order about a worker.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Order {
     /// Give it no new work.
     #[display("drain")]
--- /dev/null
+++ b/src/api/wire/amount.rs
@@ -0,0 +1,63 @@
+//! Amounts of resources.
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::refusal::Refusal;
+use crate::api::wire::check;
+use crate::resource;
+
+/// An amount of each resource.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Amount {
+    /// Processor time in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory in MiB.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    #[serde(default)]
+    pub accelerators: u64,
+}
+
+impl Amount {
+    /// Checks the amount as the demand of one task, found at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Names the dimension that is out of its range.
+    pub fn demand(self, path: &str) -> Result<resource::Amount, Refusal> {
+        let field = |name| format!("{path}.{name}");
+        check::within(&field("cpu-millis"), self.cpu_millis, 1, check::CPU_MILLIS)?;
+        check::within(&field("memory-mib"), self.memory_mib, 1, check::MEMORY_MIB)?;
+        check::within(&field("accelerators"), self.accelerators, 0, check::ACCELERATORS)?;
+        Ok(self.into())
+    }
+
+    /// Checks the amount as a team's quota, found at `path`.
+    ///
+    /// # Errors
+    ///
+    /// Names the dimension that is out of its range.
+    pub fn quota(self, path: &str) -> Result<resource::Amount, Refusal> {
+        let tasks = u64::from(check::TASKS);
+        let field = |name| format!("{path}.{name}");
+        check::within(&field("cpu-millis"), self.cpu_millis, 0, check::CPU_MILLIS * tasks)?;
+        check::within(&field("memory-mib"), self.memory_mib, 0, check::MEMORY_MIB * tasks)?;
+        check::within(&field("accelerators"), self.accelerators, 0, check::ACCELERATORS * tasks)?;
+        Ok(self.into())
+    }
+}
+
+impl From<Amount> for resource::Amount {
+    fn from(amount: Amount) -> Self {
+        let Amount { cpu_millis, memory_mib, accelerators } = amount;
+        Self { cpu_millis, memory_mib, accelerators }
+    }
+}
+
+impl From<resource::Amount> for Amount {
+    fn from(amount: resource::Amount) -> Self {
+        let resource::Amount { cpu_millis, memory_mib, accelerators } = amount;
+        Self { cpu_millis, memory_mib, accelerators }
+    }
+}
--- /dev/null
+++ b/src/api/wire/check.rs
@@ -0,0 +1,121 @@
+//! Ranges of what callers and operators may ask for.
+
+use std::time::Duration;
+
+use crate::api::refusal::Refusal;
+use crate::clock::Unix;
+
+/// Longest name of a job, team, worker or person, in characters.
+pub const NAME_LENGTH: usize = 64;
+/// Longest idempotency key, in characters.
+pub const KEY_LENGTH: usize = 128;
+/// Most tasks of one job.
+pub const TASKS: u32 = 10_000;
+/// Largest processor demand of a task, in thousandths of a core.
+pub const CPU_MILLIS: u64 = 10_000_000;
+/// Largest memory demand of a task, in MiB.
+pub const MEMORY_MIB: u64 = 64 * 1024 * 1024;
+/// Most accelerators of a task.
+pub const ACCELERATORS: u64 = 1_024;
+/// Longest expected run time.
+pub const RUN_TIME: Duration = Duration::from_secs(366 * 24 * 60 * 60);
+/// Furthest deadline, counted from now.
+pub const DEADLINE: Duration = Duration::from_secs(366 * 24 * 60 * 60);
+/// Longest payload, in bytes.
+pub const PAYLOAD_BYTES: usize = 16 * 1024;
+/// Most items on one page of a list.
+pub const PAGE: usize = 500;
+
+/// Checks a name: letters, digits, `.`, `_` and `-`, beginning with a letter or digit.
+///
+/// Names reach logs, terminals and paths, so that they hold nothing that those would read as
+/// something else.
+///
+/// ```
+/// use oriolefork::api::wire::check;
+/// assert!(check::name("team", "shop-1").is_ok());
+/// assert!(check::name("team", "a\nb").is_err());
+/// ```
+///
+/// # Errors
+///
+/// Names `field` and the rule that `text` breaks.
+pub fn name(field: &str, text: &str) -> Result<(), Refusal> {
+    let length = text.chars().count();
+    if length == 0 || length > NAME_LENGTH {
+        return Err(Refusal::invalid(
+            field,
+            format!("{field} has {length} characters; it must have 1 to {NAME_LENGTH}"),
+        ));
+    }
+    let begins = text.starts_with(|c: char| c.is_ascii_alphanumeric());
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    if !begins || !text.chars().all(allowed) {
+        return Err(Refusal::invalid(
+            field,
+            format!(
+                "{field} may hold letters, digits, '.', '_' and '-' of ASCII only and must begin \
+                 with a letter or digit"
+            ),
+        ));
+    }
+    Ok(())
+}
+
+/// Checks an idempotency key: visible characters of ASCII.
+///
+/// # Errors
+///
+/// Names `field` and the rule that `text` breaks.
+pub fn key(field: &str, text: &str) -> Result<(), Refusal> {
+    let visible = text.chars().all(|c| c.is_ascii_graphic());
+    if text.is_empty() || text.len() > KEY_LENGTH || !visible {
+        return Err(Refusal::invalid(
+            field,
+            format!("{field} must have 1 to {KEY_LENGTH} visible ASCII characters, no spaces"),
+        ));
+    }
+    Ok(())
+}
+
+/// Checks that a number lies in `low..=high`.
+///
+/// # Errors
+///
+/// Names `field`, the number and the range.
+pub fn within(field: &str, value: u64, low: u64, high: u64) -> Result<(), Refusal> {
+    if (low..=high).contains(&value) {
+        return Ok(());
+    }
+    Err(Refusal::invalid(field, format!("{field} is {value}; it must be {low} to {high}")))
+}
+
+/// Checks that a text has at most `limit` bytes.
+///
+/// # Errors
+///
+/// Names `field`, the length and the limit.
+pub fn length(field: &str, text: &str, limit: usize) -> Result<(), Refusal> {
+    if text.len() <= limit {
+        return Ok(());
+    }
+    let length = text.len();
+    Err(Refusal::invalid(field, format!("{field} has {length} bytes; it may have {limit}")))
+}
+
+/// Checks that a deadline lies neither in the past nor absurdly far ahead of `now`.
+///
+/// # Errors
+///
+/// Names `field` and by how much it is off.
+pub fn deadline(field: &str, deadline: Unix, now: Unix) -> Result<(), Refusal> {
+    if deadline <= now {
+        let late = now.since(deadline).as_secs();
+        return Err(Refusal::invalid(field, format!("{field} lies {late} s in the past")));
+    }
+    if deadline.since(now) > DEADLINE {
+        let days = DEADLINE.as_secs() / (24 * 60 * 60);
+        return Err(Refusal::invalid(field, format!("{field} lies more than {days} days ahead")));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/api/wire/parse.rs
@@ -0,0 +1,56 @@
+//! Reading of JSON bodies with the path of the field at fault.
+
+use serde::de::DeserializeOwned;
+use serde_path_to_error::Path;
+
+use crate::api::refusal::Refusal;
+
+/// Name that a fault of the body as a whole has.
+const WHOLE: &str = "body";
+
+/// Reads one JSON value that fills `body`.
+///
+/// ```
+/// use oriolefork::api::wire::{self, Amount};
+/// let refusal = wire::parse::<Amount>(br#"{"cpu-millis": -1, "memory-mib": 0}"#).unwrap_err();
+/// assert_eq!(refusal.field.as_deref(), Some("cpu-millis"));
+/// ```
+///
+/// # Errors
+///
+/// Names the field at fault.
+pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    let mut reader = serde_json::Deserializer::from_slice(body);
+    let value = serde_path_to_error::deserialize(&mut reader)
+        .map_err(|error| refusal(error.path(), error.inner()))?;
+    reader.end().map_err(|error| Refusal::invalid(WHOLE, error.to_string()))?;
+    Ok(value)
+}
+
+fn refusal(path: &Path, error: &serde_json::Error) -> Refusal {
+    let message = error.to_string();
+    Refusal::invalid(field(path, &message), message)
+}
+
+/// The path of the field at fault, also where the parser names only the object around it.
+fn field(path: &Path, message: &str) -> String {
+    let around = path.to_string();
+    let around = if around == "." || around == "?" { "" } else { around.as_str() };
+    let named = ["missing field `", "unknown field `", "duplicate field `"]
+        .iter()
+        .find_map(|start| message.strip_prefix(start))
+        .and_then(|rest| rest.split('`').next());
+    match named {
+        Some(name) if !ends_with(around, name) => join(around, name),
+        _ if around.is_empty() => WHOLE.to_owned(),
+        _ => around.to_owned(),
+    }
+}
+
+fn ends_with(path: &str, name: &str) -> bool {
+    path == name || path.strip_suffix(name).is_some_and(|rest| rest.ends_with('.'))
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") }
+}
--- /dev/null
+++ b/src/api/wire/refusal.rs
@@ -0,0 +1,40 @@
+//! Refusals.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::api::refusal::{self, Ran, Reason};
+use crate::clock;
+
+/// Body of every answer that is no success.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Refusal {
+    /// Whether the work may have run.
+    pub ran: Ran,
+    /// Why it was refused.
+    pub reason: Reason,
+    /// What happened, in a sentence for people.
+    pub message: String,
+    /// Milliseconds after which a new try is worthwhile.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// The field or header at fault.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub field: Option<String>,
+}
+
+impl From<refusal::Refusal> for Refusal {
+    fn from(refusal: refusal::Refusal) -> Self {
+        let refusal::Refusal { ran, reason, message, retry_after, field } = refusal;
+        Self { ran, reason, message, retry_after_ms: retry_after.map(clock::millis), field }
+    }
+}
+
+impl From<Refusal> for refusal::Refusal {
+    fn from(refusal: Refusal) -> Self {
+        let Refusal { ran, reason, message, retry_after_ms, field } = refusal;
+        Self { ran, reason, message, retry_after: retry_after_ms.map(Duration::from_millis), field }
+    }
+}
