Answer callers and operators over HTTP

Cause: operators and services need a versioned interface that refuses bad input with the field. Change: routes, queries, headers, statuses and a handler that bounds each call in time. A repeated submission past its deadline is looked up before it is refused as not run.

--- a/src/api/backend.rs
+++ b/src/api/backend.rs
@@ -33,6 +33,10 @@
     fn readiness(&self) -> view::Readiness;
 
     /// Accepts a job under its team and key; a repeated call names the same job.
+    ///
+    /// A deadline that has passed when the owner takes the job up is refused, unless the key is
+    /// known: a submission delayed on its way must not be accepted after its repetition was told
+    /// that it did not run.
     fn submit(
         &self,
         call: Call,
@@ -42,7 +46,7 @@
     /// Stops a job; a repeated call succeeds again.
     fn cancel(&self, call: Call, job: job::Id) -> Answer<'_, view::job::Job>;
 
-    /// The state of one job with its tasks.
+    /// The state of one job with its tasks; also of one that is still being recorded.
     fn job(&self, call: Call, job: job::Id) -> Answer<'_, view::job::Job>;
 
     /// Jobs that match, in order of identity, after the cursor.
--- /dev/null
+++ b/src/api/endpoint.rs
@@ -0,0 +1,193 @@
+//! What each route does with the backend.
+
+use ::http::StatusCode;
+use bytes::Bytes;
+
+use crate::api::backend::{Backend, Call};
+use crate::api::query::Query;
+use crate::api::refusal::{Reason, Refusal};
+use crate::api::route::Route;
+use crate::api::view::job::{Accepted, Submission};
+use crate::api::{header, reply, view, wire};
+use crate::clock::Clock;
+use crate::http::{Request, Response};
+use crate::job;
+
+/// A request whose route is known.
+pub struct Asked {
+    /// Its circumstances.
+    pub call: Call,
+    /// What it asks for.
+    pub route: Route,
+    /// The request itself.
+    pub request: Request,
+}
+
+impl Asked {
+    /// The parameters, of which those in `known` are allowed.
+    fn query(&self, known: &[&str]) -> Result<Query, Refusal> {
+        Query::parse(self.request.uri().query().unwrap_or_default(), known)
+    }
+
+    fn body(&self) -> &Bytes {
+        self.request.body()
+    }
+
+    /// The call with the person who signed the body.
+    fn signed(&self) -> Result<Call, Refusal> {
+        let signature: wire::alert::Signature = wire::parse(self.body())?;
+        Ok(Call { by: Some(signature.into_name()?), ..self.call.clone() })
+    }
+}
+
+/// Answers a request through the backend.
+///
+/// # Errors
+///
+/// Returns what the backend refuses and what is malformed in the request.
+pub async fn answer(
+    backend: &dyn Backend,
+    clock: &dyn Clock,
+    asked: Asked,
+) -> Result<Response, Refusal> {
+    let call = asked.call.clone();
+    match &asked.route {
+        Route::Submit => submit(backend, clock, &asked).await,
+        Route::Jobs => jobs(backend, &asked).await,
+        Route::Job(id) => {
+            asked.query(&[])?;
+            Ok(ok(&wire::job::Job::from(backend.job(call, *id).await?)))
+        }
+        Route::Cancel(id) => {
+            asked.query(&[])?;
+            Ok(ok(&wire::job::Job::from(backend.cancel(call, *id).await?)))
+        }
+        Route::Explain(id) => {
+            Ok(ok(&wire::job::Explanation::from(backend.explain(call, *id).await?)))
+        }
+        Route::Alerts => alerts(backend, &asked).await,
+        Route::Acknowledge(alert) => {
+            let alert = backend.acknowledge(asked.signed()?, alert.clone()).await?;
+            Ok(ok(&wire::alert::Alert::from(alert)))
+        }
+        Route::Presets => Ok(ok(&wire::preset::Choice::from(backend.presets(call).await?))),
+        Route::SetPreset => set_preset(backend, &asked).await,
+        Route::PresetHistory => preset_history(backend, &asked).await,
+        Route::Quotas => Ok(ok(&wire::quota::Table::from(backend.quotas(call).await?))),
+        Route::SetQuota(team) => set_quota(backend, &asked, team).await,
+        Route::Workers => Ok(ok(&wire::worker::List::from(backend.workers(call).await?))),
+        Route::OrderWorker(name, order) => {
+            let worker = backend.order_worker(asked.signed()?, name.clone(), *order).await?;
+            Ok(ok(&wire::worker::Worker::from(worker)))
+        }
+        Route::Status => Ok(ok(&wire::status::Status::from(backend.status(call).await?))),
+        Route::LogLevel => set_log_level(backend, &asked).await,
+        Route::Health => Ok(ok(&wire::status::Identity::from(backend.identity()))),
+        Route::Ready => Ok(ready(backend)),
+        Route::Dump => Ok(ok(&backend.dump(call).await?)),
+        Route::Request | Route::Metrics => {
+            Err(Refusal::not_run(Reason::Internal, "the route has a handler of its own"))
+        }
+    }
+}
+
+fn ok(body: &impl serde::Serialize) -> Response {
+    reply::json(StatusCode::OK, body)
+}
+
+async fn submit(
+    backend: &dyn Backend,
+    clock: &dyn Clock,
+    asked: &Asked,
+) -> Result<Response, Refusal> {
+    asked.query(&[])?;
+    let key = header::idempotency_key(asked.request.headers())?;
+    let wire: wire::job::Spec = wire::parse(asked.body())?;
+    let submission = Submission { key, spec: job::Spec::try_from(wire)? };
+    let call = asked.call.clone();
+    let accepted = match check_deadline(&submission, clock) {
+        Ok(()) => backend.submit(call, submission).await?,
+        Err(refusal) => known(backend, call, &submission, refusal).await?,
+    };
+    Ok(accepted_reply(accepted))
+}
+
+fn check_deadline(submission: &Submission, clock: &dyn Clock) -> Result<(), Refusal> {
+    let check = |deadline| wire::check::deadline("deadline-unix-ms", deadline, clock.unix());
+    submission.spec.deadline.map_or(Ok(()), check)
+}
+
+/// The answer to a submission whose deadline has passed.
+///
+/// The caller may repeat, after the deadline, a submission whose answer was lost. Refusing that one
+/// as "not run" would be false: the first call may have been accepted, so the job is looked up.
+async fn known(
+    backend: &dyn Backend,
+    call: Call,
+    submission: &Submission,
+    refusal: Refusal,
+) -> Result<Accepted, Refusal> {
+    match backend.job(call, submission.id()).await {
+        Ok(job) => {
+            let id = job.summary.id;
+            Ok(Accepted { job: id, durability: job.durability, duplicate: true })
+        }
+        Err(Refusal { reason: Reason::NotFound, .. }) => Err(refusal),
+        Err(cause) => Err(Refusal::unknown(cause.reason, cause.message)),
+    }
+}
+
+fn accepted_reply(accepted: Accepted) -> Response {
+    let status = if accepted.duplicate { StatusCode::OK } else { StatusCode::CREATED };
+    let mut response = reply::json(status, &wire::job::Accepted::from(accepted));
+    reply::location(&mut response, &format!("/v1/jobs/{}", accepted.job));
+    response
+}
+
+async fn jobs(backend: &dyn Backend, asked: &Asked) -> Result<Response, Refusal> {
+    let query = asked.query(&["after", "limit", "team", "name", "state"])?;
+    let cut = query.cut_by(job::Id::parse)?;
+    let page = backend.jobs(asked.call.clone(), query.job_filter()?, cut).await?;
+    Ok(ok(&wire::Page::<wire::job::Summary>::from(page)))
+}
+
+async fn alerts(backend: &dyn Backend, asked: &Asked) -> Result<Response, Refusal> {
+    let query = asked.query(&["after", "limit", "all"])?;
+    let cut = query.cut::<String>()?;
+    let page = backend.alerts(asked.call.clone(), query.flag("all")?, cut).await?;
+    Ok(ok(&wire::Page::<wire::alert::Alert>::from(page)))
+}
+
+async fn set_preset(backend: &dyn Backend, asked: &Asked) -> Result<Response, Refusal> {
+    let wire: wire::preset::Change = wire::parse(asked.body())?;
+    let call = Call { by: Some(wire.by.clone()), ..asked.call.clone() };
+    let change = view::preset::Change::try_from(wire)?;
+    Ok(ok(&wire::preset::InForce::from(backend.set_preset(call, change).await?)))
+}
+
+async fn preset_history(backend: &dyn Backend, asked: &Asked) -> Result<Response, Refusal> {
+    let cut = asked.query(&["after", "limit"])?.cut::<u64>()?;
+    let page = backend.preset_history(asked.call.clone(), cut).await?;
+    Ok(ok(&wire::Page::<wire::preset::InForce>::from(page)))
+}
+
+async fn set_quota(backend: &dyn Backend, asked: &Asked, team: &str) -> Result<Response, Refusal> {
+    let wire: wire::quota::Change = wire::parse(asked.body())?;
+    let call = Call { by: Some(wire.by.clone()), ..asked.call.clone() };
+    let change = wire.of_team(team)?;
+    Ok(ok(&wire::quota::Table::from(backend.set_quota(call, change).await?)))
+}
+
+async fn set_log_level(backend: &dyn Backend, asked: &Asked) -> Result<Response, Refusal> {
+    let wanted: wire::status::LogLevel = wire::parse(asked.body())?;
+    let level = log::LevelFilter::try_from(&wanted)?;
+    backend.set_log_level(asked.call.clone(), level).await?;
+    Ok(ok(&wanted))
+}
+
+fn ready(backend: &dyn Backend) -> Response {
+    let view::Readiness { ready, reasons } = backend.readiness();
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let identity = backend.identity().into();
+    reply::json(status, &wire::status::Readiness { ready, reasons, identity })
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -4,9 +4,16 @@
 //! that the backend answers is a [`view`] or a [`Refusal`] that says whether the work may have run.
 
 pub mod backend;
+mod endpoint;
+pub mod header;
+pub mod query;
 pub mod refusal;
+pub mod reply;
+pub mod route;
+pub mod service;
 pub mod view;
 pub mod wire;
 
 pub use backend::{Answer, Backend, Call};
 pub use refusal::{Ran, Reason, Refusal};
+pub use service::{Check, Options, Service};
--- /dev/null
+++ b/src/api/query.rs
@@ -0,0 +1,116 @@
+//! Parameters in the query of a path.
+
+use std::str::FromStr;
+
+use crate::api::refusal::Refusal;
+use crate::api::view::{Cut, job};
+use crate::api::wire::check;
+
+/// Items on a page when the caller names no limit.
+const DEFAULT_PAGE: usize = 100;
+
+/// Parameters of one request, each given once at most.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Query {
+    pairs: Vec<(String, String)>,
+}
+
+impl Query {
+    /// Reads a query and refuses parameters other than `known` ones.
+    ///
+    /// ```
+    /// use oriolefork::api::query::Query;
+    /// let query = Query::parse("limit=5", &["after", "limit"])?;
+    /// assert_eq!(query.cut::<u64>()?.limit, 5);
+    /// let refusal = Query::parse("limti=5", &["after", "limit"]).unwrap_err();
+    /// assert_eq!(refusal.field.as_deref(), Some("limti"));
+    /// # Ok::<(), oriolefork::api::Refusal>(())
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Names the parameter that is unknown or repeated.
+    pub fn parse(text: &str, known: &[&str]) -> Result<Self, Refusal> {
+        let mut query = Self::default();
+        for (name, value) in form_urlencoded::parse(text.as_bytes()) {
+            if !known.contains(&name.as_ref()) {
+                let known = if known.is_empty() { "none".to_owned() } else { known.join(", ") };
+                let message = format!("unknown parameter; this path knows {known}");
+                return Err(Refusal::invalid(name, message));
+            }
+            if query.get(&name).is_some() {
+                return Err(Refusal::invalid(name, "the parameter is given more than once"));
+            }
+            query.pairs.push((name.into_owned(), value.into_owned()));
+        }
+        Ok(query)
+    }
+
+    /// The value of a parameter.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.pairs.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The parameters `after` and `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Names the one that is malformed or out of its range.
+    pub fn cut<C: FromStr>(&self) -> Result<Cut<C>, Refusal> {
+        self.cut_by(|text| text.parse().ok())
+    }
+
+    /// The parameters `after`, which `read` understands, and `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Names the one that is malformed or out of its range.
+    pub fn cut_by<C>(&self, read: impl FnOnce(&str) -> Option<C>) -> Result<Cut<C>, Refusal> {
+        let malformed =
+            || Refusal::invalid("after", "after must be the `next` of the page before, unchanged");
+        let after = self.get("after").map(|text| read(text).ok_or_else(malformed)).transpose()?;
+        Ok(Cut { after, limit: self.limit()? })
+    }
+
+    fn limit(&self) -> Result<usize, Refusal> {
+        let Some(text) = self.get("limit") else { return Ok(DEFAULT_PAGE) };
+        text.parse()
+            .ok()
+            .filter(|limit| (1..=check::PAGE).contains(limit))
+            .ok_or_else(|| Refusal::invalid("limit", format!("limit must be 1 to {}", check::PAGE)))
+    }
+
+    /// The parameters that choose jobs.
+    ///
+    /// # Errors
+    ///
+    /// Names the one that is malformed.
+    pub fn job_filter(&self) -> Result<job::Filter, Refusal> {
+        let state = self.get("state").map(job_state).transpose()?;
+        for field in ["team", "name"] {
+            self.get(field).map_or(Ok(()), |text| check::name(field, text))?;
+        }
+        Ok(job::Filter {
+            team: self.get("team").map(str::to_owned),
+            name: self.get("name").map(str::to_owned),
+            state,
+        })
+    }
+
+    /// A parameter that is `true` or `false`, the latter when absent.
+    ///
+    /// # Errors
+    ///
+    /// Names the parameter when it is something else.
+    pub fn flag(&self, name: &str) -> Result<bool, Refusal> {
+        let message = || format!("{name} must be true or false");
+        self.get(name)
+            .map_or(Ok(false), |text| text.parse().map_err(|_| Refusal::invalid(name, message())))
+    }
+}
+
+fn job_state(text: &str) -> Result<job::State, Refusal> {
+    let known = job::State::ALL.map(|state| state.to_string());
+    let found = job::State::ALL.into_iter().find(|state| state.to_string() == text);
+    found.ok_or_else(|| Refusal::invalid("state", format!("state must be {}", known.join(", "))))
+}
--- /dev/null
+++ b/src/api/reply.rs
@@ -0,0 +1,91 @@
+//! Responses: bodies, status codes and headers.
+
+use ::http::header::{ALLOW, CONTENT_TYPE, HeaderName, LOCATION, RETRY_AFTER, WWW_AUTHENTICATE};
+use ::http::{HeaderValue, StatusCode};
+use bytes::Bytes;
+use serde::Serialize;
+
+use crate::api::refusal::{Reason, Refusal};
+use crate::api::view::Identity;
+use crate::api::{header, wire};
+use crate::http::Response;
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+const TEXT: HeaderValue = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
+
+/// A response with a JSON body.
+pub fn json(status: StatusCode, body: &impl Serialize) -> Response {
+    match serde_json::to_vec(body) {
+        Ok(bytes) => whole(status, JSON, bytes.into()),
+        Err(cause) => whole(StatusCode::INTERNAL_SERVER_ERROR, TEXT, cause.to_string().into()),
+    }
+}
+
+/// A response with a text body.
+pub fn text(body: String) -> Response {
+    whole(StatusCode::OK, TEXT, body.into())
+}
+
+/// The response to a call that was refused.
+pub fn refusal(refusal: Refusal) -> Response {
+    let retry_after = refusal.retry_after;
+    let reason = refusal.reason;
+    let mut response = json(status(reason), &wire::Refusal::from(refusal));
+    if let Some(span) = retry_after {
+        set(&mut response, RETRY_AFTER, &span.as_millis().div_ceil(1_000).to_string());
+    }
+    if reason == Reason::Unauthorized {
+        set(&mut response, WWW_AUTHENTICATE, "Bearer");
+    }
+    response
+}
+
+/// Adds the methods that a path has.
+pub fn allow(response: &mut Response, methods: &str) {
+    set(response, ALLOW, methods);
+}
+
+/// Adds where the thing is that a call made.
+pub fn location(response: &mut Response, path: &str) {
+    set(response, LOCATION, path);
+}
+
+/// Adds who answered.
+pub fn sign(response: &mut Response, identity: &Identity) {
+    set(response, HeaderName::from_static(header::INSTANCE), &identity.instance);
+    set(response, HeaderName::from_static(header::DOMAIN), identity.domain.as_str());
+}
+
+/// The status code for a refusal.
+pub const fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::Invalid => StatusCode::BAD_REQUEST,
+        Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+        Reason::NotFound => StatusCode::NOT_FOUND,
+        Reason::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
+        Reason::StaleVersion | Reason::KeyReused | Reason::AlreadyEnded => StatusCode::CONFLICT,
+        Reason::KeyExpired => StatusCode::GONE,
+        Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::Impossible | Reason::Quota => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+        Reason::NoOwner | Reason::LogUnavailable | Reason::ShuttingDown => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+fn whole(status: StatusCode, content: HeaderValue, body: Bytes) -> Response {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, content);
+    response
+}
+
+/// Sets a header, unless the text cannot stand in one.
+fn set(response: &mut Response, name: HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::try_from(text) {
+        response.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/src/api/route.rs
@@ -0,0 +1,208 @@
+//! Paths and methods of the interface.
+
+use ::http::Method;
+use percent_encoding::percent_decode_str;
+
+use crate::api::view::worker::Order;
+use crate::{job, worker};
+
+/// One thing that the interface does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// `POST /v1/jobs`
+    Submit,
+    /// `GET /v1/jobs`
+    Jobs,
+    /// `GET /v1/jobs/{id}`
+    Job(job::Id),
+    /// `POST /v1/jobs/{id}/cancel`
+    Cancel(job::Id),
+    /// `GET /v1/jobs/{id}/explanation`
+    Explain(job::Id),
+    /// `GET /v1/alerts`
+    Alerts,
+    /// `POST /v1/alerts/{id}/acknowledge`
+    Acknowledge(String),
+    /// `GET /v1/preset`
+    Presets,
+    /// `PUT /v1/preset`
+    SetPreset,
+    /// `GET /v1/preset/history`
+    PresetHistory,
+    /// `GET /v1/quotas`
+    Quotas,
+    /// `PUT /v1/quotas/{team}`
+    SetQuota(String),
+    /// `GET /v1/workers`
+    Workers,
+    /// `POST /v1/workers/{name}/{order}`
+    OrderWorker(worker::Name, Order),
+    /// `GET /v1/status`
+    Status,
+    /// `PUT /v1/log-level`
+    LogLevel,
+    /// `POST /v1/services/{service}/requests`
+    Request,
+    /// `GET /healthz`
+    Health,
+    /// `GET /readyz`
+    Ready,
+    /// `GET /metrics`
+    Metrics,
+    /// `GET /dump`
+    Dump,
+}
+
+/// Why a path and method lead nowhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// Nothing has this path.
+    Path,
+    /// The identity in the path does not have the form of a job's.
+    JobId,
+    /// The path exists with these methods only, as for the header `allow`.
+    Method(&'static str),
+}
+
+impl Route {
+    /// Finds what a method and a path ask for.
+    ///
+    /// ```
+    /// use http::Method;
+    /// use oriolefork::api::route::{Miss, Route};
+    /// assert_eq!(Route::find(&Method::GET, "/v1/status"), Ok(Route::Status));
+    /// assert_eq!(Route::find(&Method::PUT, "/v1/status"), Err(Miss::Method("GET")));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Tells a wrong path from a wrong method.
+    pub fn find(method: &Method, path: &str) -> Result<Self, Miss> {
+        let segments = segments(path).ok_or(Miss::Path)?;
+        let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
+        match segments.as_slice() {
+            ["healthz"] => get(method, Self::Health),
+            ["readyz"] => get(method, Self::Ready),
+            ["metrics"] => get(method, Self::Metrics),
+            ["dump"] => get(method, Self::Dump),
+            ["v1", rest @ ..] => Self::find_v1(method, rest),
+            _ => Err(Miss::Path),
+        }
+    }
+
+    fn find_v1(method: &Method, segments: &[&str]) -> Result<Self, Miss> {
+        match segments {
+            ["jobs", rest @ ..] => Self::find_job(method, rest),
+            ["alerts"] => get(method, Self::Alerts),
+            ["alerts", id, "acknowledge"] => post(method, Self::Acknowledge((*id).to_owned())),
+            ["preset"] if *method == Method::GET => Ok(Self::Presets),
+            ["preset"] if *method == Method::PUT => Ok(Self::SetPreset),
+            ["preset"] => Err(Miss::Method("GET, PUT")),
+            ["preset", "history"] => get(method, Self::PresetHistory),
+            ["quotas"] => get(method, Self::Quotas),
+            ["quotas", team] => put(method, Self::SetQuota((*team).to_owned())),
+            ["workers"] => get(method, Self::Workers),
+            ["workers", name, order] => {
+                let order = order_named(order).ok_or(Miss::Path)?;
+                post(method, Self::OrderWorker((*name).into(), order))
+            }
+            ["status"] => get(method, Self::Status),
+            ["log-level"] => put(method, Self::LogLevel),
+            ["services", _, "requests"] => post(method, Self::Request),
+            _ => Err(Miss::Path),
+        }
+    }
+
+    fn find_job(method: &Method, segments: &[&str]) -> Result<Self, Miss> {
+        match segments {
+            [] if *method == Method::GET => Ok(Self::Jobs),
+            [] if *method == Method::POST => Ok(Self::Submit),
+            [] => Err(Miss::Method("GET, POST")),
+            [id] => get(method, Self::Job(job_id(id)?)),
+            [id, "cancel"] => post(method, Self::Cancel(job_id(id)?)),
+            [id, "explanation"] => get(method, Self::Explain(job_id(id)?)),
+            _ => Err(Miss::Path),
+        }
+    }
+
+    /// Short name for logs and metrics.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Submit => "submit",
+            Self::Jobs => "jobs",
+            Self::Job(_) => "job",
+            Self::Cancel(_) => "cancel",
+            Self::Explain(_) => "explain",
+            Self::Alerts => "alerts",
+            Self::Acknowledge(_) => "acknowledge",
+            Self::Presets => "presets",
+            Self::SetPreset => "set-preset",
+            Self::PresetHistory => "preset-history",
+            Self::Quotas => "quotas",
+            Self::SetQuota(_) => "set-quota",
+            Self::Workers => "workers",
+            Self::OrderWorker(..) => "order-worker",
+            Self::Status => "status",
+            Self::LogLevel => "log-level",
+            Self::Request => "request",
+            Self::Health => "health",
+            Self::Ready => "ready",
+            Self::Metrics => "metrics",
+            Self::Dump => "dump",
+        }
+    }
+
+    /// Whether it takes the operators' token when one is set.
+    pub const fn is_for_operators(&self) -> bool {
+        matches!(
+            self,
+            Self::Acknowledge(_)
+                | Self::SetPreset
+                | Self::SetQuota(_)
+                | Self::OrderWorker(..)
+                | Self::LogLevel
+                | Self::Dump
+        )
+    }
+
+    /// Whether it changes something, so that a lost answer leaves open what happened.
+    pub const fn is_change(&self) -> bool {
+        matches!(
+            self,
+            Self::Submit
+                | Self::Cancel(_)
+                | Self::Acknowledge(_)
+                | Self::SetPreset
+                | Self::SetQuota(_)
+                | Self::OrderWorker(..)
+                | Self::LogLevel
+                | Self::Request
+        )
+    }
+}
+
+/// The decoded segments of a path; `None` when one is not UTF-8.
+fn segments(path: &str) -> Option<Vec<String>> {
+    let decode = |segment| Some(percent_decode_str(segment).decode_utf8().ok()?.into_owned());
+    path.strip_prefix('/')?.split('/').map(decode).collect()
+}
+
+fn job_id(text: &str) -> Result<job::Id, Miss> {
+    job::Id::parse(text).ok_or(Miss::JobId)
+}
+
+fn order_named(text: &str) -> Option<Order> {
+    [Order::Drain, Order::Undrain, Order::Lost].into_iter().find(|order| order.to_string() == text)
+}
+
+fn get(method: &Method, route: Route) -> Result<Route, Miss> {
+    if *method == Method::GET { Ok(route) } else { Err(Miss::Method("GET")) }
+}
+
+fn post(method: &Method, route: Route) -> Result<Route, Miss> {
+    if *method == Method::POST { Ok(route) } else { Err(Miss::Method("POST")) }
+}
+
+fn put(method: &Method, route: Route) -> Result<Route, Miss> {
+    if *method == Method::PUT { Ok(route) } else { Err(Miss::Method("PUT")) }
+}
--- /dev/null
+++ b/src/api/service.rs
@@ -0,0 +1,166 @@
+//! The handler of the interface: finds the route, checks the caller, bounds the time.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::{Either, FutureExt, LocalBoxFuture, select};
+
+use crate::api::backend::{Backend, Call};
+use crate::api::endpoint::{self, Asked};
+use crate::api::refusal::{Ran, Reason, Refusal};
+use crate::api::route::{Miss, Route};
+use crate::api::{header, reply};
+use crate::clock::Clock;
+use crate::http::{Handler, Request, Response};
+
+/// Renders the metrics of the process.
+pub type Render = Box<dyn Fn() -> String>;
+
+/// Tells whether a text is the operators' token, in a time that does not depend on the text.
+pub type Check = Box<dyn Fn(&str) -> bool>;
+
+/// What the handler needs besides the backend.
+pub struct Options {
+    /// Checks the token that operators have to present, when one is set.
+    pub operator_token: Option<Check>,
+    /// Renders what `/metrics` answers.
+    pub metrics: Render,
+    /// Answers the quick requests of services, when the instance takes them.
+    pub requests: Option<Rc<dyn Handler>>,
+}
+
+/// The handler of the interface.
+pub struct Service {
+    backend: Rc<dyn Backend>,
+    clock: Rc<dyn Clock>,
+    options: Options,
+}
+
+impl Service {
+    /// Builds the handler over a backend.
+    pub fn new(backend: Rc<dyn Backend>, clock: Rc<dyn Clock>, options: Options) -> Self {
+        Self { backend, clock, options }
+    }
+
+    async fn respond(&self, peer: SocketAddr, request: Request) -> Response {
+        let route = match Route::find(request.method(), request.uri().path()) {
+            Ok(route) => route,
+            Err(miss) => return missed(miss),
+        };
+        let name = route.name();
+        let response = match self.dispatch(peer, route, request).await {
+            Ok(response) => response,
+            Err(refusal) => {
+                log_refusal(peer, name, &refusal);
+                reply::refusal(refusal)
+            }
+        };
+        let status = response.status().as_u16().to_string();
+        metrics::counter!("api_requests_total", "route" => name, "status" => status).increment(1);
+        response
+    }
+
+    async fn dispatch(
+        &self,
+        peer: SocketAddr,
+        route: Route,
+        request: Request,
+    ) -> Result<Response, Refusal> {
+        self.authorize(&route, &request)?;
+        match route {
+            Route::Request => self.forward(peer, request).await,
+            Route::Metrics => Ok(reply::text((self.options.metrics)())),
+            route => {
+                let call = Call { within: header::timeout(request.headers())?, by: None };
+                let late = late(&route, call.within);
+                let asked = Asked { call: call.clone(), route, request };
+                let answer = endpoint::answer(&*self.backend, &*self.clock, asked);
+                self.bounded(call.within, late, answer.boxed_local()).await
+            }
+        }
+    }
+
+    fn authorize(&self, route: &Route, request: &Request) -> Result<(), Refusal> {
+        let Some(is_token) = &self.options.operator_token else { return Ok(()) };
+        if !route.is_for_operators() {
+            return Ok(());
+        }
+        let message = match header::bearer(request.headers()) {
+            Some(offered) if is_token(offered) => return Ok(()),
+            Some(_) => "the operators' token is wrong",
+            None => "this call needs the operators' token as `authorization: Bearer ...`",
+        };
+        Err(Refusal::not_run(Reason::Unauthorized, message))
+    }
+
+    async fn forward(&self, peer: SocketAddr, request: Request) -> Result<Response, Refusal> {
+        let message = "this instance takes no requests of services";
+        let handler = self.options.requests.as_ref();
+        let handler = handler.ok_or_else(|| Refusal::not_run(Reason::NotFound, message))?;
+        Ok(handler.handle(peer, request).await)
+    }
+
+    /// Drops an answer that does not come in time, so that a caller never hangs on a fault inside.
+    async fn bounded(
+        &self,
+        within: Duration,
+        late: Refusal,
+        answer: LocalBoxFuture<'_, Result<Response, Refusal>>,
+    ) -> Result<Response, Refusal> {
+        match select(answer, self.clock.sleep(within)).await {
+            Either::Left((answer, _)) => answer,
+            Either::Right(_) => Err(late),
+        }
+    }
+}
+
+impl Handler for Service {
+    fn handle(&self, peer: SocketAddr, request: Request) -> LocalBoxFuture<'_, Response> {
+        async move {
+            let mut response = self.respond(peer, request).await;
+            reply::sign(&mut response, &self.backend.identity());
+            response
+        }
+        .boxed_local()
+    }
+}
+
+fn late(route: &Route, within: Duration) -> Refusal {
+    let waited = within.as_millis();
+    if route.is_change() {
+        let message = format!("no answer within {waited} ms; it may still take effect");
+        return Refusal::unknown(Reason::Deadline, message);
+    }
+    Refusal::not_run(Reason::Deadline, format!("no answer within {waited} ms"))
+}
+
+fn missed(miss: Miss) -> Response {
+    match miss {
+        Miss::Path => {
+            let message = "nothing has this path; docs/API.md lists all paths";
+            reply::refusal(Refusal::not_run(Reason::NotFound, message))
+        }
+        Miss::JobId => {
+            let message = "a job's id has 16 hexadecimal digits";
+            reply::refusal(Refusal::invalid("id", message))
+        }
+        Miss::Method(allowed) => {
+            let message = format!("this path takes {allowed} only");
+            let refusal = Refusal::not_run(Reason::MethodNotAllowed, message);
+            let mut response = reply::refusal(refusal);
+            reply::allow(&mut response, allowed);
+            response
+        }
+    }
+}
+
+/// Logs a refusal; what is the caller's own mistake is told to the caller and logged quietly.
+fn log_refusal(peer: SocketAddr, route: &str, refusal: &Refusal) {
+    let Refusal { ran, reason, .. } = refusal;
+    if *ran == Ran::Unknown || *reason == Reason::Internal {
+        log::warn!("event=api.refused route={route} peer={peer} reason={reason} ran={ran}");
+    } else {
+        log::debug!("event=api.refused route={route} peer={peer} reason={reason} ran={ran}");
+    }
+}
--- a/src/api/view/job.rs
+++ b/src/api/view/job.rs
@@ -38,7 +38,7 @@
 }
 
 /// An accepted job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
     /// Its identity.
     pub job: job::Id,
@@ -75,6 +75,24 @@
     Uncertain,
 }
 
+impl State {
+    /// Every state.
+    pub const ALL: [Self; 7] = [
+        Self::Waiting,
+        Self::Running,
+        Self::Cancelling,
+        Self::Succeeded,
+        Self::Failed,
+        Self::Cancelled,
+        Self::Uncertain,
+    ];
+
+    /// Whether a job in this state changes no more.
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Succeeded | Self::Failed | Self::Cancelled)
+    }
+}
+
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Phase {
--- a/src/api/wire/parse.rs
+++ b/src/api/wire/parse.rs
@@ -8,7 +8,7 @@
 /// Name that a fault of the body as a whole has.
 const WHOLE: &str = "body";
 
-/// Reads one JSON value that fills `body`.
+/// Reads one JSON object that fills `body`.
 ///
 /// ```
 /// use oriolefork::api::wire::{self, Amount};
@@ -20,6 +20,10 @@
 ///
 /// Names the field at fault.
 pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    // The parser would read an array as the fields of a struct in their order.
+    if body.trim_ascii_start().first() != Some(&b'{') {
+        return Err(Refusal::invalid(WHOLE, "the body must be a JSON object"));
+    }
     let mut reader = serde_json::Deserializer::from_slice(body);
     let value = serde_path_to_error::deserialize(&mut reader)
         .map_err(|error| refusal(error.path(), error.inner()))?;
--- /dev/null
+++ b/tests/logic/api/mod.rs
@@ -0,0 +1,6 @@
+//! The callers' and operators' interface.
+
+#[path = "../../support/backend.rs"]
+mod backend;
+mod service;
+mod wire;
