--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -1,7 +1,7 @@
 //! Tests of decision logic and codecs: no sockets, no sleeping.
 
-mod codec;
 mod api;
+mod codec;
 mod job;
 mod placement;
 mod standin;
