Run non-idempotent work at most once by its idempotency key

Cause: a retry of a non-idempotent request may arrive through any instance of any failure domain, after lost answers, crashes and retention, and must never run the work a second time or be told a false "not run".

The pure partition and machine decide, the guard runs them over a store. Intents share appends under a budget. An attempt that was given up is withdrawn, so that its record may land late without blocking the key. A key is admitted only when every record that it could have had is known.

Conclusion: safety rests on the order of the log's records alone, not on its answers nor on clocks that agree.

--- /dev/null
+++ b/src/intent/key.rs
@@ -0,0 +1,146 @@
+//! Idempotency keys and the requests that carry them.
+
+use derive_more::Display;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+
+use super::policy::PARTITIONS;
+use crate::clock::Unix;
+use crate::domain;
+
+/// Longest name of a service or team, in bytes.
+const OWNER_BYTES: usize = 128;
+/// Longest idempotency key, in bytes.
+const NAME_BYTES: usize = 256;
+/// Hexadecimal digits of a UUID.
+const UUID_DIGITS: usize = 32;
+/// Leading hexadecimal digits of a version 7 UUID that hold its creation time.
+const UUID_TIME_DIGITS: usize = 12;
+
+/// What a key protects.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// A quick request of a service to a runner.
+    #[display("request")]
+    Request,
+    /// The submission of a team's job.
+    #[display("job")]
+    Job,
+}
+
+/// An idempotency key with the service or team that named it.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{kind}/{owner}/{name}")]
+pub struct Key {
+    kind: Kind,
+    owner: String,
+    name: String,
+}
+
+/// A key that cannot be used.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, derive_more::Error)]
+pub enum Error {
+    /// No service or team was named.
+    #[display("the service or team is empty")]
+    NoOwner,
+    /// The service's or team's name is too long.
+    #[display("the service or team is longer than {OWNER_BYTES} bytes")]
+    LongOwner,
+    /// No key was given.
+    #[display("the idempotency key is empty")]
+    NoName,
+    /// The key is too long.
+    #[display("the idempotency key is longer than {NAME_BYTES} bytes")]
+    LongName,
+}
+
+impl Key {
+    /// Builds a key of `kind` from the name of the service or team and its idempotency key.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one of the names is empty or too long.
+    ///
+    /// ```
+    /// use oriolefork::intent::{Key, Kind};
+    /// let key = Key::new(Kind::Request, "portal", "renew-7").unwrap();
+    /// assert_eq!(key.to_string(), "request/portal/renew-7");
+    /// assert!(Key::new(Kind::Request, "portal", "").is_err());
+    /// ```
+    pub fn new(kind: Kind, owner: &str, name: &str) -> Result<Self, Error> {
+        match (owner.len(), name.len()) {
+            (0, _) => Err(Error::NoOwner),
+            (_, 0) => Err(Error::NoName),
+            (length, _) if length > OWNER_BYTES => Err(Error::LongOwner),
+            (_, length) if length > NAME_BYTES => Err(Error::LongName),
+            _ => Ok(Self { kind, owner: owner.to_owned(), name: name.to_owned() }),
+        }
+    }
+
+    /// What the key protects.
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+
+    /// The service or team that named it.
+    pub fn owner(&self) -> &str {
+        &self.owner
+    }
+
+    /// The caller's idempotency key.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Number of the partition that holds the key's records, the same at every instance.
+    pub fn partition(&self) -> u16 {
+        let mut hasher = Xxh3::new();
+        hasher.update(&[self.kind as u8]);
+        hasher.update(&(self.owner.len() as u64).to_le_bytes());
+        hasher.update(self.owner.as_bytes());
+        hasher.update(self.name.as_bytes());
+        let partition = hasher.digest() % u64::from(PARTITIONS);
+        partition as u16
+    }
+
+    /// Bytes of its names.
+    pub(super) fn len(&self) -> usize {
+        self.owner.len() + self.name.len()
+    }
+}
+
+/// One submission of work under a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// The key.
+    pub key: Key,
+    /// When the caller made the key; the same in each retry. See [`created_of`].
+    pub created: Unix,
+    /// Fingerprint of the work, so that a key used for other work is noticed. See [`fingerprint`].
+    pub fingerprint: u64,
+    /// Failure domain that takes the job, for a key of [`Kind::Job`].
+    pub domain: Option<domain::Name>,
+}
+
+/// Reads the creation time out of an idempotency key that is a version 7 UUID; `None` when it is
+/// something else.
+///
+/// ```
+/// use oriolefork::clock::Unix;
+/// use oriolefork::intent::created_of;
+/// let created = created_of("01890a5d-ac96-774b-bcce-b302099a8057");
+/// assert_eq!(created, Some(Unix::from_millis(0x0189_0a5d_ac96)));
+/// assert_eq!(created_of("renew-7"), None);
+/// ```
+pub fn created_of(name: &str) -> Option<Unix> {
+    let digits: String = name.chars().filter(|symbol| *symbol != '-').collect();
+    let is_uuid = digits.len() == UUID_DIGITS && digits.bytes().all(|b| b.is_ascii_hexdigit());
+    if !is_uuid || digits.as_bytes()[UUID_TIME_DIGITS] != b'7' {
+        return None;
+    }
+    u64::from_str_radix(&digits[..UUID_TIME_DIGITS], 16).ok().map(Unix::from_millis)
+}
+
+/// Fingerprint of the work that a key stands for.
+pub fn fingerprint(work: &[u8]) -> u64 {
+    xxh3_64(work)
+}
--- /dev/null
+++ b/src/intent/placement.rs
@@ -0,0 +1,48 @@
+//! Fixing the failure domain that takes a job.
+
+use super::key::{Kind, Request};
+use super::partition::{Progress, State};
+use super::record::{Attempt, Outcome};
+use super::ruling::{Reason, Refusal};
+use crate::domain;
+
+/// Where a job goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Placement {
+    /// Hand the job to the owner of this failure domain, whoever asks and as often as it takes:
+    /// the owner tells a repeated submission by the job's identity.
+    Placed {
+        /// The submission that fixed it.
+        attempt: Attempt,
+        /// The failure domain.
+        domain: domain::Name,
+        /// Whether an earlier submission has fixed it.
+        duplicate: bool,
+        /// Whether that domain's owner is recorded to have accepted the job. Then the job is not
+        /// to be handed over again, also when the owner no longer remembers it.
+        accepted: bool,
+    },
+    /// Nothing was handed over, and nothing of this submission ever will be.
+    NotRun(Refusal),
+}
+
+impl Placement {
+    /// Reads the placement that an earlier submission has fixed.
+    pub(super) fn repeated(state: State) -> Self {
+        let (domain, accepted) = match state.progress {
+            Progress::Done(Outcome::Accepted(domain)) => (Some(domain), true),
+            _ => (state.domain, false),
+        };
+        match domain {
+            Some(domain) => {
+                Self::Placed { attempt: state.attempt, domain, duplicate: true, accepted }
+            }
+            None => Self::NotRun(Refusal::request(Reason::Reused)),
+        }
+    }
+}
+
+/// Whether `request` submits a job and names the failure domain for it.
+pub(super) fn is_job(request: &Request) -> bool {
+    request.key.kind() == Kind::Job && request.domain.is_some()
+}
--- /dev/null
+++ b/src/intent/ruling.rs
@@ -0,0 +1,85 @@
+//! What a request with an idempotency key is told.
+
+use derive_more::Display;
+
+use super::key::Request;
+use super::partition::State;
+use super::record::Attempt;
+
+/// The answer to one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ruling {
+    /// The request has won its key and may be tried once.
+    Won(Attempt),
+    /// An earlier request has won the key.
+    Duplicate(State),
+    /// The request has run nothing and never will.
+    NotRun(Refusal),
+}
+
+/// Why a request was not run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("{reason}; {scope}")]
+pub struct Refusal {
+    /// The cause.
+    pub reason: Reason,
+    /// How far the refusal speaks for the key.
+    pub scope: Scope,
+}
+
+/// The cause of a refusal.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Reason {
+    /// The log could not be reached or did not answer.
+    #[display("the log does not answer")]
+    NoLog,
+    /// The log's answer was lost, and the intent was not found there in time.
+    #[display("the log did not confirm the intent in time")]
+    Unsettled,
+    /// Too many requests wait for the log.
+    #[display("too many requests wait for the log")]
+    Overloaded,
+    /// Records of keys of that age may be gone, so an earlier run cannot be ruled out.
+    #[display("the idempotency key is too old")]
+    Expired,
+    /// The key's creation time lies ahead of this instance's clock.
+    #[display("the idempotency key's creation time lies in the future")]
+    Ahead,
+    /// The key was used before for other work.
+    #[display("the idempotency key was used for other work")]
+    Reused,
+    /// The guard has ended.
+    #[display("the instance is shutting down")]
+    Stopped,
+}
+
+/// How far a refusal speaks for the key.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Scope {
+    /// Only this request: an earlier one with the same key may have run.
+    #[display("an earlier request with the same key may have run")]
+    Request,
+    /// The log, read to its end after this request arrived, held no other request for the key.
+    #[display("no request with the same key has run")]
+    Key,
+}
+
+impl Ruling {
+    /// What `request` is told when another request has won its key.
+    pub(super) fn repeat(request: &Request, state: State) -> Self {
+        let other = state.fingerprint.is_some_and(|known| known != request.fingerprint);
+        if other { Self::NotRun(Refusal::request(Reason::Reused)) } else { Self::Duplicate(state) }
+    }
+}
+
+impl Refusal {
+    /// A refusal that speaks only for the request.
+    pub const fn request(reason: Reason) -> Self {
+        Self { reason, scope: Scope::Request }
+    }
+
+    /// A refusal that speaks for the key.
+    pub const fn key(reason: Reason) -> Self {
+        Self { reason, scope: Scope::Key }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod codec;
 pub mod domain;
 pub mod http;
+pub mod intent;
 pub mod job;
 pub mod membership;
 pub mod peer;
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod codec;
+mod intent;
 mod job;
 mod placement;
 mod standin;
