--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -5,4 +5,5 @@
 mod intent;
 mod job;
 mod placement;
+mod settings;
 mod standin;
