Order, reserve, preempt and learn in placement

Cause: first come first served on the tightest worker starves gangs, lets late work drag other work past its deadline, and believes declared sizes and run times. Change: classes of like jobs that are parked until room grows; order by urgency, deadline slack, age and share of quota; a reservation for the first gang with backfill that hardens after a bound; preemption with pledged room; learned run times; use above declared needs takes room; failing workers told apart from failing jobs; presets as policy values. Conclusion: speed and policy still have to be measured.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -1,15 +1,27 @@
-//! The state machine that decides.
+//! The state machine that decides: what it is told, and how it keeps count.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
 
-use super::node::Node;
-use super::{Assignment, Availability, Decision, Holding, Policy, Reason, Request};
+use super::estimate::Estimator;
+use super::health::{Finding, Health, Standing};
+use super::ledger::{Ledger, Running};
+use super::pool::Pool;
+use super::queue::{Queue, Waiting};
+use super::reservation::Reservation;
+use super::scorer::{self, Scorer};
+use super::team::Table;
+use super::victim::Pledges;
+use super::{Availability, Event, Holding, Policy, Request, Risk, measure, risk};
 use crate::clock::{Instant, Unix};
 use crate::job::{self, Kind};
 use crate::resource::Amount;
 use crate::{task, worker};
 
+/// Run time expected of a task of which nothing is known.
+const UNKNOWN_RUN: Duration = Duration::from_secs(10 * 60);
+
 /// Decides where tasks run; see the [module](super).
 ///
 /// ```
@@ -39,40 +51,53 @@
 /// ```
 #[derive(Debug)]
 pub struct Engine {
-    policy: Policy,
-    nodes: Vec<Node>,
-    by_name: HashMap<worker::Name, usize>,
-    waiting: BTreeMap<(Reverse<job::Urgency>, Instant, job::Id), Request>,
-    keys: HashMap<job::Id, (Reverse<job::Urgency>, Instant, job::Id)>,
-    running: HashMap<task::Id, (usize, Amount)>,
-    quotas: HashMap<String, Amount>,
+    pub(super) policy: Policy,
+    pub(super) scorer: Box<dyn Scorer>,
+    pub(super) pool: Pool,
+    pub(super) queue: Queue,
+    pub(super) ledger: Ledger,
+    pub(super) teams: Table,
+    pub(super) estimator: Estimator,
+    pub(super) health: Health,
+    pub(super) reservation: Option<Reservation>,
+    pub(super) pledges: Pledges,
+    pub(super) quarantined: Vec<(Instant, usize)>,
+    events: Vec<Event>,
 }
 
 impl Engine {
     /// Starts with no workers and no work.
     pub fn new(policy: Policy) -> Self {
         Self {
+            scorer: scorer::of(&policy),
             policy,
-            nodes: Vec::new(),
-            by_name: HashMap::new(),
-            waiting: BTreeMap::new(),
-            keys: HashMap::new(),
-            running: HashMap::new(),
-            quotas: HashMap::new(),
+            pool: Pool::default(),
+            queue: Queue::default(),
+            ledger: Ledger::default(),
+            teams: Table::default(),
+            estimator: Estimator::default(),
+            health: Health::default(),
+            reservation: None,
+            pledges: Pledges::default(),
+            quarantined: Vec::new(),
+            events: Vec::new(),
         }
     }
 
     /// Puts other rules in force from the next decision on.
     pub fn set_policy(&mut self, policy: Policy) {
+        if policy == self.policy {
+            return;
+        }
+        self.queue.reorder(&self.policy, &policy);
+        self.scorer = scorer::of(&policy);
         self.policy = policy;
     }
 
     /// Sets what a team may use while others wait; `None` for no limit.
     pub fn set_quota(&mut self, team: &str, quota: Option<Amount>) {
-        match quota {
-            Some(quota) => self.quotas.insert(team.to_owned(), quota),
-            None => self.quotas.remove(team),
-        };
+        let team = self.teams.intern(team);
+        self.teams.get_mut(team).quota = quota;
     }
 
     /// Adds a worker or changes what is known of it; its tasks stay counted.
@@ -83,187 +108,285 @@
         capacity: Amount,
         availability: Availability,
     ) {
-        let index = self.node_index(name);
-        let node = &mut self.nodes[index];
-        node.rack = rack.to_owned();
-        node.capacity = capacity;
-        node.availability = availability;
+        let index = self.pool.intern(name);
+        self.pool.place(index, rack);
+        self.pool.update(index, |node| {
+            node.capacity = measure::bounded(&capacity);
+            node.availability = availability;
+        });
     }
 
     /// Removes a worker; tasks on it stay counted until they are released.
     pub fn remove_worker(&mut self, name: &worker::Name) {
-        if let Some(&index) = self.by_name.get(name) {
-            self.nodes[index].availability = Availability::Closed;
-            self.nodes[index].capacity = Amount::ZERO;
-        }
+        let Some(index) = self.pool.find(name) else { return };
+        self.pool.update(index, |node| {
+            node.capacity = Amount::ZERO;
+            node.availability = Availability::Closed;
+        });
     }
 
     /// Adds tasks that wait; tasks of a job that waits already join it.
-    pub fn enqueue(&mut self, request: Request) {
-        if let Some(waiting) = self.keys.get(&request.job).and_then(|key| self.waiting.get_mut(key))
-        {
-            waiting.tasks.extend(request.tasks);
-            return;
+    ///
+    /// A task that holds resources already is left out, so that none is placed twice.
+    pub fn enqueue(&mut self, mut request: Request) {
+        if self.reserves_for(request.job) {
+            self.unreserve();
+        }
+        let tasks: BTreeSet<_> = request.tasks.drain(..).collect();
+        let mut waiting = match self.queue.remove(request.job, &self.policy) {
+            Some(waiting) => waiting,
+            None => self.admit(request),
+        };
+        waiting.tasks.retain(|task| !tasks.contains(task));
+        waiting.tasks.extend(tasks.into_iter().filter(|&task| self.ledger.get(task).is_none()));
+        if !waiting.tasks.is_empty() {
+            self.queue.insert(waiting, &self.policy);
         }
-        let key = (Reverse(request.urgency), request.queued, request.job);
-        self.keys.insert(request.job, key);
-        self.waiting.insert(key, request);
     }
 
     /// Forgets the waiting tasks of a job; its running tasks stay.
     pub fn withdraw(&mut self, job: job::Id) {
-        if let Some(key) = self.keys.remove(&job) {
-            self.waiting.remove(&key);
+        self.queue.remove(job, &self.policy);
+        self.health.forget(job);
+        self.pledges.drop_job(&mut self.pool, job);
+        if self.reserves_for(job) {
+            self.unreserve();
         }
     }
 
     /// Counts a task that already runs on a worker, whether or not there is room for it.
     pub fn adopt(&mut self, task: task::Id, worker: &worker::Name, holding: &Holding) {
         self.release(task);
-        let index = self.node_index(worker);
-        self.hold(task, index, holding.demand);
+        self.queue.drop_task(task, &self.policy);
+        let team = self.teams.intern(&holding.team);
+        let guess = self.estimator.guess(&holding.team, &holding.name, holding.run_time);
+        let run = guess.map_or(UNKNOWN_RUN, |guess| guess.typical);
+        let node = self.pool.intern(worker);
+        let running = Running {
+            node,
+            rack: self.pool.get(node).rack,
+            team,
+            name: holding.name.as_str().into(),
+            demand: measure::bounded(&holding.demand),
+            kind: holding.kind,
+            urgency: holding.urgency,
+            started: holding.started,
+            ends: (holding.kind != Kind::LongRunning).then(|| holding.started.after(run)),
+            deadline: holding.deadline,
+            stopping: false,
+            excess: Amount::ZERO,
+        };
+        self.hold(task, running);
     }
 
     /// Returns the resources of a task that is surely gone.
     pub fn release(&mut self, task: task::Id) {
-        let Some((index, demand)) = self.running.remove(&task) else { return };
-        let node = &mut self.nodes[index];
-        node.reserved = node.reserved.saturating_sub(&demand);
-        node.tasks -= 1;
+        let Some(running) = self.ledger.remove(task) else { return };
+        let team = self.teams.get_mut(running.team);
+        team.usage = team.usage.saturating_sub(&running.demand);
+        self.pool.update(running.node, |node| {
+            node.reserved = node.reserved.saturating_sub(&running.demand);
+            node.overuse = node.overuse.saturating_sub(&running.excess);
+            if let Some(ends) = running.ends {
+                node.ends.remove(&(ends, task));
+            }
+            if running.is_preemptible() {
+                node.preemptible = node.preemptible.saturating_sub(&running.demand);
+            }
+            if node.standing == Standing::Probation(Some(task)) {
+                node.standing = Standing::Probation(None);
+            }
+        });
     }
 
     /// Returns the resources of a task that ended, and learns from how it ended.
-    pub fn finish(&mut self, task: task::Id, _end: task::End, _now: Instant) {
+    pub fn finish(&mut self, task: task::Id, end: task::End, now: Instant) {
+        let Some(running) = self.ledger.get(task).cloned() else { return };
         self.release(task);
+        let team = Rc::clone(&self.teams.get(running.team).name);
+        match end {
+            task::End::Succeeded => {
+                self.estimator.learn(&team, &running.name, now.since(running.started));
+                if self.health.succeeded(task.job, &(team, running.name), running.node) {
+                    self.trust(running.node);
+                }
+            }
+            task::End::Failed | task::End::Rejected => {
+                let label = (team, running.name);
+                for finding in self.health.failed(task.job, &label, running.node) {
+                    self.take_in(&finding, task.job, &label, running.node, now);
+                }
+            }
+            task::End::Stopped | task::End::Checkpointed | task::End::Lapsed => {}
+        }
     }
 
     /// Takes in what all tasks of a worker together were last measured to use.
     ///
     /// Use above what is reserved takes room from new tasks until a later report shows less.
     pub fn observe_usage(&mut self, worker: &worker::Name, usage: Amount) {
-        if let Some(&index) = self.by_name.get(worker) {
-            let node = &mut self.nodes[index];
-            node.excess = usage.saturating_sub(&node.reserved);
-        }
+        let Some(index) = self.pool.find(worker) else { return };
+        let usage = measure::bounded(&usage);
+        self.pool.update(index, |node| node.excess = usage.saturating_sub(&node.reserved));
     }
 
-    /// Decides starts of about `limit` tasks, more only to finish a gang, and reserves them.
-    pub fn decide(&mut self, _now: Instant, _unix: Unix, limit: usize) -> Vec<Decision> {
-        let limit = limit.min(self.policy.starts);
-        let mut decisions = Vec::new();
-        let mut started = 0;
-        let keys: Vec<_> = self.waiting.keys().copied().collect();
-        for key in keys {
-            if started >= limit {
-                break;
-            }
-            let tasks = self.place(&key, limit - started);
-            if !tasks.is_empty() {
-                started += tasks.len();
-                decisions.push(Decision::Start { job: key.2, tasks });
-            }
+    /// Takes in what a task was last measured to use.
+    ///
+    /// Use above its declared need takes room from new tasks until a later report shows less or
+    /// the task is released. Unlike the sum of [`Self::observe_usage`], it stays right when other
+    /// tasks have started since the measurement.
+    pub fn observe_task(&mut self, task: task::Id, usage: Amount) {
+        let Some(running) = self.ledger.get_mut(task) else { return };
+        let before = running.excess;
+        let after = measure::bounded(&usage).saturating_sub(&running.demand);
+        running.excess = after;
+        if before == after {
+            return;
         }
-        decisions
+        self.pool.update(running.node, |node| {
+            node.overuse = node.overuse.saturating_sub(&before).saturating_add(&after);
+        });
     }
 
-    /// Why a job waits; `None` when none of its tasks wait.
-    pub fn explain(&self, job: job::Id) -> Option<Reason> {
-        let request = self.waiting.get(self.keys.get(&job)?)?;
-        let impossible = self.impossible(&request.demand, request.kind, request.tasks.len());
-        Some(impossible.unwrap_or(Reason::NoRoom { demand: request.demand }))
+    /// Deadlines that are likely to be missed unless something changes.
+    pub fn at_risk(&self, now: Instant, unix: Unix) -> Vec<Risk> {
+        let running = risk::running(&self.ledger, now, unix);
+        risk::waiting(&self.queue, unix).chain(running).collect()
     }
 
-    /// Why such a job can never run on the workers known; `None` when it can, or when no worker
-    /// is known yet.
-    pub fn impossible(&self, demand: &Amount, kind: Kind, tasks: usize) -> Option<Reason> {
-        if self.nodes.is_empty() {
-            return None;
-        }
-        if !self.nodes.iter().any(|node| demand.fits(&node.capacity)) {
-            return Some(Reason::TooLarge { demand: *demand, largest: self.largest() });
-        }
-        let slots = self
-            .nodes
-            .iter()
-            .map(|node| slots(demand, &node.capacity))
-            .fold(0usize, usize::saturating_add);
-        (kind != Kind::Batch && slots < tasks).then_some(Reason::TooMany { tasks, slots })
+    /// What has come to light since the last call, for people to see.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Tasks that hold resources.
+    pub fn held(&self) -> usize {
+        self.ledger.len()
+    }
+
+    /// What all workers that take new tasks have, and what of it is used.
+    pub fn load(&self) -> Load {
+        Load { capacity: self.pool.capacity, used: self.pool.used }
+    }
+
+    fn reserves_for(&self, job: job::Id) -> bool {
+        self.reservation.as_ref().is_some_and(|kept| kept.job == job)
     }
 
-    fn node_index(&mut self, name: &worker::Name) -> usize {
-        if let Some(&index) = self.by_name.get(name) {
-            return index;
+    fn admit(&mut self, request: Request) -> Waiting {
+        let guess = self.estimator.guess(&request.team, &request.name, request.run_time);
+        Waiting {
+            job: request.job,
+            team: self.teams.intern(&request.team),
+            name: request.name.into(),
+            kind: request.kind,
+            urgency: request.urgency,
+            deadline: request.deadline,
+            guess,
+            demand: request.demand,
+            tasks: VecDeque::new(),
+            queued: request.queued,
         }
-        let index = self.nodes.len();
-        self.nodes.push(Node {
-            name: name.clone(),
-            rack: String::new(),
-            capacity: Amount::ZERO,
-            availability: Availability::Closed,
-            reserved: Amount::ZERO,
-            excess: Amount::ZERO,
-            tasks: 0,
-        });
-        self.by_name.insert(name.clone(), index);
-        index
     }
 
-    fn largest(&self) -> Amount {
-        self.nodes.iter().fold(Amount::ZERO, |most, node| Amount {
-            cpu_millis: most.cpu_millis.max(node.capacity.cpu_millis),
-            memory_mib: most.memory_mib.max(node.capacity.memory_mib),
-            accelerators: most.accelerators.max(node.capacity.accelerators),
-        })
+    /// Reserves a task's needs on its worker.
+    pub(super) fn hold(&mut self, task: task::Id, running: Running) {
+        let team = self.teams.get_mut(running.team);
+        team.usage = team.usage.saturating_add(&running.demand);
+        self.pool.update(running.node, |node| {
+            node.reserved = node.reserved.saturating_add(&running.demand);
+            if let Some(ends) = running.ends {
+                node.ends.insert((ends, task));
+            }
+            if running.is_preemptible() {
+                node.preemptible = node.preemptible.saturating_add(&running.demand);
+            }
+            if node.standing == Standing::Probation(None) {
+                node.standing = Standing::Probation(Some(task));
+            }
+        });
+        self.ledger.insert(task, running);
     }
 
-    fn hold(&mut self, task: task::Id, index: usize, demand: Amount) {
-        let node = &mut self.nodes[index];
-        node.reserved = node.reserved.saturating_add(&demand);
-        node.tasks += 1;
-        self.running.insert(task, (index, demand));
+    /// Reserves a waiting job's task on a worker from `now` on.
+    pub(super) fn start(&mut self, task: task::Id, waiting: &Waiting, node: usize, now: Instant) {
+        let run = waiting.guess.map_or(UNKNOWN_RUN, |guess| guess.typical);
+        let running = Running {
+            node,
+            rack: self.pool.get(node).rack,
+            team: waiting.team,
+            name: Rc::clone(&waiting.name),
+            demand: waiting.demand,
+            kind: waiting.kind,
+            urgency: waiting.urgency,
+            started: now,
+            ends: (waiting.kind != Kind::LongRunning).then(|| now.after(run)),
+            deadline: waiting.deadline,
+            stopping: false,
+            excess: Amount::ZERO,
+        };
+        self.hold(task, running);
+        self.pledges.redeem(&mut self.pool, waiting.job, node);
     }
 
-    fn place(
-        &mut self,
-        key: &(Reverse<job::Urgency>, Instant, job::Id),
-        limit: usize,
-    ) -> Vec<Assignment> {
-        let Some(request) = self.waiting.get(key) else { return Vec::new() };
-        let (demand, kind) = (request.demand, request.kind);
-        let count = if kind == Kind::Gang { usize::MAX } else { limit };
-        let tasks: Vec<_> = request.tasks.iter().copied().take(count).collect();
-        let mut placed = Vec::new();
-        for &task in &tasks {
-            let Some(index) = self.best(&demand) else { break };
-            self.hold(task, index, demand);
-            placed.push(Assignment { task, worker: self.nodes[index].name.clone() });
+    /// Lets other work into the room kept for a gang.
+    pub(super) fn unreserve(&mut self) {
+        let Some(reservation) = self.reservation.take() else { return };
+        for node in reservation.nodes() {
+            self.pool.mark_grown(node);
         }
-        if kind == Kind::Gang && placed.len() < tasks.len() {
-            placed.drain(..).for_each(|assignment| self.release(assignment.task));
+    }
+
+    /// Keeps an event until it is taken.
+    pub(super) fn note(&mut self, event: Event) {
+        self.events.push(event);
+    }
+
+    fn trust(&mut self, node: usize) {
+        if self.pool.get(node).standing == Standing::Healthy {
+            return;
         }
-        self.dequeue(key, placed.len());
-        placed
+        self.pool.update(node, |node| node.standing = Standing::Healthy);
+        self.pool.mark_grown(node);
+        self.events.push(Event::Trusted { worker: self.pool.get(node).name.clone() });
     }
 
-    fn dequeue(&mut self, key: &(Reverse<job::Urgency>, Instant, job::Id), count: usize) {
-        if let Some(request) = self.waiting.get_mut(key) {
-            request.tasks.drain(..count);
-            if request.tasks.is_empty() {
-                self.withdraw(key.2);
-            }
+    fn take_in(
+        &mut self,
+        finding: &Finding,
+        job: job::Id,
+        label: &super::health::Label,
+        node: usize,
+        now: Instant,
+    ) {
+        match finding {
+            Finding::Job => self.events.push(Event::FailsEverywhere {
+                job,
+                team: label.0.to_string(),
+                name: label.1.to_string(),
+            }),
+            Finding::Worker => self.quarantine(node, now),
         }
     }
 
-    fn best(&self, demand: &Amount) -> Option<usize> {
-        let fitting = (0..self.nodes.len()).filter(|&index| demand.fits(&self.nodes[index].free()));
-        fitting.min_by_key(|&index| self.nodes[index].free().cpu_millis)
+    fn quarantine(&mut self, node: usize, now: Instant) {
+        if matches!(self.pool.get(node).standing, Standing::Quarantined(_)) {
+            return;
+        }
+        let span = self.health.quarantine(node);
+        let until = now.after(span);
+        self.pool.update(node, |node| node.standing = Standing::Quarantined(until));
+        self.quarantined.push((until, node));
+        let worker = self.pool.get(node).name.clone();
+        self.events.push(Event::Quarantined { worker, span });
     }
 }
 
-fn slots(demand: &Amount, room: &Amount) -> usize {
-    let per = |need: u64, have: u64| have.checked_div(need).unwrap_or(u64::MAX);
-    let slots = per(demand.cpu_millis, room.cpu_millis)
-        .min(per(demand.memory_mib, room.memory_mib))
-        .min(per(demand.accelerators, room.accelerators));
-    usize::try_from(slots).unwrap_or(usize::MAX)
+/// Capacity and use of the workers that take new tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// What they have.
+    pub capacity: Amount,
+    /// What is used by declared and by measured use.
+    pub used: Amount,
 }
--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -7,13 +7,33 @@
 
 mod decision;
 mod engine;
+mod estimate;
+mod event;
+mod explanation;
+mod health;
+mod ledger;
+mod measure;
 mod node;
 mod policy;
+mod pool;
+mod preemption;
+mod queue;
 mod reason;
 mod request;
+mod reservation;
+mod risk;
+mod round;
+mod scorer;
+mod search;
+mod team;
+mod victim;
 
 pub use decision::{Assignment, Decision};
-pub use engine::Engine;
+pub use engine::{Engine, Load};
+pub use estimate::{Estimator, Guess};
+pub use event::Event;
 pub use policy::{Leaning, Policy, Preset, Strategy};
 pub use reason::Reason;
 pub use request::{Availability, Holding, Request};
+pub use risk::Risk;
+pub use scorer::{BestFit, Candidate, Chosen, Dimension, FirstFit, Scorer};
--- a/src/placement/reason.rs
+++ b/src/placement/reason.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum Reason {
     /// No worker is known.
-    #[display("no worker is known yet; check the worker list and the network")]
+    #[display("no worker is known yet; check the instance list and the network")]
     NoWorker,
     /// Larger than every worker.
     #[display(
@@ -38,15 +38,10 @@
         demand: Amount,
     },
     /// A gang for which there is not enough room at once.
-    #[display(
-        "all {tasks} tasks must start at once and there is room for {slots}; room is being kept \
-         for them"
-    )]
+    #[display("all {tasks} tasks must start at once; room is being kept for them")]
     Gang {
         /// Tasks that must run at once.
         tasks: usize,
-        /// Tasks for which there is room now.
-        slots: usize,
     },
     /// Room is kept for a gang that waits longer.
     #[display("the room is kept for gang {gang}, which would be delayed")]
@@ -80,9 +75,6 @@
     )]
     Unavailable,
     /// Other work goes first.
-    #[display("its turn has not come: {ahead} jobs go first")]
-    Turn {
-        /// Waiting jobs that go first.
-        ahead: usize,
-    },
+    #[display("its turn has not come; other work goes first")]
+    Turn,
 }
