Route quick requests to runners: a pure router and shares of their slots

Cause: several entry instances share each runner's slots, so no one of them may route alone. Change: a router as a state machine (deadline queue, two random choices by load and latency, hedges and retries on a budget, ejection, early refusal) and shares that are owned, lent and borrowed, safe without comparing clocks.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod placement;
 pub mod resource;
+pub mod runner;
 pub mod settings;
 pub mod shutdown;
 pub mod standin;
--- /dev/null
+++ b/src/runner/mod.rs
@@ -0,0 +1,52 @@
+//! Quick requests of services, answered by runners.
+//!
+//! [`Router`] decides and touches nothing outside: requests, answers and the list of instances go
+//! in, [`Effect`]s come out, to be carried out over a [`Link`]. [`share`] divides the
+//! slots of each runner among the entry instances of a failure domain.
+
+pub mod attempt;
+pub mod budget;
+pub mod health;
+pub mod latency;
+pub mod link;
+pub mod policy;
+pub mod queue;
+pub mod request;
+pub mod router;
+pub mod service;
+pub mod share;
+pub mod upstream;
+
+pub use link::Link;
+pub use policy::Policy;
+pub use request::{Request, Verdict};
+pub use router::{Effect, Router};
+
+use derive_more::{Display, From};
+use serde::{Deserialize, Serialize};
+
+/// Name of a runner, unique in its failure domain.
+#[derive(
+    Clone,
+    Debug,
+    Display,
+    From,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    schemars::JsonSchema,
+)]
+#[serde(transparent)]
+#[from(&str, String)]
+pub struct Name(String);
+
+impl Name {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
--- /dev/null
+++ b/src/runner/policy.rs
@@ -0,0 +1,60 @@
+//! Settings of request routing.
+
+use std::time::Duration;
+
+/// Limits and budgets of one entry instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Policy {
+    /// Longest time for which a runner works on one request.
+    pub run_limit: Duration,
+    /// Longest estimated wait in the queue at which a request is still taken.
+    pub queue_target: Duration,
+    /// Most requests that wait per service.
+    pub queue_length: usize,
+    /// Most requests forwarded to other failure domains at once, per service.
+    pub forward_limit: usize,
+    /// Tries of one request in all, hedges included.
+    pub tries: usize,
+    /// Retries allowed per request submitted, on average.
+    pub retry_ratio: f64,
+    /// Hedges allowed per request submitted, on average.
+    pub hedge_ratio: f64,
+    /// Retries or hedges that may come in one burst.
+    pub burst: f64,
+    /// Shortest time before a hedge is sent.
+    pub hedge_floor: Duration,
+    /// Failures in a row after which a runner is ejected.
+    pub failures_in_row: u32,
+    /// Part of recent answers that failed, from which on a runner is ejected.
+    pub failure_ratio: f64,
+    /// Multiple of the median latency of its kind from which on a runner is ejected.
+    pub slow_ratio: f64,
+    /// First ejection; each further one in a row lasts twice as long.
+    pub ejection: Duration,
+    /// Longest ejection.
+    pub ejection_limit: Duration,
+    /// Part of a service's runners that may be ejected at once.
+    pub ejected_part: f64,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            run_limit: Duration::from_secs(5),
+            queue_target: Duration::from_millis(250),
+            queue_length: 4096,
+            forward_limit: 64,
+            tries: 3,
+            retry_ratio: 0.1,
+            hedge_ratio: 0.05,
+            burst: 10.0,
+            hedge_floor: Duration::from_millis(5),
+            failures_in_row: 5,
+            failure_ratio: 0.5,
+            slow_ratio: 3.0,
+            ejection: Duration::from_secs(2),
+            ejection_limit: Duration::from_secs(60),
+            ejected_part: 0.5,
+        }
+    }
+}
--- /dev/null
+++ b/src/runner/router/mod.rs
@@ -0,0 +1,231 @@
+//! The decisions on quick requests, as a state machine without sockets or clock.
+
+mod members;
+mod outcome;
+mod pending;
+mod review;
+mod way;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::clock::Instant;
+use crate::domain;
+use crate::membership::Member;
+use crate::runner::attempt::{self, Attempt, Outcome, Target};
+use crate::runner::request::{Request, Verdict};
+use crate::runner::router::pending::Pending;
+use crate::runner::service::Service;
+use crate::runner::share::{Ask, Grant, Holder, Keeper};
+use crate::runner::{Name, Policy, request};
+
+/// Time between two looks at queues and at slow runners.
+const REVIEW: Duration = Duration::from_millis(100);
+/// Shortest time after which a refused caller is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time for which a domain that could not be reached or refused gets no requests.
+const REMOTE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Something to be done for the router.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Send a request to a runner and listen for its answer until `timeout` has passed.
+    Send {
+        /// Identity under which the outcome is reported.
+        attempt: attempt::Id,
+        /// The request.
+        request: request::Id,
+        /// Where the runner is reached.
+        peer: SocketAddr,
+        /// Time left to the caller.
+        budget: Duration,
+        /// Time to listen for.
+        timeout: Duration,
+    },
+    /// Pass a request on to an entry instance of another failure domain.
+    Forward {
+        /// Identity under which the outcome is reported.
+        attempt: attempt::Id,
+        /// The request.
+        request: request::Id,
+        /// Where the instance is reached.
+        peer: SocketAddr,
+        /// Time left to the caller.
+        budget: Duration,
+    },
+    /// Tell the caller how the request ended; comes once for each request.
+    Answer {
+        /// The request.
+        request: request::Id,
+        /// How it ended.
+        verdict: Verdict,
+    },
+}
+
+/// What is due at a moment; stale ones are skipped when they come up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    Deadline(request::Id),
+    Hedge(request::Id),
+    DoubtOver(attempt::Id),
+}
+
+/// Routing state of one entry instance.
+pub struct Router {
+    policy: Policy,
+    domain: domain::Name,
+    shares: Holder,
+    services: BTreeMap<String, Service>,
+    pending: HashMap<request::Id, Pending>,
+    attempts: HashMap<attempt::Id, Attempt>,
+    timers: BinaryHeap<Reverse<(Instant, Timer)>>,
+    next_review: Instant,
+    next_attempt: u64,
+    draining: bool,
+    rng: SmallRng,
+    effects: Vec<Effect>,
+}
+
+impl Router {
+    /// Creates the router of an instance of `domain`; `seed` decides its random choices.
+    pub fn new(policy: Policy, domain: domain::Name, shares: Holder, seed: u64) -> Self {
+        Self {
+            policy,
+            domain,
+            shares,
+            services: BTreeMap::new(),
+            pending: HashMap::new(),
+            attempts: HashMap::new(),
+            timers: BinaryHeap::new(),
+            next_review: Instant::default(),
+            next_attempt: 0,
+            draining: false,
+            rng: SmallRng::seed_from_u64(seed),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes in the list of instances. A runner that leaves or is gone gets no new work from here
+    /// on; what it works on goes on.
+    pub fn set_members(&mut self, members: &[Member], now: Instant) -> Vec<Effect> {
+        for service in self.services.values_mut() {
+            service.runners.iter_mut().for_each(|runner| runner.state = None);
+            service.remotes.iter_mut().for_each(|remote| remote.entries.clear());
+        }
+        for member in members {
+            self.set_runner(member);
+        }
+        self.set_remotes(members);
+        self.forget_gone();
+        self.dispatch_all(now);
+        self.take_effects()
+    }
+
+    /// Takes in a request and starts, queues, passes on or refuses it.
+    pub fn submit(&mut self, request: Request, now: Instant) -> Vec<Effect> {
+        let id = request.id;
+        self.timers.push(Reverse((request.deadline, Timer::Deadline(id))));
+        self.pending.insert(id, Pending::new(request));
+        if let Some(service) = self.service_of(id) {
+            service.retries.earn();
+            service.hedges.earn();
+        }
+        self.place(id, now);
+        self.take_effects()
+    }
+
+    /// Takes in the end of an attempt.
+    pub fn finish(&mut self, id: attempt::Id, outcome: Outcome, now: Instant) -> Vec<Effect> {
+        let Some(attempt) = self.attempts.get(&id).filter(|attempt| !attempt.in_doubt).cloned()
+        else {
+            return Vec::new();
+        };
+        match &attempt.target {
+            Target::Runner(name) => self.settle_runner(id, &attempt, name, outcome, now),
+            Target::Domain(domain) => self.settle_remote(id, &attempt, domain, outcome, now),
+        }
+        self.settle_request(id, attempt.request, outcome, now);
+        self.dispatch(&attempt.service, now);
+        self.take_effects()
+    }
+
+    /// Lets time pass: deadlines, hedges and the regular review.
+    pub fn tick(&mut self, now: Instant) -> Vec<Effect> {
+        while let Some(Reverse((at, timer))) = self.timers.peek().copied() {
+            if now < at {
+                break;
+            }
+            self.timers.pop();
+            match timer {
+                Timer::Deadline(id) => self.pass_deadline(id, now),
+                Timer::Hedge(id) => self.hedge(id, now),
+                Timer::DoubtOver(id) => self.end_doubt(id, now),
+            }
+        }
+        if self.next_review <= now {
+            self.next_review = now.after(REVIEW);
+            self.review(now);
+        }
+        self.take_effects()
+    }
+
+    /// When [`Self::tick`] is due next.
+    pub fn next_tick(&self) -> Instant {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        timer.map_or(self.next_review, |at| at.min(self.next_review))
+    }
+
+    /// Refuses new requests from here on; those taken go on to their end.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Requests without an answer.
+    pub fn open_requests(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Builds the next call to the keeper of shares.
+    pub fn ask(&mut self, keeper: Keeper, now: Instant) -> Ask {
+        let mut demand: BTreeMap<Name, u32> = BTreeMap::new();
+        for service in self.services.values_mut() {
+            demand.extend(service.take_demand(&self.shares));
+        }
+        let draining = self.draining;
+        self.shares.ask(keeper, now, |runner| {
+            if draining { 0 } else { demand.get(runner).copied().unwrap_or(0) }
+        })
+    }
+
+    /// Takes in the keeper's answer.
+    pub fn granted(&mut self, grant: &Grant, now: Instant) -> Vec<Effect> {
+        if self.shares.granted(grant, now) {
+            self.dispatch_all(now);
+        }
+        self.take_effects()
+    }
+
+    /// Slots that this instance may use.
+    pub fn shares(&self) -> &Holder {
+        &self.shares
+    }
+
+    /// Services and their state, for dumps and metrics.
+    pub fn services(&self) -> &BTreeMap<String, Service> {
+        &self.services
+    }
+
+    fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    fn service_of(&mut self, id: request::Id) -> Option<&mut Service> {
+        let pending = self.pending.get(&id)?;
+        self.services.get_mut(&pending.request.service)
+    }
+}
--- /dev/null
+++ b/src/runner/router/outcome.rs
@@ -0,0 +1,142 @@
+//! What the end of an attempt means for its upstream and its request.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::domain;
+use crate::runner::Name;
+use crate::runner::attempt::{self, Attempt, Outcome, Target};
+use crate::runner::request::{self, Refusal, Verdict};
+use crate::runner::router::{Effect, REMOTE_PAUSE, Router, Timer};
+
+impl Router {
+    pub(super) fn settle_runner(
+        &mut self,
+        id: attempt::Id,
+        attempt: &Attempt,
+        name: &Name,
+        outcome: Outcome,
+        now: Instant,
+    ) {
+        self.release(id, attempt, name, outcome);
+        let Some(service) = self.services.get_mut(&attempt.service) else { return };
+        let can_eject = service.can_eject(&self.policy, now);
+        let latency = now.since(attempt.started);
+        let is_good = outcome == Outcome::Whole { failed: false };
+        if is_good {
+            service.latency.record(latency);
+        }
+        let Some(runner) = service.runner(name) else { return };
+        runner.waiting.remove(&(attempt.started, id));
+        if is_good {
+            return runner.health.succeeded(latency, now);
+        }
+        // An answer to another request shows a runner that mixes up its callers: no second chance
+        // before it has been out of use for a while.
+        let is_bad = runner.health.failed(&self.policy, now) || outcome == Outcome::Mismatched;
+        if is_bad && can_eject && !runner.health.is_ejected(now) {
+            let until = runner.health.eject(&self.policy, now);
+            log::warn!(
+                "event=runner.ejected runner={name} cause=failing for_ms={}",
+                until.since(now).as_millis()
+            );
+        }
+    }
+
+    /// Frees the slot, unless the runner may still work on the request: then the slot stays taken
+    /// until the run limit has passed, or two requests would share it.
+    pub(super) fn release(
+        &mut self,
+        id: attempt::Id,
+        attempt: &Attempt,
+        name: &Name,
+        outcome: Outcome,
+    ) {
+        if matches!(outcome, Outcome::Broken | Outcome::Mismatched) {
+            let over = attempt.started.after(self.policy.run_limit);
+            self.timers.push(Reverse((over, Timer::DoubtOver(id))));
+            if let Some(attempt) = self.attempts.get_mut(&id) {
+                attempt.in_doubt = true;
+            }
+            return;
+        }
+        self.attempts.remove(&id);
+        self.shares.end(name);
+    }
+
+    pub(super) fn end_doubt(&mut self, id: attempt::Id, now: Instant) {
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        if let Target::Runner(name) = &attempt.target {
+            self.shares.end(name);
+        }
+        self.dispatch(&attempt.service, now);
+    }
+
+    pub(super) fn settle_remote(
+        &mut self,
+        id: attempt::Id,
+        attempt: &Attempt,
+        domain: &domain::Name,
+        outcome: Outcome,
+        now: Instant,
+    ) {
+        self.attempts.remove(&id);
+        let Some(service) = self.services.get_mut(&attempt.service) else { return };
+        let Some(remote) = service.remotes.iter_mut().find(|remote| remote.domain == *domain)
+        else {
+            return;
+        };
+        remote.outstanding = remote.outstanding.saturating_sub(1);
+        let pause = match outcome {
+            Outcome::Whole { .. } => Duration::ZERO,
+            Outcome::Refused { retry_after } => retry_after.min(REMOTE_PAUSE),
+            Outcome::NotSent | Outcome::Broken | Outcome::Mismatched => REMOTE_PAUSE,
+        };
+        remote.blocked_until = remote.blocked_until.max(now.after(pause));
+    }
+
+    pub(super) fn settle_request(
+        &mut self,
+        id: attempt::Id,
+        request: request::Id,
+        outcome: Outcome,
+        now: Instant,
+    ) {
+        // A late answer to a request that has had its verdict ends here and reaches no one.
+        let Some(pending) = self.pending.get_mut(&request) else { return };
+        pending.live.retain(|live| *live != id);
+        match outcome {
+            Outcome::Whole { failed: false } => return self.answer_whole(request, id),
+            Outcome::Whole { failed: true } => {
+                pending.may_have_run = true;
+                pending.failed_answer = Some(id);
+            }
+            Outcome::Broken | Outcome::Mismatched => pending.may_have_run = true,
+            Outcome::NotSent | Outcome::Refused { .. } => {}
+        }
+        if pending.live.is_empty() {
+            self.retry(request, now);
+        }
+    }
+
+    pub(super) fn answer_whole(&mut self, request: request::Id, attempt: attempt::Id) {
+        self.pending.remove(&request);
+        let verdict = Verdict::Whole(attempt);
+        self.effects.push(Effect::Answer { request, verdict });
+    }
+
+    /// Tries again where that can do no harm and the budget allows it, else ends the request at
+    /// once.
+    pub(super) fn retry(&mut self, id: request::Id, now: Instant) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let Some(service) = self.services.get_mut(&pending.request.service) else { return };
+        let harmless = pending.is_idempotent() || !pending.may_have_run;
+        let tries_left = pending.tries < self.policy.tries;
+        if harmless && tries_left && service.retries.spend() {
+            return self.place(id, now);
+        }
+        let wait = service.usual_latency();
+        self.give_up(id, Refusal::Unreachable, wait);
+    }
+}
--- /dev/null
+++ b/src/runner/router/pending.rs
@@ -0,0 +1,57 @@
+//! A request that has no verdict yet.
+
+use crate::clock::Instant;
+use crate::domain;
+use crate::job::Effect;
+use crate::runner::Name;
+use crate::runner::attempt::{self, Attempt, Target};
+use crate::runner::request::Request;
+
+/// A request without an answer.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    pub request: Request,
+    pub live: Vec<attempt::Id>,
+    pub tries: usize,
+    pub tried: Vec<Name>,
+    pub tried_domains: Vec<domain::Name>,
+    pub hedged: bool,
+    pub queued: bool,
+    pub may_have_run: bool,
+    pub failed_answer: Option<attempt::Id>,
+}
+
+impl Pending {
+    pub fn new(request: Request) -> Self {
+        Self {
+            request,
+            live: Vec::new(),
+            tries: 0,
+            tried: Vec::new(),
+            tried_domains: Vec::new(),
+            hedged: false,
+            queued: false,
+            may_have_run: false,
+            failed_answer: None,
+        }
+    }
+
+    pub fn is_idempotent(&self) -> bool {
+        self.request.effect == Effect::Idempotent
+    }
+
+    pub fn add_attempt(&mut self, id: attempt::Id) {
+        self.live.push(id);
+        self.tries += 1;
+    }
+
+    pub fn attempt(&self, target: Target, now: Instant) -> Attempt {
+        Attempt {
+            request: self.request.id,
+            service: self.request.service.clone(),
+            target,
+            started: now,
+            in_doubt: false,
+        }
+    }
+}
--- /dev/null
+++ b/src/runner/router/way.rs
@@ -0,0 +1,191 @@
+//! The way of a request from its arrival to an attempt or a refusal.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::clock::Instant;
+use crate::runner::attempt::{self, Target};
+use crate::runner::request::{self, Doubt, Refusal, Verdict};
+use crate::runner::router::pending::Pending;
+use crate::runner::router::{Effect, MIN_RETRY_AFTER, Router, Timer};
+use crate::runner::upstream::Upstream;
+
+impl Router {
+    /// Starts, passes on, queues or refuses a request that has no attempt.
+    pub(super) fn place(&mut self, id: request::Id, now: Instant) {
+        let Some(pending) = self.pending.get(&id) else { return };
+        let left = pending.request.deadline.since(now);
+        let Some(service) = self.services.get(&pending.request.service) else {
+            return self.give_up(id, Refusal::NoRunner, MIN_RETRY_AFTER);
+        };
+        if self.draining && pending.tries == 0 {
+            return self.give_up(id, Refusal::ShuttingDown, MIN_RETRY_AFTER);
+        }
+        if left.is_zero() {
+            return self.give_up(id, Refusal::Deadline, MIN_RETRY_AFTER);
+        }
+        let slots = service.slots(&self.shares, now);
+        if slots == 0 {
+            return self.pass_on(id, now);
+        }
+        if service.queue.is_empty() && self.start(id, now) {
+            return;
+        }
+        self.enqueue(id, slots, left);
+    }
+
+    pub(super) fn enqueue(&mut self, id: request::Id, slots: u32, left: Duration) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let Some(service) = self.services.get_mut(&pending.request.service) else { return };
+        let deadline = pending.request.deadline;
+        let ahead = service.queue.ahead_of(deadline);
+        if let Some(refusal) = service.refusal(&self.policy, ahead, slots, left) {
+            service.overloaded = true;
+            let retry_after = service.wait(service.queue.len(), slots);
+            return self.give_up(id, refusal, retry_after);
+        }
+        pending.queued = true;
+        service.queue.push(deadline, id);
+        service.queue_peak = service.queue_peak.max(service.queue.len());
+    }
+
+    /// Starts an attempt at a runner of the own domain; false when none can take it.
+    pub(super) fn start(&mut self, id: request::Id, now: Instant) -> bool {
+        let Some(pending) = self.pending.get_mut(&id) else { return false };
+        let Some(service) = self.services.get_mut(&pending.request.service) else { return false };
+        let idempotent = pending.is_idempotent();
+        let chosen = service.choose(&self.shares, &pending.tried, idempotent, now, &mut self.rng);
+        let Some(index) = chosen else { return false };
+        let runner = &mut service.runners[index];
+        if !self.shares.start(&runner.name, now) {
+            return false;
+        }
+        self.next_attempt += 1;
+        let attempt = attempt::Id::from_raw(self.next_attempt);
+        runner.waiting.insert((now, attempt));
+        runner.peak = runner.peak.max(self.shares.in_use(&runner.name));
+        pending.add_attempt(attempt);
+        pending.tried.push(runner.name.clone());
+        self.attempts.insert(attempt, pending.attempt(Target::Runner(runner.name.clone()), now));
+        self.effects.push(Effect::Send {
+            attempt,
+            request: id,
+            peer: runner.address,
+            budget: pending.request.deadline.since(now),
+            timeout: self.policy.run_limit,
+        });
+        if let Some(p95) = service.latency.p95().filter(|_| idempotent && !pending.hedged) {
+            let at = now.after(p95.max(self.policy.hedge_floor));
+            self.timers.push(Reverse((at, Timer::Hedge(id))));
+        }
+        true
+    }
+
+    /// Passes a request on to another domain because the own one has no usable runner.
+    pub(super) fn pass_on(&mut self, id: request::Id, now: Instant) {
+        let warming = self.shares.usable_from().since(now).max(MIN_RETRY_AFTER);
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let Some(service) = self.services.get_mut(&pending.request.service) else { return };
+        let remote = (!pending.request.forwarded)
+            .then(|| {
+                service.choose_remote(&self.policy, &pending.tried_domains, now, &mut self.rng)
+            })
+            .flatten();
+        let Some((index, peer)) = remote else {
+            return self.give_up(id, Refusal::NoRunner, warming);
+        };
+        let remote = &mut service.remotes[index];
+        remote.outstanding += 1;
+        self.next_attempt += 1;
+        let attempt = attempt::Id::from_raw(self.next_attempt);
+        pending.add_attempt(attempt);
+        pending.tried_domains.push(remote.domain.clone());
+        self.attempts.insert(attempt, pending.attempt(Target::Domain(remote.domain.clone()), now));
+        let budget = pending.request.deadline.since(now);
+        self.effects.push(Effect::Forward { attempt, request: id, peer, budget });
+    }
+
+    /// Sends a second copy of a request that takes longer than most, if that can do no harm.
+    pub(super) fn hedge(&mut self, id: request::Id, now: Instant) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let Some(service) = self.services.get_mut(&pending.request.service) else { return };
+        let alone = pending.live.len() == 1 && pending.tries < self.policy.tries;
+        // While requests wait, a hedge would take the slot of one of them.
+        if !alone || pending.hedged || !service.queue.is_empty() || self.draining {
+            return;
+        }
+        let elsewhere = |runner: &Upstream| {
+            !pending.tried.contains(&runner.name) && runner.accepts(&self.shares, true, now)
+        };
+        if service.runners.iter().any(elsewhere) && service.hedges.spend() {
+            pending.hedged = true;
+            self.start(id, now);
+        }
+    }
+
+    /// Starts waiting requests, earliest deadline first, while there are free slots.
+    pub(super) fn dispatch(&mut self, name: &str, now: Instant) {
+        while let Some(service) = self.services.get_mut(name) {
+            let Some((deadline, id)) = service.queue.first() else { break };
+            if deadline.since(now) < service.usual_latency() / 2 {
+                service.queue.remove(deadline, id);
+                service.overloaded = true;
+                self.give_up(id, Refusal::Deadline, MIN_RETRY_AFTER);
+                continue;
+            }
+            if !self.start(id, now) {
+                break;
+            }
+            self.unqueue(id);
+        }
+    }
+
+    pub(super) fn dispatch_all(&mut self, now: Instant) {
+        let names: Vec<String> = self.services.keys().cloned().collect();
+        names.iter().for_each(|name| self.dispatch(name, now));
+    }
+
+    pub(super) fn unqueue(&mut self, id: request::Id) {
+        let Some(pending) = self.pending.get_mut(&id).filter(|pending| pending.queued) else {
+            return;
+        };
+        pending.queued = false;
+        if let Some(service) = self.services.get_mut(&pending.request.service) {
+            service.queue.remove(pending.request.deadline, id);
+        }
+    }
+
+    /// Ends a request for which nothing more will be tried.
+    ///
+    /// "Not run" is said only when no attempt ever sent a byte; an earlier attempt that broke off
+    /// makes it unknown, and an earlier whole answer that reports a fault is better than either.
+    pub(super) fn give_up(&mut self, id: request::Id, refusal: Refusal, wait: Duration) {
+        let retry_after = self.spread(wait);
+        self.unqueue(id);
+        let Some(pending) = self.pending.remove(&id) else { return };
+        let verdict = match pending.failed_answer {
+            Some(attempt) => Verdict::Whole(attempt),
+            None if pending.may_have_run || !pending.live.is_empty() => {
+                let doubt =
+                    if refusal == Refusal::Deadline { Doubt::Deadline } else { Doubt::Broken };
+                Verdict::Unknown { doubt, retry_after }
+            }
+            None => Verdict::NotRun { refusal, retry_after },
+        };
+        self.effects.push(Effect::Answer { request: id, verdict });
+    }
+
+    /// Spreads the return of refused callers, who else would all come back at once.
+    pub(super) fn spread(&mut self, wait: Duration) -> Duration {
+        wait.max(MIN_RETRY_AFTER).mul_f64(self.rng.random_range(1.0..2.0))
+    }
+
+    pub(super) fn pass_deadline(&mut self, id: request::Id, now: Instant) {
+        let is_over = |pending: &&Pending| pending.request.deadline <= now;
+        if self.pending.get(&id).filter(is_over).is_some() {
+            self.give_up(id, Refusal::Deadline, MIN_RETRY_AFTER);
+        }
+    }
+}
--- /dev/null
+++ b/src/runner/service.rs
@@ -0,0 +1,203 @@
+//! One service: its runners, its queue and its budgets at this instance.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::clock::{Instant, millis};
+use crate::domain;
+use crate::runner::budget::Budget;
+use crate::runner::latency::Window;
+use crate::runner::queue::Queue;
+use crate::runner::request::Refusal;
+use crate::runner::share::Holder;
+use crate::runner::upstream::Upstream;
+use crate::runner::{Name, Policy};
+
+/// Another failure domain that can answer the service's requests.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    /// Its name.
+    pub domain: domain::Name,
+    /// Entry instances there.
+    pub entries: Vec<SocketAddr>,
+    /// Requests passed on and not yet answered.
+    pub outstanding: usize,
+    /// Moment until which it gets none, after it refused or could not be reached.
+    pub blocked_until: Instant,
+}
+
+/// State of one service.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Runners of the own failure domain.
+    pub runners: Vec<Upstream>,
+    /// Other failure domains with live runners of the service.
+    pub remotes: Vec<Remote>,
+    /// Requests that wait for a slot.
+    pub queue: Queue,
+    /// Latencies of recent answers.
+    pub latency: Window,
+    /// Allowance for retries.
+    pub retries: Budget,
+    /// Allowance for hedges.
+    pub hedges: Budget,
+    /// Longest queue since the last exchange with the keeper.
+    pub queue_peak: usize,
+    /// Whether a request was refused for load since then.
+    pub overloaded: bool,
+}
+
+impl Service {
+    /// Creates a service without runners.
+    pub fn new(policy: &Policy) -> Self {
+        Self {
+            runners: Vec::new(),
+            remotes: Vec::new(),
+            queue: Queue::default(),
+            latency: Window::default(),
+            retries: Budget::new(policy.retry_ratio, policy.burst),
+            hedges: Budget::new(policy.hedge_ratio, policy.burst),
+            queue_peak: 0,
+            overloaded: false,
+        }
+    }
+
+    /// The runner of this name.
+    pub fn runner(&mut self, name: &Name) -> Option<&mut Upstream> {
+        self.runners.iter_mut().find(|runner| runner.name == *name)
+    }
+
+    /// Slots that requests of this instance may hold at usable runners.
+    pub fn slots(&self, shares: &Holder, now: Instant) -> u32 {
+        let usable = self.runners.iter().filter(|runner| runner.is_usable(now));
+        usable.map(|runner| shares.allowance(&runner.name, now)).sum()
+    }
+
+    /// Chooses the cheaper of two random runners that can start a request now.
+    ///
+    /// Runners in `tried` come last: a retry goes elsewhere while there is an elsewhere.
+    pub fn choose(
+        &self,
+        shares: &Holder,
+        tried: &[Name],
+        idempotent: bool,
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Option<usize> {
+        let accepts = |index: &usize| self.runners[*index].accepts(shares, idempotent, now);
+        let open: Vec<usize> = (0..self.runners.len()).filter(accepts).collect();
+        let is_fresh = |index: &usize| !tried.contains(&self.runners[*index].name);
+        let fresh: Vec<usize> = open.iter().copied().filter(is_fresh).collect();
+        let candidates = if fresh.is_empty() { open } else { fresh };
+        let cost = |index: usize| self.runners[index].cost(shares, self.latency.mean(), now);
+        match candidates.len() {
+            0 => None,
+            1 => candidates.first().copied(),
+            count => {
+                let one = rng.random_range(0..count);
+                let other = (one + rng.random_range(1..count)) % count;
+                let (one, other) = (candidates[one], candidates[other]);
+                Some(if cost(one) <= cost(other) { one } else { other })
+            }
+        }
+    }
+
+    /// Chooses the least busy domain that may get requests now, and one of its entry instances.
+    pub fn choose_remote(
+        &self,
+        policy: &Policy,
+        tried: &[domain::Name],
+        now: Instant,
+        rng: &mut SmallRng,
+    ) -> Option<(usize, SocketAddr)> {
+        let outstanding: usize = self.remotes.iter().map(|remote| remote.outstanding).sum();
+        if outstanding >= policy.forward_limit {
+            return None;
+        }
+        let open = self.remotes.iter().enumerate().filter(|(_, remote)| {
+            remote.blocked_until <= now
+                && !remote.entries.is_empty()
+                && !tried.contains(&remote.domain)
+        });
+        let (index, remote) = open.min_by_key(|(_, remote)| remote.outstanding)?;
+        let entry = remote.entries[rng.random_range(0..remote.entries.len())];
+        Some((index, entry))
+    }
+
+    /// Expected wait behind `ahead` requests when no slot is free.
+    pub fn wait(&self, ahead: usize, slots: u32) -> Duration {
+        let turns = (ahead + 1) as f64 / f64::from(slots.max(1));
+        Duration::from_secs_f64(turns * self.latency.mean() / 1000.0)
+    }
+
+    /// Why a request with `left` to its deadline should not wait in the queue, if so.
+    pub fn refusal(
+        &self,
+        policy: &Policy,
+        ahead: usize,
+        slots: u32,
+        left: Duration,
+    ) -> Option<Refusal> {
+        let wait = self.wait(ahead, slots);
+        let service_time = Duration::from_millis(self.latency.mean() as u64);
+        if self.queue.len() >= policy.queue_length || wait > policy.queue_target {
+            return Some(Refusal::Overloaded);
+        }
+        (wait + service_time > left).then_some(Refusal::Deadline)
+    }
+
+    /// Whether one more runner may be ejected without giving up too many.
+    pub fn can_eject(&self, policy: &Policy, now: Instant) -> bool {
+        let live = self.runners.iter().filter(|runner| runner.is_live()).count();
+        let ejected = self.runners.iter().filter(|runner| runner.health.is_ejected(now)).count();
+        (ejected + 1) as f64 <= live as f64 * policy.ejected_part
+    }
+
+    /// Runners whose latency is far above the median of their kind.
+    pub fn slow_runners(&self, policy: &Policy, now: Instant) -> Vec<usize> {
+        let usable = self.runners.iter().filter(|runner| runner.is_usable(now));
+        let mut settled: Vec<f64> =
+            usable.filter_map(|runner| runner.health.settled_latency()).collect();
+        if settled.len() < 3 {
+            return Vec::new();
+        }
+        settled.sort_by(f64::total_cmp);
+        let bound = settled[settled.len() / 2] * policy.slow_ratio;
+        let is_slow = |runner: &Upstream| {
+            let latency = runner.health.settled_latency();
+            runner.is_usable(now) && latency.is_some_and(|latency| latency > bound)
+        };
+        (0..self.runners.len()).filter(|index| is_slow(&self.runners[*index])).collect()
+    }
+
+    /// Slots of a runner that this instance needs, for the exchange with the keeper; starts a new
+    /// count of the peaks.
+    pub fn take_demand(&mut self, shares: &Holder) -> Vec<(Name, u32)> {
+        let live = self.runners.iter().filter(|runner| runner.is_live()).count().max(1);
+        let queued = u32::try_from(self.queue_peak.div_ceil(live)).unwrap_or(u32::MAX);
+        let extra = if self.overloaded { u32::MAX } else { queued };
+        self.queue_peak = self.queue.len();
+        self.overloaded = false;
+        let demand = |runner: &mut Upstream| {
+            let peak = std::mem::replace(&mut runner.peak, shares.in_use(&runner.name));
+            let headroom = u32::from(peak > 0);
+            let needed = peak.saturating_add(headroom).saturating_add(extra);
+            (runner.name.clone(), if runner.is_live() { needed } else { 0 })
+        };
+        self.runners.iter_mut().map(demand).collect()
+    }
+
+    /// Smoothed latency in whole milliseconds.
+    pub fn usual_latency(&self) -> Duration {
+        Duration::from_millis(self.latency.mean().ceil() as u64)
+    }
+
+    /// Age of the oldest unanswered attempt, in milliseconds.
+    pub fn oldest_attempt(&self, now: Instant) -> u64 {
+        let oldest = self.runners.iter().filter_map(|runner| runner.waiting.first());
+        oldest.map(|(started, _)| millis(now.since(*started))).max().unwrap_or(0)
+    }
+}
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -5,5 +5,6 @@
 mod intent;
 mod job;
 mod placement;
+mod runner_share;
 mod settings;
 mod standin;
