--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -2,8 +2,8 @@
 
 mod api;
 mod codec;
-mod intent;
 mod config;
+mod intent;
 mod job;
 mod placement;
 mod runner_share;
