--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,7 +4,7 @@
 //! They live in one stream of the platform's log. Every instance applies that stream in order by
 //! one pure rule ([`State::apply`]), so that all which applied the same prefix agree. [`Machine`]
 //! decides when a value is in force, what to publish and what to tell peers; the task in
-//! [`follow`] owns it and carries its effects out.
+//! `follow` owns it and carries its effects out.
 
 pub mod change;
 pub mod compaction;
