--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -6,11 +6,11 @@
 use crate::resource::Amount;
 
 /// Longest name of an operator, team, rack or worker, in bytes.
-pub const NAME_BYTES: usize = 128;
+pub const NAME_BYTES: usize = 64;
 /// Most teams with a quota.
-pub const QUOTAS: usize = 1_024;
+pub const QUOTAS: usize = 512;
 /// Most drained workers and racks.
-pub const DRAINED: usize = 4_096;
+pub const DRAINED: usize = 1_024;
 
 /// One change of the settings.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
--- a/src/config/wire.rs
+++ b/src/config/wire.rs
@@ -22,7 +22,7 @@
 /// Peer method that fetches the state.
 pub const FETCH: &str = "config.fetch";
 /// Largest record that is read from the stream, in bytes.
-pub const RECORD_BYTES: usize = 1 << 20;
+pub const RECORD_BYTES: usize = 512 << 10;
 
 /// A form that holds no valid content.
 #[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
