Test the adapters against the stand-ins through a faulty network

Cause: nothing proved that the adapters tell written from unknown, and there was no way to start real processes in tests. Change: tests/process/harness starts binaries, proxies and whole clusters; tests/process/standin.rs covers dropped, truncated, cut, refused, late and slow answers, fencing, a frozen worker and a cut-off failure domain. The proxy answers a switch only once it is in force: before, a connection could slip in while a route was closing. Conclusion: entry instances are started by the harness in one place, not exercised yet.

--- a/src/standin/log/mod.rs
+++ b/src/standin/log/mod.rs
@@ -70,6 +70,8 @@
 /// Body of the answer to `GET /v1/state`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
+    /// Reads that wait for a record.
+    pub waiting: u32,
     /// Counts of each stream.
     pub streams: BTreeMap<String, Counts>,
 }
@@ -118,6 +120,7 @@
     outage: Cell<bool>,
     drop_answers: Cell<u32>,
     latency: Cell<Duration>,
+    waiting: Cell<u32>,
     changed: Signal,
     clock: System,
 }
@@ -129,6 +132,7 @@
             outage: Cell::new(false),
             drop_answers: Cell::new(0),
             latency: Cell::new(Duration::ZERO),
+            waiting: Cell::new(0),
             changed: Signal::default(),
             clock: System::start(),
         }
@@ -164,7 +168,7 @@
     fn snapshot(&self) -> Snapshot {
         let state = self.state.borrow();
         let streams = state.tallies().map(|(name, tally)| (name.to_owned(), tally.into()));
-        Snapshot { streams: streams.collect() }
+        Snapshot { waiting: self.waiting.get(), streams: streams.collect() }
     }
 
     async fn append(&self, stream: &str, request: &Request) -> Response {
@@ -212,7 +216,9 @@
     }
 
     async fn wait(&self, now: Instant, until: Instant) {
+        self.waiting.set(self.waiting.get() + 1);
         self.changed.raised_within(until.since(now)).await;
+        self.waiting.set(self.waiting.get() - 1);
     }
 
     async fn delay(&self) {
--- a/src/standin/proxy/mod.rs
+++ b/src/standin/proxy/mod.rs
@@ -10,7 +10,7 @@
 use ::http::{Method, StatusCode};
 use derive_more::Display;
 use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{LocalBoxFuture, join_all};
 use serde::{Deserialize, Serialize};
 
 use super::{Bound, reply};
@@ -61,9 +61,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Control {
-    /// Route to switch, or every one when left out.
+    /// Routes to switch, or none for every one.
     #[serde(default)]
-    pub route: Option<String>,
+    pub routes: Vec<String>,
     /// What it does from now on.
     pub mode: Mode,
 }
@@ -121,28 +121,37 @@
         Ok(snapshot)
     }
 
-    fn answer(&self, request: &Request) -> Response {
+    async fn answer(&self, request: Request) -> Response {
+        let request = &request;
         match (request.method(), request.uri().path()) {
-            (&Method::POST, "/control") => self.control(request),
+            (&Method::POST, "/control") => self.control(request).await,
             (&Method::POST, "/v1/routes") => self.add(request),
             (&Method::GET, "/v1/state") => reply::json(&self.snapshots()),
             _ => reply::unknown(),
         }
     }
 
-    fn control(&self, request: &Request) -> Response {
+    async fn control(&self, request: &Request) -> Response {
         let control = match reply::parse::<Control>(request) {
             Ok(control) => control,
             Err(response) => return *response,
         };
+        match self.chosen(&control.routes) {
+            Ok(routes) => {
+                join_all(routes.iter().map(|route| route.set_mode(control.mode))).await;
+                reply::json(&control)
+            }
+            Err(name) => reply::text(StatusCode::NOT_FOUND, &format!("no route `{name}`")),
+        }
+    }
+
+    /// Routes with those names, or all when there are none; the error is a name without a route.
+    fn chosen<'a>(&self, names: &'a [String]) -> Result<Vec<Rc<Route>>, &'a str> {
         let routes = self.routes.borrow();
-        let chosen = |name: &str| control.route.as_deref().is_none_or(|route| route == name);
-        let mut switched = routes.iter().filter(|(name, _)| chosen(name)).peekable();
-        if switched.peek().is_none() {
-            return reply::text(StatusCode::NOT_FOUND, "no such route");
+        if names.is_empty() {
+            return Ok(routes.values().cloned().collect());
         }
-        switched.for_each(|(_, route)| route.set_mode(control.mode));
-        reply::json(&control)
+        names.iter().map(|name| routes.get(name).cloned().ok_or(name.as_str())).collect()
     }
 
     fn add(&self, request: &Request) -> Response {
@@ -170,6 +179,6 @@
 
 impl Handler for Proxy {
     fn handle(&self, _peer: SocketAddr, request: Request) -> LocalBoxFuture<'_, Response> {
-        std::future::ready(self.answer(&request)).boxed_local()
+        self.answer(request).boxed_local()
     }
 }
--- a/src/standin/proxy/route.rs
+++ b/src/standin/proxy/route.rs
@@ -39,6 +39,8 @@
     mode: Cell<Mode>,
     closed: Cell<bool>,
     changed: Signal,
+    listening: Cell<bool>,
+    settled: Signal,
     tally: RefCell<Tally>,
 }
 
@@ -61,6 +63,8 @@
             mode: Cell::default(),
             closed: Cell::new(false),
             changed: Signal::default(),
+            listening: Cell::new(true),
+            settled: Signal::default(),
             tally: RefCell::default(),
         });
         monoio::spawn(Rc::clone(&route).run(listener));
@@ -72,10 +76,13 @@
         self.mode.get()
     }
 
-    /// Changes the mode, also for connections that are open.
-    pub fn set_mode(&self, mode: Mode) {
+    /// Changes the mode, also for connections that are open, and waits until it is in force.
+    pub async fn set_mode(&self, mode: Mode) {
         self.mode.set(mode);
         self.changed.raise();
+        while self.listening.get() == (self.mode.get() == Mode::Refuse) {
+            self.settled.raised().await;
+        }
     }
 
     /// Counts so far.
@@ -98,6 +105,7 @@
         while !self.closed.get() {
             if self.mode.get() == Mode::Refuse {
                 listener = None;
+                self.set_listening(false);
                 self.changed.raised().await;
                 continue;
             }
@@ -105,9 +113,16 @@
                 monoio::time::sleep(REBIND_PAUSE).await;
                 continue;
             };
+            self.set_listening(true);
             self.accept(&open).await;
             listener = Some(open);
         }
+        self.set_listening(false);
+    }
+
+    fn set_listening(&self, listening: bool) {
+        self.listening.set(listening);
+        self.settled.raise();
     }
 
     /// Accepts connections until the mode changes.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,7 +1,9 @@
 //! Tests over real sockets on loopback. Verdicts wait for conditions, never for the machine's speed.
 
+mod harness;
 mod http;
 mod http_client;
 mod peer;
 mod runtime;
+mod standin;
 mod support;
