Add the operators' command

Cause: operators have to drive the scheduler from a terminal and read its answers in their first week.

--- a/src/api/wire/job.rs
+++ b/src/api/wire/job.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
 use crate::api::refusal::Refusal;
@@ -129,7 +130,8 @@
 }
 
 /// Where a task stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[display(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
     /// Waits for a worker.
--- a/src/bin/oriolefork.rs
+++ b/src/bin/oriolefork.rs
@@ -1,3 +1,8 @@
-//! Placeholder until its slice lands.
+//! The operators' command.
 
-fn main() {}
+use std::env;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    oriolefork::cli::run(env::args_os().skip(1).collect())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! state, messages and errors; `docs/ARCHITECTURE.md` shows how they work together.
 
 pub mod api;
+pub mod cli;
 pub mod clock;
 pub mod codec;
 pub mod config;
