Write settings and job calls of entry instances in the harness

Cause: the harness wrote settings that nothing checked, and stories had no calls for jobs. Change: the settings name the runners' service and a test parses them; `Entry` submits jobs, asks for them and sends quick requests. Conclusion: stories over entry instances can be written once the daemon is there.

--- a/tests/process/harness.rs
+++ b/tests/process/harness.rs
@@ -9,8 +9,9 @@
 mod web;
 
 pub use cluster::{Cluster, Plan};
+pub use entry::{Place, Platform, settings};
 pub use process::Standin;
-pub use web::{get, get_json, post, post_json, request};
+pub use web::{Reply, get, get_json, post, post_json, request};
 
 use std::future::Future;
 use std::thread;
--- a/tests/process/harness/entry.rs
+++ b/tests/process/harness/entry.rs
@@ -5,9 +5,11 @@
 use std::path::Path;
 
 use serde_json::{Value, json};
+use ureq::http::Method;
 
+use super::cluster::SERVICE;
 use super::process::Process;
-use super::{address, eventually, get};
+use super::{Reply, address, eventually, get, request};
 
 const ENTRY: &str = env!("CARGO_BIN_EXE_oriolefork-entry");
 const API_PORT: u16 = 7_000;
@@ -73,9 +75,27 @@
             get(self.place.api, "/readyz").ok().filter(|reply| reply.status == 200)
         });
     }
+
+    /// Submits a job under an idempotency key.
+    pub fn submit(&self, key: &str, spec: &Value) -> Result<Reply, ureq::Error> {
+        let (headers, body) = ([("idempotency-key", key)], spec.to_string());
+        request(Method::POST, self.place.api, "/v1/jobs", &headers, body.as_bytes())
+    }
+
+    /// Asks for a job.
+    pub fn job(&self, id: &str) -> Result<Reply, ureq::Error> {
+        get(self.place.api, &format!("/v1/jobs/{id}"))
+    }
+
+    /// Sends a quick request of [`SERVICE`] under a request id.
+    pub fn run(&self, id: &str, body: &[u8]) -> Result<Reply, ureq::Error> {
+        let path = format!("/v1/services/{SERVICE}/requests");
+        request(Method::POST, self.place.api, &path, &[("x-request-id", id)], body)
+    }
 }
 
-fn settings(place: &Place, platform: Platform, peers: &[Place]) -> Value {
+/// Settings of an entry instance as the harness writes them.
+pub fn settings(place: &Place, platform: Platform, peers: &[Place]) -> Value {
     let peer =
         |peer: &Place| json!({ "name": peer.name, "domain": peer.domain, "address": peer.peer });
     json!({
@@ -85,6 +105,7 @@
         "log": { "addresses": [platform.log] },
         "instance_list": { "address": platform.list, "poll_ms": 100 },
         "peers": peers.iter().map(peer).collect::<Vec<_>>(),
+        "services": [{ "name": SERVICE }],
     })
 }
 
--- a/tests/process/standin.rs
+++ b/tests/process/standin.rs
@@ -20,7 +20,8 @@
 use ureq::http::Method;
 
 use crate::harness::{
-    Cluster, Plan, Standin, block_on, eventually, get_json, post, post_json, request,
+    self, Cluster, Place, Plan, Platform, Standin, block_on, eventually, get_json, post, post_json,
+    request,
 };
 
 /// Time given to calls that should succeed.
@@ -340,3 +341,13 @@
     let runs = cluster.runs();
     assert_eq!((runs.len(), runs[0].0, runs[0].1.ended.is_some()), (1, task_id(), true));
 }
+
+#[test]
+fn settings_of_harness_accepted() {
+    let place = |number| Place::new(format!("kurow-hall-{number}"), "kurow-hall".to_owned());
+    let places = [place(0), place(1)];
+    let platform =
+        Platform { log: "127.0.0.1:1".parse().unwrap(), list: "127.0.0.1:2".parse().unwrap() };
+    let text = harness::settings(&places[0], platform, &places).to_string();
+    assert!(oriolefork::settings::parse(&text, &[]).is_ok(), "{text}");
+}
