--- /dev/null
+++ b/src/logging/line.rs
@@ -0,0 +1,49 @@
+//! One log line.
+
+use std::fmt::{self, Display, Write};
+use std::time::SystemTime;
+
+use super::value;
+
+/// Start of the messages that call sites of this crate write.
+const EVENT: &str = "event=";
+
+/// A record as one line of pairs; `ts`, `level` and `event` come first.
+pub struct Line<'a> {
+    record: &'a log::Record<'a>,
+    message: &'a fmt::Arguments<'a>,
+}
+
+impl<'a> Line<'a> {
+    /// The line for `record` with its `message`.
+    pub const fn new(record: &'a log::Record<'a>, message: &'a fmt::Arguments<'a>) -> Self {
+        Self { record, message }
+    }
+}
+
+impl Display for Line<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let time = humantime::format_rfc3339_millis(SystemTime::now());
+        let level = self.record.level().as_str().to_ascii_lowercase();
+        write!(f, "ts={time} level={level} ")?;
+        let message = self.message.to_string();
+        if message.starts_with(EVENT) {
+            return write_single_line(f, &message);
+        }
+        // Libraries write free text.
+        let target = value(self.record.target());
+        write!(f, "event=library.message target={target} message={}", value(&message))
+    }
+}
+
+/// Guards against a call site that forgot [`value`]: a line break in the message would let text
+/// from outside forge a whole line.
+fn write_single_line(f: &mut fmt::Formatter<'_>, message: &str) -> fmt::Result {
+    message.chars().try_for_each(|character| {
+        if character.is_control() {
+            write!(f, "{}", character.escape_default())
+        } else {
+            f.write_char(character)
+        }
+    })
+}
--- /dev/null
+++ b/src/logging/mod.rs
@@ -0,0 +1,95 @@
+//! Log lines of this process: one line of `key=value` pairs for each event, on standard error.
+//!
+//! ```text
+//! ts=2026-12-02T18:40:00.123Z level=warn event=worker.fenced worker=oamaru-w7 epoch=4.0
+//! ```
+//!
+//! Call sites write the event first and pass text that comes from outside through [`value`]:
+//!
+//! ```
+//! use oriolefork::logging;
+//! let name = "shop\nevent=job.ended";
+//! log::info!("event=job.accepted name={}", logging::value(name));
+//! assert_eq!(logging::value(name).to_string(), r#""shop\nevent=job.ended""#);
+//! ```
+
+mod line;
+mod value;
+
+use std::io::{self, Write};
+
+use derive_more::Display;
+use log::LevelFilter;
+
+pub use line::Line;
+pub use value::{Value, value};
+
+use crate::settings::Level;
+
+/// Logging that could not be started.
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+#[display("step=logging.start cause={cause}")]
+pub struct Error {
+    /// Cause as text.
+    pub cause: String,
+}
+
+/// Starts writing log lines of `level` and above; once a process.
+///
+/// # Errors
+///
+/// Fails when the process logs already.
+pub fn start(level: Level) -> Result<(), Error> {
+    let output = fern::Output::call(|record| write_line(&record.args().to_string()));
+    let dispatch = fern::Dispatch::new()
+        .format(|out, message, record| out.finish(format_args!("{}", Line::new(record, message))))
+        .chain(output);
+    dispatch.apply().map_err(|error| Error { cause: error.to_string() })?;
+    set_level(level);
+    Ok(())
+}
+
+/// Changes the least severe level that is written, while the process runs.
+pub fn set_level(level: Level) {
+    log::set_max_level(level.into());
+}
+
+/// The least severe level that is written.
+pub fn level() -> Level {
+    log::max_level().into()
+}
+
+/// Writes one line in one call, so that lines of several threads do not mix.
+///
+/// Guards against the reader of standard error going away: fern's own output ends the process when
+/// it can no longer write, so that a restarted log collector would end every scheduler. Here the
+/// line is lost and the process goes on.
+fn write_line(line: &str) {
+    let _ = io::stderr().lock().write_all(format!("{line}\n").as_bytes());
+}
+
+impl From<Level> for LevelFilter {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Off => Self::Off,
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warn,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+            Level::Trace => Self::Trace,
+        }
+    }
+}
+
+impl From<LevelFilter> for Level {
+    fn from(filter: LevelFilter) -> Self {
+        match filter {
+            LevelFilter::Off => Self::Off,
+            LevelFilter::Error => Self::Error,
+            LevelFilter::Warn => Self::Warn,
+            LevelFilter::Info => Self::Info,
+            LevelFilter::Debug => Self::Debug,
+            LevelFilter::Trace => Self::Trace,
+        }
+    }
+}
