Carry out routing over sockets

Cause: the router decided, and nothing sent. Change: the task that owns the router, the HTTP adapter to runners, the peer calls for shares and for requests passed on to another failure domain, and the callers' handler, which runs work marked at most once only under a recorded intent. Two reasons join the interface: no-runner, answer-lost.

--- a/src/api/refusal.rs
+++ b/src/api/refusal.rs
@@ -69,6 +69,12 @@
     /// The instance is shutting down.
     #[display("shutting-down")]
     ShuttingDown,
+    /// No runner of the service is live and in reach.
+    #[display("no-runner")]
+    NoRunner,
+    /// Work was sent, and no whole answer came back.
+    #[display("answer-lost")]
+    AnswerLost,
     /// A fault inside the scheduler.
     #[display("internal")]
     Internal,
--- a/src/api/reply.rs
+++ b/src/api/reply.rs
@@ -69,7 +69,8 @@
         Reason::Impossible | Reason::Quota => StatusCode::UNPROCESSABLE_ENTITY,
         Reason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
         Reason::Internal => StatusCode::INTERNAL_SERVER_ERROR,
-        Reason::NoOwner | Reason::LogUnavailable | Reason::ShuttingDown => {
+        Reason::AnswerLost => StatusCode::BAD_GATEWAY,
+        Reason::NoOwner | Reason::NoRunner | Reason::LogUnavailable | Reason::ShuttingDown => {
             StatusCode::SERVICE_UNAVAILABLE
         }
         Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -159,6 +159,9 @@
              later",
         ),
         Reason::ShuttingDown => (Code::Unavailable, "name another instance with --entry"),
+        Reason::NoRunner | Reason::AnswerLost => {
+            (Code::Unavailable, "see with `oriolefork dump` which runners are live and in use")
+        }
         Reason::Internal => (Code::Internal, "take a `dump` and report it to the developers"),
     }
 }
--- /dev/null
+++ b/src/runner/handler.rs
@@ -0,0 +1,227 @@
+//! The callers' interface to request routing: HTTP in, HTTP out.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ::http::header::{CONTENT_TYPE, HeaderName};
+use ::http::{HeaderMap, HeaderValue, StatusCode};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use super::link::{Answer, Call};
+use super::proxy::{Proxy, Reply};
+use super::request::{self, Doubt, Refusal};
+use crate::api::{self, Reason, header, reply};
+use crate::http::{Handler, Request, Response};
+use crate::intent::{self, Admission, Body, Outcome, Permit, Progress, State};
+use crate::job::Effect;
+
+/// Says whether a second run of the request does harm.
+pub const EFFECT: &str = "x-effect";
+/// Says how the request ended: `whole`, `not-run` or `unknown`.
+pub const RESULT: &str = "x-result";
+/// Identity of the request, for questions about it.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// When to come back after at-most-once work could not be recorded.
+const UNRECORDED_PAUSE: Duration = Duration::from_secs(1);
+/// Part of the caller's time that may be spent on the record of at-most-once work.
+const RECORD_PART: u32 = 2;
+
+/// What a request's headers say.
+struct Terms {
+    effect: Effect,
+    key: Option<String>,
+    timeout: Duration,
+}
+
+impl Proxy {
+    /// Answers `POST /v1/services/{service}/requests`.
+    ///
+    /// A whole answer of a runner keeps its status, media type and body. Everything else is a
+    /// refusal in the form of [`api::Refusal`] with status 503 when the request surely did not run
+    /// and 502 or 504 when that is unknown; `x-result` says which of the three it is.
+    pub async fn handle(&self, request: Request) -> Response {
+        match self.answer(request).await {
+            Ok(reply) => respond(reply),
+            Err(refusal) => refuse(refusal),
+        }
+    }
+
+    async fn answer(&self, request: Request) -> Result<Reply, api::Refusal> {
+        let service = service(request.uri().path())?;
+        let terms = Terms::read(request.headers())?;
+        let content_type = request.headers().get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let id = request::Id::from_raw(0);
+        let body = request.into_body();
+        let call = Call { id, service, content_type, body, budget: terms.timeout };
+        match &terms.key {
+            Some(key) if terms.effect == Effect::AtMostOnce => self.run_once(call, key).await,
+            _ => Ok(self.run(call, terms.effect, None).await),
+        }
+    }
+
+    /// Runs a request at most once among all that carry its key.
+    async fn run_once(&self, call: Call, key: &str) -> Result<Reply, api::Refusal> {
+        let Some(guard) = self.guard() else { return Ok(unrecorded()) };
+        let started = self.clock().now();
+        let request = intent_of(&call, key)?;
+        match guard.begin(request, call.budget / RECORD_PART).await {
+            Admission::Won(permit) => {
+                let spent = self.clock().now().since(started);
+                let budget = call.budget.saturating_sub(spent);
+                Ok(self.run_won(Call { budget, ..call }, permit).await)
+            }
+            Admission::Duplicate(state) => repeated(&state),
+            Admission::NotRun(refusal) => Err(not_recorded(refusal)),
+        }
+    }
+
+    async fn run_won(&self, call: Call, permit: Permit) -> Reply {
+        self.run(call, Effect::AtMostOnce, Some(permit)).await
+    }
+}
+
+impl Handler for Proxy {
+    fn handle(&self, _peer: SocketAddr, request: Request) -> LocalBoxFuture<'_, Response> {
+        self.handle(request).boxed_local()
+    }
+}
+
+impl Terms {
+    /// Reads the headers. A request that does not say it is idempotent is sent once at most; only
+    /// with a key are several requests known to be the same.
+    fn read(headers: &HeaderMap) -> Result<Self, api::Refusal> {
+        let effect = match headers.get(EFFECT).map(HeaderValue::as_bytes) {
+            None => Effect::AtMostOnce,
+            Some(b"idempotent") => Effect::Idempotent,
+            Some(b"at-most-once") => {
+                header::idempotency_key(headers)?;
+                Effect::AtMostOnce
+            }
+            Some(_) => {
+                let message = "must be idempotent or at-most-once";
+                return Err(api::Refusal::invalid(EFFECT, message));
+            }
+        };
+        let has_key = headers.contains_key(header::IDEMPOTENCY_KEY);
+        let key = if has_key { Some(header::idempotency_key(headers)?) } else { None };
+        Ok(Self { effect, key, timeout: header::timeout(headers)? })
+    }
+}
+
+fn service(path: &str) -> Result<String, api::Refusal> {
+    let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    match segments[..] {
+        ["v1", "services", service, "requests"] if !service.is_empty() => Ok(service.to_owned()),
+        _ => Err(api::Refusal::not_run(Reason::NotFound, "nothing has this path")),
+    }
+}
+
+fn intent_of(call: &Call, key: &str) -> Result<intent::Request, api::Refusal> {
+    let invalid = |message: String| api::Refusal::invalid(header::IDEMPOTENCY_KEY, message);
+    let created = intent::created_of(key).ok_or_else(|| {
+        invalid("must be a version 7 UUID, whose time shows how old the request is".to_owned())
+    })?;
+    let key = intent::Key::new(intent::Kind::Request, &call.service, key);
+    let key = key.map_err(|error| invalid(error.to_string()))?;
+    let fingerprint = intent::fingerprint(&call.body);
+    Ok(intent::Request { key, created, fingerprint, domain: None })
+}
+
+/// The answer to a request whose key an earlier one has won: its recorded end, never a second run.
+fn repeated(state: &State) -> Result<Reply, api::Refusal> {
+    let unknown = |message: &str| Err(api::Refusal::unknown(Reason::AnswerLost, message));
+    match &state.progress {
+        Progress::Done(Outcome::Answered(answer)) => match &answer.body {
+            Body::Whole(body) => Ok(Reply::Whole(Answer {
+                status: answer.status,
+                content_type: Some(answer.content_type.clone()).filter(|text| !text.is_empty()),
+                body: body.clone(),
+            })),
+            Body::Digest { length, .. } => unknown(&format!(
+                "it ran once with status {}; its answer of {length} bytes is not kept",
+                answer.status
+            )),
+        },
+        Progress::Done(_) => unknown("it was sent once and its answer was lost; it is not rerun"),
+        Progress::Unknown => unknown("it is under way or its answer was lost; it is not rerun"),
+    }
+}
+
+fn not_recorded(refusal: intent::Refusal) -> api::Refusal {
+    let reason = match refusal.reason {
+        intent::Reason::Expired => Reason::KeyExpired,
+        intent::Reason::Ahead => Reason::Invalid,
+        intent::Reason::Reused => Reason::KeyReused,
+        intent::Reason::Overloaded => Reason::Overloaded,
+        intent::Reason::Stopped => Reason::ShuttingDown,
+        intent::Reason::NoLog | intent::Reason::Unsettled => Reason::LogUnavailable,
+    };
+    api::Refusal::not_run(reason, refusal.to_string()).after(UNRECORDED_PAUSE)
+}
+
+fn unrecorded() -> Reply {
+    Reply::NotRun { refusal: Refusal::Unrecorded, retry_after: UNRECORDED_PAUSE }
+}
+
+fn respond(reply: Reply) -> Response {
+    match reply {
+        Reply::Whole(answer) => whole(answer),
+        Reply::NotRun { refusal, retry_after } => {
+            let message = refusal.to_string();
+            refuse(api::Refusal::not_run(reason(refusal), message).after(retry_after))
+        }
+        Reply::Unknown { id, doubt, retry_after } => {
+            let reason = match doubt {
+                Doubt::Deadline => Reason::Deadline,
+                Doubt::Broken => Reason::AnswerLost,
+            };
+            let refusal = api::Refusal::unknown(reason, doubt.to_string()).after(retry_after);
+            let mut response = refuse(refusal);
+            set(&mut response, REQUEST_ID, &id.to_string());
+            response
+        }
+    }
+}
+
+fn whole(answer: Answer) -> Response {
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Some(content_type) = &answer.content_type {
+        set(&mut response, CONTENT_TYPE.as_str(), content_type);
+    }
+    set(&mut response, RESULT, "whole");
+    response
+}
+
+fn refuse(refusal: api::Refusal) -> Response {
+    let ran = refusal.ran;
+    let for_load = matches!(refusal.reason, Reason::Deadline | Reason::Overloaded);
+    let mut response: ::http::Response<Bytes> = reply::refusal(refusal);
+    // A request refused for load is to come back later, whichever limit it met. Status 504 would
+    // read as unknown to a caller that looks at the status alone.
+    if for_load && ran == api::Ran::NotRun {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    set(&mut response, RESULT, &ran.to_string());
+    response
+}
+
+const fn reason(refusal: Refusal) -> Reason {
+    match refusal {
+        Refusal::NoRunner | Refusal::Unreachable => Reason::NoRunner,
+        Refusal::Overloaded => Reason::Overloaded,
+        Refusal::Deadline => Reason::Deadline,
+        Refusal::ShuttingDown => Reason::ShuttingDown,
+        Refusal::Unrecorded => Reason::LogUnavailable,
+    }
+}
+
+fn set(response: &mut Response, name: &'static str, text: &str) {
+    if let Ok(value) = HeaderValue::try_from(text) {
+        response.headers_mut().insert(HeaderName::from_static(name), value);
+    }
+}
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -1,24 +1,30 @@
 //! Quick requests of services, answered by runners.
 //!
 //! [`Router`] decides and touches nothing outside: requests, answers and the list of instances go
-//! in, [`Effect`]s come out, to be carried out over a [`Link`]. [`share`] divides the
+//! in, [`Effect`]s come out, which [`Proxy`] carries out. [`share`] divides the
 //! slots of each runner among the entry instances of a failure domain.
 
 pub mod attempt;
 pub mod budget;
+pub mod handler;
 pub mod health;
+pub mod http;
 pub mod latency;
 pub mod link;
+pub mod peer;
 pub mod policy;
+pub mod proxy;
 pub mod queue;
 pub mod request;
 pub mod router;
 pub mod service;
 pub mod share;
 pub mod upstream;
+pub mod wire;
 
 pub use link::Link;
 pub use policy::Policy;
+pub use proxy::Proxy;
 pub use request::{Request, Verdict};
 pub use router::{Effect, Router};
 
--- /dev/null
+++ b/src/runner/proxy/work.rs
@@ -0,0 +1,136 @@
+//! A request in the task's hands: its body, its caller and its record.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use local_sync::oneshot;
+
+use super::{Reply, Submission};
+use crate::intent::{self, Outcome, Permit};
+use crate::job::Effect;
+use crate::runner::attempt;
+use crate::runner::link::{Answer, Call};
+use crate::runner::request::{self, Verdict};
+
+/// Longest answer that is kept with the record of at-most-once work.
+const RECORDED_BYTES: usize = 4096;
+
+/// A request from its arrival until its last attempt has ended.
+pub(super) struct Work {
+    pub(super) call: Rc<Call>,
+    pub(super) effect: Effect,
+    reply: Option<oneshot::Sender<Reply>>,
+    record: Record,
+    answers: HashMap<attempt::Id, Answer>,
+}
+
+impl Work {
+    pub(super) fn new(submission: Submission) -> Self {
+        let Submission { call, effect, permit, reply, .. } = submission;
+        Self {
+            call: Rc::new(call),
+            effect,
+            reply: Some(reply),
+            record: Record { permit, live: 0, sent: false },
+            answers: HashMap::new(),
+        }
+    }
+
+    /// Counts an attempt, of which bytes may leave from now on.
+    pub(super) fn begin(&mut self) {
+        self.record.live += 1;
+    }
+
+    /// Counts the end of an attempt of which nothing left.
+    pub(super) fn end_unsent(&mut self) {
+        self.record.live -= 1;
+    }
+
+    /// Counts the end of an attempt that was sent, perhaps long after the caller was told that its
+    /// outcome is unknown. The record takes such a late answer; no caller does.
+    pub(super) fn end_sent(&mut self, id: attempt::Id, answer: Option<Answer>) {
+        self.record.live -= 1;
+        self.record.sent = true;
+        let Some(answer) = answer else { return };
+        if self.reply.is_some() {
+            self.answers.insert(id, answer);
+        } else {
+            self.record.finish(&answer);
+        }
+    }
+
+    /// Whether nothing more will come.
+    pub(super) fn is_over(&self) -> bool {
+        self.reply.is_none() && self.record.live == 0
+    }
+
+    /// Whether a caller or a record still waits for its end.
+    pub(super) fn is_owed(&self) -> bool {
+        self.reply.is_some() || self.record.permit.is_some()
+    }
+
+    /// Tells the caller the end.
+    pub(super) fn answer(&mut self, id: request::Id, verdict: Verdict) {
+        let reply = match verdict {
+            Verdict::Whole(attempt) => self.whole(id, attempt),
+            Verdict::NotRun { refusal, retry_after } => {
+                self.record.give_back();
+                Reply::NotRun { refusal, retry_after }
+            }
+            Verdict::Unknown { doubt, retry_after } => Reply::Unknown { id, doubt, retry_after },
+        };
+        self.answers.clear();
+        if let Some(caller) = self.reply.take() {
+            // A caller that has gone needs no answer.
+            let _ = caller.send(reply);
+        }
+    }
+
+    fn whole(&mut self, id: request::Id, attempt: attempt::Id) -> Reply {
+        let Some(answer) = self.answers.remove(&attempt) else {
+            let doubt = request::Doubt::Broken;
+            return Reply::Unknown { id, doubt, retry_after: Duration::ZERO };
+        };
+        self.record.finish(&answer);
+        Reply::Whole(answer)
+    }
+}
+
+/// The right to run once, and whether it may have been used.
+///
+/// A permit that is dropped gives its key back, and a retry would run the work again. Dropped
+/// after bytes may have left, it therefore has to count as a try whose outcome was lost.
+struct Record {
+    permit: Option<Permit>,
+    live: usize,
+    sent: bool,
+}
+
+impl Record {
+    fn may_have_run(&self) -> bool {
+        self.sent || self.live > 0
+    }
+
+    fn finish(&mut self, answer: &Answer) {
+        let Some(permit) = self.permit.take() else { return };
+        let content_type = answer.content_type.as_deref().unwrap_or_default();
+        let kept = intent::Answer::new(answer.status, content_type, &answer.body, RECORDED_BYTES);
+        permit.start().finish(Outcome::Answered(kept));
+    }
+
+    fn give_back(&mut self) {
+        if !self.may_have_run() {
+            self.permit = None;
+        }
+    }
+}
+
+impl Drop for Record {
+    fn drop(&mut self) {
+        let may_have_run = self.may_have_run();
+        if let Some(permit) = self.permit.take().filter(|_| may_have_run) {
+            permit.start().finish(Outcome::Lost);
+        }
+    }
+}
--- a/src/runner/request.rs
+++ b/src/runner/request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::clock::Instant;
 use crate::job::Effect;
@@ -41,7 +42,7 @@
 }
 
 /// Why a request was refused before anything was sent.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
     /// No runner of the service is known or usable anywhere in reach.
     #[display("no live runner")]
@@ -64,7 +65,7 @@
 }
 
 /// Why nothing is known of a request that was sent.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Doubt {
     /// The deadline passed before a whole answer came.
     #[display("deadline passed")]
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -7,6 +7,7 @@
 mod job;
 mod logging;
 mod placement;
+mod runner;
 mod runner_share;
 mod settings;
 mod standin;
