Test the command as a process, and check settings from it

Cause: exit codes, repeated submissions and hostile text are promises that only the real program shows. Change: check-settings; tests of the command against instances that are killed, forget answers, want a token or are none.

--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -4,6 +4,7 @@
 mod job;
 mod preset;
 mod quota;
+mod settings;
 mod status;
 mod submit;
 mod worker;
@@ -57,6 +58,9 @@
 ///
 /// The failure says what happened, what it means and what to do next.
 pub async fn run(flags: Oriolefork) -> Result<Report, Failure> {
+    if let Command::CheckSettings(flags) = &flags.subcommand {
+        return Ok(settings::check(&flags.path));
+    }
     let context = Context::new(&flags)?;
     match flags.subcommand {
         Command::Submit(flags) => submit::submit(&context, flags).await,
@@ -83,6 +87,7 @@
         },
         Command::Quotas(_) => quota::list(&context).await,
         Command::Quota(flags) => quota::set(&context, flags).await,
+        Command::CheckSettings(flags) => Ok(settings::check(&flags.path)),
         Command::Dump(_) => status::dump(&context).await,
         Command::LogLevel(flags) => status::log_level(&context, flags.level).await,
     }
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -160,6 +160,11 @@
             /// Remove the quota.
             optional --remove
         }
+        /// Check a settings file as a whole, without starting anything.
+        cmd check-settings {
+            /// The file.
+            required path: PathBuf
+        }
         /// Print the whole state of the first entry instance that answers, as JSON.
         cmd dump { }
         /// Set the log level of the first entry instance that answers.
--- a/tests/logic/api/service.rs
+++ b/tests/logic/api/service.rs
@@ -43,7 +43,7 @@
 
 impl Rig {
     fn new(token: Option<&str>, fires: bool) -> Self {
-        let backend = Rc::new(Memory::new("kurow-1"));
+        let backend = Rc::new(Memory::new("kurow-hall", "kurow-1"));
         let options = Options {
             operator_token: token.map(exactly),
             metrics: Box::new(|| "up 1\n".to_owned()),
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests over real sockets on loopback. Verdicts wait for conditions, never for the machine's speed.
 
+mod cli;
 mod harness;
 mod http;
 mod http_client;
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -16,6 +16,7 @@
 /// The backend.
 pub struct Memory {
     pub instance: String,
+    pub domain: String,
     pub jobs: RefCell<BTreeMap<job::Id, jobs::Job>>,
     pub version: Cell<u64>,
     /// Answers nothing when set, as a backend does whose owner is away.
@@ -24,9 +25,10 @@
 }
 
 impl Memory {
-    pub fn new(instance: &str) -> Self {
+    pub fn new(domain: &str, instance: &str) -> Self {
         Self {
             instance: instance.to_owned(),
+            domain: domain.to_owned(),
             jobs: RefCell::default(),
             version: Cell::new(7),
             hangs: Cell::new(false),
@@ -119,7 +121,11 @@
 
 impl Backend for Memory {
     fn identity(&self) -> view::Identity {
-        view::Identity { instance: self.instance.clone(), run: 1, domain: "kurow-hall".into() }
+        view::Identity {
+            instance: self.instance.clone(),
+            run: 1,
+            domain: self.domain.as_str().into(),
+        }
     }
 
     fn readiness(&self) -> view::Readiness {
@@ -265,7 +271,7 @@
 
     fn status(&self, _: Call) -> Answer<'_, status::Status> {
         let domain = status::Domain {
-            name: "kurow-hall".into(),
+            name: self.domain.as_str().into(),
             owner: Some(self.instance.clone()),
             epoch: Epoch::FIRST,
             preset: self.in_force(),
