Let exchanges overtake each other at a worker

Cause: a worker ignored an exchange that a later one had overtaken. An owner that keeps a watch and sends commands side by side overtakes itself, and the ignored start was answered as if taken. A zero lease, by which a new owner fences before it renews, ended every task at once. Change: overtaken exchanges are applied; a forgotten identity is kept for one lease instead, so that a copy of its start cannot run it again. An older exchange never shortens the lease; zero renews nothing. Conclusion: the border says from when a lease counts and what zero means.

--- a/src/standin/worker/journal.rs
+++ b/src/standin/worker/journal.rs
@@ -42,8 +42,6 @@
     pub doubles: u64,
     /// Exchanges refused for their epoch.
     pub fenced: u64,
-    /// Exchanges ignored because a later one had overtaken them.
-    pub overtaken: u64,
     runs: BTreeMap<u64, Run>,
     overcommits: VecDeque<Overcommit>,
 }
--- a/src/standin/worker/state.rs
+++ b/src/standin/worker/state.rs
@@ -53,10 +53,10 @@
     run: u64,
     epoch: Epoch,
     sequence: u64,
-    seen: u64,
     issued: VecDeque<Issue>,
-    lease_end: Option<Instant>,
+    lease: Lease,
     tasks: BTreeMap<task::Id, Task>,
+    forgotten: BTreeMap<task::Id, Instant>,
     journal: Journal,
 }
 
@@ -83,14 +83,18 @@
     end: End,
 }
 
-/// How an exchange relates to the reports issued before it.
-enum Order {
-    /// It answers a report issued at that time.
-    After(Instant),
-    /// It was overtaken by a later one.
-    Overtaken,
-    /// It names a report of an earlier process.
-    Foreign,
+/// The lease of all tasks.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lease {
+    /// Issue of the newest report that a renewal answered.
+    base: Instant,
+    span: Duration,
+}
+
+impl Lease {
+    fn end(self) -> Instant {
+        self.base.after(self.span)
+    }
 }
 
 impl State {
@@ -104,10 +108,10 @@
             run,
             epoch: Epoch::default(),
             sequence: run,
-            seen: 0,
             issued: VecDeque::new(),
-            lease_end: None,
+            lease: Lease::default(),
             tasks: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
             journal: Journal::default(),
         }
     }
@@ -138,28 +142,22 @@
             self.journal.fenced += 1;
             return Err(self.epoch);
         }
-        if exchange.epoch > self.epoch {
-            self.epoch = exchange.epoch;
-            self.seen = 0;
-        }
-        match self.order(now, exchange.seen) {
-            Order::After(base) => {
-                self.seen = self.seen.max(exchange.seen);
-                self.lease_end = Some(base.after(exchange.lease));
-                self.advance(now);
-                let live = self.lease_end.is_some_and(|end| now < end);
-                self.obey(now, &exchange.commands, live);
-            }
-            Order::Foreign => self.obey(now, &exchange.commands, false),
-            Order::Overtaken => self.journal.overtaken += 1,
+        self.epoch = exchange.epoch;
+        let base = self.base(now, exchange.seen);
+        if let Some(base) = base {
+            self.renew(base, exchange.lease);
         }
         self.advance(now);
+        let fresh = base.is_some_and(|base| now < base.after(self.lease.span));
+        self.obey(now, &exchange.commands, fresh && now < self.lease.end());
+        self.advance(now);
         Ok(())
     }
 
     /// Ends what has come to its end by `now`, with the time at which it did.
     pub fn advance(&mut self, now: Instant) {
-        let lapse = self.lease_end.map(|at| Due { at, end: End::Lapsed });
+        let lapse = Due { at: self.lease.end(), end: End::Lapsed };
+        self.forgotten.retain(|_, until| now < *until);
         let next = self.sequence + 1;
         for task in self.tasks.values_mut() {
             task.advance(now, lapse, next, &mut self.journal);
@@ -168,10 +166,9 @@
 
     /// Earliest time at which [`Self::advance`] changes something.
     pub fn next_event(&self) -> Option<Instant> {
+        let lapse = Some(self.lease.end());
         let live = self.tasks.values().filter(|task| task.is_live());
-        live.flat_map(|task| [task.due.map(|due| due.at), task.measured, self.lease_end])
-            .flatten()
-            .min()
+        live.flat_map(|task| [task.due.map(|due| due.at), task.measured, lapse]).flatten().min()
     }
 
     /// Whether a report would show something to a caller that has seen report `seen`.
@@ -208,24 +205,24 @@
         seen <= self.run || seen > self.sequence
     }
 
-    /// Tells how an exchange relates to the reports issued before it.
+    /// When the report that an exchange answers was issued; `None` for one of an earlier process or
+    /// one issued too long ago.
     ///
     /// Guards against exchanges that the network held back while their caller gave up on them. They
     /// show as a start or a renewal that the owner no longer counts on: the task would run here
-    /// beside its replacement. A lease therefore counts from the issue of the report that the
-    /// exchange answers, which precedes the sending of the exchange, and an exchange that a later
-    /// one has overtaken changes nothing.
-    fn order(&self, now: Instant, seen: u64) -> Order {
+    /// beside its replacement. A lease therefore counts from the issue of the report, which
+    /// precedes the sending of the exchange.
+    fn base(&self, now: Instant, seen: u64) -> Option<Instant> {
         if seen == 0 {
-            return Order::After(now);
+            return Some(now);
         }
-        if self.is_full(seen) {
-            return Order::Foreign;
-        }
-        let issue = self.issued.iter().find(|issue| issue.sequence == seen);
-        match issue {
-            Some(issue) if seen >= self.seen => Order::After(issue.at),
-            _ => Order::Overtaken,
+        self.issued.iter().find(|issue| issue.sequence == seen).map(|issue| issue.at)
+    }
+
+    /// Renews the lease, unless an exchange that answered a newer report has overtaken this one.
+    fn renew(&mut self, base: Instant, span: Duration) {
+        if !span.is_zero() && base >= self.lease.base {
+            self.lease = Lease { base, span };
         }
     }
 
@@ -240,13 +237,13 @@
                     self.end(*task, now.after(self.options.checkpoint_time), true);
                 }
                 Command::Throttle(task) => self.throttle(*task),
-                Command::Forget(task) => self.forget(*task),
+                Command::Forget(task) => self.forget(now, *task),
             }
         }
     }
 
     fn start(&mut self, now: Instant, id: task::Id, demand: Amount, payload: &str, live: bool) {
-        if self.tasks.contains_key(&id) {
+        if self.tasks.contains_key(&id) || self.forgotten.contains_key(&id) {
             return;
         }
         let instruction = payload.parse::<Instruction>().ok().filter(|_| live);
@@ -325,9 +322,14 @@
         }
     }
 
-    fn forget(&mut self, id: task::Id) {
+    /// Drops an ended task, but keeps its identity until no copy of its start can be fresh.
+    ///
+    /// Guards against a start that was sent twice because its answer was lost: the copy may arrive
+    /// after the task has run, ended and been forgotten, and would run it again.
+    fn forget(&mut self, now: Instant, id: task::Id) {
         if self.tasks.get(&id).is_some_and(|task| !task.is_live()) {
             self.tasks.remove(&id);
+            self.forgotten.insert(id, now.after(self.lease.span));
         }
     }
 }
@@ -337,7 +339,7 @@
         !matches!(self.phase, Phase::Ended(_))
     }
 
-    fn advance(&mut self, now: Instant, lapse: Option<Due>, next: u64, journal: &mut Journal) {
+    fn advance(&mut self, now: Instant, lapse: Due, next: u64, journal: &mut Journal) {
         if !self.is_live() {
             return;
         }
@@ -345,14 +347,14 @@
             self.measured = None;
             self.changed = next;
         }
-        let first = [self.due, lapse].into_iter().flatten().min_by_key(|due| due.at);
-        let Some(due) = first.filter(|due| due.at <= now) else {
+        let first = self.due.filter(|due| due.at <= lapse.at).unwrap_or(lapse);
+        if now < first.at {
             return;
-        };
-        self.phase = Phase::Ended(due.end);
+        }
+        self.phase = Phase::Ended(first.end);
         self.changed = next;
         if let Some(entry) = self.entry {
-            journal.end(entry, due.at, due.end);
+            journal.end(entry, first.at, first.end);
         }
     }
 
--- a/src/standin/worker/view.rs
+++ b/src/standin/worker/view.rs
@@ -68,8 +68,6 @@
     pub doubles: u64,
     /// Exchanges refused for their epoch.
     pub fenced: u64,
-    /// Exchanges ignored because a later one had overtaken them.
-    pub overtaken: u64,
     /// Runs in order of their start.
     pub runs: Vec<TaskView>,
 }
@@ -104,7 +102,6 @@
             overcommitted: journal.overcommitted,
             doubles: journal.doubles,
             fenced: journal.fenced,
-            overtaken: journal.overtaken,
             runs: journal.runs().map(|run| dated.view(run)).collect(),
         }
     }
--- a/src/worker/mod.rs
+++ b/src/worker/mod.rs
@@ -71,7 +71,8 @@
 pub struct Exchange {
     /// Fencing token of the caller; a worker refuses one smaller than it has seen.
     pub epoch: Epoch,
-    /// Lease that this call renews for every task the worker runs.
+    /// Lease that this call renews for every task the worker runs; zero renews nothing. It counts
+    /// from the issue of the report named by `seen`.
     pub lease: Duration,
     /// Instructions in order.
     pub commands: Vec<Command>,
--- a/tests/logic/standin.rs
+++ b/tests/logic/standin.rs
@@ -153,7 +153,35 @@
     let ended = call(&mut worker, 1, &sent).unwrap();
     call(&mut worker, 2, &exchange(1, ended.sequence, &[Command::Forget(id(0, 0))])).unwrap();
     call(&mut worker, 3, &sent).unwrap();
-    assert_eq!((worker.journal().starts, worker.journal().overtaken), (1, 1));
+    assert_eq!((worker.journal().starts, worker.known().count()), (1, 0));
+}
+
+#[test]
+fn start_overtaken_by_watch_runs() {
+    // A user would see a job hang. The owner talks to the worker over two connections. A start goes
+    // out on one; an exchange that answers a newer report arrives first on the other.
+    let mut worker = worker();
+    let first = call(&mut worker, 0, &exchange(1, 0, &[])).unwrap();
+    let sent = exchange(1, first.sequence, &[start(id(0, 0), NEVER_ENDS)]);
+    let second = call(&mut worker, 1, &exchange(1, first.sequence, &[])).unwrap();
+    call(&mut worker, 2, &exchange(1, second.sequence, &[])).unwrap();
+    call(&mut worker, 3, &sent).unwrap();
+    assert_eq!(phases(&worker), [(id(0, 0), Phase::Running)]);
+    worker.advance(at(10_000));
+    assert_eq!(worker.held(), amount(600), "the older exchange shortened the lease");
+    worker.advance(at(10_001));
+    assert_eq!(worker.held(), Amount::ZERO);
+}
+
+#[test]
+fn zero_lease_renews_nothing() {
+    let mut worker = worker();
+    call(&mut worker, 0, &exchange(1, 0, &[start(id(0, 0), NEVER_ENDS)])).unwrap();
+    let fencing = Exchange { lease: Duration::ZERO, ..exchange(2, 0, &[]) };
+    call(&mut worker, 9_000, &fencing).unwrap();
+    assert_eq!(phases(&worker), [(id(0, 0), Phase::Running)]);
+    worker.advance(at(10_000));
+    assert_eq!(phases(&worker), [(id(0, 0), Phase::Ended(End::Lapsed))]);
 }
 
 #[test]
