Follow the settings stream in a task of its own

Cause: the machine of the settings decides but touches no socket.

Handle gives values, subscriptions, publishing, fates by id and the standing of every instance.

--- /dev/null
+++ b/src/config/handle.rs
@@ -0,0 +1,144 @@
+//! How the rest of the process uses the settings.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use local_sync::mpsc::{bounded, unbounded};
+use local_sync::oneshot;
+
+use super::gossip::{Digest, Peer, Standing};
+use super::publish::{Id, Outcome};
+use super::state::State;
+use super::value::{Value, Version};
+use super::{Change, Message, wire};
+use crate::codec;
+use crate::peer::{Code, Refusal};
+use crate::store::Offset;
+
+/// Values as they come into force.
+pub type Values = unbounded::Rx<Rc<Value>>;
+
+/// What the task that owns the machine is asked.
+pub(super) enum Ask {
+    /// Pass a message to the machine.
+    Tell(Message),
+    /// Pass a message to the machine, then tell the next offset to read.
+    Read(Message, oneshot::Sender<Offset>),
+    /// Publish a change.
+    Publish(Proposal, oneshot::Sender<Outcome>),
+    /// Tell what became of a change.
+    Outcome(Id, oneshot::Sender<Option<Outcome>>),
+    /// Tell the value in force.
+    Value(oneshot::Sender<Option<Rc<Value>>>),
+    /// Send every value in force from now on.
+    Subscribe(unbounded::Tx<Rc<Value>>),
+    /// Tell the standing of every instance.
+    Standings(oneshot::Sender<Vec<Standing>>),
+    /// Take a peer's digest and tell an own one.
+    Digest(Digest, oneshot::Sender<Digest>),
+    /// Tell the state in force.
+    State(oneshot::Sender<Option<State>>),
+}
+
+/// A change that an operator wants.
+#[derive(Clone, Debug)]
+pub struct Proposal {
+    /// Identity by which the operator can ask again.
+    pub id: Id,
+    /// Version that the operator saw; `None` for the one in force at this instance.
+    pub base: Option<Version>,
+    /// The operator.
+    pub by: String,
+    /// What changes.
+    pub change: Change,
+}
+
+/// Reaches the task that holds the settings of this process.
+#[derive(Clone)]
+pub struct Handle {
+    asks: bounded::Tx<Ask>,
+}
+
+impl Handle {
+    pub(super) fn new(asks: bounded::Tx<Ask>) -> Self {
+        Self { asks }
+    }
+
+    /// The value in force; `None` until one is.
+    pub async fn value(&self) -> Option<Rc<Value>> {
+        self.ask(Ask::Value).await.flatten()
+    }
+
+    /// The value in force, if one is, then every newer one as it comes into force.
+    pub async fn subscribe(&self) -> Values {
+        let (sender, receiver) = unbounded::channel();
+        // The receiver ends at once when the task has stopped.
+        let _ = self.asks.send(Ask::Subscribe(sender)).await;
+        receiver
+    }
+
+    /// Publishes a change and answers once its place in the log is known, or after a bounded wait
+    /// with [`Outcome::Unknown`].
+    ///
+    /// Dropping the future does not withdraw the change.
+    pub async fn publish(&self, proposal: Proposal) -> Outcome {
+        let id = proposal.id;
+        let (sender, receiver) = oneshot::channel();
+        if self.asks.send(Ask::Publish(proposal, sender)).await.is_err() {
+            return Outcome::NotReady;
+        }
+        receiver.await.unwrap_or(Outcome::Unknown(id))
+    }
+
+    /// What became of a change; `None` when this instance cannot tell.
+    pub async fn outcome(&self, id: Id) -> Option<Outcome> {
+        self.ask(|sender| Ask::Outcome(id, sender)).await.flatten()
+    }
+
+    /// The standing of this instance, which comes first, and of all that it has heard of.
+    pub async fn standings(&self) -> Vec<Standing> {
+        self.ask(Ask::Standings).await.unwrap_or_default()
+    }
+
+    /// Names the peers to exchange digests with, this instance not among them.
+    pub async fn set_peers(&self, peers: Vec<Peer>) {
+        // A task that has stopped needs no peers.
+        let _ = self.asks.send(Ask::Tell(Message::Peers(peers))).await;
+    }
+
+    /// Answers a peer's call; `None` when `method` is not one of the settings' methods.
+    pub async fn handle(&self, method: &str, body: &[u8]) -> Option<Result<Bytes, Refusal>> {
+        match method {
+            wire::DIGEST => Some(self.exchange(body).await),
+            wire::FETCH => Some(self.fetched().await),
+            _ => None,
+        }
+    }
+
+    async fn exchange(&self, body: &[u8]) -> Result<Bytes, Refusal> {
+        let wire: wire::Digest = codec::decode(body).map_err(|error| malformed(&error))?;
+        let digest: Digest = wire.try_into().map_err(|error: wire::Error| malformed(&error))?;
+        let own = self.ask(|sender| Ask::Digest(digest, sender)).await.ok_or_else(stopped)?;
+        codec::encode(&wire::Digest::from(&own)).map_err(|error| malformed(&error))
+    }
+
+    async fn fetched(&self) -> Result<Bytes, Refusal> {
+        let state = self.ask(Ask::State).await.ok_or_else(stopped)?;
+        let fetched = wire::Fetched { state: state.as_ref().map(wire::State::from) };
+        codec::encode(&fetched).map_err(|error| malformed(&error))
+    }
+
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.asks.send(ask(sender)).await.ok()?;
+        receiver.await.ok()
+    }
+}
+
+fn malformed(error: &dyn std::fmt::Display) -> Refusal {
+    Refusal { code: Code::Malformed, reason: error.to_string() }
+}
+
+fn stopped() -> Refusal {
+    Refusal { code: Code::Busy, reason: "the settings' task has stopped".to_owned() }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,11 +4,13 @@
 //! They live in one stream of the platform's log. Every instance applies that stream in order by
 //! one pure rule ([`State::apply`]), so that all which applied the same prefix agree. [`Machine`]
 //! decides when a value is in force, what to publish and what to tell peers; the task in
-//! `follow` owns it and carries its effects out.
+//! [`follow`] owns it and carries its effects out.
 
 pub mod change;
 pub mod compaction;
+pub mod follow;
 pub mod gossip;
+pub mod handle;
 pub mod machine;
 pub mod publish;
 pub mod reader;
@@ -17,6 +19,7 @@
 pub mod wire;
 
 pub use change::Change;
+pub use handle::{Handle, Proposal, Values};
 pub use machine::{Effect, Machine, Message};
 pub use publish::{Outcome, Publication};
 pub use state::State;
