Stop servers whose connections outlast the grace

Cause: the wait for all connections took all permits of a semaphore at once. When the grace passed first, dropping that half served wait made local-sync borrow its list of waiters twice: a panic in the middle of a graceful stop. Seen as an abort in a test that dropped instances with open connections.

Change: take the permits one by one; a wait for one is never half served when the timeout looks at it first.

Figures: serve_http_cut_after_grace and serve_peer_cut_after_grace panicked before and pass now.

Conclusion: no wait for several permits may be dropped with this library.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -15,7 +15,7 @@
 
 use super::connection::Connection;
 use super::{Handler, Limits, Response};
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Shutdown, all_returned};
 
 /// Rest after a failed accept, so that a process out of descriptors does not spin.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -72,8 +72,8 @@
         acceptor.accept_until(&self.listener, &stop).await;
         acceptor.accept_backlog(&self.listener);
         drop(self.listener);
-        let all = u32::try_from(self.limits.connections).unwrap_or(u32::MAX);
-        let ended = monoio::time::timeout(grace, acceptor.permits.acquire_many(all)).await;
+        let ended = all_returned(&acceptor.permits, self.limits.connections);
+        let ended = monoio::time::timeout(grace, ended).await;
         if ended.is_err() {
             log::warn!("event=http.stop_cut grace_ms={}", grace.as_millis());
         }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -17,7 +17,7 @@
 use super::body::{self, Fault};
 use super::stream::{CONNECTION_WINDOW, HEADER_BYTES, REASON_BYTES, STREAM_WINDOW};
 use super::{Code, Handler, Limits, Refusal};
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Shutdown, all_returned};
 
 /// Rest after a failed accept, so that a process out of descriptors does not spin.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -74,8 +74,8 @@
             acceptor.admit(stream, peer);
         }
         drop(self.listener);
-        let all = u32::try_from(self.limits.connections).unwrap_or(u32::MAX);
-        let ended = monoio::time::timeout(grace, acceptor.connections.acquire_many(all)).await;
+        let ended = all_returned(&acceptor.connections, self.limits.connections);
+        let ended = monoio::time::timeout(grace, ended).await;
         if ended.is_err() {
             log::warn!("event=peer.stop_cut grace_ms={}", grace.as_millis());
         }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -7,4 +7,5 @@
 mod peer;
 mod runtime;
 mod standin;
+mod stop;
 mod support;
