Test settings in force over a real log and a faulty network

Change: instances over the log's process behind the proxy: a domain without the log, an answer lost after the write, operators racing in three domains, a restart in an outage, a restart behind retention. The task's channel is unbounded now, as a bounded send must not be dropped half served.

--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use local_sync::mpsc::{bounded, unbounded};
+use local_sync::mpsc::unbounded;
 use local_sync::oneshot;
 use rand::Rng;
 
@@ -33,8 +33,6 @@
 const TICK: Duration = Duration::from_millis(200);
 /// How long a peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Most messages that wait for the task.
-const INBOX: usize = 256;
 
 /// Who this instance is and what it reaches.
 pub struct Setup {
@@ -55,8 +53,11 @@
 }
 
 /// Starts the tasks on the present runtime.
+///
+/// Their channel has no bound of its own; what goes through it has: one read, one tick, as many
+/// changes as the machine lets wait, and the calls that the servers admit.
 pub fn start(setup: Setup) -> Handle {
-    let (sender, inbox) = bounded::channel(INBOX);
+    let (sender, inbox) = unbounded::channel();
     let seed = rand::rng().random();
     let now = setup.clock.now();
     let machine = Machine::new(&setup.name, &setup.domain, setup.timing.clone(), seed, now);
@@ -89,17 +90,25 @@
     }
 }
 
-async fn tick(clock: Rc<dyn Clock>, asks: bounded::Tx<Ask>) {
-    while asks.send(Ask::Tell(Message::Tick)).await.is_ok() {
+async fn tick(clock: Rc<dyn Clock>, asks: unbounded::Tx<Ask>) {
+    while tell(&asks, Message::Tick).await.is_some() {
         clock.sleep(TICK).await;
     }
 }
 
+/// Passes a message to the owner of the machine and returns the next offset to read; `None` once
+/// the owner is gone.
+async fn tell(asks: &unbounded::Tx<Ask>, message: Message) -> Option<Offset> {
+    let (sender, receiver) = oneshot::channel();
+    asks.send(Ask::Read(message, sender)).ok()?;
+    receiver.await.ok()
+}
+
 /// Reads the stream and hands the pages to the owner of the machine.
 struct Reader {
     store: Rc<dyn Store>,
     clock: Rc<dyn Clock>,
-    asks: bounded::Tx<Ask>,
+    asks: unbounded::Tx<Ask>,
 }
 
 impl Reader {
@@ -116,7 +125,7 @@
         match self.store.read(STREAM, position, READ_WAIT).await {
             Ok(page) => {
                 let hasty = page.records.is_empty() && self.clock.now().since(began) < READ_REST;
-                let next = self.tell(Message::Page(page)).await;
+                let next = tell(&self.asks, Message::Page(page)).await;
                 if hasty {
                     self.clock.sleep(READ_REST).await;
                 }
@@ -124,19 +133,13 @@
             }
             Err(error) => {
                 log::warn!("event=config.read_failed {error}");
-                let next = self.tell(Message::ReadFailed).await;
+                let next = tell(&self.asks, Message::ReadFailed).await;
                 let rest = READ_RETRY.mul_f64(1.0 + rand::random::<f64>());
                 self.clock.sleep(rest).await;
                 next
             }
         }
     }
-
-    async fn tell(&self, message: Message) -> Option<Offset> {
-        let (sender, receiver) = oneshot::channel();
-        self.asks.send(Ask::Read(message, sender)).await.ok()?;
-        receiver.await.ok()
-    }
 }
 
 /// Owns the machine and carries its effects out.
@@ -145,13 +148,13 @@
     store: Rc<dyn Store>,
     peers: Rc<peer::Client>,
     clock: Rc<dyn Clock>,
-    asks: bounded::Tx<Ask>,
+    asks: unbounded::Tx<Ask>,
     waiting: BTreeMap<Id, oneshot::Sender<Outcome>>,
     subscribers: Vec<unbounded::Tx<Rc<Value>>>,
 }
 
 impl Keeper {
-    async fn run(mut self, mut inbox: bounded::Rx<Ask>) {
+    async fn run(mut self, mut inbox: unbounded::Rx<Ask>) {
         while let Some(ask) = inbox.recv().await {
             self.answer(ask);
         }
@@ -247,7 +250,7 @@
                     Message::AppendFailed(id, error.outcome)
                 }
             };
-            let _ = asks.send(Ask::Tell(message)).await;
+            let _ = asks.send(Ask::Tell(message));
         });
     }
 
@@ -271,7 +274,7 @@
                 peers.call(address, wire::DIGEST, &ask, PEER_TIMEOUT).await;
             match answer.map(Digest::try_from) {
                 Ok(Ok(digest)) => {
-                    let _ = asks.send(Ask::Tell(Message::Heard(digest))).await;
+                    let _ = asks.send(Ask::Tell(Message::Heard(digest)));
                 }
                 Ok(Err(error)) => log::warn!("event=config.digest_invalid peer={address} {error}"),
                 Err(error) => log::debug!("event=config.digest_failed {error}"),
@@ -284,7 +287,7 @@
         let asks = self.asks.clone();
         monoio::spawn(async move {
             let message = fetch_state(&peers, address).await;
-            let _ = asks.send(Ask::Tell(message)).await;
+            let _ = asks.send(Ask::Tell(message));
         });
     }
 }
--- a/src/config/handle.rs
+++ b/src/config/handle.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use local_sync::mpsc::{bounded, unbounded};
+use local_sync::mpsc::unbounded;
 use local_sync::oneshot;
 
 use super::gossip::{Digest, Peer, Standing};
@@ -56,11 +56,11 @@
 /// Reaches the task that holds the settings of this process.
 #[derive(Clone)]
 pub struct Handle {
-    asks: bounded::Tx<Ask>,
+    asks: unbounded::Tx<Ask>,
 }
 
 impl Handle {
-    pub(super) fn new(asks: bounded::Tx<Ask>) -> Self {
+    pub(super) fn new(asks: unbounded::Tx<Ask>) -> Self {
         Self { asks }
     }
 
@@ -70,10 +70,10 @@
     }
 
     /// The value in force, if one is, then every newer one as it comes into force.
-    pub async fn subscribe(&self) -> Values {
+    pub fn subscribe(&self) -> Values {
         let (sender, receiver) = unbounded::channel();
         // The receiver ends at once when the task has stopped.
-        let _ = self.asks.send(Ask::Subscribe(sender)).await;
+        let _ = self.asks.send(Ask::Subscribe(sender));
         receiver
     }
 
@@ -84,7 +84,7 @@
     pub async fn publish(&self, proposal: Proposal) -> Outcome {
         let id = proposal.id;
         let (sender, receiver) = oneshot::channel();
-        if self.asks.send(Ask::Publish(proposal, sender)).await.is_err() {
+        if self.asks.send(Ask::Publish(proposal, sender)).is_err() {
             return Outcome::NotReady;
         }
         receiver.await.unwrap_or(Outcome::Unknown(id))
@@ -101,9 +101,9 @@
     }
 
     /// Names the peers to exchange digests with, this instance not among them.
-    pub async fn set_peers(&self, peers: Vec<Peer>) {
+    pub fn set_peers(&self, peers: Vec<Peer>) {
         // A task that has stopped needs no peers.
-        let _ = self.asks.send(Ask::Tell(Message::Peers(peers))).await;
+        let _ = self.asks.send(Ask::Tell(Message::Peers(peers)));
     }
 
     /// Answers a peer's call; `None` when `method` is not one of the settings' methods.
@@ -130,7 +130,7 @@
 
     async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Option<T> {
         let (sender, receiver) = oneshot::channel();
-        self.asks.send(ask(sender)).await.ok()?;
+        self.asks.send(ask(sender)).ok()?;
         receiver.await.ok()
     }
 }
--- /dev/null
+++ b/tests/process/config/mod.rs
@@ -0,0 +1,178 @@
+//! Settings in force over a real log, real connections and a faulty network.
+
+mod site;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use oriolefork::config::{Change, Outcome, Preset, Version};
+use oriolefork::resource::Amount;
+use oriolefork::standin::proxy::{self, Mode};
+use serde_json::json;
+
+use crate::harness::{LIMIT, Standin, block_on, post_json};
+use site::{Node, introduce};
+
+const DOMAINS: [&str; 3] = ["oamaru-hall", "kurow-hall", "palmerston-hall"];
+const PEAK: Change = Change::Preset(Preset::Peak);
+const MAINTENANCE: Change = Change::Preset(Preset::Maintenance);
+
+/// The log with one route to it from each domain.
+struct Platform {
+    log: Standin,
+    proxy: Standin,
+    routes: Vec<SocketAddr>,
+}
+
+impl Platform {
+    fn start() -> Self {
+        let (log, proxy) = (Standin::start("log", &[]), Standin::start("proxy", &[]));
+        let listen = SocketAddr::new(proxy.addr.ip(), 0);
+        let open = |domain: &&str| {
+            let path = proxy::Path { name: (*domain).to_owned(), listen, target: log.addr };
+            let opened: proxy::Snapshot = post_json(proxy.addr, "/v1/routes", &path).json();
+            opened.listen
+        };
+        let routes = DOMAINS.iter().map(open).collect();
+        Self { log, proxy, routes }
+    }
+
+    fn switch(&self, domain: usize, mode: Mode) {
+        let control = proxy::Control { routes: vec![DOMAINS[domain].to_owned()], mode };
+        post_json(self.proxy.addr, "/control", &control);
+    }
+
+    /// Starts one instance in each domain.
+    async fn populate(&self) -> Vec<Node> {
+        let nodes: Vec<Node> = (0..DOMAINS.len()).map(|domain| self.node(domain)).collect();
+        introduce(&nodes);
+        for node in &nodes {
+            shows(node, 0).await;
+        }
+        nodes
+    }
+
+    fn node(&self, domain: usize) -> Node {
+        Node::start(&format!("entry-{domain}"), DOMAINS[domain], self.routes[domain])
+    }
+}
+
+/// Waits until an instance shows at least `version`.
+async fn shows(node: &Node, version: u64) {
+    let start = Instant::now();
+    while node.version().await.is_none_or(|shown| shown < version) {
+        assert!(start.elapsed() < LIMIT, "{} never showed {version}", node.peer.name);
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn quota(team: &str) -> Change {
+    let limit = Amount { cpu_millis: 1_000, memory_mib: 64, accelerators: 0 };
+    Change::Quota { team: team.to_owned(), limit: Some(limit) }
+}
+
+#[test]
+fn in_force_domain_without_log() {
+    // kurow-hall loses the platform, not its neighbours. An operator sets "peak" in oamaru-hall and
+    // is told "accepted"; kurow-hall must run by "peak" too, which it can hear from peers only.
+    let platform = Platform::start();
+    block_on(async {
+        let nodes = platform.populate().await;
+        platform.switch(1, Mode::CutBoth);
+        let outcome = nodes[0].publish("ana", PEAK).await;
+        assert_eq!(outcome, Outcome::Accepted(Version::from_raw(1)));
+        for node in &nodes {
+            shows(node, 1).await;
+            assert_eq!(node.handle.value().await.unwrap().preset, Preset::Peak);
+        }
+    });
+}
+
+#[test]
+fn in_force_answer_lost_after_write() {
+    // The log writes oamaru-hall's change, but no answer of the log comes back to that domain any
+    // more, neither to the append nor to reads. The other domains see the change; the publisher
+    // learns from them that it was accepted, and no second change arises from its retries.
+    let platform = Platform::start();
+    block_on(async {
+        let nodes = platform.populate().await;
+        platform.switch(0, Mode::DropAnswer);
+        let outcome = nodes[0].publish("ana", MAINTENANCE).await;
+        let accepted = Outcome::Accepted(Version::from_raw(1));
+        assert!(outcome == accepted || matches!(outcome, Outcome::Unknown(_)));
+        platform.switch(0, Mode::Pass);
+        for node in &nodes {
+            shows(node, 1).await;
+        }
+        assert_eq!(nodes[2].publish("ben", PEAK).await, Outcome::Accepted(Version::from_raw(2)));
+    });
+}
+
+#[test]
+fn in_force_racing_operators() {
+    // Operators in all three domains change the preset at once, each from version 0. Exactly one is
+    // told "accepted", the others who came first, and all domains show the winner's.
+    let platform = Platform::start();
+    block_on(async {
+        let nodes = platform.populate().await;
+        let outcomes = futures_util::future::join_all([
+            nodes[0].publish("ana", PEAK),
+            nodes[1].publish("ben", MAINTENANCE),
+            nodes[2].publish("cleo", PEAK),
+        ])
+        .await;
+        let accepted = |outcome: &&Outcome| matches!(outcome, Outcome::Accepted(_));
+        assert_eq!(outcomes.iter().filter(accepted).count(), 1, "{outcomes:?}");
+        for node in &nodes {
+            shows(node, 1).await;
+        }
+        let winner = nodes[0].handle.value().await.unwrap();
+        for (node, outcome) in nodes.iter().zip(&outcomes) {
+            assert_eq!(node.handle.value().await.unwrap(), winner);
+            if let Outcome::Superseded { winner: Some(named) } = outcome {
+                assert_eq!(Some(named), winner.preset_set.as_ref());
+            }
+        }
+    });
+}
+
+#[test]
+fn in_force_restart_in_outage() {
+    // The log is down and an instance is replaced meanwhile. The new process has no disk and no
+    // log, and must come up with what its peers hold, not with the defaults.
+    let platform = Platform::start();
+    block_on(async {
+        let mut nodes = platform.populate().await;
+        nodes[0].publish("ana", PEAK).await;
+        for node in &nodes {
+            shows(node, 1).await;
+        }
+        post_json(platform.log.addr, "/control", &json!({ "outage": true }));
+        nodes[1] = platform.node(1);
+        introduce(&nodes);
+        shows(&nodes[1], 1).await;
+        assert_eq!(nodes[1].handle.value().await.unwrap().preset, Preset::Peak);
+    });
+}
+
+#[test]
+fn in_force_after_retention() {
+    // The log keeps the last 20 records only, and many changes follow the preset's. An instance
+    // that starts then finds the preset in a snapshot, with the version that all others show.
+    let platform = Platform::start();
+    block_on(async {
+        let mut nodes = platform.populate().await;
+        post_json(platform.log.addr, "/control", &json!({ "retention": 20 }));
+        nodes[0].publish("ana", PEAK).await;
+        for change in 0..60_u64 {
+            let outcome = nodes[0].publish("ana", quota(&format!("team-{change}"))).await;
+            assert_eq!(outcome, Outcome::Accepted(Version::from_raw(change + 2)));
+        }
+        nodes[2] = platform.node(2);
+        introduce(&nodes);
+        shows(&nodes[2], 61).await;
+        let value = nodes[2].handle.value().await.unwrap();
+        assert_eq!(value.preset, Preset::Peak);
+        assert_eq!(value.quotas.len(), 60);
+    });
+}
--- /dev/null
+++ b/tests/process/config/site.rs
@@ -0,0 +1,94 @@
+//! Instances that hold the settings only, each with its own server for peers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use oriolefork::clock;
+use oriolefork::config::gossip::Peer;
+use oriolefork::config::machine::Timing;
+use oriolefork::config::publish::Id;
+use oriolefork::config::{Change, Handle, Outcome, Proposal, follow};
+use oriolefork::peer::{self, Code, Refusal};
+use oriolefork::shutdown::Shutdown;
+use oriolefork::{http, store};
+
+const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// One instance.
+pub struct Node {
+    pub peer: Peer,
+    pub handle: Handle,
+    stop: Shutdown,
+}
+
+struct Methods(Handle);
+
+impl peer::Handler for Methods {
+    fn handle(
+        &self,
+        _peer: SocketAddr,
+        method: &str,
+        body: Bytes,
+    ) -> LocalBoxFuture<'_, Result<Bytes, Refusal>> {
+        let method = method.to_owned();
+        async move {
+            let unknown = || Refusal { code: Code::UnknownMethod, reason: method.clone() };
+            self.0.handle(&method, &body).await.unwrap_or_else(|| Err(unknown()))
+        }
+        .boxed_local()
+    }
+}
+
+impl Node {
+    /// Starts an instance on the present runtime that reaches the log at `log`.
+    pub fn start(name: &str, domain: &str, log: SocketAddr) -> Self {
+        let http = Rc::new(http::Client::new(http::Limits::default()));
+        let stop = Shutdown::new();
+        let handle = follow::start(follow::Setup {
+            name: name.to_owned(),
+            domain: domain.into(),
+            timing: Timing::default(),
+            store: Rc::new(store::http::Client::new(log, http, STORE_TIMEOUT)),
+            peers: Rc::new(peer::Client::new(peer::Limits::default())),
+            clock: Rc::new(clock::System::start()),
+            stop: stop.clone(),
+        });
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = peer::Server::bind(any, peer::Limits::default()).unwrap();
+        let address = server.local_addr().unwrap();
+        let methods = Rc::new(Methods(handle.clone()));
+        monoio::spawn(server.serve(methods, stop.clone(), Duration::ZERO));
+        let peer = Peer { name: name.to_owned(), domain: domain.into(), address };
+        Self { peer, handle, stop }
+    }
+
+    /// Publishes on the version in force here.
+    pub async fn publish(&self, by: &str, change: Change) -> Outcome {
+        let proposal = Proposal { id: Id::random(), base: None, by: by.to_owned(), change };
+        self.handle.publish(proposal).await
+    }
+
+    /// The version in force.
+    pub async fn version(&self) -> Option<u64> {
+        self.handle.value().await.map(|value| value.version.raw())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.stop.trigger();
+    }
+}
+
+/// Makes all instances known to each other.
+pub fn introduce(nodes: &[Node]) {
+    for node in nodes {
+        let peers = nodes.iter().map(|other| other.peer.clone());
+        let others = peers.filter(|peer| *peer != node.peer).collect();
+        node.handle.set_peers(others);
+    }
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! Tests over real sockets on loopback. Verdicts wait for conditions, never for the machine's speed.
 
 mod cli;
+mod config;
 mod harness;
 mod http;
 mod http_client;
