Answer in one form whoever refuses, and log orders with the person

Cause: a request that the HTTP server refuses itself had a body of another form, which said nothing of whether the work ran; orders of operators left no line in the log; a job id with a sign was read. Change: the server's own refusals have the form of the interface and say not-run. Orders are logged with person and peer. Conclusion: a caller reads one form of refusal.

--- a/src/api/endpoint.rs
+++ b/src/api/endpoint.rs
@@ -1,5 +1,7 @@
 //! What each route does with the backend.
 
+use std::net::SocketAddr;
+
 use ::http::StatusCode;
 use bytes::Bytes;
 
@@ -12,9 +14,12 @@
 use crate::clock::Clock;
 use crate::http::{Request, Response};
 use crate::job;
+use crate::logging::value;
 
 /// A request whose route is known.
 pub struct Asked {
+    /// Who sent it.
+    pub peer: SocketAddr,
     /// Its circumstances.
     pub call: Call,
     /// What it asks for.
@@ -36,7 +41,15 @@
     /// The call with the person who signed the body.
     fn signed(&self) -> Result<Call, Refusal> {
         let signature: wire::alert::Signature = wire::parse(self.body())?;
-        Ok(Call { by: Some(signature.into_name()?), ..self.call.clone() })
+        Ok(self.call_by(signature.into_name()?))
+    }
+
+    /// The call of a person, whose order is logged.
+    fn call_by(&self, person: String) -> Call {
+        let (route, path) = (self.route.name(), value(self.request.uri().path()));
+        let (by, peer) = (value(&person), self.peer);
+        log::info!("event=api.order route={route} path={path} by={by} peer={peer}");
+        Call { by: Some(person), ..self.call.clone() }
     }
 }
 
@@ -160,8 +173,9 @@
 
 async fn set_preset(backend: &dyn Backend, asked: &Asked) -> Result<Response, Refusal> {
     let wire: wire::preset::Change = wire::parse(asked.body())?;
-    let call = Call { by: Some(wire.by.clone()), ..asked.call.clone() };
+    let by = wire.by.clone();
     let change = view::preset::Change::try_from(wire)?;
+    let call = asked.call_by(by);
     Ok(ok(&wire::preset::InForce::from(backend.set_preset(call, change).await?)))
 }
 
@@ -173,8 +187,9 @@
 
 async fn set_quota(backend: &dyn Backend, asked: &Asked, team: &str) -> Result<Response, Refusal> {
     let wire: wire::quota::Change = wire::parse(asked.body())?;
-    let call = Call { by: Some(wire.by.clone()), ..asked.call.clone() };
+    let by = wire.by.clone();
     let change = wire.of_team(team)?;
+    let call = asked.call_by(by);
     Ok(ok(&wire::quota::Table::from(backend.set_quota(call, change).await?)))
 }
 
--- a/src/api/service.rs
+++ b/src/api/service.rs
@@ -73,10 +73,11 @@
             Route::Metrics => Ok(reply::text((self.options.metrics)())),
             route => {
                 let call = Call { within: header::timeout(request.headers())?, by: None };
-                let late = late(&route, call.within);
-                let asked = Asked { call: call.clone(), route, request };
+                let within = call.within;
+                let late = late(&route, within);
+                let asked = Asked { peer, call, route, request };
                 let answer = endpoint::answer(&*self.backend, &*self.clock, asked);
-                self.bounded(call.within, late, answer.boxed_local()).await
+                self.bounded(within, late, answer.boxed_local()).await
             }
         }
     }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -156,14 +156,26 @@
     response
 }
 
+/// The form of `api::wire::Refusal`, so that callers read one form whoever refuses.
 #[derive(Serialize)]
 struct Explanation<'a> {
-    error: &'a str,
+    ran: &'a str,
+    reason: &'a str,
+    message: &'a str,
 }
 
 /// An answer of the server itself, after which it closes the connection.
-pub(super) fn explain(status: StatusCode, error: &str) -> Response {
-    let body = serde_json::to_vec(&Explanation { error }).unwrap_or_default();
+///
+/// No handler has seen the request, so that it surely did not run.
+pub(super) fn explain(status: StatusCode, message: &str) -> Response {
+    let reason = match status {
+        StatusCode::SERVICE_UNAVAILABLE => "overloaded",
+        StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "too-large",
+        StatusCode::REQUEST_TIMEOUT => "deadline",
+        _ => "invalid",
+    };
+    let explanation = Explanation { ran: "not-run", reason, message };
+    let body = serde_json::to_vec(&explanation).unwrap_or_default();
     let mut response = Response::new(Bytes::from(body));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/src/job.rs
+++ b/src/job.rs
@@ -44,7 +44,9 @@
 
     /// Reads the form that `Display` writes; `None` when `text` is not such a form.
     pub fn parse(text: &str) -> Option<Self> {
-        (text.len() == 16).then(|| u64::from_str_radix(text, 16).ok().map(Self)).flatten()
+        // `from_str_radix` also reads a leading sign, which `Display` never writes.
+        let is_id = text.len() == 16 && text.bytes().all(|digit| digit.is_ascii_hexdigit());
+        is_id.then(|| u64::from_str_radix(text, 16).ok().map(Self)).flatten()
     }
 }
 
--- a/tests/process/cli.rs
+++ b/tests/process/cli.rs
@@ -4,9 +4,11 @@
 mod backend;
 mod entry;
 
-use std::net::{SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Command, Output};
 
+use oriolefork::api::{Ran, wire};
 use serde_json::Value;
 use test_case::test_case;
 
@@ -191,6 +193,22 @@
     assert!(!table.lines().any(|line| line.starts_with("forged")), "{table}");
 }
 
+// A request that is cut short, malformed or too large never reaches the interface. The caller still
+// gets a refusal in the interface's own form, which says that nothing ran.
+#[test_case("POST /v1/jobs HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999999\r\n\r\n", "too-large" ; "large_body")]
+#[test_case("nonsense\r\n\r\n", "invalid" ; "malformed")]
+#[test_case(&format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(40_000)), "too-large" ; "large_head")]
+fn refusal_before_handler(request: &str, reason: &str) {
+    let entry = Entry::start("kurow-hall", None);
+    let mut stream = TcpStream::connect(entry.address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let body = answer.split("\r\n\r\n").nth(1).unwrap();
+    let refusal: wire::Refusal = wire::parse(body.as_bytes()).unwrap();
+    assert_eq!((refusal.ran, refusal.reason.to_string().as_str()), (Ran::NotRun, reason));
+}
+
 // The address belongs to something else that answers in HTTP.
 #[test]
 fn foreign_server() {
