Prove routing with real runners behind the fault proxy

Cause: routing was proved on its state machine alone. Change: eight stories with runner processes: three instances that share slots, a liar and cut answers, a lost answer, runners that cannot be reached, one key through several instances, a leaving runner, a stop in the middle, and the fall-back to another failure domain.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod http_client;
 mod peer;
+mod runner;
 mod runtime;
 mod standin;
 mod stop;
