--- a/src/settings/contradictions.rs
+++ b/src/settings/contradictions.rs
@@ -70,14 +70,16 @@
     ]
 }
 
-fn callers(settings: &wire::Settings) -> [Option<Problem>; 3] {
+fn callers(settings: &wire::Settings) -> [Option<Problem>; 4] {
     let caller = setting("queues.caller_timeout_ms", settings.queues.caller_timeout_ms);
     let wait = setting("queues.request_wait_ms", settings.queues.request_wait_ms);
+    let run = setting("queues.request_run_ms", settings.queues.request_run_ms);
     let grace = setting("http.shutdown_grace_ms", settings.http.shutdown_grace_ms);
     let head = setting("http.head_bytes", settings.http.head_bytes);
     let body = setting("http.body_bytes", settings.http.body_bytes);
     [
         above(caller, wait, "requests would still wait after their callers gave up"),
+        above(caller, run, "runners would still work after their callers gave up"),
         above(grace, caller, "a graceful shutdown would cut requests in flight"),
         at_least(body, head.value, head, "a request's body would have less room than its head"),
     ]
--- a/src/settings/convert.rs
+++ b/src/settings/convert.rs
@@ -166,6 +166,7 @@
             jobs: size(written.jobs),
             requests: size(written.requests),
             request_wait: span(written.request_wait_ms),
+            request_run: span(written.request_run_ms),
             caller_timeout: span(written.caller_timeout_ms),
         }
     }
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::{Level, Secret, Weighs};
-use crate::{domain, http};
+use crate::runner::share::Position;
+use crate::{domain, http, runner};
 
 /// Settings of one entry instance, checked as a whole.
 #[derive(Clone, Debug)]
@@ -86,6 +87,14 @@
     pub fn domain_peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.iter().filter(|peer| peer.domain == self.domain)
     }
+
+    /// Place of this instance among those of its failure domain, in the order of their names.
+    pub fn position(&self) -> Position {
+        let earlier = self.domain_peers().filter(|peer| peer.name < self.instance).count();
+        let count = self.domain_peers().count() + 1;
+        // The file's size bounds the number of peers far below `u32::MAX`.
+        Position { index: earlier as u32, count: count as u32 }
+    }
 }
 
 /// Addresses this instance listens on.
@@ -214,12 +223,26 @@
     pub jobs: usize,
     /// Most quick requests that wait at this instance for a runner's slot.
     pub requests: usize,
-    /// Longest that a quick request waits for a slot before it is refused.
+    /// Longest estimated wait for a slot at which a quick request is still taken.
     pub request_wait: Duration,
+    /// Longest that a runner works on one quick request.
+    pub request_run: Duration,
     /// Time a caller gives a quick request when it names no deadline.
     pub caller_timeout: Duration,
 }
 
+impl Queues {
+    /// How quick requests are routed.
+    pub fn routing(&self) -> runner::Policy {
+        runner::Policy {
+            run_limit: self.request_run,
+            queue_target: self.request_wait,
+            queue_length: self.requests,
+            ..runner::Policy::default()
+        }
+    }
+}
+
 /// A service whose quick requests are taken.
 #[derive(Clone, Debug)]
 pub struct Service {
--- a/src/settings/wire.rs
+++ b/src/settings/wire.rs
@@ -196,13 +196,13 @@
 impl Default for Owner {
     fn default() -> Self {
         Self {
-            lease_ms: 15_000,
+            lease_ms: 10_000,
             lease_margin_ms: 2_000,
-            exchange_wait_ms: 1_000,
+            exchange_wait_ms: 3_000,
             exchange_timeout_ms: 1_000,
-            heartbeat_ms: 300,
-            claim_timeout_ms: 1_500,
-            commit_delay_ms: 2,
+            heartbeat_ms: 400,
+            claim_timeout_ms: 1_600,
+            commit_delay_ms: 20,
             commit_bytes: 256 * 1_024,
             snapshot_records: 2_000,
         }
@@ -258,9 +258,12 @@
     /// Most quick requests that wait at this instance for a runner's slot.
     #[schemars(range(min = 1, max = 1_000_000))]
     pub requests: u64,
-    /// Longest that a quick request waits for a slot before it is refused.
+    /// Longest estimated wait for a slot at which a quick request is still taken.
     #[schemars(range(min = 1, max = 600_000))]
     pub request_wait_ms: u64,
+    /// Longest that a runner works on one quick request. The same for all instances of a domain.
+    #[schemars(range(min = 10, max = 600_000))]
+    pub request_run_ms: u64,
     /// Time a caller gives a quick request when it names no deadline.
     #[schemars(range(min = 10, max = 600_000))]
     pub caller_timeout_ms: u64,
@@ -268,7 +271,13 @@
 
 impl Default for Queues {
     fn default() -> Self {
-        Self { jobs: 20_000, requests: 1_024, request_wait_ms: 2_000, caller_timeout_ms: 30_000 }
+        Self {
+            jobs: 20_000,
+            requests: 4_096,
+            request_wait_ms: 250,
+            request_run_ms: 5_000,
+            caller_timeout_ms: 30_000,
+        }
     }
 }
 
