--- a/src/api/view/alert.rs
+++ b/src/api/view/alert.rs
@@ -28,9 +28,18 @@
     /// A worker fails what it starts and gets no more work.
     #[display("quarantined")]
     Quarantined,
-    /// A fault of the scheduler or of the platform.
-    #[display("system")]
-    System,
+    /// A worker could not be fenced and is not used.
+    #[display("unfenced")]
+    Unfenced,
+    /// The log does not answer.
+    #[display("log-outage")]
+    LogOutage,
+    /// The configuration in force could not be confirmed for long.
+    #[display("stale-config")]
+    StaleConfig,
+    /// The list of instances lost many at once and is not believed yet.
+    #[display("suspect-list")]
+    SuspectList,
 }
 
 /// Something that a person has to see.
@@ -50,6 +59,8 @@
     pub raised: Unix,
     /// How often the same was raised.
     pub count: u64,
+    /// When its cause went away; the alert stays until it is acknowledged.
+    pub ended: Option<Unix>,
     /// Who has seen it, and when.
     pub acknowledged: Option<Acknowledgement>,
 }
--- a/src/api/wire/alert.rs
+++ b/src/api/wire/alert.rs
@@ -6,6 +6,7 @@
 use crate::api::view;
 use crate::api::view::alert::Kind;
 use crate::api::wire::check;
+use crate::clock::Unix;
 
 /// Something that a person has to see.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +26,9 @@
     pub raised_unix_ms: u64,
     /// How often the same was raised.
     pub count: u64,
+    /// When its cause went away.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ended_unix_ms: Option<u64>,
     /// Who has seen it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub acknowledged_by: Option<String>,
@@ -44,6 +48,7 @@
             message: alert.message,
             raised_unix_ms: alert.raised.as_millis(),
             count: alert.count,
+            ended_unix_ms: alert.ended.map(Unix::as_millis),
             acknowledged_by: alert.acknowledged.map(|word| word.by),
             acknowledged_unix_ms,
         }
--- a/src/cli/command/alert.rs
+++ b/src/cli/command/alert.rs
@@ -19,13 +19,15 @@
 }
 
 fn listing(told: &Told<Page<Alert>>) -> String {
-    let mut table = Table::new(&["ID", "KIND", "SUBJECT", "SINCE", "TIMES", "SEEN BY", "MESSAGE"]);
+    let mut table =
+        Table::new(&["ID", "KIND", "SUBJECT", "SINCE", "OVER", "TIMES", "SEEN BY", "MESSAGE"]);
     for alert in &told.body.items {
         let kind = alert.kind.to_string();
         let since = time(alert.raised_unix_ms);
+        let over = alert.ended_unix_ms.map_or_else(|| "-".to_owned(), time);
         let count = alert.count.to_string();
         let seen = alert.acknowledged_by.as_deref().unwrap_or("-");
-        table.row(&[&alert.id, &kind, &alert.subject, &since, &count, seen, &alert.message]);
+        table.row(&[&alert.id, &kind, &alert.subject, &since, &over, &count, seen, &alert.message]);
     }
     let domain = clean(&told.domain);
     if table.is_empty() {
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -190,6 +190,7 @@
             message: "late\u{1b}[2J\nforged".to_owned(),
             raised: Unix::from_millis(9),
             count: 2,
+            ended: None,
             acknowledged: None,
         };
         self.answer(Ok(view::Page { items: vec![alert], next: None }))
@@ -206,6 +207,7 @@
             message: "late".to_owned(),
             raised: Unix::from_millis(9),
             count: 2,
+            ended: None,
             acknowledged: Some(word),
         }))
     }
