Keep alerts until a person acknowledges them

Cause: what the raiser alone remembers is lost when it dies.

Change: a pure board that raises, ends and acknowledges alerts as records of the domain's stream. Equal alerts are one; above 500 open ones of a kind further subjects are counted in one alert, each in a record of its own.

Figures: wave_is_counted_and_none_lost raises 5,000 alerts, of which the list shows 500 and one that counts 4,500, also when rebuilt from the records.

--- /dev/null
+++ b/src/alert/board.rs
@@ -0,0 +1,322 @@
+//! The alerts of a failure domain.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use derive_more::Display;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::kind::{Id, Key, Kind, Subject};
+use super::record::{Acknowledgement, Record};
+use crate::clock::Unix;
+
+/// Most alerts of one kind that stand alone; further ones are counted in one alert on many.
+pub const OPEN_PER_KIND: usize = 500;
+/// Most subjects by which an alert on many tells a new subject from one it has counted.
+const MEMBERS: usize = 65_536;
+/// How many acknowledged alerts are remembered.
+const ACKNOWLEDGED: usize = 256;
+/// Longest message, in bytes.
+const MESSAGE_BYTES: usize = 512;
+
+/// One alert.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Alert {
+    /// Its identity.
+    pub id: Id,
+    /// What it is about.
+    pub key: Key,
+    /// What happened, in a sentence for people.
+    pub message: String,
+    /// When it was raised first.
+    pub raised: Unix,
+    /// When it was raised last.
+    pub last: Unix,
+    /// How many subjects it stands for.
+    pub count: u64,
+    /// When its cause went away, if it has.
+    pub ended: Option<Unix>,
+    /// Who has seen it.
+    pub acknowledged: Option<Acknowledgement>,
+}
+
+/// No alert has this identity.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, derive_more::Error)]
+#[display("there is no alert {id}")]
+pub struct Unknown {
+    /// The identity.
+    #[error(not(source))]
+    pub id: Id,
+}
+
+/// All that a board knows, for a snapshot.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ledger {
+    /// Open alerts in order of identity, then acknowledged ones, oldest first.
+    pub alerts: Vec<Alert>,
+    /// Fingerprints of the subjects that each alert on many has counted.
+    pub members: BTreeMap<Kind, BTreeSet<u64>>,
+    /// The largest identity ever given.
+    pub latest: Id,
+    /// The largest identity of an alert that is no longer remembered.
+    pub forgotten: Id,
+}
+
+/// The alerts of a failure domain: open ones until a person acknowledges them.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    open: BTreeMap<Key, Alert>,
+    ids: BTreeMap<Id, Key>,
+    open_by_kind: BTreeMap<Kind, usize>,
+    members: BTreeMap<Kind, BTreeSet<u64>>,
+    acknowledged: VecDeque<Alert>,
+    latest: Id,
+    forgotten: Id,
+}
+
+impl Board {
+    /// A board without alerts.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Rebuilds a board from a snapshot.
+    pub fn restore(ledger: Ledger) -> Self {
+        let Ledger { members, latest, forgotten, .. } = ledger;
+        let mut board = Self { members, latest, forgotten, ..Self::default() };
+        for alert in ledger.alerts {
+            if alert.acknowledged.is_some() {
+                board.retire(alert);
+            } else {
+                board.insert(alert);
+            }
+        }
+        board
+    }
+
+    /// All that the board knows.
+    pub fn ledger(&self) -> Ledger {
+        let open = self.ids.values().filter_map(|key| self.open.get(key));
+        let alerts = open.chain(&self.acknowledged).cloned().collect();
+        let Self { latest, forgotten, .. } = *self;
+        Ledger { alerts, members: self.members.clone(), latest, forgotten }
+    }
+
+    /// Raises an alert; returns the record to write, or `None` while the same alert is open or,
+    /// once acknowledged, its cause has not gone.
+    ///
+    /// ```
+    /// use oriolefork::alert::{Board, Key, Kind, Subject};
+    /// use oriolefork::clock::Unix;
+    /// let mut board = Board::new();
+    /// let key = Key { kind: Kind::LogOutage, subject: Subject::Domain };
+    /// assert!(board.raise(Unix::from_millis(5), key.clone(), "no answer for 4 s").is_some());
+    /// assert!(board.raise(Unix::from_millis(9), key, "no answer for 8 s").is_none());
+    /// ```
+    pub fn raise(&mut self, now: Unix, key: Key, message: &str) -> Option<Record> {
+        if let Some(alert) = self.open.get_mut(&key) {
+            alert.last = now;
+            return self.reopen(now, key, message);
+        }
+        if self.is_counted(&key) || self.is_settled(&key) {
+            return None;
+        }
+        // Identities rise even when the next owner's clock is behind, so that a record that is
+        // read again never reopens an alert that was acknowledged since.
+        let id = Id::from_raw(now.as_millis().max(self.latest.raw() + 1));
+        let message = clip(message).to_owned();
+        let record = Record::Raised { id, key, message, at: now };
+        self.apply(&record);
+        Some(record)
+    }
+
+    /// Notes that the cause of an alert has gone; returns the record to write, if there is one.
+    pub fn end(&mut self, now: Unix, key: &Key) -> Option<Record> {
+        let acknowledged = || self.acknowledged.iter().rev().find(|alert| alert.key == *key);
+        let alert = self.open.get(key).or_else(acknowledged)?;
+        if alert.ended.is_some() {
+            return None;
+        }
+        let record = Record::Ended { id: alert.id, at: now };
+        self.apply(&record);
+        Some(record)
+    }
+
+    /// Acknowledges an alert; returns the record to write, or `None` if it was acknowledged before.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no alert has this identity, be it that its acknowledgement was long ago.
+    pub fn acknowledge(&mut self, now: Unix, id: Id, by: &str) -> Result<Option<Record>, Unknown> {
+        if self.acknowledged.iter().any(|alert| alert.id == id) {
+            return Ok(None);
+        }
+        if !self.ids.contains_key(&id) {
+            return Err(Unknown { id });
+        }
+        let acknowledgement = Acknowledgement { by: clip(by).to_owned(), at: now };
+        let record = Record::Acknowledged { id, acknowledgement };
+        self.apply(&record);
+        Ok(Some(record))
+    }
+
+    /// Applies a record; one that was applied before changes nothing.
+    pub fn apply(&mut self, record: &Record) {
+        match record {
+            Record::Raised { id, key, message, at } => self.open_alert(*id, key, message, *at),
+            Record::Ended { id, at } => {
+                if let Some(alert) = self.get_mut(*id) {
+                    alert.ended.get_or_insert(*at);
+                }
+            }
+            Record::Acknowledged { id, acknowledgement } => self.close(*id, acknowledgement),
+        }
+    }
+
+    /// Open alerts, the gravest kind first and the oldest first within a kind.
+    pub fn open(&self) -> Vec<&Alert> {
+        let mut open: Vec<&Alert> = self.open.values().collect();
+        open.sort_by_key(|alert| (alert.key.kind, alert.id));
+        open
+    }
+
+    /// Number of open alerts.
+    pub fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Alerts acknowledged lately, oldest first.
+    pub fn acknowledged(&self) -> impl Iterator<Item = &Alert> {
+        self.acknowledged.iter()
+    }
+
+    /// The alert with this identity, open or acknowledged lately.
+    pub fn get(&self, id: Id) -> Option<&Alert> {
+        let open = self.ids.get(&id).and_then(|key| self.open.get(key));
+        open.or_else(|| self.acknowledged.iter().find(|alert| alert.id == id))
+    }
+
+    /// Raises an open alert again whose cause had gone.
+    fn reopen(&mut self, now: Unix, key: Key, message: &str) -> Option<Record> {
+        let id = self.open.get(&key).filter(|alert| alert.ended.is_some())?.id;
+        let record = Record::Raised { id, key, message: clip(message).to_owned(), at: now };
+        self.apply(&record);
+        Some(record)
+    }
+
+    fn open_alert(&mut self, id: Id, key: &Key, message: &str, at: Unix) {
+        if let Some(alert) = self.get_mut(id).filter(|alert| alert.acknowledged.is_none()) {
+            // Read again after the end, the first record must not undo it.
+            alert.ended.take_if(|ended| *ended <= at);
+            alert.last = alert.last.max(at);
+            return;
+        }
+        let seen_before = id <= self.forgotten || self.get(id).is_some() || self.is_counted(key);
+        self.latest = self.latest.max(id);
+        if seen_before || self.open.contains_key(key) {
+            return;
+        }
+        let full = self.open_by_kind.get(&key.kind).is_some_and(|open| *open >= OPEN_PER_KIND);
+        if full && key.subject != Subject::Many {
+            self.count(id, key, message, at);
+            return;
+        }
+        self.insert(Alert {
+            id,
+            key: key.clone(),
+            message: message.to_owned(),
+            raised: at,
+            last: at,
+            count: 1,
+            ended: None,
+            acknowledged: None,
+        });
+    }
+
+    /// Counts an alert in the one on many.
+    ///
+    /// Every subject was written in a record of its own before, so that the count is the same for
+    /// the next owner; only memory and the list that a person reads are bounded.
+    fn count(&mut self, id: Id, key: &Key, message: &str, at: Unix) {
+        let members = self.members.entry(key.kind).or_default();
+        if members.len() < MEMBERS {
+            members.insert(fingerprint(&key.subject));
+        }
+        let many = Key { kind: key.kind, subject: Subject::Many };
+        if let Some(alert) = self.open.get_mut(&many) {
+            alert.count += 1;
+            alert.last = at;
+            alert.message = format!("{} more; the latest: {message}", alert.count);
+            return;
+        }
+        self.insert(Alert {
+            id,
+            key: many,
+            message: format!("1 more: {message}"),
+            raised: at,
+            last: at,
+            count: 1,
+            ended: None,
+            acknowledged: None,
+        });
+    }
+
+    fn close(&mut self, id: Id, acknowledgement: &Acknowledgement) {
+        let Some(key) = self.ids.remove(&id) else { return };
+        let Some(mut alert) = self.open.remove(&key) else { return };
+        if key.subject == Subject::Many {
+            self.members.remove(&key.kind);
+        } else if let Some(open) = self.open_by_kind.get_mut(&key.kind) {
+            *open = open.saturating_sub(1);
+        }
+        alert.acknowledged = Some(acknowledgement.clone());
+        self.retire(alert);
+    }
+
+    fn insert(&mut self, alert: Alert) {
+        self.latest = self.latest.max(alert.id);
+        if alert.key.subject != Subject::Many {
+            *self.open_by_kind.entry(alert.key.kind).or_default() += 1;
+        }
+        self.ids.insert(alert.id, alert.key.clone());
+        self.open.insert(alert.key.clone(), alert);
+    }
+
+    fn retire(&mut self, alert: Alert) {
+        if self.acknowledged.len() == ACKNOWLEDGED {
+            let oldest = self.acknowledged.pop_front().map(|alert| alert.id);
+            self.forgotten = self.forgotten.max(oldest.unwrap_or_default());
+        }
+        self.acknowledged.push_back(alert);
+    }
+
+    fn get_mut(&mut self, id: Id) -> Option<&mut Alert> {
+        match self.ids.get(&id) {
+            Some(key) => self.open.get_mut(key),
+            None => self.acknowledged.iter_mut().find(|alert| alert.id == id),
+        }
+    }
+
+    /// Whether a person has acknowledged this and its cause has not gone since.
+    fn is_settled(&self, key: &Key) -> bool {
+        let latest = self.acknowledged.iter().rev().find(|alert| alert.key == *key);
+        latest.is_some_and(|alert| alert.ended.is_none())
+    }
+
+    fn is_counted(&self, key: &Key) -> bool {
+        let members = self.members.get(&key.kind);
+        members.is_some_and(|members| members.contains(&fingerprint(&key.subject)))
+    }
+}
+
+fn fingerprint(subject: &Subject) -> u64 {
+    xxh3_64(subject.to_string().as_bytes())
+}
+
+/// The longest beginning of `text` within the bound.
+fn clip(text: &str) -> &str {
+    let mut end = text.len().min(MESSAGE_BYTES);
+    while !text.is_char_boundary(end) {
+        end -= 1;
+    }
+    &text[..end]
+}
--- /dev/null
+++ b/src/alert/wire.rs
@@ -0,0 +1,223 @@
+//! Form of alerts in the domain's stream and in its snapshots.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::kind::{self, Id};
+use super::record::{self, Acknowledgement};
+use super::{Key, Kind, board};
+use crate::clock::Unix;
+use crate::{job, task, worker};
+
+/// A form that names an unknown kind.
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+#[display("step=alert.decode cause=unknown kind {kind:?}")]
+pub struct Error {
+    /// The kind.
+    pub kind: String,
+}
+
+/// A record.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Record {
+    /// An alert was raised.
+    Raised {
+        /// Its identity.
+        id: u64,
+        /// Its kind.
+        kind: String,
+        /// Whom it concerns.
+        subject: Subject,
+        /// What happened.
+        message: String,
+        /// When.
+        at: Unix,
+    },
+    /// The cause has gone.
+    Ended {
+        /// Its identity.
+        id: u64,
+        /// When.
+        at: Unix,
+    },
+    /// A person has seen it.
+    Acknowledged {
+        /// Its identity.
+        id: u64,
+        /// Who.
+        by: String,
+        /// When.
+        at: Unix,
+    },
+}
+
+/// Whom an alert concerns.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Subject {
+    /// A job.
+    Job(job::Id),
+    /// One try at a task.
+    Task(task::Id),
+    /// A worker.
+    Worker(worker::Name),
+    /// The failure domain.
+    Domain,
+    /// Many at once.
+    Many,
+}
+
+/// One alert in a snapshot.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Alert {
+    id: u64,
+    kind: String,
+    subject: Subject,
+    message: String,
+    raised: Unix,
+    last: Unix,
+    count: u64,
+    ended: Option<Unix>,
+    acknowledged: Option<(String, Unix)>,
+}
+
+/// A whole board.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ledger {
+    alerts: Vec<Alert>,
+    members: BTreeMap<String, Vec<u64>>,
+    latest: u64,
+    forgotten: u64,
+}
+
+impl From<&record::Record> for Record {
+    fn from(record: &record::Record) -> Self {
+        match record {
+            record::Record::Raised { id, key, message, at } => Self::Raised {
+                id: id.raw(),
+                kind: key.kind.to_string(),
+                subject: (&key.subject).into(),
+                message: message.clone(),
+                at: *at,
+            },
+            record::Record::Ended { id, at } => Self::Ended { id: id.raw(), at: *at },
+            record::Record::Acknowledged { id, acknowledgement } => Self::Acknowledged {
+                id: id.raw(),
+                by: acknowledgement.by.clone(),
+                at: acknowledgement.at,
+            },
+        }
+    }
+}
+
+impl TryFrom<Record> for record::Record {
+    type Error = Error;
+
+    fn try_from(record: Record) -> Result<Self, Error> {
+        Ok(match record {
+            Record::Raised { id, kind, subject, message, at } => {
+                let key = Key { kind: parse_kind(kind)?, subject: subject.into() };
+                Self::Raised { id: Id::from_raw(id), key, message, at }
+            }
+            Record::Ended { id, at } => Self::Ended { id: Id::from_raw(id), at },
+            Record::Acknowledged { id, by, at } => {
+                let acknowledgement = Acknowledgement { by, at };
+                Self::Acknowledged { id: Id::from_raw(id), acknowledgement }
+            }
+        })
+    }
+}
+
+impl From<&kind::Subject> for Subject {
+    fn from(subject: &kind::Subject) -> Self {
+        match subject {
+            kind::Subject::Job(job) => Self::Job(*job),
+            kind::Subject::Task(task) => Self::Task(*task),
+            kind::Subject::Worker(worker) => Self::Worker(worker.clone()),
+            kind::Subject::Domain => Self::Domain,
+            kind::Subject::Many => Self::Many,
+        }
+    }
+}
+
+impl From<Subject> for kind::Subject {
+    fn from(subject: Subject) -> Self {
+        match subject {
+            Subject::Job(job) => Self::Job(job),
+            Subject::Task(task) => Self::Task(task),
+            Subject::Worker(worker) => Self::Worker(worker),
+            Subject::Domain => Self::Domain,
+            Subject::Many => Self::Many,
+        }
+    }
+}
+
+impl From<&board::Alert> for Alert {
+    fn from(alert: &board::Alert) -> Self {
+        let acknowledged = alert.acknowledged.as_ref();
+        Self {
+            id: alert.id.raw(),
+            kind: alert.key.kind.to_string(),
+            subject: (&alert.key.subject).into(),
+            message: alert.message.clone(),
+            raised: alert.raised,
+            last: alert.last,
+            count: alert.count,
+            ended: alert.ended,
+            acknowledged: acknowledged.map(|seen| (seen.by.clone(), seen.at)),
+        }
+    }
+}
+
+impl TryFrom<Alert> for board::Alert {
+    type Error = Error;
+
+    fn try_from(alert: Alert) -> Result<Self, Error> {
+        let key = Key { kind: parse_kind(alert.kind)?, subject: alert.subject.into() };
+        Ok(Self {
+            id: Id::from_raw(alert.id),
+            key,
+            message: alert.message,
+            raised: alert.raised,
+            last: alert.last,
+            count: alert.count,
+            ended: alert.ended,
+            acknowledged: alert.acknowledged.map(|(by, at)| Acknowledgement { by, at }),
+        })
+    }
+}
+
+impl From<&board::Ledger> for Ledger {
+    fn from(ledger: &board::Ledger) -> Self {
+        let members = ledger.members.iter();
+        Self {
+            alerts: ledger.alerts.iter().map(Alert::from).collect(),
+            members: members
+                .map(|(kind, members)| (kind.to_string(), members.iter().copied().collect()))
+                .collect(),
+            latest: ledger.latest.raw(),
+            forgotten: ledger.forgotten.raw(),
+        }
+    }
+}
+
+impl TryFrom<Ledger> for board::Ledger {
+    type Error = Error;
+
+    fn try_from(ledger: Ledger) -> Result<Self, Error> {
+        let alerts: Result<_, _> = ledger.alerts.into_iter().map(board::Alert::try_from).collect();
+        let members: Result<_, Error> = ledger
+            .members
+            .into_iter()
+            .map(|(kind, members)| Ok((parse_kind(kind)?, members.into_iter().collect())))
+            .collect();
+        let (latest, forgotten) = (Id::from_raw(ledger.latest), Id::from_raw(ledger.forgotten));
+        Ok(Self { alerts: alerts?, members: members?, latest, forgotten })
+    }
+}
+
+fn parse_kind(kind: String) -> Result<Kind, Error> {
+    let known = Kind::ALL.into_iter().find(|known| known.to_string() == kind);
+    known.ok_or(Error { kind })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate is a library with thin daemons over it. Each folder holds one duty with its own
 //! state, messages and errors; `docs/ARCHITECTURE.md` shows how they work together.
 
+pub mod alert;
 pub mod api;
 pub mod cli;
 pub mod clock;
--- /dev/null
+++ b/tests/logic/alert.rs
@@ -0,0 +1,226 @@
+//! Alerts that stay until a person acknowledges them.
+
+use oriolefork::alert::{Board, Id, Key, Kind, Ledger, OPEN_PER_KIND, Record, Subject, wire};
+use oriolefork::clock::Unix;
+use oriolefork::{codec, job};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+const NOW: Unix = Unix::from_millis(1_800_000_000_000);
+
+fn late(job: u64) -> Key {
+    Key { kind: Kind::Late, subject: Subject::Job(job::Id::from_raw(job)) }
+}
+
+/// The record as the next owner reads it.
+fn written(record: &Record) -> Record {
+    let bytes = codec::encode(&wire::Record::from(record)).unwrap();
+    codec::decode::<wire::Record>(&bytes).unwrap().try_into().unwrap()
+}
+
+fn rebuilt(records: &[Record]) -> Board {
+    let mut board = Board::new();
+    for record in records {
+        board.apply(&written(record));
+    }
+    board
+}
+
+#[test]
+fn raise_twice_is_one_alert() {
+    let mut board = Board::new();
+    assert!(board.raise(NOW, late(1), "missed 06:00").is_some());
+    assert!(board.raise(NOW, late(1), "missed 06:00").is_none());
+    assert_eq!(board.open_count(), 1);
+}
+
+#[test]
+fn board_survives_raiser() {
+    // The owner raises two alerts, one of which the desk acknowledges, and dies. The next owner
+    // has only the stream. The desk must find the open alert there, and not be asked about the
+    // other one again.
+    let mut board = Board::new();
+    let records = [
+        board.raise(NOW, late(1), "missed 06:00").unwrap(),
+        board.raise(NOW, late(2), "missed 06:00").unwrap(),
+    ];
+    let seen = board.open()[0].id;
+    let acknowledged = board.acknowledge(NOW, seen, "ana").unwrap().unwrap();
+    drop(board);
+
+    let mut next = rebuilt(&[records[0].clone(), records[1].clone(), acknowledged]);
+    assert_eq!(next.open().iter().map(|alert| &alert.key).collect::<Vec<_>>(), [&late(2)]);
+    assert_eq!(next.get(seen).unwrap().acknowledged.as_ref().unwrap().by, "ana");
+    assert!(next.raise(NOW, late(1), "missed 06:00").is_none());
+}
+
+#[test]
+fn raise_again_after_cause_had_gone() {
+    // The log fails, a person acknowledges, the log comes back and fails again. The second outage
+    // is news; a third call during it is not.
+    let key = Key { kind: Kind::LogOutage, subject: Subject::Domain };
+    let mut board = Board::new();
+    board.raise(NOW, key.clone(), "no answer");
+    let first = board.open()[0].id;
+    board.acknowledge(NOW, first, "ana").unwrap();
+    assert!(board.raise(NOW, key.clone(), "no answer").is_none());
+    assert!(board.end(NOW, &key).is_some());
+    assert!(board.raise(NOW, key.clone(), "no answer").is_some());
+    assert!(board.raise(NOW, key, "no answer").is_none());
+    assert!(board.open()[0].id > first);
+}
+
+#[test]
+fn end_leaves_alert_open() {
+    let mut board = Board::new();
+    board.raise(NOW, late(1), "missed 06:00");
+    assert!(board.end(NOW, &late(1)).is_some());
+    assert!(board.end(NOW, &late(1)).is_none());
+    assert_eq!(board.open()[0].ended, Some(NOW));
+}
+
+#[test]
+fn raise_before_acknowledged_end() {
+    // The log fails, recovers and fails again before anybody looks. The alert must not say that
+    // the cause has gone while it lasts.
+    let key = Key { kind: Kind::LogOutage, subject: Subject::Domain };
+    let mut board = Board::new();
+    let later = Unix::from_millis(NOW.as_millis() + 1);
+    let records = [
+        board.raise(NOW, key.clone(), "no answer").unwrap(),
+        board.end(NOW, &key).unwrap(),
+        board.raise(later, key, "no answer").unwrap(),
+    ];
+    assert_eq!(board.open()[0].ended, None);
+    assert_eq!(rebuilt(&records).open()[0].ended, None);
+}
+
+#[test]
+fn acknowledge_keeps_first_person() {
+    let mut board = Board::new();
+    board.raise(NOW, late(1), "missed 06:00");
+    let id = board.open()[0].id;
+    assert!(board.acknowledge(NOW, id, "ana").unwrap().is_some());
+    assert_eq!(board.acknowledge(NOW, id, "ben"), Ok(None));
+    assert_eq!(board.get(id).unwrap().acknowledged.as_ref().unwrap().by, "ana");
+    assert!(board.acknowledge(NOW, Id::from_raw(7), "ben").is_err());
+}
+
+#[test]
+fn wave_is_counted_and_none_lost() {
+    // A rack dies and 5,000 jobs become late within a second. The desk gets a list that a person
+    // can read and a count of the rest; each job is in the stream, so that the next owner counts
+    // the same.
+    const JOBS: u64 = 5_000;
+    let mut board = Board::new();
+    let records: Vec<Record> =
+        (0..JOBS).filter_map(|job| board.raise(NOW, late(job), "missed 06:00")).collect();
+    assert_eq!(records.len() as u64, JOBS);
+    for job in 0..JOBS {
+        assert!(board.raise(NOW, late(job), "missed 06:00").is_none());
+    }
+    let many = |board: &Board| {
+        let found = board.open().into_iter().find(|alert| alert.key.subject == Subject::Many);
+        found.cloned().unwrap()
+    };
+    assert_eq!(board.open_count(), OPEN_PER_KIND + 1);
+    assert_eq!(many(&board).count + OPEN_PER_KIND as u64, JOBS);
+    assert_eq!(many(&rebuilt(&records)), many(&board));
+
+    board.acknowledge(NOW, many(&board).id, "ana").unwrap();
+    assert_eq!(board.open_count(), OPEN_PER_KIND);
+}
+
+#[test]
+fn raise_behind_an_earlier_clock() {
+    // The next owner's clock is an hour behind. Its alerts must still get new identities, or
+    // acknowledging one would close another.
+    let mut board = Board::new();
+    board.raise(NOW, late(1), "missed 06:00");
+    let earlier = Unix::from_millis(NOW.as_millis() - 3_600_000);
+    board.raise(earlier, late(2), "missed 06:00");
+    let ids: Vec<Id> = board.open().iter().map(|alert| alert.id).collect();
+    assert!(ids[0] < ids[1]);
+}
+
+#[test_case(&"é".repeat(600) ; "two_byte_letters")]
+#[test_case(&"x".repeat(5_000) ; "long")]
+fn raise_clips_message(message: &str) {
+    let mut board = Board::new();
+    board.raise(NOW, late(1), message);
+    let kept = &board.open()[0].message;
+    assert!(kept.len() <= 512 && message.starts_with(kept.as_str()));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Raise(u64),
+    End(u64),
+    Acknowledge(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..700_u64).prop_map(Step::Raise),
+        1 => (0..700_u64).prop_map(Step::End),
+        1 => (0..8_usize).prop_map(Step::Acknowledge),
+    ]
+}
+
+/// Carries a step out and returns the record to write.
+fn take(board: &mut Board, step: &Step) -> Option<Record> {
+    match step {
+        Step::Raise(job) => board.raise(NOW, late(*job), "missed"),
+        Step::End(job) => board.end(NOW, &late(*job)),
+        Step::Acknowledge(index) => {
+            let id = board.open().get(*index)?.id;
+            board.acknowledge(NOW, id, "ana").unwrap()
+        }
+    }
+}
+
+/// What an instance that applied the records must agree on.
+fn essence(board: &Board) -> Ledger {
+    let mut ledger = board.ledger();
+    for alert in &mut ledger.alerts {
+        alert.last = NOW;
+    }
+    ledger
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..Default::default()
+    })]
+
+    #[test]
+    fn records_rebuild_board(steps in prop::collection::vec(step(), 0..1_500), cut in 0..1_500_usize) {
+        // An instance reads the records from the beginning, another from a snapshot on, a third
+        // reads every record twice: all hold the owner's board.
+        let mut board = Board::new();
+        let mut records = Vec::new();
+        let mut snapshot = (0, Ledger::default());
+        for (index, step) in steps.iter().enumerate() {
+            if index == cut {
+                snapshot = (records.len(), board.ledger());
+            }
+            records.extend(take(&mut board, step));
+        }
+        prop_assert_eq!(essence(&rebuilt(&records)), essence(&board));
+
+        let doubled: Vec<Record> =
+            records.iter().flat_map(|record| [record.clone(), record.clone()]).collect();
+        prop_assert_eq!(essence(&rebuilt(&doubled)), essence(&board));
+
+        let (from, ledger) = snapshot;
+        let bytes = codec::encode(&wire::Ledger::from(&ledger)).unwrap();
+        let read: wire::Ledger = codec::decode(&bytes).unwrap();
+        let mut later = Board::restore(read.try_into().unwrap());
+        records[from..].iter().for_each(|record| later.apply(record));
+        prop_assert_eq!(essence(&later), essence(&board));
+    }
+}
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -1,5 +1,6 @@
 //! Tests of decision logic and codecs: no sockets, no sleeping.
 
+mod alert;
 mod api;
 mod codec;
 mod config;
