Bind a repeated submission to its failure domain, and refuse arrays

Cause: after a lost answer the operator's next run could reach another failure domain first, where the key is not known and the job would be a second one; arrays were read as fields in order. Conclusion: what the command says to run next is safe as it stands.

--- a/src/api/wire/parse.rs
+++ b/src/api/wire/parse.rs
@@ -8,7 +8,7 @@
 /// Name that a fault of the body as a whole has.
 const WHOLE: &str = "body";
 
-/// Reads one JSON object that fills `body`.
+/// Reads one JSON object that fills the `body` of a request, which has no arrays.
 ///
 /// ```
 /// use oriolefork::api::wire::{self, Amount};
@@ -20,9 +20,8 @@
 ///
 /// Names the field at fault.
 pub fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
-    // The parser would read an array as the fields of a struct in their order.
-    if body.trim_ascii_start().first() != Some(&b'{') {
-        return Err(Refusal::invalid(WHOLE, "the body must be a JSON object"));
+    if has_array(body) {
+        return Err(Refusal::invalid(WHOLE, "the body must be a JSON object without arrays"));
     }
     let mut reader = serde_json::Deserializer::from_slice(body);
     let value = serde_path_to_error::deserialize(&mut reader)
@@ -31,6 +30,23 @@
     Ok(value)
 }
 
+/// Whether an array begins anywhere outside of the strings.
+///
+/// No request has arrays, and the parser would read one as the fields of a struct in their order.
+fn has_array(body: &[u8]) -> bool {
+    let (mut in_string, mut escaped) = (false, false);
+    for byte in body {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' if in_string => escaped = true,
+            b'"' => in_string = !in_string,
+            b'[' if !in_string => return true,
+            _ => {}
+        }
+    }
+    false
+}
+
 fn refusal(path: &Path, error: &serde_json::Error) -> Refusal {
     let message = error.to_string();
     Refusal::invalid(field(path, &message), message)
--- a/src/cli/command/job.rs
+++ b/src/cli/command/job.rs
@@ -39,7 +39,12 @@
     let limit = flags.limit.unwrap_or(LIMIT).to_string();
     let mut query = Serializer::new(String::new());
     query.append_pair("limit", &limit);
-    for (name, value) in [("team", &flags.team), ("name", &flags.name), ("state", &flags.state)] {
+    for (name, value) in [
+        ("team", &flags.team),
+        ("name", &flags.name),
+        ("state", &flags.state),
+        ("after", &flags.after),
+    ] {
         if let Some(value) = value {
             query.append_pair(name, value);
         }
--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -125,5 +125,6 @@
         what: format!("{} cannot be read: {cause}", path.display()),
         means: "nothing was sent".to_owned(),
         next: "check the path and that you may read the file".to_owned(),
+        domain: None,
     })
 }
--- a/src/cli/command/submit.rs
+++ b/src/cli/command/submit.rs
@@ -11,7 +11,7 @@
 use crate::api::view::job::{Durability, State, Submission};
 use crate::api::wire::check;
 use crate::api::{Refusal, wire};
-use crate::cli::entries::{Ask, Told};
+use crate::cli::entries::{Ask, Reach, Told};
 use crate::cli::failure::{Code, Failure};
 use crate::cli::flags::{JobKind, Submit};
 use crate::cli::output::{self, Report};
@@ -27,13 +27,15 @@
 /// Submits a job and waits for it when asked to.
 pub async fn submit(context: &Context, flags: Submit) -> Result<Report, Failure> {
     let wait = flags.wait;
+    let reach = flags.domain.clone().map_or(Reach::Pinned, Reach::Domain);
     let key = flags.key.clone().unwrap_or_else(draw_key);
     check::key("--key", &key).map_err(|refusal| Failure::usage(refusal.message))?;
     let wire = spec(flags)?;
     let wrong = |refusal: Refusal| Failure::usage(refusal.message);
     let submission = Submission { key: key.clone(), spec: Spec::try_from(wire).map_err(wrong)? };
     output::note(&format!("key: {key}"));
-    let accepted = send(context, submission).await.map_err(|failure| repeatable(failure, &key))?;
+    let accepted = send(context, submission, reach).await;
+    let accepted = accepted.map_err(|failure| repeatable(failure, &key))?;
     match wait {
         None => Ok(report(&accepted, &key)),
         Some(Span(span)) => wait_for(context, &accepted.body.job, span).await,
@@ -43,10 +45,11 @@
 async fn send(
     context: &Context,
     submission: Submission,
+    reach: Reach,
 ) -> Result<Told<wire::job::Accepted>, Failure> {
     let body = wire::job::Spec::from(submission.spec);
     let ask = Ask::change(Method::POST, "/v1/jobs".to_owned(), &body);
-    let ask = Ask { key: Some(submission.key), pinned: true, ..ask };
+    let ask = Ask { key: Some(submission.key), reach, ..ask };
     context.entries.ask(&ask).await
 }
 
@@ -55,11 +58,12 @@
     if failure.code != Code::Unknown {
         return failure;
     }
+    let domain = failure.domain.as_ref().map(|name| format!(" --domain {name}"));
+    let domain = domain.unwrap_or_default();
     Failure {
         means: "the job may or may not have been accepted".to_owned(),
         next: format!(
-            "run the same command again with --key {key} and an instance of the same failure \
-             domain: it never runs twice that way"
+            "run the same command again with --key {key}{domain}: it never runs twice that way"
         ),
         ..failure
     }
--- a/src/cli/entries.rs
+++ b/src/cli/entries.rs
@@ -32,25 +32,36 @@
     pub key: Option<String>,
     /// Its body.
     pub body: Vec<u8>,
-    /// Whether a second failure domain must not see it while the outcome in one is not known.
+    /// Which instances may see it.
+    pub reach: Reach,
+}
+
+/// Which instances may see a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// All.
+    Any,
+    /// Those of one failure domain, once the outcome there is not known.
     ///
     /// The key of a submission is known in its own failure domain only. After a lost answer, the
     /// same key in another domain would be a second job.
-    pub pinned: bool,
+    Pinned,
+    /// Those of this failure domain.
+    Domain(String),
 }
 
 impl Ask {
     /// A call that reads.
     pub fn get(path: impl Into<String>) -> Self {
         let path = path.into();
-        Self { method: Method::GET, path, key: None, body: Vec::new(), pinned: false }
+        Self { method: Method::GET, path, key: None, body: Vec::new(), reach: Reach::Any }
     }
 
     /// A call that changes something and may be repeated.
     pub fn change(method: Method, path: String, body: &impl serde::Serialize) -> Self {
         // The wire types have text keys only, so that they always become JSON.
         let body = serde_json::to_vec(body).unwrap_or_default();
-        Self { method, path, key: None, body, pinned: false }
+        Self { method, path, key: None, body, reach: Reach::Any }
     }
 
     fn is_change(&self) -> bool {
@@ -135,7 +146,7 @@
     doubt: Option<String>,
     /// Failure domains of the instances, as far as known.
     domains: HashMap<SocketAddr, String>,
-    /// Failure domain in which the call may have taken effect.
+    /// Failure domain to which the call is bound.
     home: Option<String>,
 }
 
@@ -153,7 +164,7 @@
     /// The failure tells whether the call may have taken effect.
     pub async fn ask<T: DeserializeOwned>(&self, ask: &Ask) -> Result<Told<T>, Failure> {
         let deadline = Instant::now() + self.timeout;
-        let mut walk = Walk::default();
+        let mut walk = Walk::new(&ask.reach);
         let mut round = 0;
         loop {
             round += 1;
@@ -177,7 +188,7 @@
         walk: &mut Walk,
     ) -> Result<Option<Told<T>>, Failure> {
         for &address in &self.addresses {
-            if ask.pinned && !self.may_ask(address, deadline, walk).await {
+            if ask.reach != Reach::Any && !self.may_ask(address, deadline, walk).await {
                 continue;
             }
             match self.once(address, ask, self.slice(deadline)).await {
@@ -254,10 +265,15 @@
 }
 
 impl Walk {
+    fn new(reach: &Reach) -> Self {
+        let home = if let Reach::Domain(domain) = reach { Some(domain.clone()) } else { None };
+        Self { home, ..Self::default() }
+    }
+
     /// Takes down why an instance did not do it; fails when no other can do better.
     fn note(&mut self, ask: &Ask, address: SocketAddr, miss: Miss) -> Result<(), Failure> {
         if ask.is_change() && miss.is_doubtful() {
-            self.home = self.domains.get(&address).cloned();
+            self.home = self.domains.get(&address).cloned().or(self.home.take());
             self.doubt.get_or_insert_with(|| format!("{address} left it open: {}", miss.cause()));
         }
         let passing = miss.is_passing();
@@ -277,7 +293,11 @@
     /// The failure that says most of what has become of the call.
     fn failure(&self, ask: &Ask) -> Failure {
         if let Some(doubt) = &self.doubt {
-            return Failure::unknown(doubt.clone());
+            return Failure { domain: self.home.clone(), ..Failure::unknown(doubt.clone()) };
+        }
+        if let (Some(domain), true) = (&self.home, self.misses.is_empty()) {
+            let what = format!("no entry instance that is named stands in failure domain {domain}");
+            return Failure::usage(what);
         }
         let refusals = self.misses.iter().rev().filter_map(|(_, miss)| match miss {
             Miss::Refused(refusal) => Some(refusal),
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -40,6 +40,8 @@
     pub means: String,
     /// What to do next.
     pub next: String,
+    /// Failure domain in which the call may have taken effect, when that is not known.
+    pub domain: Option<String>,
 }
 
 impl Failure {
@@ -50,6 +52,7 @@
             what: what.into(),
             means: "the command was not understood; nothing was sent".to_owned(),
             next: "correct it; `oriolefork --help` lists all commands and flags".to_owned(),
+            domain: None,
         }
     }
 
@@ -64,6 +67,7 @@
             next: "check the addresses given with --entry or in ORIOLEFORK_ENTRY and that the \
                    instances run, or name others; then try again"
                 .to_owned(),
+            domain: None,
         }
     }
 
@@ -74,6 +78,7 @@
             what: what.into(),
             means: "the change may or may not have taken effect".to_owned(),
             next: "run the same command again: it is safe to repeat".to_owned(),
+            domain: None,
         }
     }
 
@@ -85,6 +90,7 @@
             means: "either this is no entry instance, or its version differs from the command's"
                 .to_owned(),
             next: format!("check that {peer} is the address for callers of an entry instance"),
+            domain: None,
         }
     }
 
@@ -102,7 +108,8 @@
             Some(span) => format!("{next} (in {} s or later)", span.as_millis().div_ceil(1_000)),
             None => next.to_owned(),
         };
-        Self { code, what, means: "nothing was done: refused as not run".to_owned(), next }
+        let means = "nothing was done: refused as not run".to_owned();
+        Self { code, what, means, next, domain: None }
     }
 }
 
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -26,11 +26,14 @@
         /// Submit a job from a JSON file or from flags.
         cmd submit {
             /// JSON file that describes the job, `-` for standard input; replaces all flags but
-            /// --key and --wait.
+            /// --key, --domain and --wait.
             optional -f, --file path: PathBuf
             /// Idempotency key; drawn and printed when absent. Submitting again with the same key
             /// never runs the job twice.
             optional --key key: String
+            /// Failure domain to submit in; that of the first instance that takes it when absent.
+            /// Needed with --key when you repeat a submission whose outcome is not known.
+            optional --domain name: String
             /// Name of the job, the same each night.
             optional --name name: String
             /// Team whose quota the job counts against.
@@ -79,6 +82,8 @@
             optional --state state: String
             /// Most jobs to list; 100 when absent.
             optional --limit count: usize
+            /// The id after which the list goes on.
+            optional --after id: String
         }
         /// Say why a job waits.
         cmd explain {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -43,6 +43,7 @@
         what: format!("the runtime cannot start: {cause}"),
         means: "this machine refuses what every program needs; nothing was sent".to_owned(),
         next: "check its limit of open files (ulimit -n) and try again".to_owned(),
+        domain: None,
     };
     runtime.map_err(broken)?.block_on(future)
 }
--- a/src/cli/output.rs
+++ b/src/cli/output.rs
@@ -37,7 +37,7 @@
 
 /// Prints a failure, three lines on the standard error.
 pub fn failure(failure: &Failure) -> ExitCode {
-    let Failure { code, what, means, next } = failure;
+    let Failure { code, what, means, next, .. } = failure;
     let [what, means, next] = [what, means, next].map(|text| clean(text.trim_end()));
     print(&mut io::stderr().lock(), &format!("error: {what}\nmeans: {means}\nnext:  {next}\n"));
     exit(*code)
--- a/tests/logic/api/wire.rs
+++ b/tests/logic/api/wire.rs
@@ -65,6 +65,9 @@
 #[test_case(br#"{"nmae":"a"}"#, "nmae" ; "unknown")]
 #[test_case(br#"{}"#, "name" ; "missing")]
 #[test_case(br#"[1]"#, "body" ; "array")]
+#[test_case(br#"{"payload":"\"[","demand":[1,1,0]}"#, "body" ; "inner_array")]
+#[test_case(br#"{"payload":"\"[","name":1}"#, "name" ; "bracket_in_text")]
+#[test_case(b"7", "body" ; "number")]
 #[test_case(b"", "body" ; "empty")]
 #[test_case(b"\xff\xfe", "body" ; "not_text")]
 fn parse_refused(body: &[u8], field: &str) {
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -2,6 +2,7 @@
 
 mod alert;
 mod api;
+mod cli;
 mod codec;
 mod config;
 mod intent;
