Hold pages to their links and indexes

Cause: pages are written side by side; a link to a page that is not there, or a page that no index names, is found by readers only. Conclusion: a new page in docs/operators or docs/design needs its index line.

--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -5,6 +5,7 @@
 mod cli;
 mod codec;
 mod config;
+mod docs;
 mod intent;
 mod job;
 mod logging;
