Show the settings in force and the board of alerts through the interface

Cause: operators see and change presets, quotas, drained workers and alerts, which live in slices of their own. Change: views built from the settings' value, the policies and the board; api::Configuration asks the settings' task and turns each outcome into an answer or a refusal that says whether it may have taken effect; lists of alerts go on although the alert at the cut was acknowledged. Conclusion: the daemon's backend can delegate these calls.

--- /dev/null
+++ b/src/api/configuration.rs
@@ -0,0 +1,184 @@
+//! Operators' calls that the task of the settings in force answers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::api::backend::Call;
+use crate::api::refusal::{Reason, Refusal};
+use crate::api::view::{Cut, Page, preset, quota};
+use crate::clock::Clock;
+use crate::config::publish::Id;
+use crate::config::{self, Handle, Outcome, Proposal, Value, Version};
+use crate::placement::Leaning;
+use crate::{domain, worker};
+
+/// Pause that an operator is asked to make while the settings are not readable or writable.
+const PAUSE: Duration = Duration::from_secs(2);
+/// Times that a drain is tried again after another change came first.
+const DRAIN_TRIES: u32 = 8;
+
+/// Presets, quotas and drained workers as operators see and change them.
+#[derive(Clone)]
+pub struct Configuration {
+    handle: Handle,
+    clock: Rc<dyn Clock>,
+    weighs: Leaning,
+}
+
+impl Configuration {
+    /// Answers from the settings' task, in a deployment that weighs `weighs` more.
+    pub fn new(handle: Handle, clock: Rc<dyn Clock>, weighs: Leaning) -> Self {
+        Self { handle, clock, weighs }
+    }
+
+    /// The preset in force and all presets to choose from.
+    ///
+    /// # Errors
+    ///
+    /// Refuses until this instance knows the settings in force.
+    pub async fn presets(&self) -> Result<preset::Choice, Refusal> {
+        Ok(preset::Choice::of(&*self.value().await?, self.weighs))
+    }
+
+    /// The preset in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses until this instance knows the settings in force.
+    pub async fn in_force(&self) -> Result<preset::InForce, Refusal> {
+        Ok((&*self.value().await?).into())
+    }
+
+    /// Puts a preset in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a change that came too late, is invalid or could not be recorded.
+    pub async fn set_preset(
+        &self,
+        call: &Call,
+        change: &preset::Change,
+    ) -> Result<preset::InForce, Refusal> {
+        let by = call.by.clone().unwrap_or_default();
+        let base = Version::from_raw(change.based_on);
+        let version = self.publish(Some(base), by.clone(), change.try_into()?).await?;
+        // A later change may be in force by now; the answer is about this one.
+        let at = self.clock.unix();
+        Ok(preset::InForce { preset: change.preset.clone(), version: version.raw(), by, at })
+    }
+
+    /// Changes of preset that this instance remembers: the one in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses until this instance knows the settings in force.
+    pub async fn preset_history(
+        &self,
+        cut: &Cut<u64>,
+    ) -> Result<Page<preset::InForce, u64>, Refusal> {
+        let current = self.in_force().await?;
+        let is_shown = cut.after.is_none_or(|after| current.version < after);
+        Ok(Page { items: is_shown.then_some(current).into_iter().collect(), next: None })
+    }
+
+    /// Quotas of all teams that have one.
+    ///
+    /// # Errors
+    ///
+    /// Refuses until this instance knows the settings in force.
+    pub async fn quotas(&self) -> Result<quota::Table, Refusal> {
+        Ok((&*self.value().await?).into())
+    }
+
+    /// Sets or removes a team's quota.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a change that came too late, is invalid or could not be recorded.
+    pub async fn set_quota(
+        &self,
+        call: &Call,
+        change: &quota::Change,
+    ) -> Result<quota::Table, Refusal> {
+        let by = call.by.clone().unwrap_or_default();
+        let base = Version::from_raw(change.based_on);
+        self.publish(Some(base), by, change.into()).await?;
+        self.quotas().await
+    }
+
+    /// Drains a worker or puts it back in use.
+    ///
+    /// Drains of several workers commute, so that one that lost the race is tried on the new
+    /// version.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a change that is invalid or could not be recorded.
+    pub async fn drain(
+        &self,
+        call: &Call,
+        domain: &domain::Name,
+        worker: &worker::Name,
+        is_drained: bool,
+    ) -> Result<(), Refusal> {
+        let by = call.by.clone().unwrap_or_default();
+        let drain = config::Drain::Worker { domain: domain.clone(), worker: worker.clone() };
+        let mut tries = 0;
+        loop {
+            let value = self.value().await?;
+            if value.drained.contains(&drain) == is_drained {
+                return Ok(());
+            }
+            let change = if is_drained { config::Change::Drain } else { config::Change::Undrain };
+            let change = change(drain.clone());
+            tries += 1;
+            match self.publish(Some(value.version), by.clone(), change).await {
+                Err(refusal) if refusal.reason == Reason::StaleVersion && tries < DRAIN_TRIES => {}
+                outcome => return outcome.map(|_| ()),
+            }
+        }
+    }
+
+    async fn value(&self) -> Result<Rc<Value>, Refusal> {
+        self.handle.value().await.ok_or_else(unread)
+    }
+
+    async fn publish(
+        &self,
+        base: Option<Version>,
+        by: String,
+        change: config::Change,
+    ) -> Result<Version, Refusal> {
+        let proposal = Proposal { id: Id::random(), base, by, change };
+        settle(&self.handle.publish(proposal).await)
+    }
+}
+
+fn unread() -> Refusal {
+    let message = "this instance has not read the settings in force yet";
+    Refusal::not_run(Reason::LogUnavailable, message).after(PAUSE)
+}
+
+/// What an operator is told of a change.
+///
+/// # Errors
+///
+/// Refuses all but an accepted change.
+pub fn settle(outcome: &Outcome) -> Result<Version, Refusal> {
+    let message = outcome.to_string();
+    match outcome {
+        Outcome::Accepted(version) => Ok(*version),
+        Outcome::Superseded { .. } | Outcome::Base { .. } => {
+            Err(Refusal::not_run(Reason::StaleVersion, message))
+        }
+        Outcome::Invalid(_) => Err(Refusal::not_run(Reason::Invalid, message)),
+        Outcome::NotWritten => Err(Refusal::not_run(Reason::LogUnavailable, message).after(PAUSE)),
+        Outcome::NotReady => Err(unread()),
+        Outcome::Busy => Err(Refusal::not_run(Reason::Overloaded, message).after(PAUSE)),
+        Outcome::Unknown(_) => {
+            let message = "the log did not answer in time; read the settings to see whether the \
+                           change is in force, or repeat it on the same version";
+            Err(Refusal::unknown(Reason::LogUnavailable, message).after(PAUSE))
+        }
+    }
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -4,6 +4,7 @@
 //! that the backend answers is a [`view`] or a [`Refusal`] that says whether the work may have run.
 
 pub mod backend;
+pub mod configuration;
 mod endpoint;
 pub mod header;
 pub mod query;
@@ -15,5 +16,6 @@
 pub mod wire;
 
 pub use backend::{Answer, Backend, Call};
+pub use configuration::Configuration;
 pub use refusal::{Ran, Reason, Refusal};
 pub use service::{Check, Options, Service};
--- a/src/api/view/alert.rs
+++ b/src/api/view/alert.rs
@@ -3,6 +3,9 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::alert::{self, Board};
+use crate::api::refusal::Refusal;
+use crate::api::view::{Cut, Page};
 use crate::clock::Unix;
 use crate::domain;
 
@@ -42,6 +45,23 @@
     SuspectList,
 }
 
+impl From<alert::Kind> for Kind {
+    fn from(kind: alert::Kind) -> Self {
+        match kind {
+            alert::Kind::Lost => Self::Lost,
+            alert::Kind::Uncertain => Self::Uncertain,
+            alert::Kind::Late => Self::Late,
+            alert::Kind::AtRisk => Self::AtRisk,
+            alert::Kind::Impossible => Self::Impossible,
+            alert::Kind::Quarantined => Self::Quarantined,
+            alert::Kind::Unfenced => Self::Unfenced,
+            alert::Kind::LogOutage => Self::LogOutage,
+            alert::Kind::StaleConfig => Self::StaleConfig,
+            alert::Kind::SuspectList => Self::SuspectList,
+        }
+    }
+}
+
 /// Something that a person has to see.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Alert {
@@ -73,3 +93,82 @@
     /// When they said so.
     pub at: Unix,
 }
+
+impl Alert {
+    /// An alert of the board of `domain`.
+    pub fn of(domain: &domain::Name, alert: &alert::Alert) -> Self {
+        let acknowledged = alert.acknowledged.as_ref();
+        Self {
+            id: alert.id.to_string(),
+            kind: alert.key.kind.into(),
+            domain: domain.clone(),
+            subject: alert.key.subject.to_string(),
+            message: alert.message.clone(),
+            raised: alert.raised,
+            count: alert.count,
+            ended: alert.ended,
+            acknowledged: acknowledged
+                .map(|word| Acknowledgement { by: word.by.clone(), at: word.at }),
+        }
+    }
+}
+
+/// Place of an alert in lists: open ones first, then the gravest kind, then the oldest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    is_acknowledged: bool,
+    kind: alert::Kind,
+    id: alert::Id,
+}
+
+impl Place {
+    fn of(alert: &alert::Alert) -> Self {
+        let is_acknowledged = alert.acknowledged.is_some();
+        Self { is_acknowledged, kind: alert.key.kind, id: alert.id }
+    }
+
+    fn cursor(self) -> String {
+        let list = if self.is_acknowledged { "seen" } else { "open" };
+        format!("{list}.{}.{}", self.kind, self.id)
+    }
+
+    fn parse(cursor: &str) -> Option<Self> {
+        let mut parts = cursor.split('.');
+        let (list, kind, id) = (parts.next()?, parts.next()?, parts.next()?);
+        let is_acknowledged = match list {
+            "open" => false,
+            "seen" => true,
+            _ => return None,
+        };
+        let kind = alert::Kind::ALL.into_iter().find(|known| known.to_string() == kind)?;
+        Some(Self { is_acknowledged, kind, id: alert::Id::parse(id)? })
+    }
+}
+
+/// The part of a board that `cut` asks for, open alerts only unless `all` is set.
+///
+/// The cursor names a place rather than an alert, so that a list goes on when the alert at its cut
+/// was acknowledged meanwhile.
+///
+/// # Errors
+///
+/// Names the cursor when it is none.
+pub fn page(
+    domain: &domain::Name,
+    board: &Board,
+    all: bool,
+    cut: &Cut<String>,
+) -> Result<Page<Alert, String>, Refusal> {
+    let malformed = || Refusal::invalid("after", "must be the `next` of the page before");
+    let after = cut.after.as_deref().map(|text| Place::parse(text).ok_or_else(malformed));
+    let after = after.transpose()?;
+    let seen = board.acknowledged().filter(|_| all);
+    let mut alerts: Vec<&alert::Alert> = board.open().into_iter().chain(seen).collect();
+    alerts.retain(|alert| after.is_none_or(|after| Place::of(alert) > after));
+    alerts.sort_by_key(|alert| Place::of(alert));
+    let is_whole = alerts.len() <= cut.limit;
+    alerts.truncate(cut.limit);
+    let last = alerts.last().map(|alert| Place::of(alert).cursor());
+    let next = if is_whole { None } else { last };
+    Ok(Page { items: alerts.into_iter().map(|alert| Alert::of(domain, alert)).collect(), next })
+}
--- a/src/api/view/preset.rs
+++ b/src/api/view/preset.rs
@@ -2,7 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::api::refusal::Refusal;
 use crate::clock::Unix;
+use crate::config;
+use crate::placement::{self, Leaning, Policy};
 
 /// The preset in force since some version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,3 +59,72 @@
     /// Version that the person saw when they decided.
     pub based_on: u64,
 }
+
+/// Who has set the preset while nobody has.
+const NOBODY: &str = "nobody";
+
+impl From<&config::Value> for InForce {
+    fn from(value: &config::Value) -> Self {
+        let preset = value.preset.to_string();
+        match &value.preset_set {
+            Some(stamp) => {
+                Self { preset, version: stamp.version.raw(), by: stamp.by.clone(), at: stamp.at }
+            }
+            None => Self { preset, version: 0, by: NOBODY.to_owned(), at: Unix::default() },
+        }
+    }
+}
+
+impl Choice {
+    /// The presets of a deployment that weighs `weighs` more, with `value` in force.
+    pub fn of(value: &config::Value, weighs: Leaning) -> Self {
+        let presets =
+            config::Preset::ALL.into_iter().map(|preset| Preset::of(preset, weighs)).collect();
+        Self { current: value.into(), version: value.version.raw(), presets }
+    }
+}
+
+impl Preset {
+    fn of(preset: config::Preset, weighs: Leaning) -> Self {
+        let (known, about) = match preset {
+            config::Preset::Ordinary => (placement::Preset::Ordinary, "ordinary days"),
+            config::Preset::Peak => {
+                (placement::Preset::Peak, "peaks: waiting time goes before packing")
+            }
+            config::Preset::Maintenance => {
+                (placement::Preset::Maintenance, "maintenance: workers are serviced rack by rack")
+            }
+        };
+        let fields = fields(&Policy::of(known, weighs));
+        Self { name: preset.to_string(), about: about.to_owned(), fields }
+    }
+}
+
+/// What a policy sets, for people.
+fn fields(policy: &Policy) -> Vec<Field> {
+    let span = |span| humantime::format_duration(span).to_string();
+    let none = || "none".to_owned();
+    let percent = |thousandths: u64| format!("{} %", thousandths / 10);
+    let starts = if policy.starts == usize::MAX { none() } else { policy.starts.to_string() };
+    let field = |name: &str, value: String| Field { name: name.to_owned(), value };
+    vec![
+        field("weighs", policy.weighs.to_string()),
+        field("urgent-preempts-batch", policy.preempts.to_string()),
+        field("headroom-of-workers", percent(policy.headroom)),
+        field("batch-held-above", policy.hold_above.map_or_else(none, percent)),
+        field("slack-window", span(policy.slack_window)),
+        field("age-bound", span(policy.age_bound)),
+        field("gang-patience", span(policy.gang_patience)),
+        field("drain-horizon", policy.drain_horizon.map_or_else(none, span)),
+        field("starts-at-once", starts),
+    ]
+}
+
+impl TryFrom<&Change> for config::Change {
+    type Error = Refusal;
+
+    fn try_from(change: &Change) -> Result<Self, Refusal> {
+        let preset = change.preset.parse::<config::Preset>();
+        preset.map(Self::Preset).map_err(|error| Refusal::invalid("preset", error.to_string()))
+    }
+}
--- a/src/api/view/quota.rs
+++ b/src/api/view/quota.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::config;
 use crate::resource::Amount;
 
 /// Table of all teams.
@@ -32,3 +33,16 @@
     /// Version that the person saw when they decided.
     pub based_on: u64,
 }
+
+impl From<&config::Value> for Table {
+    fn from(value: &config::Value) -> Self {
+        let quota = |(team, limit): (&String, &Amount)| Quota { team: team.clone(), limit: *limit };
+        Self { version: value.version.raw(), teams: value.quotas.iter().map(quota).collect() }
+    }
+}
+
+impl From<&Change> for config::Change {
+    fn from(change: &Change) -> Self {
+        Self::Quota { team: change.team.clone(), limit: change.limit }
+    }
+}
--- a/tests/logic/api/mod.rs
+++ b/tests/logic/api/mod.rs
@@ -3,4 +3,5 @@
 #[path = "../../support/backend.rs"]
 mod backend;
 mod service;
+mod view;
 mod wire;
