Run the owner's state machine in a daemon

Cause: the state machine had no process around it, so no job could be run. Presets and alerts are not connected yet.

--- /dev/null
+++ b/src/entry/controller.rs
@@ -0,0 +1,223 @@
+//! The task that owns the state machine of the failure domain and carries out its effects.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use local_sync::mpsc::unbounded::{Rx, Tx, channel};
+use local_sync::oneshot;
+
+use crate::clock::{Clock, Instant, Unix};
+use crate::domain::Epoch;
+use crate::entry::peers::Heard;
+use crate::owner::journal::Parcel;
+use crate::owner::machine::{Answer, Beat, Call, Effect, Machine, Message};
+use crate::owner::session::Send;
+use crate::owner::{Ticket, machine};
+use crate::peer;
+use crate::store::{Offset, Store};
+use crate::worker::{self, Link};
+
+/// Peer method that carries an owner's heartbeat.
+pub const BEAT: &str = "owner/beat";
+/// Peer method by which an owner asks an instance to take over.
+pub const HANDOVER: &str = "owner/handover";
+
+/// Longest time between two steps of the machine.
+const TICK: Duration = Duration::from_millis(25);
+
+/// A look at the machine, run by the task that owns it.
+type Inspection = Box<dyn FnOnce(&Machine, Instant, Unix)>;
+
+/// Message to the controller.
+enum Input {
+    Message(Message),
+    Call { ticket: Ticket, call: Call, reply: oneshot::Sender<Answer> },
+    Expire(Ticket),
+    Inspect(Inspection),
+}
+
+/// Way to talk to the controller.
+#[derive(Clone)]
+pub struct Handle {
+    inputs: Tx<Input>,
+    tickets: Rc<std::cell::Cell<Ticket>>,
+}
+
+/// Borders through which effects reach the outside.
+pub struct Borders {
+    /// The platform's log.
+    pub store: Rc<dyn Store>,
+    /// The workers.
+    pub workers: Rc<dyn Link>,
+    /// Other instances.
+    pub peers: Rc<peer::Client>,
+    /// Time.
+    pub clock: Rc<dyn Clock>,
+    /// Stream of the failure domain.
+    pub stream: String,
+    /// Time an exchange may take beyond what the worker may wait.
+    pub worker_timeout: Duration,
+    /// Time a heartbeat may take.
+    pub peer_timeout: Duration,
+}
+
+/// The task's state.
+pub struct Controller {
+    machine: Machine,
+    borders: Rc<Borders>,
+    inputs: Rx<Input>,
+    handle: Handle,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Answer>>,
+}
+
+impl Handle {
+    /// Hands a message to the machine.
+    pub fn send(&self, message: Message) {
+        // The controller ends only when the process does; a message to it is then moot.
+        let _ = self.inputs.send(Input::Message(message));
+    }
+
+    /// Asks the owner on this instance for a change and waits at most `within`.
+    ///
+    /// When time runs out the machine takes back what was not handed to the log yet, so that the
+    /// answer says truly whether the change may take effect.
+    pub async fn call(&self, clock: &dyn Clock, call: Call, within: Duration) -> Answer {
+        let (reply, mut answer) = oneshot::channel();
+        let ticket = self.tickets.get() + 1;
+        self.tickets.set(ticket);
+        if self.inputs.send(Input::Call { ticket, call, reply }).is_err() {
+            return Answer::Refused(machine::Refusal::NotOwner(None));
+        }
+        monoio::select! {
+            answered = &mut answer => answered.unwrap_or(Answer::Unknown),
+            () = clock.sleep(within) => {
+                let _ = self.inputs.send(Input::Expire(ticket));
+                answer.await.unwrap_or(Answer::Unknown)
+            }
+        }
+    }
+
+    /// Runs `look` on the machine and returns what it found; `None` while the process ends.
+    pub async fn inspect<T: 'static>(
+        &self,
+        look: impl FnOnce(&Machine, Instant, Unix) -> T + 'static,
+    ) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        let inspection: Inspection = Box::new(move |machine, now, unix| {
+            let _ = reply.send(look(machine, now, unix));
+        });
+        self.inputs.send(Input::Inspect(inspection)).ok()?;
+        answer.await.ok()
+    }
+}
+
+impl Controller {
+    /// A controller of `machine`.
+    pub fn new(machine: Machine, borders: Borders) -> Self {
+        let (sender, inputs) = channel();
+        let handle = Handle { inputs: sender, tickets: Rc::default() };
+        Self { machine, borders: Rc::new(borders), inputs, handle, waiting: BTreeMap::new() }
+    }
+
+    /// Way to talk to this controller.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Runs until the machine has stopped.
+    pub async fn run(mut self) {
+        loop {
+            let message = match monoio::time::timeout(TICK, self.inputs.recv()).await {
+                Err(_) => Message::Tick,
+                Ok(None) => return,
+                Ok(Some(Input::Message(message))) => message,
+                Ok(Some(Input::Call { ticket, call, reply })) => {
+                    self.waiting.insert(ticket, reply);
+                    Message::Call { ticket, call }
+                }
+                Ok(Some(Input::Expire(ticket))) => Message::Expired(ticket),
+                Ok(Some(Input::Inspect(look))) => {
+                    look(&self.machine, self.borders.clock.now(), self.borders.clock.unix());
+                    continue;
+                }
+            };
+            if self.step(message) {
+                return;
+            }
+        }
+    }
+
+    /// Whether the machine has stopped.
+    fn step(&mut self, message: Message) -> bool {
+        let now = self.borders.clock.now();
+        let unix = self.borders.clock.unix();
+        let mut stopped = false;
+        for effect in self.machine.handle(message, now, unix) {
+            match effect {
+                Effect::Read { from, wait } => self.read(from, wait),
+                Effect::Append(parcel) => self.append(parcel),
+                Effect::Exchange { epoch, worker, send } => self.exchange(epoch, worker, send),
+                Effect::Beat { to, beat } => self.beat(&to, &beat),
+                Effect::Handover { to, epoch } => self.hand_over(to, epoch),
+                Effect::Reply { ticket, answer } => {
+                    if let Some(reply) = self.waiting.remove(&ticket) {
+                        let _ = reply.send(answer);
+                    }
+                }
+                Effect::Stopped => stopped = true,
+            }
+        }
+        stopped
+    }
+
+    fn read(&self, from: Offset, wait: Duration) {
+        let (borders, handle) = (self.borders.clone(), self.handle.clone());
+        monoio::spawn(async move {
+            let result = borders.store.read(&borders.stream, from, wait).await;
+            handle.send(Message::Read(result));
+        });
+    }
+
+    fn append(&self, Parcel { tag, payload }: Parcel) {
+        let (borders, handle) = (self.borders.clone(), self.handle.clone());
+        monoio::spawn(async move {
+            let result = borders.store.append(&borders.stream, payload).await;
+            handle.send(Message::Appended { tag, result });
+        });
+    }
+
+    fn exchange(&self, epoch: Epoch, worker: worker::Name, send: Send) {
+        let (borders, handle) = (self.borders.clone(), self.handle.clone());
+        monoio::spawn(async move {
+            let timeout = borders.worker_timeout;
+            let result = borders.workers.exchange(send.peer, &send.exchange, timeout).await;
+            handle.send(Message::Exchanged { epoch, worker, channel: send.channel, result });
+        });
+    }
+
+    fn beat(&self, to: &[SocketAddr], beat: &Beat) {
+        for peer in to.iter().copied() {
+            let (borders, handle) = (self.borders.clone(), self.handle.clone());
+            let beat = beat.clone();
+            monoio::spawn(async move {
+                let answer = borders.peers.call(peer, BEAT, &beat, borders.peer_timeout).await;
+                if let Ok(Heard { from, epoch }) = answer {
+                    handle.send(Message::BeatAnswered { from, epoch });
+                }
+            });
+        }
+    }
+
+    fn hand_over(&self, to: SocketAddr, epoch: Epoch) {
+        let borders = self.borders.clone();
+        monoio::spawn(async move {
+            let answer: Result<(), _> =
+                borders.peers.call(to, HANDOVER, &epoch, borders.peer_timeout).await;
+            if let Err(error) = answer {
+                log::warn!("event=owner.handover_failed {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,88 @@
+//! Answers to calls from other instances.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::codec;
+use crate::domain::{Epoch, Instance};
+use crate::entry::backend::Entry;
+use crate::entry::controller::{BEAT, HANDOVER};
+use crate::entry::forward::{self, Envelope};
+use crate::owner::Beat;
+use crate::owner::machine::Message;
+use crate::peer::{Code, Handler, Refusal};
+
+/// Answer to a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct Heard {
+    /// The instance that answers.
+    pub from: Instance,
+    /// Latest epoch it knows, the heartbeat's included.
+    pub epoch: Epoch,
+}
+
+/// Answers to calls from other instances.
+pub struct Peers {
+    entry: Rc<Entry>,
+}
+
+impl Peers {
+    /// Answers in the name of `entry`.
+    pub fn new(entry: Rc<Entry>) -> Self {
+        Self { entry }
+    }
+
+    async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
+        match method {
+            BEAT => encode(&self.hear(decode(body)?).await?),
+            HANDOVER => {
+                self.entry.handle.send(Message::Handover(decode(body)?));
+                encode(&())
+            }
+            forward::CALL => encode(&self.entry.route(decode::<Envelope>(body)?).await),
+            other => Err(refusal(Code::UnknownMethod, format!("no method {other}"))),
+        }
+    }
+
+    /// The answer goes out only after the machine has taken the heartbeat in: its sender concludes
+    /// from it that this instance does not act as an owner of an earlier epoch any more.
+    async fn hear(&self, beat: Beat) -> Result<Heard, Refusal> {
+        if beat.domain != self.entry.domain {
+            return Err(refusal(Code::Conflict, "another failure domain".to_owned()));
+        }
+        self.entry.handle.send(Message::Beat(beat));
+        let epoch = self.entry.handle.inspect(|machine, _, _| machine.known_epoch()).await;
+        let epoch = epoch.ok_or_else(|| refusal(Code::Busy, "stopping".to_owned()))?;
+        Ok(Heard { from: self.entry.me.clone(), epoch })
+    }
+}
+
+impl Handler for Peers {
+    fn handle(
+        &self,
+        _peer: SocketAddr,
+        method: &str,
+        body: Bytes,
+    ) -> LocalBoxFuture<'_, Result<Bytes, Refusal>> {
+        let method = method.to_owned();
+        async move { self.answer(&method, &body).await }.boxed_local()
+    }
+}
+
+fn refusal(code: Code, reason: String) -> Refusal {
+    Refusal { code, reason }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    codec::decode(body).map_err(|error| refusal(Code::Malformed, error.to_string()))
+}
+
+fn encode<T: Serialize>(answer: &T) -> Result<Bytes, Refusal> {
+    codec::encode(answer).map_err(|error| refusal(Code::Malformed, error.to_string()))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod codec;
 pub mod config;
 pub mod domain;
+pub mod entry;
 pub mod http;
 pub mod intent;
 pub mod job;
