Let a refusal speak for its request alone, and test the rare histories

Cause: a drawn history with an empty page of another stream showed that "no request with the same key has run" could be said on a read that had missed records; and keys of the drawn histories seldom shared a stream, so that most faults never met.

Change: the guard's refusals speak for the request only; what a permit given back proves is said there.

Conclusion: only records that were read decide; the end that a read reports proves nothing.

--- a/src/intent/flight.rs
+++ b/src/intent/flight.rs
@@ -18,20 +18,11 @@
     pub(super) settle_by: Option<Instant>,
     /// Offset that the append's answer named. The log's records decide, not this.
     pub(super) hint: Option<Offset>,
-    /// Whether the log was read to its end after the append ended.
-    pub(super) looked: bool,
 }
 
 impl Flight {
     pub(super) fn new(id: Attempt, load: Load) -> Self {
-        Self {
-            id,
-            intents: load.intents,
-            owed: load.owed,
-            settle_by: None,
-            hint: None,
-            looked: false,
-        }
+        Self { id, intents: load.intents, owed: load.owed, settle_by: None, hint: None }
     }
 
     /// Takes out the requests whose time is over.
--- a/src/intent/guard.rs
+++ b/src/intent/guard.rs
@@ -16,7 +16,7 @@
 use super::placement::{Placement, is_job};
 use super::policy::Policy;
 use super::record::{Attempt, Entry, Outcome};
-use super::ruling::{Reason, Refusal, Ruling};
+use super::ruling::{Refusal, Ruling};
 use crate::clock::{Clock, Unix};
 use crate::domain;
 use crate::store::{self, Store};
@@ -106,14 +106,14 @@
         let asking = Asking { key: request.key.clone(), created: request.created, reply, home };
         // When the task has ended, the dropped sender answers below.
         let _ = self.home.send(Message::Begin { request, patience, asking });
-        answer.await.unwrap_or(Admission::NotRun(Refusal::request(Reason::Stopped)))
+        answer.await.unwrap_or(Admission::NotRun(Refusal::Stopped))
     }
 
     /// Fixes the failure domain that takes a job: that of `request` or, when an earlier submission
     /// with the same key came first, that of the earlier one.
     pub async fn place_job(&self, request: Request, patience: Duration) -> Placement {
         let Some(domain) = request.domain.clone().filter(|_| is_job(&request)) else {
-            return Placement::NotRun(Refusal::request(Reason::Reused));
+            return Placement::NotRun(Refusal::Reused);
         };
         match self.begin(request, patience).await {
             Admission::Won(permit) => {
--- a/src/intent/lane.rs
+++ b/src/intent/lane.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use super::budget::Budget;
+use super::context::Context;
 use super::flight::Flight;
 use super::key::Request;
-use super::machine::{Effect, Now, Stats, Ticket};
+use super::machine::{Effect, Now, Ticket};
 use super::partition::{Applied, Partition, Verdict};
 use super::policy::Policy;
-use super::queue::{Coverage, Owed, Queue, Waiting, Writer};
+use super::queue::{Coverage, Owed, Queue, Waiting};
 use super::record::{Attempt, Batch, Entry};
-use super::ruling::{Reason, Refusal, Ruling, Scope};
+use super::ruling::{Refusal, Ruling};
 use super::wire;
 use crate::clock::Instant;
 use crate::store::{Offset, Outcome, Page};
@@ -20,15 +21,6 @@
 /// Doublings of the pause after failures in a row.
 const BACKOFF_DOUBLINGS: u32 = 6;
 
-/// What a lane may use beside its own state.
-pub(super) struct Context<'a> {
-    pub(super) now: Now,
-    pub(super) writer: &'a mut Writer,
-    pub(super) budget: &'a mut Budget,
-    pub(super) stats: &'a mut Stats,
-    pub(super) effects: &'a mut Vec<Effect>,
-}
-
 /// The requests and records of one partition at one instance.
 ///
 /// At most one call to the log is under way, and at most one batch is unsettled.
@@ -101,11 +93,11 @@
         context: &mut Context<'_>,
     ) {
         let now = context.now;
-        let crowded = self.queue.is_crowded().then_some(Reason::Overloaded);
+        let crowded = self.queue.is_crowded().then_some(Refusal::Overloaded);
         let known = self.partition.state(&request.key).is_some();
         let unfit = if known { None } else { self.unfit(&request, now).or(crowded) };
         if let Some(reason) = unfit {
-            context.reply(ticket, Ruling::NotRun(Refusal::request(reason)));
+            context.reply(ticket, Ruling::NotRun(reason));
             return;
         }
         self.queue.waiting.push_back(Waiting {
@@ -118,12 +110,12 @@
     }
 
     /// Why a key that nobody holds cannot be won by `request`.
-    fn unfit(&self, request: &Request, now: Now) -> Option<Reason> {
+    fn unfit(&self, request: &Request, now: Now) -> Option<Refusal> {
         let ahead = request.created > now.unix.after(self.policy.skew);
         let past = now.unix.since(request.created) > self.policy.window;
         match (ahead, past || !self.partition.admits(request.created)) {
-            (true, _) => Some(Reason::Ahead),
-            (_, true) => Some(Reason::Expired),
+            (true, _) => Some(Refusal::Ahead),
+            (_, true) => Some(Refusal::Expired),
             _ => None,
         }
     }
@@ -158,7 +150,7 @@
         self.fail(context.now.instant);
         let Some(flight) = self.flight.take() else { return };
         for (_, waiting) in flight.intents {
-            context.reply(waiting.ticket, Ruling::NotRun(Refusal::request(Reason::NoLog)));
+            context.reply(waiting.ticket, Ruling::NotRun(Refusal::NoLog));
         }
         self.queue.owe_again(flight.owed);
     }
@@ -207,8 +199,7 @@
         self.warm = true;
         self.probe = false;
         self.queue.caught_up();
-        if let Some(flight) = self.flight.as_mut() {
-            flight.looked = true;
+        if self.flight.is_some() {
             self.resume = now.after(self.policy.pause);
         }
     }
@@ -246,7 +237,7 @@
             }
             (Verdict::Expired, _) => {
                 self.withdraw(attempt, &waiting.request, context.now.instant);
-                let refusal = Refusal::request(Reason::Expired);
+                let refusal = Refusal::Expired;
                 context.reply(waiting.ticket, Ruling::NotRun(refusal));
             }
         }
@@ -316,13 +307,12 @@
                 continue;
             }
             self.probe |= away;
-            self.refuse(&waiting, Refusal::request(Reason::NoLog), context);
+            self.refuse(&waiting, Refusal::NoLog, context);
         }
         self.queue.waiting = kept;
         if let Some(flight) = self.flight.as_mut() {
             let over = flight.expired(now);
-            let looked = flight.looked;
-            self.abandon(over, looked, context);
+            self.abandon(over, context);
         }
     }
 
@@ -335,19 +325,13 @@
         let over = |flight: &mut Flight| flight.settle_by.is_some_and(|by| by <= now);
         let Some(flight) = self.flight.take_if(over) else { return };
         self.queue.owe_again(flight.owed);
-        self.abandon(flight.intents, flight.looked, context);
+        self.abandon(flight.intents, context);
     }
 
-    fn abandon(
-        &mut self,
-        intents: Vec<(Attempt, Waiting)>,
-        looked: bool,
-        context: &mut Context<'_>,
-    ) {
-        let scope = if looked { Scope::Key } else { Scope::Request };
+    fn abandon(&mut self, intents: Vec<(Attempt, Waiting)>, context: &mut Context<'_>) {
         for (attempt, waiting) in intents {
             self.withdraw(attempt, &waiting.request, context.now.instant);
-            self.refuse(&waiting, Refusal { reason: Reason::Unsettled, scope }, context);
+            self.refuse(&waiting, Refusal::Unsettled, context);
         }
     }
 
@@ -379,7 +363,7 @@
                 Some(Ruling::repeat(request, state))
             }
             Some(_) => None,
-            None => self.unfit(request, now).map(|reason| Ruling::NotRun(Refusal::request(reason))),
+            None => self.unfit(request, now).map(Ruling::NotRun),
         }
     }
 
@@ -410,9 +394,3 @@
         context.effects.push(Effect::Append { partition: self.number, payload });
     }
 }
-
-impl Context<'_> {
-    fn reply(&mut self, ticket: Ticket, ruling: Ruling) {
-        self.effects.push(Effect::Reply { ticket, ruling });
-    }
-}
--- a/src/intent/machine.rs
+++ b/src/intent/machine.rs
@@ -6,8 +6,9 @@
 use bytes::Bytes;
 
 use super::budget::Budget;
+use super::context::Context;
 use super::key::Request;
-use super::lane::{Context, Lane};
+use super::lane::Lane;
 use super::partition::Partition;
 use super::policy::{PARTITIONS, Policy};
 use super::queue::Writer;
--- a/src/intent/mod.rs
+++ b/src/intent/mod.rs
@@ -10,6 +10,7 @@
 //! [`Store`](crate::store::Store). `docs/design/intent.md` weighs the ways.
 
 mod budget;
+mod context;
 mod flight;
 mod guard;
 mod key;
@@ -35,5 +36,5 @@
 pub use self::placement::Placement;
 pub use self::policy::{PARTITIONS, Policy};
 pub use self::record::{Answer, Attempt, Batch, Body, Entry, Intent, Outcome};
-pub use self::ruling::{Reason, Refusal, Ruling, Scope};
+pub use self::ruling::{Refusal, Ruling};
 pub use self::wire::{decode, encode};
--- a/src/intent/placement.rs
+++ b/src/intent/placement.rs
@@ -3,7 +3,7 @@
 use super::key::{Kind, Request};
 use super::partition::{Progress, State};
 use super::record::{Attempt, Outcome};
-use super::ruling::{Reason, Refusal};
+use super::ruling::Refusal;
 use crate::domain;
 
 /// Where a job goes.
@@ -37,7 +37,7 @@
             Some(domain) => {
                 Self::Placed { attempt: state.attempt, domain, duplicate: true, accepted }
             }
-            None => Self::NotRun(Refusal::request(Reason::Reused)),
+            None => Self::NotRun(Refusal::Reused),
         }
     }
 }
--- a/src/intent/ruling.rs
+++ b/src/intent/ruling.rs
@@ -18,18 +18,12 @@
 }
 
 /// Why a request was not run.
+///
+/// It speaks for the request alone: an earlier one with the same key may have run, which the log
+/// could not be asked or no longer knows. Only a [`Permit`](super::Permit) that was given back
+/// unused proves that nothing has run under its key.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("{reason}; {scope}")]
-pub struct Refusal {
-    /// The cause.
-    pub reason: Reason,
-    /// How far the refusal speaks for the key.
-    pub scope: Scope,
-}
-
-/// The cause of a refusal.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Reason {
+pub enum Refusal {
     /// The log could not be reached or did not answer.
     #[display("the log does not answer")]
     NoLog,
@@ -40,7 +34,7 @@
     #[display("too many requests wait for the log")]
     Overloaded,
     /// Records of keys of that age may be gone, so an earlier run cannot be ruled out.
-    #[display("the idempotency key is too old")]
+    #[display("the idempotency key is too old to tell whether an earlier request ran")]
     Expired,
     /// The key's creation time lies ahead of this instance's clock.
     #[display("the idempotency key's creation time lies in the future")]
@@ -53,33 +47,10 @@
     Stopped,
 }
 
-/// How far a refusal speaks for the key.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum Scope {
-    /// Only this request: an earlier one with the same key may have run.
-    #[display("an earlier request with the same key may have run")]
-    Request,
-    /// The log, read to its end after this request arrived, held no other request for the key.
-    #[display("no request with the same key has run")]
-    Key,
-}
-
 impl Ruling {
     /// What `request` is told when another request has won its key.
     pub(super) fn repeat(request: &Request, state: State) -> Self {
         let other = state.fingerprint.is_some_and(|known| known != request.fingerprint);
-        if other { Self::NotRun(Refusal::request(Reason::Reused)) } else { Self::Duplicate(state) }
-    }
-}
-
-impl Refusal {
-    /// A refusal that speaks only for the request.
-    pub const fn request(reason: Reason) -> Self {
-        Self { reason, scope: Scope::Request }
-    }
-
-    /// A refusal that speaks for the key.
-    pub const fn key(reason: Reason) -> Self {
-        Self { reason, scope: Scope::Key }
+        if other { Self::NotRun(Refusal::Reused) } else { Self::Duplicate(state) }
     }
 }
--- a/src/intent/slots.rs
+++ b/src/intent/slots.rs
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Records the outcome of a key; one that is known is replaced only when it was a lost one.
+    /// Records the outcome of a key; a second record of it changes nothing.
     pub(super) fn conclude(
         &mut self,
         attempt: Attempt,
@@ -96,13 +96,11 @@
         writer: &Rc<str>,
     ) {
         let slot = self.touch(key, created, writer);
-        if slot.outcome.as_ref().is_some_and(|known| *known != Outcome::Lost) {
-            return;
+        if slot.outcome.is_none() {
+            slot.holder = Some(attempt);
+            slot.outcome = Some(outcome.clone());
+            self.bytes += outcome.len();
         }
-        let replaced = slot.outcome.replace(outcome.clone());
-        slot.holder = Some(attempt);
-        self.bytes += outcome.len();
-        self.bytes -= replaced.as_ref().map_or(0, Outcome::len);
     }
 
     /// Forgets the key first seen longest ago and returns what was known of it.
--- a/src/runner/handler.rs
+++ b/src/runner/handler.rs
@@ -152,13 +152,13 @@
 }
 
 fn not_recorded(refusal: intent::Refusal) -> api::Refusal {
-    let reason = match refusal.reason {
-        intent::Reason::Expired => Reason::KeyExpired,
-        intent::Reason::Ahead => Reason::Invalid,
-        intent::Reason::Reused => Reason::KeyReused,
-        intent::Reason::Overloaded => Reason::Overloaded,
-        intent::Reason::Stopped => Reason::ShuttingDown,
-        intent::Reason::NoLog | intent::Reason::Unsettled => Reason::LogUnavailable,
+    let reason = match refusal {
+        intent::Refusal::Expired => Reason::KeyExpired,
+        intent::Refusal::Ahead => Reason::Invalid,
+        intent::Refusal::Reused => Reason::KeyReused,
+        intent::Refusal::Overloaded => Reason::Overloaded,
+        intent::Refusal::Stopped => Reason::ShuttingDown,
+        intent::Refusal::NoLog | intent::Refusal::Unsettled => Reason::LogUnavailable,
     };
     api::Refusal::not_run(reason, refusal.to_string()).after(UNRECORDED_PAUSE)
 }
--- /dev/null
+++ b/tests/logic/intent/partition.rs
@@ -0,0 +1,131 @@
+//! Records applied in order, page by page.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use oriolefork::clock::Unix;
+use oriolefork::intent::{
+    Attempt, Batch, Entry, Intent, Key, Kind, Outcome, Partition, Policy, Verdict, encode,
+};
+use oriolefork::store::{Offset, Page, Record};
+use test_case::test_case;
+
+const NOW: Unix = Unix::from_millis(1_800_000_000_000);
+const HOUR: Duration = Duration::from_secs(3600);
+
+fn ago(hours: u64) -> Unix {
+    Unix::from_millis(NOW.as_millis() - hours * 3_600_000)
+}
+
+fn intent(serial: u64, name: &str, created: Unix) -> Entry {
+    Entry::Intent(Intent {
+        attempt: Attempt { run: 1, serial },
+        key: Key::new(Kind::Request, "portal", name).expect("valid"),
+        created,
+        fingerprint: 0,
+        domain: None,
+    })
+}
+
+fn batch(serial: u64, seen: Offset, horizon: Unix, entries: Vec<Entry>) -> Bytes {
+    let id = Attempt { run: 9, serial };
+    encode(&Batch { partition: 0, writer: "erie-1".to_owned(), id, seen, horizon, entries })
+}
+
+fn page(oldest: Offset, first: Offset, payloads: Vec<Bytes>) -> Page {
+    let records: Vec<_> =
+        (first..).zip(payloads).map(|(offset, payload)| Record { offset, payload }).collect();
+    let end = first + records.len() as Offset;
+    Page { records, oldest, end }
+}
+
+fn partition(retention: Duration) -> Partition {
+    Partition::new(0, Rc::new(Policy { retention, ..Policy::default() }))
+}
+
+#[test_case(10, Some(ago(3)) ; "who_had_read_all_dropped")]
+#[test_case(9, None ; "who_had_missed_one")]
+fn apply_witness(seen: Offset, expected: Option<Unix>) {
+    // Ten records were dropped. Only a writer that had read all ten can vouch for them.
+    let mut partition = partition(Duration::ZERO);
+    let kept = vec![batch(1, seen, ago(3), vec![])];
+    partition.apply(&page(10, 10, kept), NOW).expect("a page");
+    assert_eq!(partition.floor(), expected.unwrap_or(NOW.after(Duration::from_secs(2))));
+}
+
+#[test]
+fn apply_earliest_witness() {
+    // Each witness is right; the one that had seen fewest later keys refuses fewest callers.
+    let mut partition = partition(Duration::ZERO);
+    let kept = vec![batch(1, 10, ago(5), vec![]), batch(2, 11, ago(1), vec![])];
+    partition.apply(&page(10, 10, kept), NOW).expect("a page");
+    assert_eq!(partition.floor(), ago(5));
+}
+
+#[test]
+fn apply_skipped() {
+    // An instance that leaves out old records that the log still keeps cannot take the log's
+    // retention as their age.
+    let mut partition = partition(24 * HOUR);
+    partition.skip_to(10);
+    partition.apply(&page(0, 10, vec![batch(1, 3, ago(3), vec![])]), NOW).expect("a page");
+    assert!(partition.floor() > NOW);
+}
+
+#[test]
+fn apply_dropped_within_retention() {
+    let mut partition = partition(24 * HOUR);
+    partition.apply(&page(10, 10, vec![]), NOW).expect("a page");
+    assert!(partition.admits(ago(23)));
+    assert!(!partition.admits(ago(24)));
+}
+
+#[test]
+fn horizon_covers_floor() {
+    // A writer that missed records itself must not vouch for less than it missed.
+    let mut partition = partition(Duration::ZERO);
+    partition.apply(&page(10, 10, vec![batch(1, 10, ago(3), vec![])]), NOW).expect("a page");
+    assert_eq!(partition.horizon(), ago(3));
+}
+
+#[test]
+fn apply_misplaced() {
+    // A page that does not start where it was asked to would hide records.
+    let mut partition = partition(Duration::ZERO);
+    let payloads = vec![batch(1, 0, ago(1), vec![intent(1, "renew-7", ago(1))])];
+    assert!(partition.apply(&page(0, 1, payloads.clone()), NOW).is_err());
+    assert_eq!(partition.next(), 0);
+    let applied = partition.apply(&page(0, 0, payloads), NOW).expect("a page");
+    assert_eq!(applied.judgements[0].verdict, Verdict::Won);
+}
+
+#[test]
+fn apply_withdrawal_of_other() {
+    // A loser's withdrawal leaves the winner's hold alone.
+    let mut partition = partition(Duration::ZERO);
+    let first = intent(1, "renew-7", ago(1));
+    let second = intent(2, "renew-7", ago(1));
+    let withdrawal = Entry::Withdrawal { attempt: second.attempt(), key: second.key().clone() };
+    let entries = vec![first.clone(), second, withdrawal, intent(3, "renew-7", ago(1))];
+    let applied =
+        partition.apply(&page(0, 0, vec![batch(1, 0, ago(1), entries)]), NOW).expect("a page");
+    let verdicts: Vec<_> = applied.judgements.iter().map(|judged| judged.verdict).collect();
+    assert_eq!(verdicts, [Verdict::Won, Verdict::Lost, Verdict::Lost]);
+    assert_eq!(partition.state(first.key()).map(|state| state.attempt), Some(first.attempt()));
+}
+
+#[test]
+fn apply_withdrawal_after_outcome() {
+    // A key whose outcome is recorded has run, whatever comes later.
+    let mut partition = partition(Duration::ZERO);
+    let first = intent(1, "renew-7", ago(1));
+    let (attempt, key) = (first.attempt(), first.key().clone());
+    let outcome =
+        Entry::Outcome { attempt, key: key.clone(), created: ago(1), outcome: Outcome::Lost };
+    let withdrawal = Entry::Withdrawal { attempt, key };
+    let entries = vec![first, outcome, withdrawal, intent(2, "renew-7", ago(1))];
+    let applied =
+        partition.apply(&page(0, 0, vec![batch(1, 0, ago(1), entries)]), NOW).expect("a page");
+    assert_eq!(applied.judgements[1].verdict, Verdict::Lost);
+}
