--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -37,8 +37,20 @@
         "Time of one round of placement decisions.";
     LOG_APPENDS: Counter = "oriolefork_log_appends_total",
         "Appends to the platform's log, by outcome.";
+    LOG_APPEND_BYTES: Counter = "oriolefork_log_append_bytes_total",
+        "Bytes given to the platform's log to append.";
     LOG_APPEND: Histogram = "oriolefork_log_append_seconds",
         "Time of one append to the platform's log.";
+    LOG_READS: Counter = "oriolefork_log_reads_total",
+        "Reads of the platform's log, by outcome.";
+    LIST_FETCHES: Counter = "oriolefork_instance_list_fetches_total",
+        "Fetches of the platform's list of instances, by outcome.";
+    EXCHANGES: Counter = "oriolefork_worker_exchanges_total",
+        "Exchanges with workers, by outcome.";
+    RUNNER_CALLS: Counter = "oriolefork_runner_calls_total",
+        "Calls to runners, retries and hedges included, by outcome.";
+    RUNNER_CALL: Histogram = "oriolefork_runner_call_seconds",
+        "Time of one call to a runner.";
     OWNER: Gauge = "oriolefork_owner",
         "One while this instance owns its failure domain, else zero.";
     OWNER_TERM: Gauge = "oriolefork_owner_term",
