Drive the daemon with the command through killed entry instances and a lost answer

Cause: what the command promises of repeated submissions was tested against a backend in memory only. Change: four stories with the real daemon, log, workers and command. Conclusion: a job submitted through a killed instance, a killed owner or a lost answer runs once.

--- a/tests/process/cli.rs
+++ b/tests/process/cli.rs
@@ -2,6 +2,7 @@
 
 #[path = "../support/backend.rs"]
 mod backend;
+mod cluster;
 mod entry;
 
 use std::io::{Read, Write};
