Judge the lagging list by own connections and peers' word

Cause: the list of instances lags, and an outage of what feeds it looks like many instances vanishing at once.

Change: a pure view. Leaving instances get no new work at once; few that vanish are believed; many of one class are doubted and tried, and dropped only when own tries fail or nobody could reach them for a minute. A task follows the list and tries the doubtful.

--- a/src/config/follow.rs
+++ b/src/config/follow.rs
@@ -18,7 +18,7 @@
 use super::value::Value;
 use super::{Effect, Machine, Message, STREAM, wire};
 use crate::clock::Clock;
-use crate::shutdown::Shutdown;
+use crate::shutdown::{Shutdown, until};
 use crate::store::{Offset, Store};
 use crate::{domain, peer};
 
@@ -82,14 +82,6 @@
     Handle::new(sender)
 }
 
-/// Runs a task until the stop.
-async fn until(stop: Shutdown, task: impl Future<Output = ()>) {
-    monoio::select! {
-        () = task => {}
-        () = stop.wait() => {}
-    }
-}
-
 async fn tick(clock: Rc<dyn Clock>, asks: unbounded::Tx<Ask>) {
     while tell(&asks, Message::Tick).await.is_some() {
         clock.sleep(TICK).await;
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -8,7 +8,10 @@
 
 use crate::domain;
 
+pub mod follow;
 pub mod http;
+pub mod probe;
+pub mod view;
 pub mod wire;
 
 /// What an instance on the list does.
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -72,6 +72,14 @@
     }
 }
 
+/// Runs a task to its end or to the stop, whichever comes first.
+pub(crate) async fn until(stop: Shutdown, task: impl Future<Output = ()>) {
+    monoio::select! {
+        () = task => {}
+        () = stop.wait() => {}
+    }
+}
+
 /// Completes once all of `count` permits are back.
 ///
 /// They are taken one by one. A wait for many panics when a passed grace drops it half served: the
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -10,6 +10,7 @@
 mod job;
 mod logging;
 mod owner;
+mod membership;
 mod placement;
 mod runner;
 mod runner_share;
