--- a/tests/process/config/mod.rs
+++ b/tests/process/config/mod.rs
@@ -72,7 +72,8 @@
 /// Waits until an instance shows at least `version`.
 async fn shows(node: &Node, version: u64) {
     let start = Instant::now();
-    while node.version().await.is_none_or(|shown| shown < version) {
+    let version = Version::from_raw(version);
+    while node.handle.value().await.is_none_or(|value| value.version < version) {
         assert!(start.elapsed() < LIMIT, "{} never showed {version}", node.peer.name);
         monoio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/tests/process/config/site.rs
+++ b/tests/process/config/site.rs
@@ -71,11 +71,6 @@
         let proposal = Proposal { id: Id::random(), base: None, by: by.to_owned(), change };
         self.handle.publish(proposal).await
     }
-
-    /// The version in force.
-    pub async fn version(&self) -> Option<u64> {
-        self.handle.value().await.map(|value| value.version.raw())
-    }
 }
 
 impl Drop for Node {
