Test idempotency keys over a log process and a faulty network

Cause: the stories so far stop at the store's border; lost, held and truncated answers of a real log were not tried.

Change: process tests with the log and the proxy as processes: racing instances, an answer never given, a write held in the network that lands after "not run", an outage, a death after winning, truncated pages, a dropped record, a job submitted through two halls.

Conclusion: the late write is withdrawn in time for a retry elsewhere.

--- /dev/null
+++ b/tests/process/intent.rs
@@ -0,0 +1,303 @@
+//! Idempotency keys over the log as a process, with a faulty network between it and the instances.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use monoio::task::JoinHandle;
+use oriolefork::clock::{Clock, System};
+use oriolefork::intent::{
+    Admission, Answer, Guard, Key, Kind, Outcome, Placement, Policy, Progress, Refusal, Request,
+    fingerprint,
+};
+use oriolefork::standin::log;
+use oriolefork::standin::proxy::{self, Mode};
+use oriolefork::{domain, http, store};
+
+use crate::harness::{LIMIT, Standin, block_on, get_json, post_json};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const SETTLE: Duration = Duration::from_secs(2);
+const PAUSE: Duration = Duration::from_millis(20);
+const KEYS: usize = 40;
+
+/// A log, and a proxy with one route to it for each instance.
+struct Platform {
+    log: Standin,
+    proxy: Standin,
+}
+
+/// The intents of one instance.
+struct Instance {
+    name: String,
+    guard: Guard,
+    task: JoinHandle<()>,
+    clock: System,
+}
+
+impl Platform {
+    fn start() -> Self {
+        Self { log: Standin::start("log", &[]), proxy: Standin::start("proxy", &[]) }
+    }
+
+    fn route(&self, name: &str) -> SocketAddr {
+        let listen = SocketAddr::new(self.proxy.addr.ip(), 0);
+        let path = proxy::Path { name: name.to_owned(), listen, target: self.log.addr };
+        let route: proxy::Snapshot = post_json(self.proxy.addr, "/v1/routes", &path).json();
+        route.listen
+    }
+
+    fn switch(&self, instance: &Instance, mode: Mode) {
+        let control = proxy::Control { routes: vec![instance.name.clone()], mode };
+        post_json(self.proxy.addr, "/control", &control);
+    }
+
+    fn control(&self, control: log::Control) {
+        post_json(self.log.addr, "/control", &control);
+    }
+
+    fn appends(&self) -> u64 {
+        let state: log::Snapshot = get_json(self.log.addr, "/v1/state");
+        state.streams.values().map(|stream| stream.appends).sum()
+    }
+
+    fn instance(&self, name: &str, run: u64) -> Instance {
+        let http = Rc::new(http::Client::new(http::Limits::default()));
+        let store = store::http::Client::new(self.route(name), http, CALL_TIMEOUT);
+        let clock = System::start();
+        let call_timeout = CALL_TIMEOUT * 2;
+        let policy = Policy { call_timeout, settle: SETTLE, ..Policy::default() };
+        let (guard, driver) = Guard::new(name, run, policy, Rc::new(store), Rc::new(clock.clone()));
+        guard.warm();
+        let task = monoio::spawn(driver.run(Duration::ZERO));
+        Instance { name: name.to_owned(), guard, task, clock }
+    }
+}
+
+impl Instance {
+    fn request(&self, name: &str) -> Request {
+        Request {
+            key: Key::new(Kind::Request, "portal", name).expect("valid"),
+            created: self.clock.unix(),
+            fingerprint: fingerprint(name.as_bytes()),
+            domain: None,
+        }
+    }
+
+    async fn begin(&self, request: &Request) -> Admission {
+        self.guard.begin(request.clone(), PATIENCE).await
+    }
+
+    /// Asks again until the answer satisfies `wanted`.
+    async fn until(&self, request: &Request, wanted: impl Fn(&Admission) -> bool) -> Admission {
+        let start = std::time::Instant::now();
+        loop {
+            let admission = self.begin(request).await;
+            if wanted(&admission) {
+                return admission;
+            }
+            assert!(start.elapsed() < LIMIT, "the answer never came");
+            monoio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Ends the instance as a kill would: nothing it still owed is written.
+    async fn kill(self) {
+        let Self { guard, task, .. } = self;
+        drop(guard);
+        task.await;
+    }
+}
+
+fn is_won(admission: &Admission) -> bool {
+    matches!(admission, Admission::Won(_))
+}
+
+fn is_unknown(admission: &Admission) -> bool {
+    matches!(admission, Admission::Duplicate(state) if state.progress == Progress::Unknown)
+}
+
+fn is_done(admission: &Admission) -> bool {
+    matches!(admission, Admission::Duplicate(state) if state.is_done())
+}
+
+fn refusal(admission: &Admission) -> Option<Refusal> {
+    match admission {
+        Admission::NotRun(refusal) => Some(*refusal),
+        _ => None,
+    }
+}
+
+fn answered() -> Outcome {
+    Outcome::Answered(Answer::new(200, "text/plain", &Bytes::from_static(b"renewed"), 4096))
+}
+
+// Two halls get each renewal at the same moment, because the client gave up on the first. Each
+// renewal may be tried by one of them only, and the other is told of it.
+#[test]
+fn begin_race_has_one_winner() {
+    block_on(async {
+        let platform = Platform::start();
+        let (erie, huron) = (platform.instance("erie", 1), platform.instance("huron", 2));
+        let names: Vec<String> = (0..KEYS).map(|number| format!("renew-{number}")).collect();
+        let requests: Vec<Request> = names.iter().map(|name| erie.request(name)).collect();
+        let races = requests.iter().map(|request| async {
+            let both = futures_util::join!(erie.begin(request), huron.begin(request));
+            (is_won(&both.0), is_won(&both.1))
+        });
+        let races = futures_util::future::join_all(races).await;
+        assert!(races.iter().all(|(first, second)| first != second), "{races:?}");
+        assert!(platform.appends() < KEYS as u64, "intents share appends");
+    });
+}
+
+// The log writes the intent and never answers. The instance finds its own record there and runs
+// the renewal; a retry through another hall is told the outcome.
+#[test]
+fn begin_lost_answer_is_settled() {
+    block_on(async {
+        let platform = Platform::start();
+        let (erie, huron) = (platform.instance("erie", 1), platform.instance("huron", 2));
+        platform.control(log::Control { drop_answers: Some(1), ..log::Control::default() });
+        let request = erie.request("renew-7");
+        let Admission::Won(permit) = erie.begin(&request).await else { panic!("not won") };
+        permit.start().finish(answered());
+        let told = huron.until(&request, |told| !is_unknown(told)).await;
+        assert!(is_done(&told));
+    });
+}
+
+// The way to the log breaks one way while the intent is on it: it is held in the network. The
+// instance answers "not run". The network heals and the held record reaches the log, late. It must
+// never be run from, and another hall's retry must be able to run, once.
+#[test]
+fn begin_late_write_is_withdrawn() {
+    block_on(async {
+        let platform = Platform::start();
+        let (erie, huron) = (platform.instance("erie", 1), platform.instance("huron", 2));
+        assert!(is_won(&erie.begin(&erie.request("warm-up")).await));
+        platform.switch(&erie, Mode::CutToServer);
+        let request = erie.request("renew-7");
+        assert!(refusal(&erie.begin(&request).await).is_some());
+        platform.switch(&erie, Mode::Pass);
+        let won = huron.until(&request, is_won).await;
+        let Admission::Won(permit) = won else { unreachable!() };
+        permit.start().finish(answered());
+        let told = erie.until(&request, |told| !is_unknown(told) && refusal(told).is_none()).await;
+        assert!(is_done(&told));
+    });
+}
+
+// The log is away. Each renewal is refused as "not run" and leaves no trace there; when the log is
+// back, the retry runs.
+#[test]
+fn begin_outage_is_not_run() {
+    block_on(async {
+        let platform = Platform::start();
+        let erie = platform.instance("erie", 1);
+        platform.control(log::Control { outage: Some(true), ..log::Control::default() });
+        let request = erie.request("renew-7");
+        for _ in 0..5 {
+            assert_eq!(refusal(&erie.begin(&request).await), Some(Refusal::NoLog));
+        }
+        platform.control(log::Control { outage: Some(false), ..log::Control::default() });
+        assert_eq!(platform.appends(), 0);
+        assert!(is_won(&erie.until(&request, is_won).await));
+    });
+}
+
+// The instance wins the key and dies; nobody can tell whether the renewal left it. Retries through
+// another hall and through its own replacement are told "unknown", and nothing is tried.
+#[test]
+fn begin_after_death_is_unknown() {
+    block_on(async {
+        let platform = Platform::start();
+        let (erie, huron) = (platform.instance("erie", 1), platform.instance("huron", 2));
+        let request = erie.request("renew-7");
+        let Admission::Won(permit) = erie.begin(&request).await else { panic!("not won") };
+        std::mem::forget(permit.start());
+        drop(erie);
+        assert!(is_unknown(&huron.begin(&request).await));
+        assert!(is_unknown(&platform.instance("erie-again", 3).begin(&request).await));
+    });
+}
+
+// The log's answer breaks off in the middle. A half page must not pass for a whole one: the
+// instance settles its intent once whole answers come again, or refuses, but never runs on it.
+#[test]
+fn begin_truncated_answers() {
+    block_on(async {
+        let platform = Platform::start();
+        let (erie, huron) = (platform.instance("erie", 1), platform.instance("huron", 2));
+        let request = erie.request("renew-7");
+        let Admission::Won(permit) = huron.begin(&request).await else { panic!("not won") };
+        platform.switch(&erie, Mode::Truncate(120));
+        assert!(!is_won(&erie.begin(&request).await));
+        permit.start().finish(answered());
+        platform.switch(&erie, Mode::Pass);
+        let told = erie.until(&request, |told| !is_unknown(told) && refusal(told).is_none()).await;
+        assert!(is_done(&told));
+    });
+}
+
+// The log has dropped the record of a renewal that ran, and the instance was replaced since. The
+// old key is refused; one made now runs.
+#[test]
+fn begin_dropped_key_is_refused() {
+    block_on(async {
+        let platform = Platform::start();
+        let erie = platform.instance("erie", 1);
+        let request = erie.request("renew-7");
+        let Admission::Won(permit) = erie.begin(&request).await else { panic!("not won") };
+        permit.start().finish(answered());
+        erie.kill().await;
+        platform.control(log::Control { retention: Some(1), ..log::Control::default() });
+        let huron = platform.instance("huron", 2);
+        let mut others = (0..).map(|number| huron.request(&format!("other-{number}")));
+        let partition = request.key.partition();
+        let neighbour = others.find(|other| other.key.partition() == partition).expect("endless");
+        assert!(is_won(&huron.begin(&neighbour).await));
+        let again = platform.instance("erie-again", 3);
+        assert_eq!(refusal(&again.begin(&request).await), Some(Refusal::Expired));
+        assert!(is_won(&again.until(&again.request("renew-8"), is_won).await));
+    });
+}
+
+// A backup is submitted through two halls with one key. Both must hand it to one failure domain,
+// also after that domain's owner has recorded it.
+#[test]
+fn place_job_fixes_one_domain() {
+    block_on(async {
+        let platform = Platform::start();
+        let (erie, huron) = (platform.instance("erie", 1), platform.instance("huron", 2));
+        let job = |instance: &Instance, domain: &str| Request {
+            key: Key::new(Kind::Job, "shop", "backup").expect("valid"),
+            domain: Some(domain::Name::from(domain)),
+            ..instance.request("backup")
+        };
+        let (first, second) = (job(&erie, "erie-hall"), job(&huron, "huron-hall"));
+        let (here, there) = futures_util::join!(
+            erie.guard.place_job(first.clone(), PATIENCE),
+            huron.guard.place_job(second.clone(), PATIENCE)
+        );
+        let Placement::Placed { domain, attempt, .. } = here else { panic!("{here:?}") };
+        let Placement::Placed { domain: other, .. } = there else { panic!("{there:?}") };
+        assert_eq!(domain, other);
+        erie.guard.accept_job(&first, attempt, domain.clone());
+        let start = std::time::Instant::now();
+        loop {
+            let again = huron.guard.place_job(second.clone(), PATIENCE).await;
+            let Placement::Placed { domain: told, duplicate, accepted, .. } = again else {
+                panic!("{again:?}")
+            };
+            assert!(duplicate);
+            assert_eq!(told, domain);
+            if accepted {
+                break;
+            }
+            assert!(start.elapsed() < LIMIT, "the acceptance was never read");
+        }
+    });
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -5,6 +5,7 @@
 mod harness;
 mod http;
 mod http_client;
+mod intent;
 mod peer;
 mod runner;
 mod runtime;
