Let a gang that has waited for long checkpoint batch work

Change: after five minutes a gang with a reservation may preempt batch tasks without a deadline, where the preset allows preemption. Ways to rate the fit, to backfill and to order are now part of the policy, so that one run compares them.

--- a/src/placement/mod.rs
+++ b/src/placement/mod.rs
@@ -32,7 +32,7 @@
 pub use engine::{Engine, Load};
 pub use estimate::{Estimator, Guess};
 pub use event::Event;
-pub use policy::{Leaning, Policy, Preset, Strategy};
+pub use policy::{Backfill, Fit, Leaning, Policy, Preset, Strategy};
 pub use reason::Reason;
 pub use request::{Availability, Holding, Request};
 pub use risk::Risk;
--- a/src/placement/policy.rs
+++ b/src/placement/policy.rs
@@ -70,6 +70,28 @@
     Chosen,
 }
 
+/// How the fit of a task on a worker is rated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Fit {
+    /// By what it leaves over in the dimension scarcest in the failure domain.
+    #[default]
+    Scarcest,
+    /// By what it leaves over in all dimensions together.
+    Sum,
+    /// By how well the shape of the task matches the shape of the room.
+    Shape,
+}
+
+/// Which run time decides whether a task may use room kept for a gang.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Backfill {
+    /// The typical one: more work gets in, and some of it delays the gang.
+    Typical,
+    /// The safe one.
+    #[default]
+    Safe,
+}
+
 /// Rules in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Policy {
@@ -79,6 +101,14 @@
     pub weighs: Leaning,
     /// How work is ordered and workers are chosen.
     pub strategy: Strategy,
+    /// How the fit on a worker is rated.
+    pub fit: Fit,
+    /// Whether the shortest work of a team goes first instead of the oldest.
+    pub shortest_first: bool,
+    /// Whether room is kept for the gang that goes first.
+    pub reserves: bool,
+    /// Which run time lets other work use that room.
+    pub backfill: Backfill,
     /// Whether urgent work may preempt normal batch tasks.
     pub preempts: bool,
     /// Thousandths of each worker that normal batch work leaves free.
@@ -92,6 +122,9 @@
     pub age_bound: Duration,
     /// A gang that waited this long lets nothing new start on the workers reserved for it.
     pub gang_patience: Duration,
+    /// A gang that waited this long may preempt batch tasks without a deadline, where urgent work
+    /// may preempt at all; `None` for never.
+    pub gang_preempts: Option<Duration>,
     /// Longest run time of a new task on a rack of which a worker drains; `None` for no limit.
     pub drain_horizon: Option<Duration>,
     /// Most tasks started in one call of [`Engine::decide`](super::Engine::decide).
@@ -120,12 +153,17 @@
             preset: Preset::Ordinary,
             weighs,
             strategy: Strategy::Chosen,
+            fit: Fit::Scarcest,
+            shortest_first: weighs == Leaning::Waiting,
+            reserves: true,
+            backfill: Backfill::Safe,
             preempts: true,
             headroom: 0,
             hold_above: None,
             slack_window: Duration::from_secs(30 * 60),
             age_bound: Duration::from_secs(60 * 60),
-            gang_patience: Duration::from_secs(10 * 60),
+            gang_patience: Duration::from_secs(5 * 60),
+            gang_preempts: Some(Duration::from_secs(5 * 60)),
             drain_horizon: None,
             starts: usize::MAX,
         }
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -1,6 +1,7 @@
-//! Room made for urgent work by checkpointing batch tasks.
+//! Room made for urgent work, and for a gang that has waited for long, by checkpointing batch
+//! tasks.
 //!
-//! Room on the victims' worker is pledged to the urgent job, so that nothing else takes it while
+//! Room on the victims' worker is pledged to the job, so that nothing else takes it while
 //! the victims are being checkpointed; they keep their reservations until they are surely gone.
 
 use super::round::Round;
@@ -29,6 +30,9 @@
             };
             victims.append(&mut more);
         }
+        if self.reservation.as_ref().is_some_and(|kept| kept.job == ask.job) {
+            self.unreserve();
+        }
         let preempt = |(task, node): (task::Id, usize)| Decision::Preempt {
             task,
             worker: self.pool.get(node).name.clone(),
@@ -43,8 +47,7 @@
         let (node, victims) = match self.find(&stranger, round) {
             Ok(node) => (node, Vec::new()),
             Err(_) => {
-                let choice =
-                    victim::choose(&self.pool, &self.ledger, &demand, ask.kind, round.now)?;
+                let choice = victim::choose(&self.pool, &self.ledger, ask, round.now)?;
                 (choice.node, choice.victims)
             }
         };
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -9,7 +9,7 @@
 
 use super::estimate::Guess;
 use super::search::Denial;
-use super::{Leaning, Policy, Strategy};
+use super::{Policy, Strategy};
 use crate::clock::{Instant, Unix, millis};
 use crate::job::{self, Kind, Urgency};
 use crate::resource::Amount;
@@ -46,10 +46,10 @@
         }
     }
 
-    /// Place in the order of a class: shortest first where waiting weighs more, else oldest first.
+    /// Place in the order of a class: shortest first or oldest first, as the rules say.
     fn turn(&self, policy: &Policy) -> Turn {
         let queued = self.queued.as_millis();
-        let shortest = policy.strategy == Strategy::Chosen && policy.weighs == Leaning::Waiting;
+        let shortest = policy.strategy == Strategy::Chosen && policy.shortest_first;
         match self.guess {
             _ if !shortest => (queued, 0, self.job),
             Some(guess) => (millis(guess.typical), queued, self.job),
--- a/src/placement/reservation.rs
+++ b/src/placement/reservation.rs
@@ -75,6 +75,11 @@
         old
     }
 
+    /// How long room has been kept.
+    pub(super) fn age(&self, now: Instant) -> Duration {
+        now.since(self.since)
+    }
+
     /// Workers with a share.
     pub(super) fn nodes(&self) -> impl Iterator<Item = usize> {
         self.shares.keys().copied()
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -170,11 +170,12 @@
     }
 
     fn park(&mut self, index: usize, denial: Denial, rank: &Rank, round: &mut Round) {
+        let reserves = self.reservation.as_ref().is_some_and(|kept| kept.job == rank.job);
         let class = self.queue.class_mut(index);
         let urgent = class.alike.urgency == Urgency::Urgent;
         // With headroom, a job that comes to press finds room without any growth.
         let may_come_to_press = rank.is_plain() && self.policy.headroom > 0;
-        let lasting = denial == Denial::NoRoom && !urgent && !may_come_to_press;
+        let lasting = denial == Denial::NoRoom && !urgent && !may_come_to_press && !reserves;
         let doublings = if urgent { 0 } else { class.tries.min(DOUBLINGS) };
         let until = (!lasting).then(|| round.now.after(RETRY * (1 << doublings)));
         class.tries += 1;
@@ -261,17 +262,25 @@
         if ask.above_quota || self.policy.strategy != Strategy::Chosen {
             return denial;
         }
-        if ask.urgency == Urgency::Urgent && self.policy.preempts {
+        if self.may_preempt(ask, round.now) {
             self.preempt(ask, round);
-            let pledged = self.pledges.count(ask.job);
-            return if pledged > 0 { Denial::Preempting } else { denial };
+            if self.pledges.count(ask.job) > 0 {
+                return Denial::Preempting;
+            }
         }
-        if ask.kind == Kind::Gang && denial != Denial::Quota {
+        if ask.kind == Kind::Gang && denial != Denial::Quota && self.policy.reserves {
             self.reserve(ask, round.now);
         }
         denial
     }
 
+    fn may_preempt(&self, ask: &Ask, now: Instant) -> bool {
+        let kept = self.reservation.as_ref().filter(|kept| kept.job == ask.job);
+        let waited = kept.map(|kept| kept.age(now));
+        let ripe = self.policy.gang_preempts.is_some_and(|bound| waited >= Some(bound));
+        self.policy.preempts && (ask.urgency == Urgency::Urgent || ripe)
+    }
+
     fn reserve(&mut self, ask: &Ask, now: Instant) {
         if self.reservation.is_some() || self.pool.slots(&ask.demand) < ask.tasks {
             return;
--- a/src/placement/scorer.rs
+++ b/src/placement/scorer.rs
@@ -3,7 +3,7 @@
 use std::fmt::Debug;
 
 use super::measure::{self, WHOLE};
-use super::{Leaning, Policy, Strategy};
+use super::{Fit, Leaning, Policy, Strategy};
 use crate::job::Kind;
 use crate::resource::Amount;
 
@@ -72,7 +72,7 @@
     match policy.strategy {
         Strategy::FirstFit => Box::new(FirstFit),
         Strategy::BestFit => Box::new(BestFit),
-        Strategy::Chosen => Box::new(Chosen { weighs: policy.weighs }),
+        Strategy::Chosen => Box::new(Chosen { weighs: policy.weighs, fit: policy.fit }),
     }
 }
 
@@ -105,13 +105,15 @@
 pub struct Chosen {
     /// The deployment's leaning.
     pub weighs: Leaning,
+    /// How the fit on a worker is rated.
+    pub fit: Fit,
 }
 
 impl Scorer for Chosen {
     fn score(&self, candidate: &Candidate) -> u64 {
         match candidate.kind {
             Kind::LongRunning => self.spread(candidate),
-            Kind::Batch | Kind::Gang => left(candidate),
+            Kind::Batch | Kind::Gang => self.pack(candidate),
         }
     }
 }
@@ -124,8 +126,8 @@
 impl Chosen {
     fn spread(&self, candidate: &Candidate) -> u64 {
         let fit = match self.weighs {
-            Leaning::Packing => left(candidate),
-            Leaning::Waiting => 2 * WHOLE - left(candidate).min(2 * WHOLE),
+            Leaning::Packing => self.pack(candidate),
+            Leaning::Waiting => 3 * WHOLE - self.pack(candidate).min(3 * WHOLE),
         };
         let rack = (candidate.in_rack as u64).min(1 << 20) * SAME_RACK;
         let worker = (candidate.on_worker as u64).min(1 << 14) * SAME_WORKER;
@@ -133,20 +135,23 @@
     }
 }
 
-/// What the task would leave over in the scarcest dimension, in millionths, and a tenth of what
-/// it would leave over in the others.
-fn left(candidate: &Candidate) -> u64 {
-    let room = candidate.free.saturating_sub(&candidate.demand);
-    let cpu = measure::ratio(room.cpu_millis, candidate.capacity.cpu_millis);
-    let memory = measure::ratio(room.memory_mib, candidate.capacity.memory_mib);
-    let (scarce, other) = match candidate.scarcest {
-        Dimension::Memory => (memory, cpu),
-        Dimension::Cpu | Dimension::Accelerators => (cpu, memory),
-    };
-    let wasted = if candidate.demand.accelerators == 0 && candidate.free.accelerators > 0 {
-        WHOLE
-    } else {
-        0
-    };
-    scarce + other / 10 + wasted
+impl Chosen {
+    fn pack(&self, candidate: &Candidate) -> u64 {
+        let room = candidate.free.saturating_sub(&candidate.demand);
+        let cpu = measure::ratio(room.cpu_millis, candidate.capacity.cpu_millis);
+        let memory = measure::ratio(room.memory_mib, candidate.capacity.memory_mib);
+        let cost = match (self.fit, candidate.scarcest) {
+            (Fit::Scarcest, Dimension::Memory) => memory + cpu / 10,
+            (Fit::Scarcest, _) => cpu + memory / 10,
+            (Fit::Sum, _) => cpu + memory,
+            (Fit::Shape, _) => cpu.abs_diff(memory) + (cpu + memory) / 10,
+        };
+        cost + wasted(candidate)
+    }
+}
+
+/// Cost of a worker with accelerators that the task leaves idle.
+fn wasted(candidate: &Candidate) -> u64 {
+    let idle = candidate.demand.accelerators == 0 && candidate.free.accelerators > 0;
+    if idle { WHOLE } else { 0 }
 }
--- a/src/placement/search.rs
+++ b/src/placement/search.rs
@@ -1,9 +1,12 @@
 //! The search for a worker with room that a task may use.
 
+use std::time::Duration;
+
+use super::estimate::Guess;
 use super::node::Node;
 use super::round::{Rank, Round};
 use super::scorer::{Candidate, Dimension};
-use super::{Engine, measure};
+use super::{Backfill, Engine, measure};
 use crate::clock::Instant;
 use crate::job::{self, Kind, Urgency};
 use crate::resource::Amount;
@@ -70,7 +73,9 @@
         let waiting = self.queue.get(job)?;
         let ends = match waiting.kind {
             Kind::LongRunning => None,
-            Kind::Batch | Kind::Gang => waiting.guess.map(|guess| round.now.after(guess.safe)),
+            Kind::Batch | Kind::Gang => {
+                waiting.guess.map(|guess| round.now.after(self.horizon(&guess)))
+            }
         };
         Some(Ask {
             job,
@@ -86,6 +91,13 @@
         })
     }
 
+    fn horizon(&self, guess: &Guess) -> Duration {
+        match self.policy.backfill {
+            Backfill::Typical => guess.typical,
+            Backfill::Safe => guess.safe,
+        }
+    }
+
     /// The worker that costs least.
     pub(super) fn find(&self, ask: &Ask, round: &mut Round) -> Result<usize, Denial> {
         let mut best: Option<(u64, usize)> = None;
--- a/src/placement/victim.rs
+++ b/src/placement/victim.rs
@@ -8,8 +8,9 @@
 use super::measure;
 use super::node::Node;
 use super::pool::Pool;
+use super::search::Ask;
 use crate::clock::{Instant, millis};
-use crate::job::{self, Kind, Urgency};
+use crate::job::{self, Urgency};
 use crate::resource::Amount;
 use crate::task;
 
@@ -27,25 +28,22 @@
 }
 
 /// The choice that loses least work while making room for `demand`.
-pub(super) fn choose(
-    pool: &Pool,
-    ledger: &Ledger,
-    demand: &Amount,
-    kind: Kind,
-    now: Instant,
-) -> Option<Choice> {
+pub(super) fn choose(pool: &Pool, ledger: &Ledger, ask: &Ask, now: Instant) -> Option<Choice> {
+    let demand = &ask.demand;
+    let spares_dated = ask.urgency == Urgency::Normal;
     let mut near: Vec<_> = pool
         .nodes()
         .iter()
         .enumerate()
-        .filter(|(_, node)| node.takes(kind, Urgency::Urgent) && could_fit(node, demand))
+        .filter(|(_, node)| node.takes(ask.kind, ask.urgency) && could_fit(node, demand))
         .map(|(index, node)| (lack(node, demand), index))
         .collect();
     if near.len() > LOOKED_AT {
         near.select_nth_unstable(LOOKED_AT);
         near.truncate(LOOKED_AT);
     }
-    let choices = near.iter().filter_map(|&(_, node)| victims(pool, ledger, node, demand, now));
+    let choices =
+        near.iter().filter_map(|&(_, node)| victims(pool, ledger, node, demand, spares_dated, now));
     choices.min_by_key(|choice| (choice.lost, choice.node))
 }
 
@@ -63,6 +61,7 @@
     ledger: &Ledger,
     index: usize,
     demand: &Amount,
+    spares_dated: bool,
     now: Instant,
 ) -> Option<Choice> {
     let node = pool.get(index);
@@ -71,6 +70,7 @@
         .iter()
         .filter_map(|&(_, task)| ledger.get(task).map(|running| (task, running)))
         .filter(|(_, running)| running.is_preemptible())
+        .filter(|(_, running)| !spares_dated || running.deadline.is_none())
         .map(|(task, running)| (work(running, now), task, running.demand))
         .collect();
     tasks.sort_unstable_by_key(|&(lost, task, _)| (lost, task));
--- a/tests/logic/placement/gang.rs
+++ b/tests/logic/placement/gang.rs
@@ -1,10 +1,12 @@
 //! Gangs: all or nothing, and never starved.
 
 use oriolefork::job::Kind;
-use oriolefork::placement::Reason;
+use oriolefork::placement::{Policy, Reason};
 use oriolefork::task::End;
 
-use super::{at, cores, decide, engine, job_of, lasting, request, started, task_of};
+use super::{
+    at, cores, decide, engine, engine_with, job_of, lasting, preempted, request, started, task_of,
+};
 
 #[test]
 fn decide_gang_all_or_nothing() {
@@ -43,7 +45,8 @@
 // gang starts as soon as the tasks that were there have ended.
 #[test]
 fn decide_wrong_estimates_do_not_starve() {
-    let mut engine = engine(2);
+    let policy = Policy { gang_preempts: None, ..Policy::default() };
+    let mut engine = engine_with(policy, 2);
     engine.enqueue(lasting(10, request("busy", Kind::Batch, 1, cores(4))));
     decide(&mut engine, 0);
     engine.enqueue(request("gang", Kind::Gang, 2, cores(4)));
@@ -70,7 +73,7 @@
             break;
         }
     }
-    assert!(gang_started.is_some_and(|second| second < 1_100), "{gang_started:?}");
+    assert!(gang_started.is_some_and(|second| second < 800), "{gang_started:?}");
 }
 
 #[test]
@@ -85,3 +88,22 @@
     engine.withdraw(job_of("gang"));
     assert_eq!(started(&decide(&mut engine, 3), &["long"]), ["long"]);
 }
+
+// A task that was to end after ten seconds runs for ever. The gang would wait as long; after the
+// bound the task is checkpointed for it, but not one that has a deadline to meet.
+#[test]
+fn decide_gang_preempts_after_bound() {
+    let mut engine = engine(3);
+    engine.enqueue(lasting(10, request("endless", Kind::Batch, 2, cores(4))));
+    let dated = lasting(10, request("dated", Kind::Batch, 1, cores(4)));
+    let deadline = Some(oriolefork::clock::Unix::from_millis(90_000_000));
+    engine.enqueue(oriolefork::placement::Request { deadline, ..dated });
+    decide(&mut engine, 0);
+    engine.enqueue(request("gang", Kind::Gang, 2, cores(4)));
+    (1..300).for_each(|second| assert!(decide(&mut engine, second).is_empty()));
+    let victims: Vec<_> = (300..320).flat_map(|at| preempted(&decide(&mut engine, at))).collect();
+    assert_eq!(victims, [task_of("endless", 0), task_of("endless", 1)]);
+    engine.finish(task_of("endless", 0), End::Checkpointed, at(320));
+    engine.finish(task_of("endless", 1), End::Checkpointed, at(321));
+    assert_eq!(started(&decide(&mut engine, 321), &["gang"]).len(), 2);
+}
