--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -134,7 +134,7 @@
             name: format!("name-{name}"),
             kind,
             urgency: Urgency::Normal,
-            deadline: (name % 4 == 0).then(|| Unix::from_millis(self.millis + 7_200_000)),
+            deadline: name.is_multiple_of(4).then(|| Unix::from_millis(self.millis + 7_200_000)),
             run_time: Some(Duration::from_secs(60 + name * 30)),
             demand: Amount { cpu_millis: cores, memory_mib: cores * 2, accelerators },
             tasks: (0..tasks).map(|index| task::Id { job, index, attempt: 0 }).collect(),
--- a/benches/policies/mix.rs
+++ b/benches/policies/mix.rs
@@ -216,7 +216,7 @@
             2 => Some(4.0),
             _ => Some(1.0),
         };
-        let wrong_size = if name % 10 == 0 { 1.4 } else { 1.0 };
+        let wrong_size = if name.is_multiple_of(10) { 1.4 } else { 1.0 };
         Self { cores, memory, seconds, wrong_time, wrong_size }
     }
 }
