Remember who put which preset in force

Change: the state carries the last 16 presets with person, time and version, for the history that operators ask for.

--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -82,10 +82,7 @@
     /// Carries the change out on `value`.
     pub(super) fn carry_out(&self, value: &mut Value, stamp: &Stamp) {
         match self {
-            Self::Preset(preset) => {
-                value.preset = *preset;
-                value.preset_set = Some(stamp.clone());
-            }
+            Self::Preset(preset) => value.set_preset(*preset, stamp),
             Self::Quota { team, limit: Some(limit) } => {
                 value.quotas.insert(team.clone(), *limit);
             }
--- a/src/config/value.rs
+++ b/src/config/value.rs
@@ -1,6 +1,6 @@
 //! The settings themselves.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::str::FromStr;
 
 use derive_more::Display;
@@ -112,6 +112,15 @@
     pub version: Version,
 }
 
+/// A preset that was put in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenure {
+    /// The preset.
+    pub preset: Preset,
+    /// Who put it in force, when, and with which version.
+    pub stamp: Stamp,
+}
+
 /// All settings as of one version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Value {
@@ -121,6 +130,8 @@
     pub preset: Preset,
     /// Who set the preset; `None` while it is the default.
     pub preset_set: Option<Stamp>,
+    /// The presets put in force last, oldest first; the one in force is among them.
+    pub tenures: VecDeque<Tenure>,
     /// Quota of each team that has one.
     pub quotas: BTreeMap<String, Amount>,
     /// Workers and racks that take no new tasks.
@@ -129,7 +140,20 @@
     pub log_level: Option<log::LevelFilter>,
 }
 
+/// How many presets put in force are remembered.
+pub const TENURES: usize = 16;
+
 impl Value {
+    /// Puts a preset in force.
+    pub(super) fn set_preset(&mut self, preset: Preset, stamp: &Stamp) {
+        self.preset = preset;
+        self.preset_set = Some(stamp.clone());
+        if self.tenures.len() == TENURES {
+            self.tenures.pop_front();
+        }
+        self.tenures.push_back(Tenure { preset, stamp: stamp.clone() });
+    }
+
     /// Whether a worker takes no new tasks, by itself or because of its rack.
     ///
     /// ```
--- a/src/config/wire.rs
+++ b/src/config/wire.rs
@@ -11,7 +11,7 @@
 use super::publish::{Id, Publication};
 use super::reader;
 use super::state::{self, HISTORY};
-use super::value::{self, Drain, Preset, Stamp, Version};
+use super::value::{self, Drain, Preset, Stamp, TENURES, Version};
 use super::{Value, gossip};
 use crate::clock::{Unix, millis};
 use crate::resource::Amount;
@@ -113,12 +113,20 @@
     next: u64,
     preset: String,
     preset_set: Option<Mark>,
+    tenures: Vec<Tenure>,
     quotas: BTreeMap<String, Amount>,
     drained: Vec<Place>,
     log_level: Option<String>,
     history: Vec<Entry>,
 }
 
+/// A preset that was put in force.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Tenure {
+    preset: String,
+    mark: Mark,
+}
+
 /// Who, when and which version.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Mark {
@@ -289,6 +297,7 @@
             next: state.next,
             preset: value.preset.to_string(),
             preset_set: value.preset_set.as_ref().map(Mark::from),
+            tenures: value.tenures.iter().map(Tenure::from).collect(),
             quotas: value.quotas.clone(),
             drained: value.drained.iter().map(Place::from).collect(),
             log_level: value.log_level.map(|level| level.to_string()),
@@ -304,15 +313,18 @@
         if state.quotas.len() > QUOTAS || state.drained.len() > DRAINED {
             return Err(Error::new("the state exceeds its bounds"));
         }
-        if state.history.len() > HISTORY {
+        if state.history.len() > HISTORY || state.tenures.len() > TENURES {
             return Err(Error::new("the history exceeds its bound"));
         }
+        let tenures: Result<VecDeque<_>, _> =
+            state.tenures.into_iter().map(value::Tenure::try_from).collect();
         let history: Result<VecDeque<_>, _> =
             state.history.into_iter().map(state::Entry::try_from).collect();
         let value = Value {
             version: Version::from_raw(state.version),
             preset: parse_preset(&state.preset)?,
             preset_set: state.preset_set.map(Stamp::from),
+            tenures: tenures?,
             quotas: state.quotas,
             drained: state.drained.into_iter().map(Drain::from).collect(),
             log_level: parse_level(state.log_level)?,
@@ -321,6 +333,20 @@
     }
 }
 
+impl From<&value::Tenure> for Tenure {
+    fn from(tenure: &value::Tenure) -> Self {
+        Self { preset: tenure.preset.to_string(), mark: (&tenure.stamp).into() }
+    }
+}
+
+impl TryFrom<Tenure> for value::Tenure {
+    type Error = Error;
+
+    fn try_from(tenure: Tenure) -> Result<Self, Error> {
+        Ok(Self { preset: parse_preset(&tenure.preset)?, stamp: tenure.mark.into() })
+    }
+}
+
 impl From<&Stamp> for Mark {
     fn from(stamp: &Stamp) -> Self {
         Self { by: stamp.by.clone(), at: stamp.at, version: stamp.version.raw() }
--- a/tests/logic/config/mod.rs
+++ b/tests/logic/config/mod.rs
@@ -5,3 +5,4 @@
 mod histories;
 mod publish;
 mod retention;
+mod wire;
--- a/tests/logic/config/publish.rs
+++ b/tests/logic/config/publish.rs
@@ -120,3 +120,19 @@
     let id = fleet.publish(0, "ana", 0, PEAK);
     assert_eq!(fleet.nodes[0].answers[&id], Outcome::NotReady);
 }
+
+#[test]
+fn tenures_name_who_set_which_preset() {
+    let mut fleet = Fleet::new(&["oamaru-hall"]);
+    fleet.read_all();
+    for version in 0..20 {
+        let preset = Preset::ALL[version % 3];
+        fleet.publish(0, &format!("person-{version}"), version as u64, Change::Preset(preset));
+        fleet.flush(0);
+        fleet.read_all();
+    }
+    let value = fleet.nodes[0].machine.value().unwrap();
+    let names: Vec<&str> = value.tenures.iter().map(|tenure| tenure.stamp.by.as_str()).collect();
+    assert_eq!(names.len(), 16);
+    assert_eq!((names[0], names[15]), ("person-4", "person-19"));
+}
