Split the settings' machine and wire forms by duty

Change: Herald holds the peers, what is known of them and whom to turn to; the forms of a state and of what peers exchange have files of their own.

--- a/src/config/machine.rs
+++ b/src/config/machine.rs
@@ -4,21 +4,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use rand::rngs::SmallRng;
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
-
 use super::compaction::Compaction;
-use super::gossip::{Age, Digest, Peer, Roster, Standing};
+use super::gossip::{Age, Digest, Peer, Standing};
+use super::herald::Herald;
 use super::publish::{self, Outcome, Publication, Queue};
 use super::reader::{Reader, Record};
-use super::state::State;
+use super::state::{State, Verdict};
 use super::value::{Value, Version};
 use super::wire;
 use crate::clock::{Instant, Unix};
 use crate::domain;
 use crate::store::{self, Offset, Page};
+use bytes::Bytes;
 
 /// Spans that the machine goes by.
 #[derive(Clone, Debug)]
@@ -98,15 +95,11 @@
 /// The settings at one instance.
 #[derive(Debug)]
 pub struct Machine {
-    name: String,
-    domain: domain::Name,
     timing: Timing,
-    random: SmallRng,
     reader: Reader,
     queue: Queue,
     compaction: Compaction,
-    roster: Roster,
-    peers: Vec<Peer>,
+    herald: Herald,
     /// The value that was shown last.
     shown: Option<Rc<Value>>,
     /// End of the stream when it was first read.
@@ -118,40 +111,23 @@
     /// When the log last answered; the start before it ever did.
     answered: Instant,
     failing: bool,
-    /// Since when a peer is known to be ahead, and where to fetch from.
-    ahead: Option<Ahead>,
-    gossip_due: Instant,
-}
-
-#[derive(Debug)]
-struct Ahead {
-    peer: SocketAddr,
-    version: Version,
-    since: Instant,
-    fetching: bool,
 }
 
 impl Machine {
     /// A machine that knows nothing yet; `seed` sets its random choices.
     pub fn new(name: &str, domain: &domain::Name, timing: Timing, seed: u64, now: Instant) -> Self {
         Self {
-            name: name.to_owned(),
-            domain: domain.clone(),
             timing,
-            random: SmallRng::seed_from_u64(seed),
             reader: Reader::default(),
             queue: Queue::default(),
             compaction: Compaction::default(),
-            roster: Roster::default(),
-            peers: Vec::new(),
+            herald: Herald::new(name, domain, seed, now),
             shown: None,
             start_end: None,
             offered: false,
             confirmed: None,
             answered: now,
             failing: false,
-            ahead: None,
-            gossip_due: now,
         }
     }
 
@@ -181,13 +157,14 @@
     /// The standing of this instance and of all that it has heard of.
     pub fn standings(&self, now: Instant) -> Vec<Standing> {
         let mut standings = vec![self.standing(now)];
-        standings.extend(self.roster.standings(now));
+        standings.extend(self.herald.standings(now));
         standings
     }
 
     /// A digest for a peer.
     pub fn digest(&mut self, now: Instant) -> Digest {
-        Digest { from: self.standing(now), rows: self.roster.rows(now) }
+        let from = self.standing(now);
+        self.herald.digest(now, from)
     }
 
     /// Takes a message and returns what to do, in order.
@@ -202,10 +179,10 @@
                 let retry = now.after(self.timing.retry);
                 self.queue.failed(id, outcome, retry);
             }
-            Message::Peers(peers) => self.peers = peers,
+            Message::Peers(peers) => self.herald.set_peers(peers),
             Message::Heard(digest) => self.hear(now, &digest),
             Message::Offered(state) => self.accept_offer(state, &mut effects),
-            Message::FetchFailed => self.ahead = None,
+            Message::FetchFailed => self.herald.drop_ahead(),
             Message::Tick => self.tick(now, unix, &mut effects),
         }
         self.show(now, &mut effects);
@@ -256,14 +233,13 @@
     }
 
     fn hear(&mut self, now: Instant, digest: &Digest) {
-        self.roster.note(now, &digest.from);
-        for row in &digest.rows {
-            if row.instance != self.name || row.domain != self.domain {
-                self.roster.note(now, row);
-            }
+        let peer = &digest.from;
+        self.herald.note(now, digest);
+        self.confirm(now, peer);
+        let behind = self.shown.is_none() || peer.version > self.reader.version();
+        if peer.in_force && behind {
+            self.herald.note_ahead(now, peer);
         }
-        self.confirm(now, &digest.from);
-        self.note_ahead(now, &digest.from);
     }
 
     /// A peer with our version that lately knew of no newer one vouches for ours too.
@@ -276,23 +252,8 @@
         }
     }
 
-    fn note_ahead(&mut self, now: Instant, peer: &Standing) {
-        let behind = peer.version > self.reader.version() || self.shown.is_none();
-        if !peer.in_force || !behind || self.ahead.is_some() {
-            return;
-        }
-        let known = self
-            .peers
-            .iter()
-            .find(|known| known.name == peer.instance && known.domain == peer.domain);
-        if let Some(known) = known {
-            let (peer, version) = (known.address, peer.version);
-            self.ahead = Some(Ahead { peer, version, since: now, fetching: false });
-        }
-    }
-
     fn accept_offer(&mut self, state: State, effects: &mut Vec<Effect>) {
-        self.ahead = None;
+        self.herald.drop_ahead();
         self.offered = true;
         let mut verdicts = Vec::new();
         self.reader.adopt(state, &mut verdicts);
@@ -305,18 +266,16 @@
             effects.push(Effect::Append(id, wire::encode(&Record::Change(publication))));
         }
         self.snapshot(now, unix, effects);
-        if now >= self.gossip_due {
-            self.gossip_due = now.after(self.timing.gossip);
-            self.roster.prune(now);
-            self.exchange(now, effects);
-        }
+        let cut_off = self.is_cut_off(now);
+        let peer = self.herald.turn(now, self.timing.gossip, cut_off);
+        self.exchange(now, peer, effects);
     }
 
     fn snapshot(&mut self, now: Instant, unix: Unix, effects: &mut Vec<Effect>) {
         if self.shown.is_none() {
             return;
         }
-        let delay = self.timing.spread.mul_f64(self.random.random());
+        let delay = self.herald.part(self.timing.spread);
         let interval = self.timing.snapshot;
         if !self.compaction.is_due(now, unix, &self.reader, interval, delay) {
             return;
@@ -327,33 +286,10 @@
         }
     }
 
-    /// Sends a digest to a random peer, in turn of the own and of another domain.
-    ///
-    /// An instance without the log asks other domains only: its own domain is likely cut off too.
-    fn exchange(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let abroad = self.is_cut_off(now) || self.random.random();
-        let wanted: Vec<&Peer> =
-            self.peers.iter().filter(|peer| (peer.domain != self.domain) == abroad).collect();
-        let any: Vec<&Peer> = self.peers.iter().collect();
-        let choice = wanted.choose(&mut self.random).or_else(|| any.choose(&mut self.random));
-        if let Some(address) = choice.map(|peer| peer.address) {
+    fn exchange(&mut self, now: Instant, peer: Option<SocketAddr>, effects: &mut Vec<Effect>) {
+        if let Some(peer) = peer {
             let digest = self.digest(now);
-            effects.push(Effect::Exchange(address, digest));
-        }
-    }
-
-    /// Tells a peer abroad that seems to lack the version just shown.
-    fn tell(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let version = self.reader.version();
-        let lacking: Vec<&Peer> = self
-            .peers
-            .iter()
-            .filter(|peer| peer.domain != self.domain)
-            .filter(|peer| self.roster.version(peer).is_none_or(|known| known < version))
-            .collect();
-        if let Some(address) = lacking.choose(&mut self.random).map(|peer| peer.address) {
-            let digest = self.digest(now);
-            effects.push(Effect::Exchange(address, digest));
+            effects.push(Effect::Exchange(peer, digest));
         }
     }
 
@@ -371,7 +307,8 @@
         let first = self.shown.replace(Rc::clone(&value)).is_none();
         effects.push(Effect::InForce(value));
         if !first {
-            self.tell(now, effects);
+            let peer = self.herald.lacking(self.reader.version());
+            self.exchange(now, peer, effects);
         }
     }
 
@@ -390,17 +327,10 @@
 
     /// Asks a peer for a newer state when the log does not bring it.
     fn fetch(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        let version = self.reader.version();
-        let cut_off = self.failing || self.is_cut_off(now);
-        let caught_up = self.shown.is_some();
-        self.ahead.take_if(|ahead| caught_up && ahead.version <= version);
-        let Some(ahead) = &mut self.ahead else { return };
-        let waited = now.since(ahead.since) >= self.timing.patience;
-        if ahead.fetching || !waited && !cut_off {
-            return;
-        }
-        ahead.fetching = true;
-        effects.push(Effect::Fetch(ahead.peer));
+        let lost = self.failing || self.is_cut_off(now);
+        let patience = if lost { Duration::ZERO } else { self.timing.patience };
+        let own = self.shown.as_ref().map(|_| self.reader.version());
+        effects.extend(self.herald.fetch(now, own, patience).map(Effect::Fetch));
     }
 
     fn settle(&mut self, now: Instant, effects: &mut Vec<Effect>) {
@@ -409,11 +339,7 @@
         }
     }
 
-    fn answer(
-        &mut self,
-        verdicts: &[(publish::Id, super::state::Verdict)],
-        effects: &mut Vec<Effect>,
-    ) {
+    fn answer(&mut self, verdicts: &[(publish::Id, Verdict)], effects: &mut Vec<Effect>) {
         let Some(state) = self.reader.state() else { return };
         for (id, verdict) in verdicts {
             if let Some((id, outcome)) = self.queue.read_back(*id, verdict, state) {
@@ -427,9 +353,10 @@
     }
 
     fn standing(&self, now: Instant) -> Standing {
+        let (name, domain) = self.herald.identity();
         Standing {
-            instance: self.name.clone(),
-            domain: self.domain.clone(),
+            instance: name.to_owned(),
+            domain: domain.clone(),
             version: self.shown.as_ref().map_or(Version::ZERO, |value| value.version),
             next: self.reader.state().map_or(0, |state| state.next),
             in_force: self.shown.is_some(),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod gossip;
 pub mod handle;
+mod herald;
 pub mod machine;
 pub mod publish;
 pub mod reader;
--- /dev/null
+++ b/src/config/wire/mod.rs
@@ -0,0 +1,231 @@
+//! Forms of the settings outside a process: JSON in the log, bincode between peers.
+
+use bytes::Bytes;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::Unix;
+use crate::config::change;
+use crate::config::publish::{Id, Publication};
+use crate::config::reader;
+use crate::config::value::{self, Drain, Preset, Version};
+use crate::resource::Amount;
+use crate::{domain, worker};
+
+mod gossip;
+mod state;
+
+pub use gossip::{Digest, Fetch, Fetched, Standing};
+pub use state::{Entry, Mark, Snapshot, State, Tenure};
+
+/// Peer method that exchanges digests.
+pub const DIGEST: &str = "config.digest";
+/// Peer method that fetches the state.
+pub const FETCH: &str = "config.fetch";
+/// Largest record that is read from the stream, in bytes.
+pub const RECORD_BYTES: usize = 512 << 10;
+
+/// A form that holds no valid content.
+#[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
+#[display("step=config.decode cause={cause}")]
+pub struct Error {
+    /// Cause as text.
+    pub cause: String,
+}
+
+impl Error {
+    fn new(cause: impl Into<String>) -> Self {
+        Self { cause: cause.into() }
+    }
+}
+
+/// A record of the stream.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Record {
+    /// A change.
+    Change(Publish),
+    /// A state.
+    Snapshot(Snapshot),
+}
+
+/// A change with its envelope.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Publish {
+    id: String,
+    base: u64,
+    by: String,
+    at: Unix,
+    set: Change,
+}
+
+/// What changes.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    /// The preset.
+    Preset(String),
+    /// A quota.
+    Quota {
+        /// The team.
+        team: String,
+        /// Its limit.
+        limit: Option<Amount>,
+    },
+    /// A worker or rack to drain.
+    Drain(Place),
+    /// A worker or rack to use again.
+    Undrain(Place),
+    /// The log level.
+    LogLevel(Option<String>),
+}
+
+/// A worker or rack.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Place {
+    /// One worker.
+    Worker {
+        /// Its failure domain.
+        domain: domain::Name,
+        /// Its name.
+        worker: worker::Name,
+    },
+    /// One rack.
+    Rack {
+        /// Its failure domain.
+        domain: domain::Name,
+        /// Its name.
+        rack: String,
+    },
+}
+
+/// Writes a record for the stream.
+pub fn encode(record: &reader::Record) -> Bytes {
+    let wire = Record::from(record);
+    // Maps with text keys, text and numbers only: JSON can hold them all.
+    serde_json::to_vec(&wire).map(Bytes::from).unwrap_or_default()
+}
+
+/// Reads a record of the stream.
+///
+/// # Errors
+///
+/// Fails on anything but a record within the bounds; every instance passes over it alike.
+pub fn decode(payload: &[u8]) -> Result<reader::Record, Error> {
+    if payload.len() > RECORD_BYTES {
+        return Err(Error::new("the record is too large"));
+    }
+    let wire: Record =
+        serde_json::from_slice(payload).map_err(|error| Error::new(error.to_string()))?;
+    wire.try_into()
+}
+
+impl From<&reader::Record> for Record {
+    fn from(record: &reader::Record) -> Self {
+        match record {
+            reader::Record::Change(publication) => Self::Change(publication.into()),
+            reader::Record::Snapshot { state, at } => {
+                Self::Snapshot(Snapshot { at: *at, state: state.into() })
+            }
+        }
+    }
+}
+
+impl TryFrom<Record> for reader::Record {
+    type Error = Error;
+
+    fn try_from(record: Record) -> Result<Self, Error> {
+        match record {
+            Record::Change(publish) => publish.try_into().map(Self::Change),
+            Record::Snapshot(Snapshot { at, state }) => {
+                Ok(Self::Snapshot { state: state.try_into()?, at })
+            }
+        }
+    }
+}
+
+impl From<&Publication> for Publish {
+    fn from(publication: &Publication) -> Self {
+        Self {
+            id: publication.id.to_string(),
+            base: publication.base.raw(),
+            by: publication.by.clone(),
+            at: publication.at,
+            set: (&publication.change).into(),
+        }
+    }
+}
+
+impl TryFrom<Publish> for Publication {
+    type Error = Error;
+
+    fn try_from(publish: Publish) -> Result<Self, Error> {
+        Ok(Self {
+            id: parse_id(&publish.id)?,
+            base: Version::from_raw(publish.base),
+            by: publish.by,
+            at: publish.at,
+            change: publish.set.try_into()?,
+        })
+    }
+}
+
+impl From<&change::Change> for Change {
+    fn from(change: &change::Change) -> Self {
+        match change {
+            change::Change::Preset(preset) => Self::Preset(preset.to_string()),
+            change::Change::Quota { team, limit } => {
+                Self::Quota { team: team.clone(), limit: *limit }
+            }
+            change::Change::Drain(drain) => Self::Drain(drain.into()),
+            change::Change::Undrain(drain) => Self::Undrain(drain.into()),
+            change::Change::LogLevel(level) => Self::LogLevel(level.map(|level| level.to_string())),
+        }
+    }
+}
+
+impl TryFrom<Change> for change::Change {
+    type Error = Error;
+
+    fn try_from(change: Change) -> Result<Self, Error> {
+        Ok(match change {
+            Change::Preset(name) => Self::Preset(parse_preset(&name)?),
+            Change::Quota { team, limit } => Self::Quota { team, limit },
+            Change::Drain(place) => Self::Drain(place.into()),
+            Change::Undrain(place) => Self::Undrain(place.into()),
+            Change::LogLevel(level) => Self::LogLevel(parse_level(level)?),
+        })
+    }
+}
+
+impl From<&Drain> for Place {
+    fn from(drain: &Drain) -> Self {
+        match drain.clone() {
+            Drain::Worker { domain, worker } => Self::Worker { domain, worker },
+            Drain::Rack { domain, rack } => Self::Rack { domain, rack },
+        }
+    }
+}
+
+impl From<Place> for Drain {
+    fn from(place: Place) -> Self {
+        match place {
+            Place::Worker { domain, worker } => Self::Worker { domain, worker },
+            Place::Rack { domain, rack } => Self::Rack { domain, rack },
+        }
+    }
+}
+
+fn parse_id(text: &str) -> Result<Id, Error> {
+    Id::parse(text).ok_or_else(|| Error::new("the id is not 32 hexadecimal digits"))
+}
+
+fn parse_preset(name: &str) -> Result<Preset, Error> {
+    name.parse().map_err(|unknown: value::UnknownPreset| Error::new(unknown.to_string()))
+}
+
+fn parse_level(level: Option<String>) -> Result<Option<log::LevelFilter>, Error> {
+    let parsed = level.map(|text| text.parse());
+    parsed.transpose().map_err(|error: log::ParseLevelError| Error::new(error.to_string()))
+}
