--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -11,6 +11,7 @@
 use http::{HeaderValue, StatusCode};
 use local_sync::semaphore::{OwnedSemaphorePermit, Semaphore};
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::time::Instant;
 use serde::Serialize;
 
 use super::connection::Connection;
@@ -20,6 +21,9 @@
 /// Rest after a failed accept, so that a process out of descriptors does not spin.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Time after the trigger in which connections are still accepted.
+const BACKLOG_LINGER: Duration = Duration::from_millis(50);
+
 /// Refusals that are told to their callers at once; beyond, connections are closed untold.
 const REFUSALS: usize = 64;
 
@@ -70,7 +74,7 @@
             refusals: Rc::new(Semaphore::new(REFUSALS)),
         };
         acceptor.accept_until(&self.listener, &stop).await;
-        acceptor.accept_backlog(&self.listener);
+        acceptor.accept_backlog(&self.listener).await;
         drop(self.listener);
         let ended = all_returned(&acceptor.permits, self.limits.connections);
         let ended = monoio::time::timeout(grace, ended).await;
@@ -109,10 +113,16 @@
         }
     }
 
-    /// Takes the connections that the system had set up before the trigger; closing the listener
-    /// would reset them, and with them the requests that they already carry.
-    fn accept_backlog(&self, listener: &TcpListener) {
-        while let Some(Ok((stream, peer))) = listener.accept().now_or_never() {
+    /// Takes the connections that are already on their way when the trigger comes.
+    ///
+    /// The system sets up connections before the process accepts them, and callers may have sent
+    /// requests on them. Closing the listener would reset them all. The runtime learns of them only
+    /// by waiting, so that trying once is not enough.
+    async fn accept_backlog(&self, listener: &TcpListener) {
+        let deadline = Instant::now() + BACKLOG_LINGER;
+        while let Ok(Ok((stream, peer))) =
+            monoio::time::timeout_at(deadline, listener.accept()).await
+        {
             self.admit(stream, peer);
         }
     }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -22,6 +22,9 @@
 /// Rest after a failed accept, so that a process out of descriptors does not spin.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Time after the trigger in which connections are still accepted.
+const BACKLOG_LINGER: Duration = Duration::from_millis(50);
+
 /// Calls whose peers gave them up and whose streams are remembered, to tell late frames apart.
 const RESET_STREAMS: usize = 64;
 
@@ -70,9 +73,7 @@
             }),
         };
         acceptor.accept_until(&self.listener, &stop).await;
-        while let Some(Ok((stream, peer))) = self.listener.accept().now_or_never() {
-            acceptor.admit(stream, peer);
-        }
+        acceptor.accept_backlog(&self.listener).await;
         drop(self.listener);
         let ended = all_returned(&acceptor.connections, self.limits.connections);
         let ended = monoio::time::timeout(grace, ended).await;
@@ -108,6 +109,17 @@
         }
     }
 
+    /// Takes the connections that are already on their way when the trigger comes; closing the
+    /// listener would reset them, and with them the calls that they carry.
+    async fn accept_backlog(&self, listener: &TcpListener) {
+        let deadline = Instant::now() + BACKLOG_LINGER;
+        while let Ok(Ok((stream, peer))) =
+            monoio::time::timeout_at(deadline, listener.accept()).await
+        {
+            self.admit(stream, peer);
+        }
+    }
+
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         let Ok(permit) = self.connections.clone().try_acquire_owned() else {
             log::warn!("event=peer.refused peer={peer} cause=connections");
--- a/tests/process/http.rs
+++ b/tests/process/http.rs
@@ -16,9 +16,11 @@
 
 use crate::support::{GENEROUS, run};
 
-/// Echoes path and body; `/hold` waits for the stop, `/stop` triggers it.
+/// Echoes path and body; `/hold` waits for the stop, `/stop` triggers it, `/freeze` keeps the whole
+/// process from doing anything until it is told to go on, and then triggers the stop.
 struct Echo {
     stop: Shutdown,
+    thaw: mpsc::Receiver<()>,
 }
 
 impl Handler for Echo {
@@ -26,6 +28,10 @@
         async move {
             match request.uri().path() {
                 "/stop" => self.stop.trigger(),
+                "/freeze" => {
+                    self.thaw.recv().unwrap();
+                    self.stop.trigger();
+                }
                 "/hold" => self.stop.wait().await,
                 _ => {}
             }
@@ -40,21 +46,23 @@
 
 struct Running {
     addr: SocketAddr,
+    thaw: mpsc::Sender<()>,
     thread: JoinHandle<()>,
 }
 
 fn serve(limits: Limits) -> Running {
     let (sender, receiver) = mpsc::channel();
+    let (thaw, thawed) = mpsc::channel();
     let thread = std::thread::spawn(move || {
         run(async move {
             let server = Server::bind("127.0.0.1:0".parse().unwrap(), limits).unwrap();
             sender.send(server.local_addr().unwrap()).unwrap();
             let stop = Shutdown::new();
-            let handler = Rc::new(Echo { stop: stop.clone() });
+            let handler = Rc::new(Echo { stop: stop.clone(), thaw: thawed });
             server.serve(handler, stop, GENEROUS).await;
         });
     });
-    Running { addr: receiver.recv().unwrap(), thread }
+    Running { addr: receiver.recv().unwrap(), thaw, thread }
 }
 
 impl Running {
@@ -64,6 +72,14 @@
         stream
     }
 
+    /// Whether the server answers a new connection within a moment.
+    fn is_taking_connections(&self) -> bool {
+        let mut stream = self.connect();
+        stream.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        stream.write_all(b"GET /probe HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+        stream.read(&mut [0; 100]).is_ok()
+    }
+
     /// Sends `bytes` and reads until the server closes.
     fn converse(&self, bytes: &[u8]) -> String {
         let mut stream = self.connect();
@@ -255,9 +271,9 @@
     server.thread.join().unwrap();
 }
 
-// An operator stops the process while one request is being handled, one has been sent on a
-// connection that rested, and one connection rests. The two requests get their whole answers; the
-// resting connection closes; nobody can connect any more.
+// An operator stops the process at a busy moment. One request is being handled; one has just come in
+// on a connection that rested; one is in a connection that the process has not yet accepted. All get
+// their whole answers; a resting connection closes; nobody can connect any more.
 #[test]
 fn serve_graceful_stop() {
     let server = serve(Limits::default());
@@ -269,12 +285,18 @@
     }
     let mut held = server.connect();
     held.write_all(b"GET /hold HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let mut freezing = server.connect();
+    freezing.write_all(b"GET /freeze HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    while server.is_taking_connections() {}
     busy.write_all(b"GET /late HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
-    server.converse(STOP);
-    assert!(read_all(&mut busy).ends_with("/late "));
-    let answer = read_all(&mut held);
-    assert!(answer.contains("connection: close\r\n"), "{answer}");
-    assert!(answer.ends_with("/hold "), "{answer}");
+    let mut waiting = server.connect();
+    waiting.write_all(b"GET /new HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    server.thaw.send(()).unwrap();
+    for (stream, body) in [(&mut held, "/hold "), (&mut busy, "/late "), (&mut waiting, "/new ")] {
+        let answer = read_all(stream);
+        assert!(answer.contains("connection: close\r\n"), "{answer}");
+        assert!(answer.ends_with(body), "{answer}");
+    }
     assert_eq!(read_all(&mut resting), "");
     server.thread.join().unwrap();
     assert!(TcpStream::connect(server.addr).is_err());
--- a/tests/process/peer.rs
+++ b/tests/process/peer.rs
@@ -4,6 +4,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
 
@@ -231,6 +232,56 @@
     });
 }
 
+// An instance is paused for a while with calls in its hands, and then goes on and answers them. Its
+// callers have long been told "unknown", and the late answers must reach no later call.
+#[test]
+fn call_paused_peer() {
+    let (thaw, thawed) = mpsc::channel();
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        run(async move {
+            let server = Server::bind("127.0.0.1:0".parse().unwrap(), Limits::default()).unwrap();
+            sender.send(server.local_addr().unwrap()).unwrap();
+            server.serve(Rc::new(Paused { thawed }), Shutdown::new(), GENEROUS).await;
+        });
+    });
+    let addr = receiver.recv().unwrap();
+    run(async {
+        let client = Client::new(eager());
+        assert_eq!(client.call::<_, u64>(addr, "echo", &1_u64, GENEROUS).await, Ok(1));
+        let calls = ["echo", "pause", "echo"].map(|method| {
+            let client = &client;
+            async move { client.call::<_, u64>(addr, method, &2_u64, GENEROUS * 10).await }
+        });
+        for answer in join_all(calls).await {
+            assert!(answer.is_ok() || answer.is_err_and(|error| error.sent));
+        }
+        thaw.send(()).unwrap();
+        for n in 10..20_u64 {
+            assert_eq!(client.call::<_, u64>(addr, "echo", &n, GENEROUS).await, Ok(n));
+        }
+    });
+}
+
+/// Echoes; `pause` keeps the whole process from doing anything until it is told to go on.
+struct Paused {
+    thawed: mpsc::Receiver<()>,
+}
+
+impl Handler for Paused {
+    fn handle(
+        &self,
+        _peer: SocketAddr,
+        method: &str,
+        body: Bytes,
+    ) -> LocalBoxFuture<'_, Result<Bytes, Refusal>> {
+        if method == "pause" {
+            self.thawed.recv().unwrap();
+        }
+        async { Ok(body) }.boxed_local()
+    }
+}
+
 // A handler takes many times longer than the rest between two probes. The peer lives, so that its
 // answer must be waited for.
 #[test]
