--- a/src/config/wire/gossip.rs
+++ b/src/config/wire/gossip.rs
@@ -29,11 +29,11 @@
     rows: Vec<Standing>,
 }
 
-/// The question of [`FETCH`].
+/// The question of [`FETCH`](super::FETCH).
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Fetch {}
 
-/// The answer of [`FETCH`]; empty while nothing is in force.
+/// The answer of [`FETCH`](super::FETCH); empty while nothing is in force.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Fetched {
     /// The state in force.
