Say plainly that nobody has set a preset, and print a key once

Cause: a fresh cluster showed a preset set in 1970, and a submission printed its key twice. Change: a line for version 0; the key stands on the standard error only, before the call. Conclusion: seen by hand against a daemon with stand-ins.

--- a/src/cli/command/preset.rs
+++ b/src/cli/command/preset.rs
@@ -38,8 +38,12 @@
 /// One preset in force, as a line.
 pub fn line(current: &InForce) -> String {
     let InForce { preset, version, by, at_unix_ms } = current;
+    let preset = clean(preset);
+    if *version == 0 {
+        return format!("preset {preset} in force, version 0, as nobody has set one\n");
+    }
     let at = time(*at_unix_ms);
-    format!("preset {} in force, version {version}, set by {} at {at}\n", clean(preset), clean(by))
+    format!("preset {preset} in force, version {version}, set by {} at {at}\n", clean(by))
 }
 
 /// Puts a preset in force.
--- a/src/cli/command/submit.rs
+++ b/src/cli/command/submit.rs
@@ -15,7 +15,7 @@
 use crate::cli::failure::{Code, Failure};
 use crate::cli::flags::{JobKind, Submit};
 use crate::cli::output::{self, Report};
-use crate::cli::text::Span;
+use crate::cli::text::{Span, clean};
 use crate::clock;
 use crate::job::{Effect, Kind, Spec, Urgency};
 
@@ -37,7 +37,7 @@
     let accepted = send(context, submission, reach).await;
     let accepted = accepted.map_err(|failure| repeatable(failure, &key))?;
     match wait {
-        None => Ok(report(&accepted, &key)),
+        None => Ok(report(&accepted)),
         Some(Span(span)) => wait_for(context, &accepted.body.job, span).await,
     }
 }
@@ -69,7 +69,7 @@
     }
 }
 
-fn report(accepted: &Told<wire::job::Accepted>, key: &str) -> Report {
+fn report(accepted: &Told<wire::job::Accepted>) -> Report {
     let wire::job::Accepted { job, durability, duplicate } = &accepted.body;
     let first = if *duplicate { "had been accepted before" } else { "accepted" };
     let kept = match durability {
@@ -78,8 +78,8 @@
             "the log is away: its record is held by instances of the domain until the log is back"
         }
     };
-    let domain = &accepted.domain;
-    let text = format!("job {job} {first} in {domain}; {kept}\nkey {key}\n");
+    let domain = clean(&accepted.domain);
+    let text = format!("job {} {first} in {domain}; {kept}\n", clean(job));
     Report::done(&accepted.body, text)
 }
 
