Log and measure in the daemon, and reach the log at each of its addresses

Cause: the daemon wrote no log line and no metric, let anybody act as an operator although a token was set, and used only the first of the log's addresses. Conclusion: settings.log.addresses, operators.token and logging.level act.

--- a/src/bin/oriolefork-entry.rs
+++ b/src/bin/oriolefork-entry.rs
@@ -2,11 +2,13 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::rc::Rc;
 
 use monoio::{LegacyDriver, RuntimeBuilder};
 use oriolefork::entry::Daemon;
-use oriolefork::settings::{self, Settings};
+use oriolefork::settings::{self, Override, Settings};
 use oriolefork::shutdown::Shutdown;
+use oriolefork::{logging, telemetry};
 
 mod flags {
     use std::path::PathBuf;
@@ -29,7 +31,7 @@
 fn main() -> ExitCode {
     let flags = flags::OrioleforkEntry::from_env_or_exit();
     if flags.check_settings {
-        return check(&flags.settings);
+        return check(&flags.settings, &flags.set);
     }
     match settings::load(&flags.settings, &flags.set) {
         Ok(settings) => serve(settings),
@@ -40,8 +42,8 @@
     }
 }
 
-fn check(path: &Path) -> ExitCode {
-    let report = settings::check(path);
+fn check(path: &Path, overrides: &[Override]) -> ExitCode {
+    let report = settings::check(path, overrides);
     println!("{report}");
     report.exit_code()
 }
@@ -53,16 +55,18 @@
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("event=entry.failed {error}");
+            log::error!("event=entry.failed {error}");
             ExitCode::FAILURE
         }
     }
 }
 
 async fn run(settings: Settings) -> Result<(), Box<dyn std::error::Error>> {
+    logging::start(settings.log_level)?;
+    let recorder = Rc::new(telemetry::start()?);
     let stop = Shutdown::new();
     stop.trigger_on_signals()?;
-    let daemon = Daemon::bind(settings)?;
+    let daemon = Daemon::bind(settings, recorder)?;
     println!("event=entry.listening api={}", daemon.listening().api);
     daemon.run(stop).await;
     Ok(())
--- a/src/cli/command/settings.rs
+++ b/src/cli/command/settings.rs
@@ -9,7 +9,7 @@
 
 /// Checks a settings file.
 pub fn check(path: &Path) -> Report {
-    let found = settings::check(path);
+    let found = settings::check(path, &[]);
     let lines: Vec<String> =
         found.to_string().lines().map(|line| clean(line).into_owned() + "\n").collect();
     let code = if found.valid { Code::Done } else { Code::Usage };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,8 +22,11 @@
 use crate::owner::Timings;
 use crate::owner::machine::{Machine, Message};
 use crate::placement::{Leaning, Policy, Preset};
-use crate::settings::{Settings, Weighs};
+use crate::settings::{Secret, Settings, Weighs};
 use crate::shutdown::Shutdown;
+use crate::store::{Failover, Store};
+use crate::telemetry::Recorder;
+use crate::telemetry::borders::{MeasuredList, MeasuredStore, MeasuredWorkers};
 use crate::{api, http, peer, store, worker};
 
 /// Stream of a failure domain in the log.
@@ -59,15 +62,17 @@
     api: http::Server,
     peer: peer::Server,
     listening: Listening,
+    recorder: Rc<Recorder>,
 }
 
 impl Daemon {
     /// Binds the addresses that the settings name. Needs a running runtime on this thread.
+    /// Daemons of one process share its recorder.
     ///
     /// # Errors
     ///
     /// Fails when an address cannot be bound.
-    pub fn bind(settings: Settings) -> Result<Self, Error> {
+    pub fn bind(settings: Settings, recorder: Rc<Recorder>) -> Result<Self, Error> {
         let address = settings.addresses.api;
         let error = |step, address| move |cause| Error { step, address, cause };
         let api = http::Server::bind(address, settings.http.limits())
@@ -79,7 +84,7 @@
             api: api.local_addr().map_err(error("entry.bind_api", settings.addresses.api))?,
             peer: peer.local_addr().map_err(error("entry.bind_peer", address))?,
         };
-        Ok(Self { settings, api, peer, listening })
+        Ok(Self { settings, api, peer, listening, recorder })
     }
 
     /// Addresses that are bound.
@@ -90,7 +95,7 @@
     /// Serves until `stop` is triggered. Requests in flight end first, then the failure domain is
     /// handed over.
     pub async fn run(self, stop: Shutdown) {
-        let Self { settings, api, peer, listening } = self;
+        let Self { settings, api, peer, listening, recorder } = self;
         let clock: Rc<dyn Clock> = Rc::new(System::start());
         let me =
             Instance { name: settings.instance.clone(), run: rand::random(), peer: listening.peer };
@@ -111,7 +116,7 @@
             settings.instance_list.timeout,
         );
         monoio::spawn(members::follow(
-            Rc::new(source),
+            Rc::new(MeasuredList(Rc::new(source))),
             handle.clone(),
             clock.clone(),
             settings.instance_list.poll,
@@ -130,8 +135,12 @@
         let peer_handler = Rc::new(peers::Peers::new(entry.clone()));
         let grace = settings.http.shutdown_grace;
         let peer_server = monoio::spawn(peer.serve(peer_handler, peer_stop.clone(), grace));
-        let options =
-            api::Options { operator_token: None, metrics: Box::new(String::new), requests: None };
+        monoio::spawn(fold(recorder.clone(), clock.clone()));
+        let options = api::Options {
+            operator_token: settings.operator_token.map(check),
+            metrics: Box::new(move || recorder.render()),
+            requests: None,
+        };
         let service = Rc::new(api::Service::new(entry, clock.clone(), options));
         api.serve(service, stop, grace).await;
         handle.send(Message::Shutdown);
@@ -163,10 +172,9 @@
         Policy::of(Preset::Ordinary, weighs),
         clock.now(),
     );
-    let log = settings.log.addresses[0];
     let borders = Borders {
-        store: Rc::new(store::http::Client::new(log, client.clone(), settings.log.timeout)),
-        workers: Rc::new(worker::http::Client::new(client.clone())),
+        store: Rc::new(MeasuredStore(log(settings, client))),
+        workers: Rc::new(MeasuredWorkers(Rc::new(worker::http::Client::new(client.clone())))),
         peers: peers.clone(),
         clock: clock.clone(),
         stream: stream(&settings.domain),
@@ -176,6 +184,30 @@
     Controller::new(machine, borders)
 }
 
+/// The platform's log at all its addresses.
+fn log(settings: &Settings, client: &Rc<http::Client>) -> Rc<dyn Store> {
+    let addresses = settings.log.addresses.iter();
+    let at = |address: &SocketAddr| -> Rc<dyn Store> {
+        Rc::new(store::http::Client::new(*address, client.clone(), settings.log.timeout))
+    };
+    Rc::new(Failover::new(addresses.map(at).collect()))
+}
+
+/// Keeps the recorder's memory within bounds where nothing scrapes it.
+async fn fold(recorder: Rc<Recorder>, clock: Rc<dyn Clock>) {
+    loop {
+        clock.sleep(FOLD).await;
+        recorder.upkeep();
+    }
+}
+
+/// Pause between two folds of the recorder's samples.
+const FOLD: Duration = Duration::from_secs(5);
+
+fn check(token: Secret) -> api::Check {
+    Box::new(move |offered| token.matches(offered))
+}
+
 fn timings(settings: &Settings) -> Timings {
     let owner = &settings.owner;
     Timings {
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -23,9 +23,9 @@
     settings.map_err(|problems| Report::new(path, problems))
 }
 
-/// Checks the settings file at `path` without starting anything.
-pub fn check(path: &Path) -> Report {
-    load(path, &[]).err().unwrap_or_else(|| Report::new(path, Problems::default()))
+/// Checks the settings file at `path` with `overrides` on top, without starting anything.
+pub fn check(path: &Path, overrides: &[Override]) -> Report {
+    load(path, overrides).err().unwrap_or_else(|| Report::new(path, Problems::default()))
 }
 
 /// Reads settings from the text of a file, with `overrides` on top.
--- /dev/null
+++ b/src/store/failover.rs
@@ -0,0 +1,87 @@
+//! A log that is reached at several addresses.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use super::{Error, Offset, Outcome, Page, Store};
+
+/// One log behind several addresses, of which the one that answered last is used.
+///
+/// Guards against an address of the log that goes down while the log itself goes on: without it,
+/// the failure domain would take that for an outage of the log. An append is tried at the next
+/// address only when it surely was not written; else the same record could be written twice, and
+/// only its writer knows how to tell.
+pub struct Failover {
+    ways: Vec<Rc<dyn Store>>,
+    current: Cell<usize>,
+}
+
+impl Failover {
+    /// A log reached by any of `ways`, at least one, tried in order.
+    pub const fn new(ways: Vec<Rc<dyn Store>>) -> Self {
+        Self { ways, current: Cell::new(0) }
+    }
+
+    fn way(&self) -> &dyn Store {
+        &*self.ways[self.current.get()]
+    }
+
+    /// Uses the next way from here on, unless another call has moved on from `failed` already.
+    fn leave(&self, failed: usize) {
+        if self.current.get() == failed {
+            self.current.set((failed + 1) % self.ways.len());
+        }
+    }
+
+    async fn append_somewhere(&self, stream: &str, payload: Bytes) -> Result<Offset, Error> {
+        for _ in 1..self.ways.len() {
+            let used = self.current.get();
+            match self.way().append(stream, payload.clone()).await {
+                Err(error) if error.outcome == Outcome::NotWritten => self.leave(used),
+                Err(error) => {
+                    self.leave(used);
+                    return Err(error);
+                }
+                written => return written,
+            }
+        }
+        let used = self.current.get();
+        let last = self.way().append(stream, payload).await;
+        last.inspect_err(|_| self.leave(used))
+    }
+
+    async fn read_somewhere(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<Page, Error> {
+        let used = self.current.get();
+        let page = self.way().read(stream, from, wait).await;
+        page.inspect_err(|_| self.leave(used))
+    }
+}
+
+impl Store for Failover {
+    fn append<'a>(
+        &'a self,
+        stream: &'a str,
+        payload: Bytes,
+    ) -> LocalBoxFuture<'a, Result<Offset, Error>> {
+        self.append_somewhere(stream, payload).boxed_local()
+    }
+
+    fn read<'a>(
+        &'a self,
+        stream: &'a str,
+        from: Offset,
+        wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Page, Error>> {
+        self.read_somewhere(stream, from, wait).boxed_local()
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,9 +6,12 @@
 use derive_more::Display;
 use futures_util::future::LocalBoxFuture;
 
+mod failover;
 pub mod http;
 pub mod wire;
 
+pub use failover::Failover;
+
 /// Position of a record in a stream; consecutive records have consecutive offsets.
 pub type Offset = u64;
 
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -17,5 +17,6 @@
 mod runner_share;
 mod settings;
 mod standin;
+mod store;
 mod telemetry;
 mod world;
--- a/tests/logic/settings.rs
+++ b/tests/logic/settings.rs
@@ -223,14 +223,14 @@
 
 #[test]
 fn load_missing_file() {
-    let report = settings::check(&docs("samples/nowhere.json"));
+    let report = settings::check(&docs("samples/nowhere.json"), &[]);
     assert!(!report.valid);
     assert!(report.to_string().contains("cannot be read"), "{report}");
 }
 
 #[test]
 fn check_report_as_json() {
-    let report = settings::check(&docs("samples/waitaki-oamaru-1.json"));
+    let report = settings::check(&docs("samples/waitaki-oamaru-1.json"), &[]);
     let value = serde_json::to_value(&report).expect("JSON");
     assert_eq!(value["valid"], json!(true));
     assert_eq!(value["problems"], json!([]));
--- /dev/null
+++ b/tests/logic/store.rs
@@ -0,0 +1,116 @@
+//! A log behind several addresses.
+
+use std::cell::RefCell;
+use std::future::ready;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use oriolefork::store::{Error, Failover, Offset, Outcome, Page, Step, Store};
+use test_case::test_case;
+
+const WAIT: Duration = Duration::ZERO;
+
+/// A way to the log that fails until it is mended, and notes its calls in a shared list.
+struct Way {
+    name: &'static str,
+    fails: Option<Outcome>,
+    calls: Rc<RefCell<Vec<&'static str>>>,
+}
+
+impl Way {
+    fn answer<T>(&self, step: Step, good: T) -> Result<T, Error> {
+        self.calls.borrow_mut().push(self.name);
+        let peer = ([127, 0, 0, 1], 7_300).into();
+        let error = |outcome| Error { step, peer, outcome, cause: self.name.to_owned() };
+        self.fails.map_or(Ok(good), |outcome| Err(error(outcome)))
+    }
+}
+
+impl Store for Way {
+    fn append<'a>(&'a self, _: &'a str, _: Bytes) -> LocalBoxFuture<'a, Result<Offset, Error>> {
+        ready(self.answer(Step::Append, 7)).boxed_local()
+    }
+
+    fn read<'a>(
+        &'a self,
+        _: &'a str,
+        _: Offset,
+        _: Duration,
+    ) -> LocalBoxFuture<'a, Result<Page, Error>> {
+        let page = Page { records: Vec::new(), oldest: 0, end: 0 };
+        ready(self.answer(Step::Read, page)).boxed_local()
+    }
+}
+
+struct Log {
+    failover: Failover,
+    calls: Rc<RefCell<Vec<&'static str>>>,
+}
+
+impl Log {
+    fn new(ways: [(&'static str, Option<Outcome>); 2]) -> Self {
+        let calls = Rc::new(RefCell::new(Vec::new()));
+        let way =
+            |(name, fails)| -> Rc<dyn Store> { Rc::new(Way { name, fails, calls: calls.clone() }) };
+        Self { failover: Failover::new(ways.map(way).into()), calls: calls.clone() }
+    }
+
+    fn append(&self) -> Result<Offset, Error> {
+        self.failover.append("s", Bytes::new()).now_or_never().expect("answers at once")
+    }
+
+    fn read(&self) -> Result<Page, Error> {
+        self.failover.read("s", 0, WAIT).now_or_never().expect("answers at once")
+    }
+
+    fn calls(&self) -> Vec<&'static str> {
+        self.calls.take()
+    }
+}
+
+#[test]
+fn append_uses_first_way_while_it_works() {
+    let log = Log::new([("a", None), ("b", None)]);
+    assert_eq!((log.append(), log.append()), (Ok(7), Ok(7)));
+    assert_eq!(log.calls(), ["a", "a"]);
+}
+
+#[test]
+fn append_not_written_goes_to_next_way() {
+    let log = Log::new([("a", Some(Outcome::NotWritten)), ("b", None)]);
+    assert_eq!((log.append(), log.append()), (Ok(7), Ok(7)));
+    assert_eq!(log.calls(), ["a", "b", "b"], "the dead way is left for good");
+}
+
+// A caller submits a job. The log writes the record, but the answer is lost on the way back.
+// Appending the record again at the log's next address would write it twice; the writer has to
+// hear that it does not know, and settles it by reading.
+#[test]
+fn append_unknown_is_not_repeated() {
+    let log = Log::new([("a", Some(Outcome::Unknown)), ("b", None)]);
+    assert_eq!(log.append().map_err(|error| error.outcome), Err(Outcome::Unknown));
+    assert_eq!(log.calls(), ["a"]);
+    assert_eq!(log.append(), Ok(7));
+    assert_eq!(log.calls(), ["b"], "the next call goes to the next address");
+}
+
+#[test_case(Outcome::NotWritten; "not_written")]
+#[test_case(Outcome::Unknown; "unknown")]
+fn append_all_ways_down(outcome: Outcome) {
+    let log = Log::new([("a", Some(Outcome::NotWritten)), ("b", Some(outcome))]);
+    assert_eq!(log.append().map_err(|error| error.outcome), Err(outcome));
+    assert_eq!(log.calls(), ["a", "b"]);
+    assert!(log.append().is_err());
+    assert_eq!(log.calls()[0], "a", "it comes round to the first again");
+}
+
+#[test]
+fn read_failed_goes_to_next_way() {
+    let log = Log::new([("a", Some(Outcome::Unknown)), ("b", None)]);
+    assert!(log.read().is_err());
+    assert!(log.read().is_ok());
+    assert_eq!(log.calls(), ["a", "b"]);
+}
