Start a task only at the process it was placed on

A worker that restarts between the decision and the log's answer was given the start though the log names its old process; a start repeated to a new process was answered as never run though the old one had run it; a repeated start counted as never sent. Change: a placement whose worker's process has changed ends as rejected before anything is sent, a new process's rejection counts as a lapse, and a repeated start stays maybe-sent. Conclusion: restarts of workers at any moment of a start keep at most once.

--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -11,6 +11,7 @@
 use crate::owner::record::{
     Acceptance, Batch, Cancellation, Conclusion, Entry, Placement, Position, Statement,
 };
+use crate::owner::session::Session;
 use crate::owner::table::{Job, Table};
 use crate::placement::{Assignment, Decision};
 use crate::store::Offset;
@@ -358,8 +359,13 @@
             self.conclude(task, task::End::Stopped, now, unix);
             return;
         }
-        if let Some(session) = self.sessions.get_mut(&placement.worker) {
-            session.push(start(job, task));
+        let same_run = |session: &&mut Session| session.run == placement.run;
+        match self.sessions.get_mut(&placement.worker).filter(same_run) {
+            Some(session) => session.push(start(job, task)),
+            // The worker's process changed while the placement was on its way. A start sent now
+            // would run, while the log says that the process it was placed on is gone, and the
+            // next full report would have the task run a second time.
+            None => self.conclude(task, task::End::Rejected, now, unix),
         }
     }
 
--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -9,7 +9,7 @@
 use crate::owner::record::{Entry, Placement, Position};
 use crate::owner::replica::Replica;
 use crate::owner::session::{Channel, Findings};
-use crate::owner::table::Table;
+use crate::owner::table::{Table, Task};
 use crate::task::{self, End, Phase};
 use crate::worker::{self, Command, Observation};
 
@@ -83,7 +83,10 @@
         let current = table.get(id.job).and_then(|job| job.current(id));
         let here = current.is_some_and(|task| task.worker() == Some(worker));
         match observation.phase {
-            Phase::Ended(end) if here => self.conclude(id, end, now, unix),
+            Phase::Ended(end) if here => {
+                let end = self.true_end(worker, current, end);
+                self.conclude(id, end, now, unix);
+            }
             Phase::Ended(_) => self.tell(worker, Command::Forget(id)),
             Phase::Running if here => {
                 let unresolved =
@@ -98,6 +101,23 @@
         }
     }
 
+    /// The end that counts for a try, given the one that the worker reports.
+    ///
+    /// A worker's new process rejects a start that was repeated to it, though the process before
+    /// may have run the task: the start's answer was lost and the process ended. Taken at its word,
+    /// a task that may run only once would run again.
+    fn true_end(&self, worker: &worker::Name, task: Option<&Task>, end: End) -> End {
+        let run = self.sessions.get(worker).map_or(0, |session| session.run);
+        match task.map(|task| &task.position) {
+            Some(Position::Placed { run: placed, .. })
+                if end == End::Rejected && *placed != run =>
+            {
+                End::Lapsed
+            }
+            _ => end,
+        }
+    }
+
     fn resolve(&mut self, worker: &worker::Name, task: task::Id) {
         let run = self.sessions.get(worker).map_or(0, |session| session.run);
         let placement = Placement { task, worker: worker.clone(), run };
--- a/src/owner/session.rs
+++ b/src/owner/session.rs
@@ -128,7 +128,8 @@
     /// Queues a command; it is repeated until the worker has answered to it.
     pub fn push(&mut self, command: Command) {
         if let Command::Start { task, .. } = &command {
-            self.sent.insert(*task, Dispatch::Unsent);
+            // A start that is repeated may have reached the worker the first time.
+            self.sent.entry(*task).or_insert(Dispatch::Unsent);
         }
         self.outbox.push_back(command);
     }
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -138,6 +138,29 @@
     assert!(journal.payload(second).is_some());
 }
 
+// A worker's process ends and starts anew at any moment of a start: while the placement is on its
+// way to the log, while the start is on its way, or while its answer is. The new process must not
+// be given what the old one may have run, and what it says it never ran the old one may have.
+#[test]
+fn start_worker_restarted() {
+    for moment in (0..600).step_by(12) {
+        let mut world = started(moment);
+        world.faults = Faults { loss: 0.3, delay: 120, ..Faults::NONE };
+        let owner = world.owner().unwrap();
+        world.call(owner, submit("once", spec(Kind::Batch, 3, Effect::AtMostOnce, 900)));
+        world.call(owner, submit("again", spec(Kind::Batch, 6, Effect::Idempotent, 900)));
+        world.run(moment);
+        for index in 0..4 {
+            world.restart_worker(&format!("w{index}"));
+        }
+        world.run(3_000);
+        world.faults = Faults::NONE;
+        world.run(60_000);
+        world.check_end();
+        assert!(is_over(&world, "again"), "moment {moment}");
+    }
+}
+
 fn random_spec(rng: &mut SmallRng) -> Spec {
     let kind = match rng.random_range(0..4) {
         0 => Kind::Gang,
--- a/tests/logic/world.rs
+++ b/tests/logic/world.rs
@@ -600,9 +600,15 @@
             worker.state.advance(now);
             let journal = worker.state.journal();
             assert_eq!(journal.overcommitted, 0, "{name} was given more than it has");
-            assert_eq!(journal.doubles, 0, "{name} ran a task twice at once");
+            let running: Vec<_> = journal.runs().filter(|run| run.ended.is_none()).collect();
+            assert_eq!(journal.doubles, 0, "{name} ran a task twice at once: {running:?}");
             for run in journal.runs().skip(worker.counted) {
                 worker.counted += 1;
+                ::log::info!(
+                    "event=world.started worker={name} task={} at={}",
+                    run.task,
+                    run.started.as_millis()
+                );
                 *self.starts.entry((run.task.job, run.task.index)).or_default() += 1;
             }
             for task in worker.state.known() {
