Keep a standing queue short, and ask for slots by the load

Cause: under five times the capacity, requests ordered by deadline alone each started at their last moment; and an instance that asked for the peak of each runner lent nothing to a busy one. Change: a request is due by the earlier of its deadline and half a second after its arrival; a queue that has not been empty for half a second takes 50 ms of waiting at most; nothing starts with less time left than the 95th percentile. Need is the mean load and two deviations. Runners have handles, so that a decision does not look names up.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -39,6 +39,11 @@
         Self(self.0.saturating_add(millis(span)))
     }
 
+    /// The instant `span` earlier, or the clock's start.
+    pub fn before(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(millis(span)))
+    }
+
     /// Time passed since `earlier`, or zero when `earlier` lies ahead.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_millis(self.0.saturating_sub(earlier.0))
--- a/src/runner/attempt.rs
+++ b/src/runner/attempt.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Instant;
 use crate::domain;
+use crate::runner::share::Handle;
 use crate::runner::{Name, request};
 
 /// Identity of an attempt, unique in its process.
@@ -28,7 +29,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Target {
     /// A runner of the own failure domain.
-    Runner(Name),
+    Runner {
+        /// The runner.
+        name: Name,
+        /// Whose slot it holds.
+        slots: Handle,
+    },
     /// An entry instance of another failure domain.
     Domain(domain::Name),
 }
--- a/src/runner/mod.rs
+++ b/src/runner/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod budget;
+pub mod demand;
 pub mod handler;
 pub mod health;
 pub mod http;
--- a/src/runner/policy.rs
+++ b/src/runner/policy.rs
@@ -7,8 +7,12 @@
 pub struct Policy {
     /// Longest time for which a runner works on one request.
     pub run_limit: Duration,
-    /// Longest estimated wait in the queue at which a request is still taken.
+    /// Longest wait in the queue at which a request is still taken while the queue stands.
     pub queue_target: Duration,
+    /// The same while the queue has been empty a short time ago, as in a burst.
+    pub queue_burst: Duration,
+    /// Time after which a queue that has not been empty counts as standing.
+    pub burst_span: Duration,
     /// Most requests that wait per service.
     pub queue_length: usize,
     /// Most requests forwarded to other failure domains at once, per service.
@@ -41,7 +45,9 @@
     fn default() -> Self {
         Self {
             run_limit: Duration::from_secs(5),
-            queue_target: Duration::from_millis(250),
+            queue_target: Duration::from_millis(50),
+            queue_burst: Duration::from_millis(500),
+            burst_span: Duration::from_millis(500),
             queue_length: 4096,
             forward_limit: 64,
             tries: 3,
--- a/src/runner/proxy/dump.rs
+++ b/src/runner/proxy/dump.rs
@@ -87,8 +87,8 @@
         name: runner.name.to_string(),
         state: runner.state.map_or_else(|| "gone".to_owned(), |state| state.to_string()),
         standing: standing.to_owned(),
-        allowance: shares.allowance(&runner.name, now),
-        in_use: shares.in_use(&runner.name),
+        allowance: shares.allowance(runner.slots, now),
+        in_use: shares.in_use(runner.slots),
         latency_ms: runner.health.latency(),
     }
 }
--- a/src/runner/proxy/exchange.rs
+++ b/src/runner/proxy/exchange.rs
@@ -11,6 +11,7 @@
 use crate::clock::Instant;
 use crate::runner::share::{Ask, Grant, Keeper, Ledger, Terms};
 use crate::runner::{Effect, Router};
+use crate::telemetry::names;
 
 /// Time between two exchanges.
 const INTERVAL: Duration = Duration::from_millis(500);
@@ -87,6 +88,7 @@
         if !self.exchange.is_due(now) {
             return;
         }
+        self.show_waiting();
         let Some((keeper, peer)) = self.exchange.keeper() else { return };
         let ask = self.router.ask(keeper, now);
         match peer {
@@ -99,6 +101,12 @@
         }
     }
 
+    fn show_waiting(&self) {
+        let services = self.router.services().values();
+        let waiting: usize = services.map(|service| service.queue.len()).sum();
+        names::REQUESTS_WAITING.set(waiting as f64, &[]);
+    }
+
     fn call_keeper(&mut self, peer: SocketAddr, ask: Ask) {
         self.exchange.is_out = true;
         let peers = Rc::clone(&self.peers);
--- a/src/runner/proxy/mod.rs
+++ b/src/runner/proxy/mod.rs
@@ -18,6 +18,7 @@
 use crate::intent::{Guard, Permit};
 use crate::job::Effect;
 use crate::membership::Member;
+use crate::telemetry::names;
 
 mod driver;
 mod dump;
@@ -61,6 +62,17 @@
     },
 }
 
+impl Reply {
+    /// Its kind, for metrics.
+    const fn outcome(&self) -> &'static str {
+        match self {
+            Self::Whole(_) => "whole",
+            Self::NotRun { .. } => "not_run",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+}
+
 /// A request that another failure domain passed on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Passed {
@@ -200,11 +212,15 @@
         permit: Option<Permit>,
     ) -> Reply {
         let (reply, answer) = oneshot::channel();
+        let arrived = self.clock.now();
         self.tell(Message::Submit(Submission { call, effect, forwarded, permit, reply }));
         // Without a task the message is dropped, and with it the permit: nothing ran.
         let ended =
             Reply::NotRun { refusal: Refusal::ShuttingDown, retry_after: Duration::from_secs(1) };
-        answer.await.unwrap_or(ended)
+        let reply = answer.await.unwrap_or(ended);
+        names::REQUESTS.increment(&[("outcome", reply.outcome())]);
+        names::REQUEST.record(self.clock.now().since(arrived), &[]);
+        reply
     }
 
     fn tell(&self, message: Message) {
--- a/src/runner/router/members.rs
+++ b/src/runner/router/members.rs
@@ -21,11 +21,11 @@
         // Each instance opens at most as many connections as it may hold slots in all, so that
         // the instances together stay within the runner's connections whatever their shares are.
         let count = self.shares.position().count.max(1);
-        self.shares.set_limit(&name, (*slots).min(connections / count));
+        let slots = self.shares.admit(&name, (*slots).min(connections / count));
         let service =
             self.services.entry(service.clone()).or_insert_with(|| Service::new(&self.policy));
         if service.runner(&name).is_none() {
-            service.runners.push(Upstream::new(name.clone(), member.address));
+            service.runners.push(Upstream::new(name.clone(), slots, member.address));
         }
         if let Some(runner) = service.runner(&name) {
             runner.state = Some(member.state);
@@ -52,7 +52,7 @@
     pub(super) fn forget_gone(&mut self) {
         for service in self.services.values_mut() {
             for runner in service.runners.iter().filter(|runner| runner.state.is_none()) {
-                self.shares.set_limit(&runner.name, 0);
+                self.shares.retire(runner.slots);
             }
             let is_needed =
                 |runner: &Upstream| runner.state.is_some() || !runner.waiting.is_empty();
--- a/src/runner/router/mod.rs
+++ b/src/runner/router/mod.rs
@@ -21,8 +21,8 @@
 use crate::runner::request::{Request, Verdict};
 use crate::runner::router::pending::Pending;
 use crate::runner::service::Service;
-use crate::runner::share::{Ask, Grant, Holder, Keeper};
-use crate::runner::{Name, Policy, request};
+use crate::runner::share::{Ask, Grant, Handle, Holder, Keeper};
+use crate::runner::{Policy, request};
 
 /// Time between two looks at queues and at slow runners.
 const REVIEW: Duration = Duration::from_millis(100);
@@ -130,10 +130,12 @@
     pub fn submit(&mut self, request: Request, now: Instant) -> Vec<Effect> {
         let id = request.id;
         self.timers.push(Reverse((request.deadline, Timer::Deadline(id))));
-        self.pending.insert(id, Pending::new(request));
+        self.pending.insert(id, Pending::new(request, now));
         if let Some(service) = self.service_of(id) {
             service.retries.earn();
             service.hedges.earn();
+            let load = service.load();
+            service.demand.sample(load);
         }
         self.place(id, now);
         self.take_effects()
@@ -146,7 +148,9 @@
             return Vec::new();
         };
         match &attempt.target {
-            Target::Runner(name) => self.settle_runner(id, &attempt, name, outcome, now),
+            Target::Runner { name, slots } => {
+                self.settle_runner(id, &attempt, name, *slots, outcome, now)
+            }
             Target::Domain(domain) => self.settle_remote(id, &attempt, domain, outcome, now),
         }
         self.settle_request(id, attempt.request, outcome, now);
@@ -192,13 +196,13 @@
 
     /// Builds the next call to the keeper of shares.
     pub fn ask(&mut self, keeper: Keeper, now: Instant) -> Ask {
-        let mut demand: BTreeMap<Name, u32> = BTreeMap::new();
+        let mut demand: HashMap<Handle, u32> = HashMap::new();
         for service in self.services.values_mut() {
             demand.extend(service.take_demand(&self.shares));
         }
         let draining = self.draining;
         self.shares.ask(keeper, now, |runner| {
-            if draining { 0 } else { demand.get(runner).copied().unwrap_or(0) }
+            if draining { 0 } else { demand.get(&runner).copied().unwrap_or(0) }
         })
     }
 
--- a/src/runner/router/outcome.rs
+++ b/src/runner/router/outcome.rs
@@ -9,6 +9,7 @@
 use crate::runner::attempt::{self, Attempt, Outcome, Target};
 use crate::runner::request::{self, Refusal, Verdict};
 use crate::runner::router::{Effect, REMOTE_PAUSE, Router, Timer};
+use crate::runner::share::Handle;
 
 impl Router {
     pub(super) fn settle_runner(
@@ -16,10 +17,11 @@
         id: attempt::Id,
         attempt: &Attempt,
         name: &Name,
+        slots: Handle,
         outcome: Outcome,
         now: Instant,
     ) {
-        self.release(id, attempt, name, outcome);
+        self.release(id, attempt.started, slots, outcome);
         let Some(service) = self.services.get_mut(&attempt.service) else { return };
         let can_eject = service.can_eject(&self.policy, now);
         let latency = now.since(attempt.started);
@@ -49,26 +51,33 @@
     pub(super) fn release(
         &mut self,
         id: attempt::Id,
-        attempt: &Attempt,
-        name: &Name,
+        started: Instant,
+        slots: Handle,
         outcome: Outcome,
     ) {
         if matches!(outcome, Outcome::Broken | Outcome::Mismatched) {
-            let over = attempt.started.after(self.policy.run_limit);
+            let over = started.after(self.policy.run_limit);
             self.timers.push(Reverse((over, Timer::DoubtOver(id))));
             if let Some(attempt) = self.attempts.get_mut(&id) {
                 attempt.in_doubt = true;
             }
             return;
         }
-        self.attempts.remove(&id);
-        self.shares.end(name);
+        let Some(attempt) = self.attempts.remove(&id) else { return };
+        self.free(&attempt.service, slots);
+    }
+
+    fn free(&mut self, service: &str, slots: Handle) {
+        self.shares.end(slots);
+        if let Some(service) = self.services.get_mut(service) {
+            service.demand.in_flight = service.demand.in_flight.saturating_sub(1);
+        }
     }
 
     pub(super) fn end_doubt(&mut self, id: attempt::Id, now: Instant) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
-        if let Target::Runner(name) = &attempt.target {
-            self.shares.end(name);
+        if let Target::Runner { slots, .. } = &attempt.target {
+            self.free(&attempt.service, *slots);
         }
         self.dispatch(&attempt.service, now);
     }
--- a/src/runner/router/pending.rs
+++ b/src/runner/router/pending.rs
@@ -11,26 +11,29 @@
 #[derive(Clone, Debug)]
 pub struct Pending {
     pub request: Request,
+    pub submitted: Instant,
     pub live: Vec<attempt::Id>,
     pub tries: usize,
     pub tried: Vec<Name>,
     pub tried_domains: Vec<domain::Name>,
     pub hedged: bool,
-    pub queued: bool,
+    /// Its place in the queue, while it waits there.
+    pub queued: Option<Instant>,
     pub may_have_run: bool,
     pub failed_answer: Option<attempt::Id>,
 }
 
 impl Pending {
-    pub fn new(request: Request) -> Self {
+    pub fn new(request: Request, submitted: Instant) -> Self {
         Self {
             request,
+            submitted,
             live: Vec::new(),
             tries: 0,
             tried: Vec::new(),
             tried_domains: Vec::new(),
             hedged: false,
-            queued: false,
+            queued: None,
             may_have_run: false,
             failed_answer: None,
         }
--- a/src/runner/router/review.rs
+++ b/src/runner/router/review.rs
@@ -37,12 +37,12 @@
         if slots == 0 {
             return self.place_again(name, now);
         }
-        let latency = service.usual_latency() / 2;
+        let latency = service.safe_latency();
         let mut hopeless = Vec::new();
-        for (index, (deadline, id)) in service.queue.iter().enumerate() {
+        for (index, entry) in service.queue.iter().enumerate() {
             let wait = service.wait(index - hopeless.len(), slots);
-            if wait + latency > deadline.since(now) {
-                hopeless.push(id);
+            if wait + latency > entry.deadline.since(now) {
+                hopeless.push(entry.id);
             }
         }
         for id in hopeless {
@@ -53,7 +53,7 @@
     /// Finds another way for what waits once the domain has no usable runner left.
     pub(super) fn place_again(&mut self, name: &str, now: Instant) {
         let Some(service) = self.services.get(name) else { return };
-        let waiting: Vec<request::Id> = service.queue.iter().map(|(_, id)| id).collect();
+        let waiting: Vec<request::Id> = service.queue.iter().map(|entry| entry.id).collect();
         for id in waiting {
             self.unqueue(id);
             self.place(id, now);
--- a/src/runner/router/way.rs
+++ b/src/runner/router/way.rs
@@ -7,6 +7,7 @@
 
 use crate::clock::Instant;
 use crate::runner::attempt::{self, Target};
+use crate::runner::queue::Entry;
 use crate::runner::request::{self, Doubt, Refusal, Verdict};
 use crate::runner::router::pending::Pending;
 use crate::runner::router::{Effect, MIN_RETRY_AFTER, Router, Timer};
@@ -31,24 +32,37 @@
             return self.pass_on(id, now);
         }
         if service.queue.is_empty() && self.start(id, now) {
-            return;
+            return self.note_empty(id, now);
         }
-        self.enqueue(id, slots, left);
+        self.enqueue(id, slots, now);
     }
 
-    pub(super) fn enqueue(&mut self, id: request::Id, slots: u32, left: Duration) {
+    fn note_empty(&mut self, id: request::Id, now: Instant) {
+        if let Some(service) = self.service_of(id) {
+            service.last_empty = now;
+        }
+    }
+
+    /// Queues a request by the moment at which it should start.
+    ///
+    /// Ordered by deadlines alone, a stream of short deadlines would hold back the long ones until
+    /// those are due as well, and under overload every request would start at its last moment. So
+    /// no request is due later than the queue's target after its arrival.
+    fn enqueue(&mut self, id: request::Id, slots: u32, now: Instant) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let Some(service) = self.services.get_mut(&pending.request.service) else { return };
         let deadline = pending.request.deadline;
-        let ahead = service.queue.ahead_of(deadline);
-        if let Some(refusal) = service.refusal(&self.policy, ahead, slots, left) {
-            service.overloaded = true;
+        let latest = deadline.before(service.safe_latency());
+        let due = latest.min(pending.submitted.after(self.policy.queue_burst));
+        let ahead = service.queue.ahead_of(due);
+        let left = deadline.since(now);
+        if let Some(refusal) = service.refusal(&self.policy, ahead, slots, left, now) {
+            service.demand.overloaded = true;
             let retry_after = service.wait(service.queue.len(), slots);
             return self.give_up(id, refusal, retry_after);
         }
-        pending.queued = true;
-        service.queue.push(deadline, id);
-        service.queue_peak = service.queue_peak.max(service.queue.len());
+        pending.queued = Some(due);
+        service.queue.push(Entry { due, id, deadline });
     }
 
     /// Starts an attempt at a runner of the own domain; false when none can take it.
@@ -59,16 +73,17 @@
         let chosen = service.choose(&self.shares, &pending.tried, idempotent, now, &mut self.rng);
         let Some(index) = chosen else { return false };
         let runner = &mut service.runners[index];
-        if !self.shares.start(&runner.name, now) {
+        if !self.shares.start(runner.slots, now) {
             return false;
         }
         self.next_attempt += 1;
         let attempt = attempt::Id::from_raw(self.next_attempt);
         runner.waiting.insert((now, attempt));
-        runner.peak = runner.peak.max(self.shares.in_use(&runner.name));
+        service.demand.in_flight += 1;
         pending.add_attempt(attempt);
         pending.tried.push(runner.name.clone());
-        self.attempts.insert(attempt, pending.attempt(Target::Runner(runner.name.clone()), now));
+        let target = Target::Runner { name: runner.name.clone(), slots: runner.slots };
+        self.attempts.insert(attempt, pending.attempt(target, now));
         self.effects.push(Effect::Send {
             attempt,
             request: id,
@@ -125,20 +140,23 @@
         }
     }
 
-    /// Starts waiting requests, earliest deadline first, while there are free slots.
+    /// Starts waiting requests in their order while there are free slots, and refuses those whose
+    /// answer would come too late.
     pub(super) fn dispatch(&mut self, name: &str, now: Instant) {
         while let Some(service) = self.services.get_mut(name) {
-            let Some((deadline, id)) = service.queue.first() else { break };
-            if deadline.since(now) < service.usual_latency() / 2 {
-                service.queue.remove(deadline, id);
-                service.overloaded = true;
-                self.give_up(id, Refusal::Deadline, MIN_RETRY_AFTER);
+            let Some(first) = service.queue.first() else {
+                service.last_empty = now;
+                break;
+            };
+            if first.deadline.since(now) < service.safe_latency() {
+                service.demand.overloaded = true;
+                self.give_up(first.id, Refusal::Deadline, MIN_RETRY_AFTER);
                 continue;
             }
-            if !self.start(id, now) {
+            if !self.start(first.id, now) {
                 break;
             }
-            self.unqueue(id);
+            self.unqueue(first.id);
         }
     }
 
@@ -148,12 +166,10 @@
     }
 
     pub(super) fn unqueue(&mut self, id: request::Id) {
-        let Some(pending) = self.pending.get_mut(&id).filter(|pending| pending.queued) else {
-            return;
-        };
-        pending.queued = false;
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        let Some(due) = pending.queued.take() else { return };
         if let Some(service) = self.services.get_mut(&pending.request.service) {
-            service.queue.remove(pending.request.deadline, id);
+            service.queue.remove(due, id);
         }
     }
 
--- a/src/runner/service.rs
+++ b/src/runner/service.rs
@@ -9,10 +9,11 @@
 use crate::clock::{Instant, millis};
 use crate::domain;
 use crate::runner::budget::Budget;
+use crate::runner::demand::{Demand, Slots};
 use crate::runner::latency::Window;
 use crate::runner::queue::Queue;
 use crate::runner::request::Refusal;
-use crate::runner::share::Holder;
+use crate::runner::share::{Handle, Holder};
 use crate::runner::upstream::Upstream;
 use crate::runner::{Name, Policy};
 
@@ -44,10 +45,10 @@
     pub retries: Budget,
     /// Allowance for hedges.
     pub hedges: Budget,
-    /// Longest queue since the last exchange with the keeper.
-    pub queue_peak: usize,
-    /// Whether a request was refused for load since then.
-    pub overloaded: bool,
+    /// Slots that its requests need.
+    pub demand: Demand,
+    /// When the queue was last empty.
+    pub last_empty: Instant,
 }
 
 impl Service {
@@ -60,8 +61,8 @@
             latency: Window::default(),
             retries: Budget::new(policy.retry_ratio, policy.burst),
             hedges: Budget::new(policy.hedge_ratio, policy.burst),
-            queue_peak: 0,
-            overloaded: false,
+            demand: Demand::default(),
+            last_empty: Instant::default(),
         }
     }
 
@@ -73,7 +74,7 @@
     /// Slots that requests of this instance may hold at usable runners.
     pub fn slots(&self, shares: &Holder, now: Instant) -> u32 {
         let usable = self.runners.iter().filter(|runner| runner.is_usable(now));
-        usable.map(|runner| shares.allowance(&runner.name, now)).sum()
+        usable.map(|runner| shares.allowance(runner.slots, now)).sum()
     }
 
     /// Chooses the cheaper of two random runners that can start a request now.
@@ -134,19 +135,25 @@
     }
 
     /// Why a request with `left` to its deadline should not wait in the queue, if so.
+    ///
+    /// A burst may wait its turn. A queue that stands only delays every request in it and answers
+    /// no more of them, and is kept short.
     pub fn refusal(
         &self,
         policy: &Policy,
         ahead: usize,
         slots: u32,
         left: Duration,
+        now: Instant,
     ) -> Option<Refusal> {
-        let wait = self.wait(ahead, slots);
-        let service_time = Duration::from_millis(self.latency.mean() as u64);
-        if self.queue.len() >= policy.queue_length || wait > policy.queue_target {
+        let is_standing = now.since(self.last_empty) > policy.burst_span;
+        let target = if is_standing { policy.queue_target } else { policy.queue_burst };
+        // One that goes to the front holds back the others, so that the whole queue counts here.
+        let longest = self.wait(self.queue.len(), slots);
+        if self.queue.len() >= policy.queue_length || longest > target {
             return Some(Refusal::Overloaded);
         }
-        (wait + service_time > left).then_some(Refusal::Deadline)
+        (self.wait(ahead, slots) + self.safe_latency() > left).then_some(Refusal::Deadline)
     }
 
     /// Whether one more runner may be ejected without giving up too many.
@@ -173,21 +180,22 @@
         (0..self.runners.len()).filter(|index| is_slow(&self.runners[*index])).collect()
     }
 
-    /// Slots of a runner that this instance needs, for the exchange with the keeper; starts a new
-    /// count of the peaks.
-    pub fn take_demand(&mut self, shares: &Holder) -> Vec<(Name, u32)> {
-        let live = self.runners.iter().filter(|runner| runner.is_live()).count().max(1);
-        let queued = u32::try_from(self.queue_peak.div_ceil(live)).unwrap_or(u32::MAX);
-        let extra = if self.overloaded { u32::MAX } else { queued };
-        self.queue_peak = self.queue.len();
-        self.overloaded = false;
-        let demand = |runner: &mut Upstream| {
-            let peak = std::mem::replace(&mut runner.peak, shares.in_use(&runner.name));
-            let headroom = u32::from(peak > 0);
-            let needed = peak.saturating_add(headroom).saturating_add(extra);
-            (runner.name.clone(), if runner.is_live() { needed } else { 0 })
-        };
-        self.runners.iter_mut().map(demand).collect()
+    /// Slots of each runner that this instance needs, for the exchange with the keeper; starts a
+    /// new measurement.
+    pub fn take_demand(&mut self, shares: &Holder) -> Vec<(Handle, u32)> {
+        let live: Vec<&Upstream> = self.runners.iter().filter(|runner| runner.is_live()).collect();
+        let slots: Vec<Slots> = live.iter().map(|runner| Slots::of(runner.slots, shares)).collect();
+        self.demand.take(slots)
+    }
+
+    /// Requests that hold or want a slot.
+    pub fn load(&self) -> usize {
+        self.demand.in_flight + self.queue.len()
+    }
+
+    /// Latency within which most answers come: what a request needs to its deadline.
+    pub fn safe_latency(&self) -> Duration {
+        self.latency.p95().unwrap_or_else(|| self.usual_latency())
     }
 
     /// Smoothed latency in whole milliseconds.
--- a/src/runner/share/holder.rs
+++ b/src/runner/share/holder.rs
@@ -16,9 +16,16 @@
     sequence: u64,
     pending: Option<Pending>,
     stamp: Option<Stamp>,
-    lines: BTreeMap<Name, Line>,
+    lines: Vec<Line>,
+    handles: BTreeMap<Name, Handle>,
+    unused: Vec<Handle>,
 }
 
+/// Short name of a runner at its holder, valid from [`Holder::admit`] until the runner was retired
+/// and all of its slots were given back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Handle(usize);
+
 /// The call that still may be answered.
 #[derive(Clone, Copy, Debug)]
 struct Pending {
@@ -38,6 +45,7 @@
 #[derive(Clone, Debug, Default)]
 struct Line {
     limit: u32,
+    owned: u32,
     in_use: u32,
     loans: Vec<Loan>,
     borrowed: u32,
@@ -62,7 +70,9 @@
             sequence: 0,
             pending: None,
             stamp: None,
-            lines: BTreeMap::new(),
+            lines: Vec::new(),
+            handles: BTreeMap::new(),
+            unused: Vec::new(),
         }
     }
 
@@ -71,48 +81,58 @@
         self.position
     }
 
-    /// Sets how many slots a runner has in all; zero once it is gone.
-    pub fn set_limit(&mut self, runner: &Name, limit: u32) {
-        if limit == 0 && !self.lines.contains_key(runner) {
-            return;
-        }
-        self.lines.entry(runner.clone()).or_default().limit = limit;
+    /// Takes in a runner, or how many slots it has in all when it is known already.
+    pub fn admit(&mut self, runner: &Name, limit: u32) -> Handle {
+        let handle = match self.handles.get(runner) {
+            Some(handle) => *handle,
+            None => self.add(runner),
+        };
+        let line = &mut self.lines[handle.0];
+        line.limit = limit;
+        line.owned = self.position.entitlement(runner, limit);
+        handle
+    }
+
+    /// Starts nothing at a runner any more.
+    pub fn retire(&mut self, runner: Handle) {
+        let line = &mut self.lines[runner.0];
+        line.limit = 0;
+        line.owned = 0;
     }
 
     /// Slots of a runner that requests may hold at `now`.
-    pub fn allowance(&self, runner: &Name, now: Instant) -> u32 {
-        self.lines.get(runner).map_or(0, |line| {
-            let own = self.entitlement(runner, line, now);
-            line.allowance(own, now)
-        })
+    pub fn allowance(&self, runner: Handle, now: Instant) -> u32 {
+        let line = &self.lines[runner.0];
+        let owned = if now < self.usable_from { 0 } else { line.owned };
+        line.allowance(owned, now)
+    }
+
+    /// Slots of a runner that belong to this position, lent or not.
+    pub fn owned(&self, runner: Handle) -> u32 {
+        self.lines[runner.0].owned
     }
 
     /// Slots of a runner that requests hold, those in doubt included.
-    pub fn in_use(&self, runner: &Name) -> u32 {
-        self.lines.get(runner).map_or(0, |line| line.in_use)
+    pub fn in_use(&self, runner: Handle) -> u32 {
+        self.lines[runner.0].in_use
     }
 
     /// Slots of a runner on which a request could start at `now`.
-    pub fn free(&self, runner: &Name, now: Instant) -> u32 {
+    pub fn free(&self, runner: Handle, now: Instant) -> u32 {
         self.allowance(runner, now).saturating_sub(self.in_use(runner))
     }
 
     /// Takes a slot for a request; false when none is free.
-    pub fn start(&mut self, runner: &Name, now: Instant) -> bool {
-        if self.free(runner, now) == 0 {
-            return false;
-        }
-        if let Some(line) = self.lines.get_mut(runner) {
-            line.in_use += 1;
-        }
-        true
+    pub fn start(&mut self, runner: Handle, now: Instant) -> bool {
+        let is_free = self.free(runner, now) > 0;
+        self.lines[runner.0].in_use += u32::from(is_free);
+        is_free
     }
 
     /// Gives a slot back once the runner has surely ended the request.
-    pub fn end(&mut self, runner: &Name) {
-        if let Some(line) = self.lines.get_mut(runner) {
-            line.in_use = line.in_use.saturating_sub(1);
-        }
+    pub fn end(&mut self, runner: Handle) {
+        let line = &mut self.lines[runner.0];
+        line.in_use = line.in_use.saturating_sub(1);
     }
 
     /// Moment from which the entitlement may be used.
@@ -124,23 +144,26 @@
     ///
     /// From here on, what the call lends is not used and what it gives back is given back, whether
     /// or not it arrives. An answer to an earlier call is void.
-    pub fn ask(&mut self, keeper: Keeper, now: Instant, demand: impl Fn(&Name) -> u32) -> Ask {
+    pub fn ask(&mut self, keeper: Keeper, now: Instant, demand: impl Fn(Handle) -> u32) -> Ask {
         self.sequence += 1;
         self.pending = Some(Pending { keeper, sequence: self.sequence, sent: now });
         let stamp = self.stamp.filter(|stamp| stamp.keeper == keeper);
-        let (position, usable, terms) = (self.position, self.usable_from <= now, self.terms);
+        let is_usable = self.usable_from <= now;
+        let until = now.after(self.terms.loan);
         let mut lines = Vec::new();
-        for (runner, line) in &mut self.lines {
-            let own = if usable { position.entitlement(runner, line.limit) } else { 0 };
-            let need = line.need(runner, own, demand(runner), stamp.map(|_| keeper), now);
+        for (runner, handle) in &self.handles {
+            let line = &mut self.lines[handle.0];
+            let owned = if is_usable { line.owned } else { 0 };
+            let known = stamp.map(|_| keeper);
+            let need = line.need(runner, owned, demand(*handle), known, now);
             if need.lend > 0 {
-                line.loans.push(Loan { keeper, amount: need.lend, until: now.after(terms.loan) });
+                line.loans.push(Loan { keeper, amount: need.lend, until });
             }
             if need.lend > 0 || need.holding > 0 || need.want > 0 {
                 lines.push(need);
             }
         }
-        self.lines.retain(|_, line| !line.is_idle(now));
+        self.forget_idle(now);
         Ask { party: self.party, sequence: self.sequence, stamp, lines }
     }
 
@@ -154,26 +177,47 @@
         self.stamp = Some(grant.stamp);
         let shares: BTreeMap<&Name, &Share> =
             grant.lines.iter().map(|share| (&share.runner, share)).collect();
-        for (runner, line) in &mut self.lines {
-            line.apply(shares.get(runner).copied(), pending, &self.terms, now);
+        for (runner, handle) in &self.handles {
+            let share = shares.get(runner).copied();
+            self.lines[handle.0].apply(share, pending, &self.terms, now);
         }
         true
     }
 
-    fn entitlement(&self, runner: &Name, line: &Line, now: Instant) -> u32 {
-        if now < self.usable_from { 0 } else { self.position.entitlement(runner, line.limit) }
+    fn add(&mut self, runner: &Name) -> Handle {
+        let handle = self.unused.pop().unwrap_or(Handle(self.lines.len()));
+        if handle.0 == self.lines.len() {
+            self.lines.push(Line::default());
+        }
+        self.handles.insert(runner.clone(), handle);
+        handle
+    }
+
+    fn forget_idle(&mut self, now: Instant) {
+        let (lines, unused) = (&mut self.lines, &mut self.unused);
+        self.handles.retain(|_, handle| {
+            let is_idle = lines[handle.0].is_idle(now);
+            if is_idle {
+                lines[handle.0] = Line::default();
+                unused.push(*handle);
+            }
+            !is_idle
+        });
     }
 }
 
 impl Line {
-    fn allowance(&self, own: u32, now: Instant) -> u32 {
+    fn allowance(&self, owned: u32, now: Instant) -> u32 {
         let borrowed = if now < self.borrowed_until { self.borrowed } else { 0 };
-        let allowed = own.saturating_sub(self.lent(now)) + borrowed;
+        let allowed = owned.saturating_sub(self.lent(now)) + borrowed;
         allowed.min(self.limit)
     }
 
     /// Slots lent to all keepers. A keeper may hold any of its unexpired loans, but not two.
     fn lent(&self, now: Instant) -> u32 {
+        if self.loans.is_empty() {
+            return 0;
+        }
         let mut most: BTreeMap<Keeper, u32> = BTreeMap::new();
         for loan in self.loans.iter().filter(|loan| now < loan.until) {
             let amount = most.entry(loan.keeper).or_default();
@@ -194,20 +238,20 @@
     fn need(
         &mut self,
         runner: &Name,
-        own: u32,
+        owned: u32,
         demand: u32,
         keeper: Option<Keeper>,
         now: Instant,
     ) -> Need {
         self.loans.retain(|loan| now < loan.until);
-        let want = demand.min(self.limit).saturating_sub(own);
-        let overhang = self.in_use.saturating_sub(own.saturating_sub(self.lent(now)));
+        let want = demand.min(self.limit).saturating_sub(owned);
+        let overhang = self.in_use.saturating_sub(owned.saturating_sub(self.lent(now)));
         let borrowed = if now < self.borrowed_until { self.borrowed } else { 0 };
         let holding = borrowed.min(want).max(overhang);
         self.borrowed = borrowed.min(holding);
         let lend = keeper.map_or(0, |keeper| {
-            let bound = own.saturating_sub(self.in_use + self.lent_elsewhere(keeper, now));
-            own.saturating_sub(demand).min(bound).min(self.called)
+            let bound = owned.saturating_sub(self.in_use + self.lent_elsewhere(keeper, now));
+            owned.saturating_sub(demand).min(bound).min(self.called)
         });
         Need { runner: runner.clone(), lend, holding, want }
     }
--- a/src/runner/share/mod.rs
+++ b/src/runner/share/mod.rs
@@ -18,7 +18,7 @@
 mod holder;
 mod ledger;
 
-pub use holder::Holder;
+pub use holder::{Handle, Holder};
 pub use ledger::Ledger;
 
 use std::time::Duration;
--- a/src/runner/upstream.rs
+++ b/src/runner/upstream.rs
@@ -6,7 +6,7 @@
 use crate::clock::{Instant, millis};
 use crate::membership::State;
 use crate::runner::health::{Health, Standing};
-use crate::runner::share::Holder;
+use crate::runner::share::{Handle, Holder};
 use crate::runner::{Name, attempt};
 
 /// A runner of the own failure domain.
@@ -14,27 +14,27 @@
 pub struct Upstream {
     /// Its name.
     pub name: Name,
+    /// Its slots at this instance.
+    pub slots: Handle,
     /// Where it is reached.
     pub address: SocketAddr,
     /// Whether it takes new work; `None` once it is off the list.
     pub state: Option<State>,
     /// What its answers say of it.
     pub health: Health,
-    /// Most slots in use since the last exchange with the keeper.
-    pub peak: u32,
     /// Attempts that wait for an answer, oldest first.
     pub waiting: BTreeSet<(Instant, attempt::Id)>,
 }
 
 impl Upstream {
     /// Creates a runner without history.
-    pub fn new(name: Name, address: SocketAddr) -> Self {
+    pub fn new(name: Name, slots: Handle, address: SocketAddr) -> Self {
         Self {
             name,
+            slots,
             address,
             state: Some(State::Live),
             health: Health::default(),
-            peak: 0,
             waiting: BTreeSet::new(),
         }
     }
@@ -51,12 +51,12 @@
 
     /// Whether a request can start here at `now`.
     pub fn accepts(&self, shares: &Holder, idempotent: bool, now: Instant) -> bool {
-        if !self.is_live() || shares.free(&self.name, now) == 0 {
+        if !self.is_live() || shares.free(self.slots, now) == 0 {
             return false;
         }
         match self.health.standing(now) {
             Standing::Good => true,
-            Standing::Probation => idempotent && shares.in_use(&self.name) == 0,
+            Standing::Probation => idempotent && shares.in_use(self.slots) == 0,
             Standing::Ejected(_) => false,
         }
     }
@@ -69,8 +69,8 @@
         let known = self.health.latency();
         let latency = if known > 0.0 { known } else { usual };
         let oldest = self.waiting.first().map_or(0, |(started, _)| millis(now.since(*started)));
-        let slots = f64::from(shares.allowance(&self.name, now).max(1));
-        let load = f64::from(shares.in_use(&self.name) + 1) / slots;
+        let slots = f64::from(shares.allowance(self.slots, now).max(1));
+        let load = f64::from(shares.in_use(self.slots) + 1) / slots;
         load * latency.max(oldest as f64).max(1.0)
     }
 }
