--- /dev/null
+++ b/benches/routing/candidate.rs
@@ -0,0 +1,180 @@
+//! The router as one entry instance, with the exchange of shares.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::net::SocketAddr;
+
+use oriolefork::clock::Instant;
+use oriolefork::domain::{self, Epoch};
+use oriolefork::job;
+use oriolefork::membership::{Member, Role, State};
+use oriolefork::runner::attempt::{Id, Outcome};
+use oriolefork::runner::share::{Holder, Keeper, Ledger, Position, Terms};
+use oriolefork::runner::{Effect, Policy, Request, Router, Verdict, request};
+
+use super::field::{Action, Answer, Arrival, Balancer, INSTANCES, Plan, RUNNERS, SLOTS};
+
+const SERVICE: &str = "portal";
+const PORT: u16 = 1000;
+const KEEPER: Keeper = Keeper { epoch: Epoch::FIRST, run: 1 };
+
+/// One entry instance.
+pub struct Candidate {
+    router: Router,
+    ledger: Option<Ledger>,
+    run_limit: u64,
+    /// Attempts by the moment at which the instance stops listening.
+    listening: BinaryHeap<Reverse<(u64, u64)>>,
+    requests: HashMap<u64, u64>,
+    /// Attempts answered with a fault.
+    failed: HashSet<u64>,
+}
+
+impl Candidate {
+    pub fn instances(_plan: &Plan) -> Vec<Box<dyn Balancer>> {
+        Self::make(true)
+    }
+
+    pub fn without_keeper(_plan: &Plan) -> Vec<Box<dyn Balancer>> {
+        Self::make(false)
+    }
+
+    fn make(kept: bool) -> Vec<Box<dyn Balancer>> {
+        let mut instances: Vec<Self> = (0..INSTANCES).map(Self::new).collect();
+        let terms = Terms::for_run_limit(Policy::default().run_limit);
+        instances[0].ledger = kept.then(|| Ledger::new(KEEPER, terms));
+        instances.into_iter().map(|instance| Box::new(instance) as Box<dyn Balancer>).collect()
+    }
+
+    fn new(index: usize) -> Self {
+        let policy = Policy::default();
+        let run_limit = policy.run_limit.as_micros() as u64;
+        let terms = Terms::for_run_limit(policy.run_limit);
+        let position = Position { index: index as u32, count: INSTANCES as u32 };
+        let holder = Holder::new(position, index as u64, terms, Instant::default(), true);
+        let domain = domain::Name::from("kurow");
+        let mut router = Router::new(policy, domain.clone(), holder, index as u64);
+        let member = |number: usize| Member {
+            name: format!("runner-{number}"),
+            role: Role::Runner { service: SERVICE.to_owned(), slots: SLOTS, connections: 64 },
+            domain: domain.clone(),
+            address: SocketAddr::from(([127, 0, 0, 1], PORT + number as u16)),
+            state: State::Live,
+        };
+        let members: Vec<Member> = (0..RUNNERS).map(member).collect();
+        router.set_members(&members, Instant::default());
+        let listening = BinaryHeap::new();
+        let (requests, failed) = (HashMap::new(), HashSet::new());
+        Self { router, ledger: None, run_limit, listening, requests, failed }
+    }
+
+    fn act(&mut self, effects: Vec<Effect>, now: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { attempt, request, peer, .. } => {
+                    self.listening.push(Reverse((now + self.run_limit, attempt.raw())));
+                    self.requests.insert(attempt.raw(), request.raw());
+                    let runner = usize::from(peer.port() - PORT);
+                    actions.push(Action::Send { attempt: attempt.raw(), runner });
+                }
+                Effect::Answer { request, verdict } => {
+                    actions.push(self.end(request.raw(), verdict))
+                }
+                Effect::Forward { .. } => unreachable!("there is one domain"),
+            }
+        }
+        actions
+    }
+
+    fn end(&self, request: u64, verdict: Verdict) -> Action {
+        match verdict {
+            Verdict::Whole(attempt) if self.failed.contains(&attempt.raw()) => {
+                Action::Doubt { request }
+            }
+            Verdict::Whole(_) => Action::Deliver { request, wrong: false },
+            Verdict::NotRun { .. } => Action::Refuse { request },
+            Verdict::Unknown { .. } => Action::Doubt { request },
+        }
+    }
+
+    fn finish(&mut self, attempt: u64, outcome: Outcome, now: u64) -> Vec<Action> {
+        if self.requests.remove(&attempt).is_none() {
+            return Vec::new();
+        }
+        let effects = self.router.finish(Id::from_raw(attempt), outcome, at(now));
+        self.act(effects, now)
+    }
+
+    fn call(&mut self, ledger: &mut Ledger, now: u64) -> Vec<Action> {
+        let ask = self.router.ask(KEEPER, at(now));
+        let grant = ledger.ask(&ask, at(now)).expect("calls come in order");
+        let effects = self.router.granted(&grant, at(now));
+        self.act(effects, now)
+    }
+}
+
+impl Balancer for Candidate {
+    fn submit(&mut self, arrival: Arrival, now: u64) -> Vec<Action> {
+        let effect = match arrival.idempotent {
+            true => job::Effect::Idempotent,
+            false => job::Effect::AtMostOnce,
+        };
+        let request = Request {
+            id: request::Id::from_raw(arrival.id),
+            service: SERVICE.to_owned(),
+            effect,
+            deadline: at(arrival.deadline),
+            forwarded: false,
+        };
+        let effects = self.router.submit(request, at(now));
+        self.act(effects, now)
+    }
+
+    fn answered(&mut self, attempt: u64, answer: Answer, now: u64) -> Vec<Action> {
+        if answer == Answer::Failed {
+            self.failed.insert(attempt);
+        }
+        let outcome = match answer {
+            Answer::Good => Outcome::Whole { failed: false },
+            Answer::Failed => Outcome::Whole { failed: true },
+            Answer::Wrong => Outcome::Mismatched,
+            Answer::Lost => Outcome::Broken,
+        };
+        self.finish(attempt, outcome, now)
+    }
+
+    fn tick(&mut self, now: u64) -> Vec<Action> {
+        let mut actions = Vec::new();
+        while let Some(Reverse((end, attempt))) = self.listening.peek().copied() {
+            if now < end {
+                break;
+            }
+            self.listening.pop();
+            actions.extend(self.finish(attempt, Outcome::Broken, now));
+        }
+        if self.router.next_tick() <= at(now) {
+            let effects = self.router.tick(at(now));
+            actions.extend(self.act(effects, now));
+        }
+        actions
+    }
+
+    fn exchange(&mut self, others: &mut [Box<dyn Balancer>], now: u64) -> Vec<Vec<Action>> {
+        let Some(mut ledger) = self.ledger.take() else { return Vec::new() };
+        let mut started = vec![self.call(&mut ledger, now)];
+        for other in others.iter_mut().filter_map(|other| other.as_candidate()) {
+            started.push(other.call(&mut ledger, now));
+        }
+        self.ledger = Some(ledger);
+        started
+    }
+
+    fn as_candidate(&mut self) -> Option<&mut Candidate> {
+        Some(self)
+    }
+}
+
+fn at(micros: u64) -> Instant {
+    Instant::from_millis(micros / 1000)
+}
