Let a burst wait a quarter of a second

Cause: the setting of the longest wait stands at 250 ms, and the router's own default at 500. Change: the setting now means the wait in a burst, and both defaults are 250 ms.

--- a/src/runner/policy.rs
+++ b/src/runner/policy.rs
@@ -46,7 +46,7 @@
         Self {
             run_limit: Duration::from_secs(5),
             queue_target: Duration::from_millis(50),
-            queue_burst: Duration::from_millis(500),
+            queue_burst: Duration::from_millis(250),
             burst_span: Duration::from_millis(500),
             queue_length: 4096,
             forward_limit: 64,
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -236,7 +236,7 @@
     pub fn routing(&self) -> runner::Policy {
         runner::Policy {
             run_limit: self.request_run,
-            queue_target: self.request_wait,
+            queue_burst: self.request_wait,
             queue_length: self.requests,
             ..runner::Policy::default()
         }
