Test the view of the instances over a real list and connections

Change: the list becomes empty, then stops answering, while half of the workers die: all are used until own tries fail, then the living half only. The task that keeps the view had no test of its own.

--- a/tests/process/config/mod.rs
+++ b/tests/process/config/mod.rs
@@ -21,8 +21,8 @@
 
 /// Runs a story on a runtime that is never dropped.
 ///
-/// Tasks of the instances are still running at a story's end. The runtime panics when the drop of
-/// one of them wakes another; the process of a daemon ends without dropping its runtime.
+/// Tasks of the instances are still running at a story's end, and the runtime panics when the drop
+/// of one of them wakes another.
 fn block_on(story: impl Future<Output = ()>) {
     let builder = RuntimeBuilder::<LegacyDriver>::new();
     let mut runtime = ManuallyDrop::new(builder.enable_timer().build().unwrap());
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod http_client;
 mod intent;
+mod membership;
 mod observe;
 mod peer;
 mod runner;
