Tell people of late, lost and uncertain jobs and silent workers

Cause: the owner knew of missed deadlines, lost and unresolved work, workers out of reach and a log that is away, but nobody else did; nothing came of what placement found about failing workers. Change: alerts are raised on the owner's board and written to the domain's stream with its other changes, and the board is restated before retention drops it. They are listed, acknowledged and counted through the interface. An operator can give up a worker that does not answer. A worker that is back without a task that could run only once ends it as lost. What a worker still runs beside the log's word counts against its room until it has stopped.

--- a/src/alert/board.rs
+++ b/src/alert/board.rs
@@ -179,6 +179,11 @@
         open
     }
 
+    /// Whether no alert was ever raised.
+    pub fn is_blank(&self) -> bool {
+        self.latest == Id::default()
+    }
+
     /// Number of open alerts.
     pub fn open_count(&self) -> usize {
         self.open.len()
--- a/src/entry/backend.rs
+++ b/src/entry/backend.rs
@@ -12,7 +12,7 @@
 use crate::entry::forward::{self, Ask, Envelope, Reply, Tell};
 use crate::entry::views;
 use crate::owner::machine::{self, Answer};
-use crate::{domain, job, peer, worker};
+use crate::{alert, domain, job, peer, worker};
 
 /// Pause that a refused caller is asked to make while the domain changes owners.
 const OWNER_PAUSE: Duration = Duration::from_secs(1);
@@ -93,15 +93,14 @@
                 .look(|machine, _, _| views::active(machine).map(views::workers))
                 .await
                 .map(Tell::Workers),
-            Ask::Order(name, _) => self
+            Ask::GiveUp(name) => self.give_up_here(call, name).await,
+            Ask::Alerts(all, cut) => self
                 .look(move |machine, _, _| {
-                    let active = views::active(machine)?;
-                    let session =
-                        active.sessions.get(&name).ok_or_else(|| unknown_worker(&name))?;
-                    Ok(views::show_worker(&name, session))
+                    view::alert::page(&machine.domain, machine.board(), all, &cut)
                 })
                 .await
-                .map(Tell::Worker),
+                .map(Tell::Alerts),
+            Ask::Acknowledge(id) => self.acknowledge_here(call, &id).await,
             Ask::Status => self.status_here().await.map(|status| Tell::Status(Box::new(status))),
         }
     }
@@ -130,7 +129,7 @@
                 durability: view::job::Durability::Log,
                 duplicate,
             })),
-            other => Err(refusal(id, other)),
+            other => Err(refusal("job", &id.to_string(), other)),
         }
     }
 
@@ -141,10 +140,47 @@
                 .look(move |machine, _, _| views::job(machine, id))
                 .await
                 .map(|job| Tell::Job(Box::new(job))),
-            other => Err(refusal(id, other)),
+            other => Err(refusal("job", &id.to_string(), other)),
         }
     }
 
+    async fn show_worker(&self, name: worker::Name) -> Result<view::worker::Worker, Refusal> {
+        self.look(move |machine, _, _| {
+            let active = views::active(machine)?;
+            let session = active.sessions.get(&name).ok_or_else(|| unknown_worker(&name))?;
+            Ok(views::show_worker(&name, session))
+        })
+        .await
+    }
+
+    async fn give_up_here(&self, call: Call, name: worker::Name) -> Reply {
+        let change = machine::Call::GiveUp(name.clone());
+        match self.handle.call(&*self.clock, change, call.within).await {
+            Answer::GivenUp => self.show_worker(name).await.map(Tell::Worker),
+            Answer::NotFound => Err(unknown_worker(&name)),
+            other => Err(refusal("worker", name.as_str(), other)),
+        }
+    }
+
+    async fn acknowledge_here(&self, call: Call, text: &str) -> Reply {
+        let unknown = || Refusal::not_run(Reason::NotFound, format!("no alert {text} is known"));
+        let id = alert::Id::parse(text).ok_or_else(unknown)?;
+        let by = call.by.unwrap_or_default();
+        let change = machine::Call::Acknowledge { alert: id, by };
+        match self.handle.call(&*self.clock, change, call.within).await {
+            Answer::Acknowledged => {}
+            Answer::NotFound => return Err(unknown()),
+            other => return Err(refusal("alert", text, other)),
+        }
+        self.look(move |machine, _, _| {
+            let alert = machine.board().get(id);
+            Ok(alert.map(|alert| view::alert::Alert::of(&machine.domain, alert)))
+        })
+        .await?
+        .map(Tell::Alert)
+        .ok_or_else(unknown)
+    }
+
     async fn status_here(&self) -> Result<view::status::Domain, Refusal> {
         let domain = self.domain.clone();
         self.look(move |machine, now, _| {
@@ -159,7 +195,7 @@
                 workers: state.workers,
                 load: state.load,
                 log: state.log,
-                open_alerts: 0,
+                open_alerts: u64::try_from(machine.board().open_count()).unwrap_or(u64::MAX),
             })
         })
         .await
@@ -191,19 +227,27 @@
         .after(OWNER_PAUSE)
 }
 
-fn refusal(id: job::Id, answer: Answer) -> Refusal {
+fn refusal(what: &str, id: &str, answer: Answer) -> Refusal {
     let cause = match answer {
         Answer::Refused(cause) => cause,
         Answer::NotFound => {
-            return Refusal::not_run(Reason::NotFound, format!("no job {id} is known here"));
+            return Refusal::not_run(Reason::NotFound, format!("no {what} {id} is known here"));
         }
-        Answer::Unknown | Answer::Accepted { .. } | Answer::Cancelled => {
+        Answer::Unknown
+        | Answer::Accepted { .. }
+        | Answer::Cancelled
+        | Answer::Acknowledged
+        | Answer::GivenUp => {
             let message = "the log did not answer in time; repeat with the same key to learn more";
             return Refusal::unknown(Reason::LogUnavailable, message).after(LOG_PAUSE);
         }
     };
     match cause {
         machine::Refusal::NotOwner(_) => views::no_owner(),
+        machine::Refusal::WorkerAnswers => Refusal::not_run(
+            Reason::AlreadyEnded,
+            format!("worker {id} answers, so what it runs is known; drain it instead"),
+        ),
         machine::Refusal::KeyReused => Refusal::not_run(
             Reason::KeyReused,
             format!("the idempotency key already stands for job {id} with other contents"),
@@ -298,16 +342,15 @@
 
     fn alerts(
         &self,
-        _call: Call,
-        _all: bool,
-        _cut: view::Cut<String>,
+        call: Call,
+        all: bool,
+        cut: view::Cut<String>,
     ) -> api::Answer<'_, view::Page<view::alert::Alert, String>> {
-        async { Ok(view::Page { items: Vec::new(), next: None }) }.boxed_local()
+        ask!(self, call, Ask::Alerts(all, cut), Tell::Alerts)
     }
 
-    fn acknowledge(&self, _call: Call, alert: String) -> api::Answer<'_, view::alert::Alert> {
-        let refusal = Refusal::not_run(Reason::NotFound, format!("no alert {alert} is known here"));
-        async { Err(refusal) }.boxed_local()
+    fn acknowledge(&self, call: Call, alert: String) -> api::Answer<'_, view::alert::Alert> {
+        ask!(self, call, Ask::Acknowledge(alert), Tell::Alert)
     }
 
     fn presets(&self, _call: Call) -> api::Answer<'_, view::preset::Choice> {
@@ -353,7 +396,14 @@
         worker: worker::Name,
         order: view::worker::Order,
     ) -> api::Answer<'_, view::worker::Worker> {
-        ask!(self, call, Ask::Order(worker, order), Tell::Worker)
+        match order {
+            view::worker::Order::Lost => ask!(self, call, Ask::GiveUp(worker), Tell::Worker),
+            // Drains are settings, which are not connected yet.
+            view::worker::Order::Drain | view::worker::Order::Undrain => {
+                let message = "drains are not connected";
+                async move { Err(Refusal::not_run(Reason::Internal, message)) }.boxed_local()
+            }
+        }
     }
 
     fn status(&self, call: Call) -> api::Answer<'_, view::status::Status> {
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -40,8 +40,12 @@
     Explain(job::Id),
     /// List workers.
     Workers,
-    /// Change what a worker is used for.
-    Order(worker::Name, view::worker::Order),
+    /// Take a worker for gone.
+    GiveUp(worker::Name),
+    /// List alerts, acknowledged ones too when the flag is set.
+    Alerts(bool, view::Cut<String>),
+    /// Mark an alert as seen.
+    Acknowledge(String),
     /// Report the domain's state.
     Status,
 }
@@ -49,7 +53,7 @@
 impl Ask {
     /// Whether the call changes anything.
     pub fn is_change(&self) -> bool {
-        matches!(self, Self::Submit(_) | Self::Cancel(_) | Self::Order(..))
+        matches!(self, Self::Submit(_) | Self::Cancel(_) | Self::GiveUp(_) | Self::Acknowledge(_))
     }
 }
 
@@ -66,8 +70,12 @@
     Explanation(view::job::Explanation),
     /// To [`Ask::Workers`].
     Workers(Vec<view::worker::Worker>),
-    /// To [`Ask::Order`].
+    /// To [`Ask::GiveUp`].
     Worker(view::worker::Worker),
+    /// To [`Ask::Alerts`].
+    Alerts(view::Page<view::alert::Alert, String>),
+    /// To [`Ask::Acknowledge`].
+    Alert(view::alert::Alert),
     /// To [`Ask::Status`].
     Status(Box<view::status::Domain>),
 }
--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -4,9 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use crate::alert::Board;
 use crate::clock::{Instant, Unix};
 use crate::domain::{Epoch, Instance};
-use crate::job::Spec;
+use crate::job::{Kind, Spec, Urgency};
 use crate::membership::{Member, Role, State};
 use crate::owner::journal::Journal;
 use crate::owner::machine::{Answer, Refusal};
@@ -15,6 +16,7 @@
 use crate::owner::table::{Job, Table};
 use crate::owner::{Ticket, Timings};
 use crate::placement::{Availability, Engine, Holding, Policy, Request};
+use crate::resource::Amount;
 use crate::{job, task, worker};
 
 /// State of an owner.
@@ -24,6 +26,8 @@
     pub epoch: Epoch,
     /// Changes on their way to the log.
     pub journal: Journal,
+    /// Alerts, with those on their way to the log.
+    pub board: Board,
     /// Placement of tasks.
     pub engine: Engine,
     /// Workers by name.
@@ -48,6 +52,7 @@
     pub(super) alone_since: Instant,
     pub(super) beat_at: Instant,
     pub(super) sweep_at: Instant,
+    pub(super) jobs_at: Instant,
 }
 
 /// A call that waits for the log.
@@ -55,14 +60,23 @@
 pub(super) enum Pending {
     Submit(job::Id),
     Cancel,
+    Acknowledge,
+    GiveUp,
 }
 
 impl Active {
     /// State of an owner that has just claimed `epoch`.
-    pub fn new(epoch: Epoch, timings: &Timings, policy: Policy, now: Instant) -> Self {
+    pub fn new(
+        epoch: Epoch,
+        timings: &Timings,
+        policy: Policy,
+        board: Board,
+        now: Instant,
+    ) -> Self {
         Self {
             epoch,
             journal: Journal::new(epoch, timings.commit),
+            board,
             engine: Engine::new(policy),
             sessions: BTreeMap::new(),
             calls: BTreeMap::new(),
@@ -76,6 +90,7 @@
             alone_since: now,
             beat_at: now,
             sweep_at: now,
+            jobs_at: now,
         }
     }
 
@@ -192,6 +207,11 @@
         }
     }
 
+    /// Whether every worker that the list names has told what it has.
+    pub(super) fn knows_all_workers(&self) -> bool {
+        self.sessions.values().all(|session| !session.capacity.is_zero())
+    }
+
     /// Ends ownership and returns the answers to those who wait.
     pub fn abandon(&mut self, owner: Option<&Instance>) -> Vec<(Ticket, Answer)> {
         let abandoned = self.journal.abandon();
@@ -212,7 +232,7 @@
     pub(super) fn followers(&mut self, ticket: Ticket) -> Vec<Ticket> {
         let others = match self.calls.remove(&ticket) {
             Some(Pending::Submit(job)) => self.accepting.remove(&job).unwrap_or_default(),
-            Some(Pending::Cancel) | None => Vec::new(),
+            Some(Pending::Cancel | Pending::Acknowledge | Pending::GiveUp) | None => Vec::new(),
         };
         let everyone = std::iter::once(ticket).chain(others);
         everyone.filter(|ticket| !self.muted.remove(ticket)).collect()
@@ -231,3 +251,17 @@
         deadline: spec.deadline,
     }
 }
+
+/// What a try of unknown origin holds.
+pub(super) fn stray(demand: Amount, started: Instant) -> Holding {
+    Holding {
+        demand,
+        team: String::new(),
+        name: String::new(),
+        kind: Kind::LongRunning,
+        urgency: Urgency::Normal,
+        started,
+        run_time: None,
+        deadline: None,
+    }
+}
--- a/src/owner/election.rs
+++ b/src/owner/election.rs
@@ -340,7 +340,8 @@
             self.domain,
             self.replica.table.len()
         );
-        let mut active = Active::new(epoch, &self.timings, self.policy, now);
+        let board = self.replica.board.clone();
+        let mut active = Active::new(epoch, &self.timings, self.policy, board, now);
         active.set_members(&self.members);
         active.load(&self.replica.table, now, unix);
         self.role = Role::Owner(Box::new(active));
--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -4,19 +4,20 @@
 
 use crate::clock::{Instant, Unix};
 use crate::job::Kind;
-use crate::owner::Ticket;
 use crate::owner::active::{Active, Pending};
 use crate::owner::journal::{self, Tag};
 use crate::owner::machine::{Answer, Beat, Call, Effect, Machine, Refusal, Role};
 use crate::owner::record::{
     Acceptance, Batch, Cancellation, Conclusion, Entry, Placement, Position, Statement,
 };
+use crate::owner::replica::Replica;
 use crate::owner::session::Session;
 use crate::owner::table::{Job, Table};
+use crate::owner::{Ticket, Timings};
 use crate::placement::{Assignment, Decision};
 use crate::store::Offset;
 use crate::worker::Command;
-use crate::{job, placement, task};
+use crate::{alert, job, placement, task, worker};
 
 /// Bound on the tasks placed in one step, so that messages are handled in between.
 const MAX_DECISIONS: usize = 256;
@@ -60,6 +61,7 @@
         active.sweep_at = now.after(SWEEP);
         active.expire_leases(&self.replica, &self.timings, now, unix);
         active.prune(&self.replica.table, self.timings.history, unix);
+        active.watch(&self.replica.table, now, unix);
     }
 
     fn wake_resting(&mut self, now: Instant) {
@@ -99,7 +101,7 @@
         let parcel = match active.journal.retry(now) {
             Some(parcel) => Some(parcel),
             None if active.journal.is_idle(now) => {
-                let due = statements(&self.replica.table, self.replica.next(), &self.timings, unix);
+                let due = statements(&self.replica, &self.timings, unix);
                 active.journal.depart(now, position, due)
             }
             None => None,
@@ -166,7 +168,7 @@
         }
     }
 
-    pub(super) fn on_call(&mut self, ticket: Ticket, call: Call, unix: Unix) {
+    pub(super) fn on_call(&mut self, ticket: Ticket, call: Call, now: Instant, unix: Unix) {
         let owner = self.owner().cloned();
         let answer = match &mut self.role {
             Role::Follower => Some(Answer::Refused(Refusal::NotOwner(owner))),
@@ -177,6 +179,10 @@
                     active.submit(ticket, acceptance, &self.replica.table)
                 }
                 Call::Cancel(job) => active.cancel(ticket, job, &self.replica.table, unix),
+                Call::Acknowledge { alert, by } => active.acknowledge(ticket, alert, &by, unix),
+                Call::GiveUp(worker) => {
+                    active.give_up(ticket, &worker, &self.replica.table, now, unix)
+                }
             },
         };
         if let Some(answer) = answer {
@@ -192,18 +198,18 @@
 }
 
 /// Jobs whose last whole statement is about to leave the log.
-fn statements(
-    table: &Table,
-    next: Offset,
-    timings: &crate::owner::Timings,
-    unix: Unix,
-) -> Vec<Entry> {
+fn statements(replica: &Replica, timings: &Timings, unix: Unix) -> Vec<Entry> {
     let far = |job: &&Job| {
-        let behind = next.saturating_sub(job.stated) > timings.restate_records;
+        let behind = replica.next().saturating_sub(job.stated) > timings.restate_records;
         behind || unix.since(job.restated_at) > timings.restate_age
     };
     let state = |job| Entry::Restated(Statement::from(job));
-    table.by_statement().take_while(far).take(MAX_STATEMENTS).map(state).collect()
+    let jobs = replica.table.by_statement().take_while(far).take(MAX_STATEMENTS).map(state);
+    let board = replica.is_board_old(timings.restate_records).then(|| {
+        let ledger = replica.board.ledger();
+        Entry::Alerts(alert::wire::Ledger::from(&ledger))
+    });
+    jobs.chain(board).collect()
 }
 
 impl Active {
@@ -249,9 +255,10 @@
     /// Why no worker could ever run such a job. Unknown until every listed worker has told what it
     /// has, so that a new owner refuses nothing that a worker it has not reached could run.
     fn impossible(&self, spec: &job::Spec) -> Option<placement::Reason> {
-        let known = self.sessions.values().all(|session| !session.capacity.is_zero());
         let tasks = usize::try_from(spec.tasks).unwrap_or(usize::MAX);
-        known.then(|| self.engine.impossible(&spec.demand, spec.kind, tasks)).flatten()
+        self.knows_all_workers()
+            .then(|| self.engine.impossible(&spec.demand, spec.kind, tasks))
+            .flatten()
     }
 
     fn cancel(&mut self, ticket: Ticket, id: job::Id, table: &Table, at: Unix) -> Option<Answer> {
@@ -270,6 +277,40 @@
         None
     }
 
+    /// Takes an operator's word that a worker is gone for good, with all that it ran.
+    fn give_up(
+        &mut self,
+        ticket: Ticket,
+        worker: &worker::Name,
+        table: &Table,
+        now: Instant,
+        unix: Unix,
+    ) -> Option<Answer> {
+        let Some(session) = self.sessions.get(worker) else { return Some(Answer::NotFound) };
+        if session.failing_since().is_none() {
+            return Some(Answer::Refused(Refusal::WorkerAnswers));
+        }
+        let tasks: Vec<task::Id> = table.placed_on(worker).collect();
+        let Some((last, others)) = tasks.split_last() else { return Some(Answer::GivenUp) };
+        for task in others {
+            self.abandon_try(*task, None, now, unix);
+        }
+        self.calls.insert(ticket, Pending::GiveUp);
+        self.abandon_try(*last, Some(ticket), now, unix);
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.clear();
+        }
+        None
+    }
+
+    fn abandon_try(&mut self, task: task::Id, ticket: Option<Ticket>, now: Instant, at: Unix) {
+        let end = task::End::Lapsed;
+        self.concluding.insert(task);
+        self.journal.push(Entry::Ended(Conclusion { task, end, at }), ticket);
+        self.engine.finish(task, end, now);
+        self.release(task);
+    }
+
     /// Answers a caller whose time is up. What was not handed to the log is taken back, so that
     /// "not run" is true; what was may be written, and the caller has to ask again.
     fn expire(&mut self, ticket: Ticket) -> Vec<Effect> {
@@ -304,6 +345,8 @@
         let answer = match self.calls.get(&ticket) {
             Some(Pending::Submit(_)) => Answer::Accepted { duplicate: false },
             Some(Pending::Cancel) => Answer::Cancelled,
+            Some(Pending::Acknowledge) => Answer::Acknowledged,
+            Some(Pending::GiveUp) => Answer::GivenUp,
             None => return Vec::new(),
         };
         self.followers(ticket)
@@ -317,7 +360,7 @@
         &mut self,
         entry: &Entry,
         table: &Table,
-        timings: &crate::owner::Timings,
+        timings: &Timings,
         now: Instant,
         unix: Unix,
     ) {
@@ -333,14 +376,23 @@
                     self.on_placed(placement, table, now, unix);
                 }
             }
-            Entry::Ended(conclusion) => self.on_ended(conclusion, table, timings, now),
+            Entry::Ended(conclusion) => {
+                self.on_ended(conclusion, table, timings, now);
+                if let Some(job) = table.get(conclusion.task.job) {
+                    self.tell_end(job, conclusion.task, unix);
+                }
+            }
             Entry::Cancelled(cancellation) => {
                 if let Some(job) = table.get(cancellation.job) {
                     self.on_cancelled(job, now, unix);
                 }
             }
             Entry::Retired(_) => self.alone_since = now,
-            Entry::Unresolved(_) | Entry::Restated(_) | Entry::Pruned(_) => {}
+            Entry::Unresolved(_)
+            | Entry::Restated(_)
+            | Entry::Pruned(_)
+            | Entry::Alert(_)
+            | Entry::Alerts(_) => {}
         }
     }
 
@@ -373,7 +425,7 @@
         &mut self,
         conclusion: &Conclusion,
         table: &Table,
-        timings: &crate::owner::Timings,
+        timings: &Timings,
         now: Instant,
     ) {
         self.concluding.remove(&conclusion.task);
--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::alert::Board;
 use crate::clock::{Instant, Unix};
 use crate::domain::{self, Epoch, Instance};
 use crate::membership::Member;
@@ -17,7 +18,7 @@
 use crate::owner::{Ticket, Timings};
 use crate::placement::Policy;
 use crate::store::{self, Offset, Page};
-use crate::{job, placement, worker};
+use crate::{alert, job, placement, worker};
 
 /// Something that happened.
 #[derive(Debug)]
@@ -99,6 +100,15 @@
     },
     /// Stop a job.
     Cancel(job::Id),
+    /// Mark an alert as seen.
+    Acknowledge {
+        /// The alert.
+        alert: alert::Id,
+        /// Who saw it.
+        by: String,
+    },
+    /// Take a worker that does not answer for gone, with all that it ran.
+    GiveUp(worker::Name),
 }
 
 /// Answer to a call.
@@ -111,7 +121,11 @@
     },
     /// The cancellation is in the log.
     Cancelled,
-    /// The job is not known.
+    /// The acknowledgement is in the log.
+    Acknowledged,
+    /// The end of all that the worker ran is in the log.
+    GivenUp,
+    /// The job, alert or worker is not known.
     NotFound,
     /// Nothing was written and nothing will run because of the call.
     Refused(Refusal),
@@ -124,6 +138,8 @@
 pub enum Refusal {
     /// This instance does not own the domain.
     NotOwner(Option<Instance>),
+    /// The worker answers, so it is not gone.
+    WorkerAnswers,
     /// The key stands for another job.
     KeyReused,
     /// No worker could ever run it.
@@ -248,7 +264,7 @@
             Message::Members(members) => self.on_members(members),
             Message::Beat(beat) => self.on_beat(&beat, now),
             Message::BeatAnswered { from, epoch } => self.on_beat_answered(&from, epoch, now),
-            Message::Call { ticket, call } => self.on_call(ticket, call, unix),
+            Message::Call { ticket, call } => self.on_call(ticket, call, now, unix),
             Message::Expired(ticket) => self.on_expired(ticket),
             Message::Policy(policy) => self.on_policy(policy),
             Message::Handover(epoch) => self.on_handover(epoch, now),
@@ -281,6 +297,14 @@
         self.election.is_caught_up()
     }
 
+    /// Alerts of the domain: on its owner with those on their way to the log.
+    pub fn board(&self) -> &Board {
+        match &self.role {
+            Role::Owner(active) => &active.board,
+            Role::Follower => &self.replica.board,
+        }
+    }
+
     pub(super) fn active(&mut self) -> Option<&mut Active> {
         match &mut self.role {
             Role::Owner(active) => Some(active),
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -6,6 +6,7 @@
 //! stream, [`replica::Replica`] the state that every instance builds by reading it.
 
 pub mod active;
+pub mod alerts;
 pub mod election;
 pub mod journal;
 pub mod lead;
--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -3,7 +3,7 @@
 use crate::clock::{Instant, Unix};
 use crate::domain::Epoch;
 use crate::owner::Timings;
-use crate::owner::active::Active;
+use crate::owner::active::{Active, stray};
 use crate::owner::lead::start;
 use crate::owner::machine::{Machine, Role};
 use crate::owner::record::{Entry, Placement, Position};
@@ -87,17 +87,25 @@
                 let end = self.true_end(worker, current, end);
                 self.conclude(id, end, now, unix);
             }
-            Phase::Ended(_) => self.tell(worker, Command::Forget(id)),
+            Phase::Ended(_) => {
+                self.release(id);
+                self.tell(worker, Command::Forget(id));
+            }
             Phase::Running if here => {
                 let unresolved =
                     current.is_some_and(|t| matches!(t.position, Position::Unresolved { .. }));
-                if unresolved {
+                if unresolved && let Some(job) = table.get(id.job) {
+                    self.adopt(id, worker, job, now);
                     self.resolve(worker, id);
                 }
             }
-            // A try that the log does not place here. It must not run beside the one that counts.
-            Phase::Running => self.tell(worker, Command::Stop(id)),
-            Phase::Stopping => {}
+            Phase::Running => {
+                // A try that the log does not place here must not run beside the one that counts.
+                self.hold_stray(worker, observation, now);
+                self.tell(worker, Command::Stop(id));
+            }
+            Phase::Stopping if here => {}
+            Phase::Stopping => self.hold_stray(worker, observation, now),
         }
     }
 
@@ -118,6 +126,15 @@
         }
     }
 
+    /// Counts what a try holds that the log does not place there, until the worker has stopped it.
+    /// Otherwise its room would be given away while it is still in use.
+    fn hold_stray(&mut self, worker: &worker::Name, observation: &Observation, now: Instant) {
+        if !self.held.contains_key(&observation.task) {
+            self.engine.adopt(observation.task, worker, &stray(observation.demand, now));
+            self.held.insert(observation.task, worker.clone());
+        }
+    }
+
     fn resolve(&mut self, worker: &worker::Name, task: task::Id) {
         let run = self.sessions.get(worker).map_or(0, |session| session.run);
         let placement = Placement { task, worker: worker.clone(), run };
@@ -151,6 +168,11 @@
             findings.restarted,
             findings.tasks.len()
         );
+        for id in unresolved_on(table, worker) {
+            if !findings.tasks.iter().any(|observation| observation.task == id) {
+                self.conclude(id, End::Lapsed, now, unix);
+            }
+        }
         let known = |id| findings.tasks.iter().any(|observation| observation.task == id);
         for (id, placed_run) in placed_on(table, worker) {
             if known(id) || self.concluding.contains(&id) {
@@ -243,6 +265,15 @@
     }
 }
 
+/// Present tries that may still run on `worker`.
+fn unresolved_on(table: &Table, worker: &worker::Name) -> Vec<task::Id> {
+    let unresolved = |id: &task::Id| {
+        let current = table.get(id.job).and_then(|job| job.current(*id));
+        current.is_some_and(|task| matches!(task.position, Position::Unresolved { .. }))
+    };
+    table.placed_on(worker).filter(unresolved).collect()
+}
+
 /// Present tries that the log places on `worker`, with the worker's process when placing.
 fn placed_on(table: &Table, worker: &worker::Name) -> Vec<(task::Id, u64)> {
     let run = |id: task::Id| match &table.get(id.job)?.current(id)?.position {
--- a/src/owner/record.rs
+++ b/src/owner/record.rs
@@ -7,10 +7,10 @@
 use crate::clock::Unix;
 use crate::domain::{Epoch, Instance};
 use crate::store::Offset;
-use crate::{job, task, worker};
+use crate::{alert, job, task, worker};
 
 /// One record of the stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Record {
     /// A claim to own the failure domain.
     Claim(Claim),
@@ -47,7 +47,7 @@
 ///
 /// `epoch` and `sequence` make a batch idempotent: a copy appended again after a lost answer is
 /// skipped on reading.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Batch {
     /// Epoch of the writer.
     pub epoch: Epoch,
@@ -60,7 +60,7 @@
 }
 
 /// One change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Entry {
     /// A job was accepted.
     Accepted(Acceptance),
@@ -78,6 +78,10 @@
     Pruned(job::Id),
     /// An earlier owner has surely ended its ownership.
     Retired(Instance),
+    /// An alert was raised or acknowledged, or its cause has gone.
+    Alert(alert::wire::Record),
+    /// The whole board of alerts, repeated before its older records are dropped.
+    Alerts(alert::wire::Ledger),
 }
 
 /// An accepted job.
--- a/src/owner/replica.rs
+++ b/src/owner/replica.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 
+use crate::alert;
+use crate::alert::Board;
 use crate::clock::Unix;
 use crate::codec;
 use crate::domain::{Epoch, Instance};
@@ -12,7 +14,7 @@
 use crate::store::{Offset, Page};
 
 /// What reading one record did.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub enum Applied {
     /// A claim took hold: the claimant owns the failure domain from here on.
     Claimed(Claim),
@@ -28,6 +30,10 @@
 pub struct Replica {
     /// Jobs.
     pub table: Table,
+    /// Alerts.
+    pub board: Board,
+    /// Offset at which the alerts were last stated whole.
+    board_stated: Offset,
     epoch: Epoch,
     owner: Option<Instance>,
     formers: Vec<Instance>,
@@ -46,6 +52,7 @@
             sequence: floor.sequence,
             next: floor.offset,
             claimed_at: floor.offset,
+            board_stated: floor.offset,
             ..Self::default()
         }
     }
@@ -90,11 +97,21 @@
     /// since only it names the owner.
     pub fn floor(&self) -> Floor {
         let jobs = self.table.oldest_statement().unwrap_or(self.next);
-        let needed = jobs.min(self.claimed_at);
+        let needed = jobs.min(self.claimed_at).min(self.board_needed());
         let after = self.marks.partition_point(|mark| mark.offset <= needed);
         after.checked_sub(1).map(|index| self.marks[index]).unwrap_or_default()
     }
 
+    /// Offset from which the alerts can be read; they matter as soon as one was ever raised.
+    fn board_needed(&self) -> Offset {
+        if self.board.is_blank() { self.next } else { self.board_stated }
+    }
+
+    /// Whether the alerts were last stated whole more than `records` ago.
+    pub fn is_board_old(&self, records: Offset) -> bool {
+        !self.board.is_blank() && self.next.saturating_sub(self.board_stated) > records
+    }
+
     fn mark(&mut self, offset: Offset) {
         let floor = self.floor().offset;
         while self.marks.len() > 1 && self.marks[1].offset <= floor {
@@ -136,6 +153,31 @@
         Applied::Claimed(claim)
     }
 
+    fn note(&mut self, entry: &Entry, offset: Offset) {
+        match entry {
+            Entry::Retired(instance) => self.formers.retain(|former| former != instance),
+            Entry::Alert(record) => match record.clone().try_into() {
+                Ok(record) => self.apply_alert(&record, offset),
+                Err(error) => log::warn!("event=owner.alert_unreadable {error}"),
+            },
+            Entry::Alerts(ledger) => match ledger.clone().try_into() {
+                Ok(ledger) => {
+                    self.board = Board::restore(ledger);
+                    self.board_stated = offset;
+                }
+                Err(error) => log::warn!("event=owner.alerts_unreadable {error}"),
+            },
+            _ => {}
+        }
+    }
+
+    fn apply_alert(&mut self, record: &alert::Record, offset: Offset) {
+        if self.board.is_blank() {
+            self.board_stated = offset;
+        }
+        self.board.apply(record);
+    }
+
     fn change(&mut self, offset: Offset, batch: Batch, now: Unix) -> Applied {
         if batch.epoch != self.epoch || batch.sequence != self.sequence {
             return Applied::Void;
@@ -143,9 +185,7 @@
         self.sequence += 1;
         for entry in &batch.entries {
             self.table.apply(entry, offset, now);
-            if let Entry::Retired(instance) = entry {
-                self.formers.retain(|former| former != instance);
-            }
+            self.note(entry, offset);
         }
         Applied::Changed(batch)
     }
--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -194,8 +194,10 @@
             return Verdict::Retry;
         }
         if self.spec.effect == Effect::AtMostOnce {
+            let unresolved = matches!(task.position, Position::Unresolved { .. });
             return match end {
-                End::Lapsed => Verdict::Unresolved,
+                // Told a second time, the worker is back without the task or given up for good.
+                End::Lapsed if !unresolved => Verdict::Unresolved,
                 _ => Verdict::Finish,
             };
         }
@@ -356,7 +358,7 @@
             Entry::Pruned(job) => {
                 self.remove(*job);
             }
-            Entry::Retired(_) => {}
+            Entry::Retired(_) | Entry::Alert(_) | Entry::Alerts(_) => {}
         }
     }
 
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use oriolefork::clock::Instant;
+use oriolefork::alert;
+use oriolefork::clock::{Instant, Unix};
 use oriolefork::domain::Epoch;
 use oriolefork::job::{self, Effect, Kind, Spec, Urgency};
 use oriolefork::owner::journal::{Journal, Position};
-use oriolefork::owner::machine::{Answer, Call};
+use oriolefork::owner::machine::{Answer, Call, Refusal};
 use oriolefork::owner::record::{Entry, Floor};
 use oriolefork::resource::Amount;
 use rand::rngs::SmallRng;
@@ -161,6 +162,75 @@
     }
 }
 
+fn open_alerts(world: &World, kind: alert::Kind) -> usize {
+    let owner = world.owner().expect("an owner");
+    let board = world.machine(owner).board();
+    board.open().iter().filter(|alert| alert.key.kind == kind).count()
+}
+
+// A renewal that may run only once is on a worker that vanishes. It is not run again; a person is
+// told, also when the owner that told them dies, and until somebody acknowledges.
+#[test]
+fn alerts_survive_owner() {
+    let mut world = started(5);
+    let first = world.owner().unwrap();
+    world.call(first, submit("once", spec(Kind::Batch, 1, Effect::AtMostOnce, 60_000)));
+    world.run(1_000);
+    for index in 0..4 {
+        world.cut_worker(&format!("w{index}"), true);
+    }
+    world.run(40_000);
+    assert_eq!(open_alerts(&world, alert::Kind::Uncertain), 1);
+    assert_eq!(open_alerts(&world, alert::Kind::Unfenced), 4);
+    world.kill(first);
+    world.run_until(10_000, |world| world.owner().is_some()).expect("another owner");
+    let second = world.owner().unwrap();
+    assert_eq!(open_alerts(&world, alert::Kind::Uncertain), 1);
+    let id = world.machine(second).board().open()[0].id;
+    let ticket = world.call(second, Call::Acknowledge { alert: id, by: "kim".to_owned() });
+    world.run(1_000);
+    assert_eq!(world.answers.get(&ticket), Some(&Answer::Acknowledged));
+    assert_eq!(open_alerts(&world, alert::Kind::Uncertain), 0);
+    assert_eq!(world.runs_of(job::Id::derive("shop", "once")), 1);
+}
+
+// A deadline passes while the job waits behind a full cluster: the office hears of it.
+#[test]
+fn alerts_late_job() {
+    let mut world = started(6);
+    let owner = world.owner().unwrap();
+    world.call(owner, submit("fill", spec(Kind::Batch, 16, Effect::Idempotent, 30_000)));
+    world.run(1_000);
+    let deadline = Some(Unix::from_millis(world.now + 5_000));
+    let late = Spec { deadline, ..spec(Kind::Batch, 1, Effect::Idempotent, 100) };
+    world.call(owner, submit("late", late));
+    world.run(12_000);
+    assert_eq!(open_alerts(&world, alert::Kind::Late), 1);
+    world.run_until(60_000, |world| is_over(world, "late")).expect("it runs all the same");
+    assert_eq!(open_alerts(&world, alert::Kind::Late), 1, "it stays until acknowledged");
+}
+
+// A worker is gone for good and an operator says so: what it ran comes to an end at once.
+#[test]
+fn give_up_worker() {
+    let mut world = started(7);
+    let owner = world.owner().unwrap();
+    world.call(owner, submit("k", spec(Kind::Batch, 16, Effect::Idempotent, 4_000)));
+    world.run(1_000);
+    let refused = world.call(owner, Call::GiveUp("w0".into()));
+    world.cut_worker("w0", true);
+    world.run(5_000);
+    let taken = world.call(owner, Call::GiveUp("w0".into()));
+    world.run(500);
+    assert_eq!(
+        world.answers.get(&refused),
+        Some(&Answer::Refused(Refusal::WorkerAnswers)),
+        "what an answering worker runs is known"
+    );
+    assert_eq!(world.answers.get(&taken), Some(&Answer::GivenUp));
+    world.run_until(10_000, |world| is_over(world, "k")).expect("it runs elsewhere");
+}
+
 fn random_spec(rng: &mut SmallRng) -> Spec {
     let kind = match rng.random_range(0..4) {
         0 => Kind::Gang,
