Take quick requests in the daemon

Cause: the routing stood, and no entry instance used it. Change: the daemon starts it beside the owner's controller, feeds it the list and the owner, answers peers' calls about runners, and drains it on a stop. Only services of the settings are served, with their token. The time for which own slots rest after a start is a setting. Conclusion: caller, entry instance and runner are one path.

--- a/benches/routing/candidate.rs
+++ b/benches/routing/candidate.rs
@@ -51,7 +51,7 @@
         let run_limit = policy.run_limit.as_micros() as u64;
         let terms = Terms::for_run_limit(policy.run_limit);
         let position = Position { index: index as u32, count: INSTANCES as u32 };
-        let holder = Holder::new(position, index as u64, terms, Instant::default(), true);
+        let holder = Holder::new(position, index as u64, terms, Instant::default());
         let domain = domain::Name::from("kurow");
         let mut router = Router::new(policy, domain.clone(), holder, index as u64);
         let member = |number: usize| Member {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod forward;
 pub mod members;
 pub mod peers;
+pub mod requests;
 pub mod views;
 
 use std::io;
@@ -115,9 +116,18 @@
             client.clone(),
             settings.instance_list.timeout,
         );
+        let ways = requests::Ways {
+            runners: Rc::new(http::Client::new(http::Limits::default())),
+            peers: peers.clone(),
+            store: Rc::new(MeasuredStore(log(&settings, &client))),
+            handle: handle.clone(),
+            clock: clock.clone(),
+        };
+        let requests = requests::start(&settings, &me, ways, stop.clone());
         monoio::spawn(members::follow(
             Rc::new(MeasuredList(Rc::new(source))),
             handle.clone(),
+            requests.clone(),
             clock.clone(),
             settings.instance_list.poll,
         ));
@@ -132,14 +142,14 @@
         // Peers are served to the very end: those whose requests this instance still has in flight
         // reach the owner through it, and the new owner asks whether this one has stepped down.
         let peer_stop = Shutdown::new();
-        let peer_handler = Rc::new(peers::Peers::new(entry.clone()));
+        let peer_handler = Rc::new(peers::Peers::new(entry.clone(), requests.clone()));
         let grace = settings.http.shutdown_grace;
         let peer_server = monoio::spawn(peer.serve(peer_handler, peer_stop.clone(), grace));
         monoio::spawn(fold(recorder.clone(), clock.clone()));
         let options = api::Options {
             operator_token: settings.operator_token.map(check),
             metrics: Box::new(move || recorder.render()),
-            requests: None,
+            requests: Some(Rc::new(requests)),
         };
         let service = Rc::new(api::Service::new(entry, clock.clone(), options));
         api.serve(service, stop, grace).await;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -17,6 +17,7 @@
 use crate::owner::Beat;
 use crate::owner::machine::Message;
 use crate::peer::{Code, Handler, Refusal};
+use crate::runner::{self, Proxy};
 
 /// Answer to a heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
@@ -30,12 +31,13 @@
 /// Answers to calls from other instances.
 pub struct Peers {
     entry: Rc<Entry>,
+    requests: runner::peer::Handler,
 }
 
 impl Peers {
-    /// Answers in the name of `entry`.
-    pub fn new(entry: Rc<Entry>) -> Self {
-        Self { entry }
+    /// Answers in the name of `entry`, and of `requests` where runners are concerned.
+    pub fn new(entry: Rc<Entry>, requests: Proxy) -> Self {
+        Self { entry, requests: runner::peer::Handler::new(requests) }
     }
 
     async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
@@ -46,6 +48,7 @@
                 encode(&())
             }
             forward::CALL => encode(&self.entry.route(decode::<Envelope>(body)?).await),
+            runner::peer::ASK | runner::peer::RUN => self.requests.answer(method, body).await,
             other => Err(refusal(Code::UnknownMethod, format!("no method {other}"))),
         }
     }
--- /dev/null
+++ b/src/entry/requests.rs
@@ -0,0 +1,90 @@
+//! The daemon's part in quick requests: who may ask, which runners there are, who keeps shares.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::domain::Instance;
+use crate::entry::controller::Handle;
+use crate::intent::{self, Guard};
+use crate::owner::machine::Machine;
+use crate::runner::handler::Access;
+use crate::runner::proxy::{Options, Proxy, Role};
+use crate::runner::share::Keeper;
+use crate::runner::{self, Link};
+use crate::settings::Settings;
+use crate::shutdown::Shutdown;
+use crate::store::Store;
+use crate::telemetry::borders::MeasuredRunners;
+use crate::{http, peer};
+
+/// Pause between two looks at who owns the failure domain.
+const OWNER_POLL: Duration = Duration::from_millis(250);
+/// Time for the last records of at-most-once work to reach the log.
+const RECORD_GRACE: Duration = Duration::from_secs(3);
+
+/// What the tasks reach.
+pub struct Ways {
+    /// Runners, and nothing else.
+    pub runners: Rc<http::Client>,
+    /// Other instances.
+    pub peers: Rc<peer::Client>,
+    /// The log.
+    pub store: Rc<dyn Store>,
+    /// The owner's controller.
+    pub handle: Handle,
+    /// Time.
+    pub clock: Rc<dyn Clock>,
+}
+
+/// Starts the tasks that answer quick requests until `stop` is triggered and all are answered.
+pub fn start(settings: &Settings, me: &Instance, ways: Ways, stop: Shutdown) -> Proxy {
+    let Ways { runners, peers, store, handle, clock } = ways;
+    let policy = intent::Policy::default();
+    let (guard, records) = Guard::new(&me.name, me.run, policy, store, clock.clone());
+    monoio::spawn(records.run(RECORD_GRACE));
+    let link: Rc<dyn Link> = Rc::new(runner::http::Client::new(runners));
+    let (proxy, driver) = Proxy::new(Options {
+        policy: settings.queues.routing(),
+        domain: settings.domain.clone(),
+        position: settings.position(),
+        run: me.run,
+        rest: settings.queues.request_restart_wait,
+        link: Rc::new(MeasuredRunners(link)),
+        peers: Rc::new(runner::peer::Client::new(peers)),
+        clock: clock.clone(),
+        guard: Some(guard),
+        access: Access::of(&settings.services),
+    });
+    monoio::spawn(driver.run());
+    monoio::spawn(follow_owner(me.clone(), handle, clock, proxy.clone()));
+    monoio::spawn(drain(proxy.clone(), stop));
+    proxy
+}
+
+async fn drain(proxy: Proxy, stop: Shutdown) {
+    stop.wait().await;
+    proxy.drain().await;
+}
+
+/// Tells the proxy who owns the failure domain, for as long as the controller runs.
+async fn follow_owner(me: Instance, handle: Handle, clock: Rc<dyn Clock>, proxy: Proxy) {
+    loop {
+        let own = me.clone();
+        let Some(role) = handle.inspect(move |machine, _, _| role(&own, machine)).await else {
+            return proxy.set_role(Role::Unknown);
+        };
+        proxy.set_role(role);
+        clock.sleep(OWNER_POLL).await;
+    }
+}
+
+fn role(me: &Instance, machine: &Machine) -> Role {
+    let Some(owner) = machine.owner() else { return Role::Unknown };
+    let keeper = Keeper { epoch: machine.known_epoch(), run: owner.run };
+    match owner.run == me.run {
+        true if machine.is_owner() => Role::Owner(keeper),
+        true => Role::Unknown,
+        false => Role::Follower(keeper, owner.peer),
+    }
+}
--- a/src/runner/handler.rs
+++ b/src/runner/handler.rs
@@ -1,5 +1,6 @@
 //! The callers' interface to request routing: HTTP in, HTTP out.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::http::{Handler, Request, Response};
 use crate::intent::{self, Admission, Body, Outcome, Permit, Progress, State};
 use crate::job::Effect;
+use crate::settings::{self, Secret};
 
 /// Says whether a second run of the request does harm.
 pub const EFFECT: &str = "x-effect";
@@ -29,6 +31,38 @@
 /// Part of the caller's time that may be spent on the record of at-most-once work.
 const RECORD_PART: u32 = 2;
 
+/// Services whose requests are taken, each with what its callers must present, if anything.
+pub struct Access {
+    services: Option<BTreeMap<String, Option<Secret>>>,
+}
+
+impl Access {
+    /// Takes the requests of every service from anyone, for tests.
+    pub const fn open() -> Self {
+        Self { services: None }
+    }
+
+    /// Takes the requests of these services and of no other.
+    pub fn of(services: &[settings::Service]) -> Self {
+        let named = services.iter().map(|service| (service.name.clone(), service.token.clone()));
+        Self { services: Some(named.collect()) }
+    }
+
+    fn check(&self, service: &str, headers: &HeaderMap) -> Result<(), api::Refusal> {
+        let Some(services) = &self.services else { return Ok(()) };
+        let Some(token) = services.get(service) else {
+            let message = "the settings name no such service";
+            return Err(api::Refusal::not_run(Reason::NotFound, message));
+        };
+        let is_token = |token: &Secret| header::bearer(headers).is_some_and(|it| token.matches(it));
+        if token.as_ref().is_none_or(is_token) {
+            return Ok(());
+        }
+        let message = "the service's token is missing or wrong: `authorization: Bearer ...`";
+        Err(api::Refusal::not_run(Reason::Unauthorized, message))
+    }
+}
+
 /// What a request's headers say.
 struct Terms {
     effect: Effect,
@@ -51,6 +85,7 @@
 
     async fn answer(&self, request: Request) -> Result<Reply, api::Refusal> {
         let service = service(request.uri().path())?;
+        self.access().check(&service, request.headers())?;
         let terms = Terms::read(request.headers())?;
         let content_type = request.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
--- a/src/runner/peer.rs
+++ b/src/runner/peer.rs
@@ -137,7 +137,12 @@
         Self { proxy }
     }
 
-    async fn answer(&self, method: &str, body: &Bytes) -> Result<Bytes, peer::Refusal> {
+    /// Answers one call.
+    ///
+    /// # Errors
+    ///
+    /// Refuses methods other than [`ASK`] and [`RUN`], and bodies that are not theirs.
+    pub async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, peer::Refusal> {
         match method {
             ASK => self.grant(body).await,
             RUN => self.run(body).await,
--- a/src/runner/proxy/mod.rs
+++ b/src/runner/proxy/mod.rs
@@ -8,6 +8,7 @@
 use local_sync::mpsc::unbounded::{self, Tx};
 use local_sync::oneshot;
 
+use super::handler::Access;
 use super::link::{Answer, Call, Link};
 use super::peer::Peers;
 use super::request::{self, Doubt, Refusal};
@@ -98,8 +99,9 @@
     pub position: Position,
     /// Random number of the process.
     pub run: u64,
-    /// Whether surely no process of this position ran within the loan span; see [`Holder::new`].
-    pub fresh: bool,
+    /// Time for which its own slots rest after the start; see [`Holder::new`]. The loan span when
+    /// none is given.
+    pub rest: Option<Duration>,
     /// Way to runners.
     pub link: Rc<dyn Link>,
     /// Way to other entry instances.
@@ -108,6 +110,8 @@
     pub clock: Rc<dyn Clock>,
     /// Record of at-most-once work; without it such work is refused.
     pub guard: Option<Guard>,
+    /// Who may ask for what.
+    pub access: Access,
 }
 
 /// Handle to the request routing of one instance.
@@ -115,6 +119,7 @@
 pub struct Proxy {
     home: Tx<Message>,
     guard: Option<Guard>,
+    access: Rc<Access>,
     clock: Rc<dyn Clock>,
 }
 
@@ -141,12 +146,14 @@
     /// Builds a handle and the task behind it.
     pub fn new(options: Options) -> (Self, Driver) {
         let (home, inbox) = unbounded::channel();
-        let Options { policy, domain, position, run, fresh, link, peers, clock, guard } = options;
+        let Options { policy, domain, position, run, rest, .. } = options;
+        let Options { link, peers, clock, guard, access, .. } = options;
         let terms = Terms::for_run_limit(policy.run_limit);
-        let holder = Holder::new(position, run, terms, clock.now(), fresh);
+        let usable_from = clock.now().after(rest.unwrap_or(terms.loan));
+        let holder = Holder::new(position, run, terms, usable_from);
         let router = Router::new(policy, domain, holder, run);
         let driver = Driver::new(router, terms, run, link, peers, Rc::clone(&clock), inbox);
-        (Self { home, guard, clock }, driver)
+        (Self { home, guard, access: Rc::new(access), clock }, driver)
     }
 
     /// Takes in the list of instances as it is now believed.
@@ -199,6 +206,11 @@
         self.guard.as_ref()
     }
 
+    /// Who may ask for what.
+    pub(super) fn access(&self) -> &Access {
+        &self.access
+    }
+
     /// Time.
     pub(super) fn clock(&self) -> &dyn Clock {
         &*self.clock
--- a/src/runner/share/holder.rs
+++ b/src/runner/share/holder.rs
@@ -54,13 +54,12 @@
 }
 
 impl Holder {
-    /// Creates the state of a process that starts at `now`.
+    /// Creates the state of a process that may use its entitlement from `usable_from` on.
     ///
-    /// With `fresh` the caller vouches that no process of this position has run within the loan
-    /// span. Otherwise the entitlement rests for that span: an earlier process may have lent it or
-    /// may have left requests behind that a runner still works on.
-    pub fn new(position: Position, run: u64, terms: Terms, now: Instant, fresh: bool) -> Self {
-        let usable_from = if fresh { now } else { now.after(terms.loan) };
+    /// That is the loan span after its start, unless surely no process of this position has run
+    /// within it: an earlier one may have lent the entitlement, or may have left requests behind
+    /// that a runner still works on.
+    pub fn new(position: Position, run: u64, terms: Terms, usable_from: Instant) -> Self {
         let party = Party { index: position.index, run };
         Self {
             position,
--- a/src/settings/convert.rs
+++ b/src/settings/convert.rs
@@ -167,6 +167,7 @@
             requests: size(written.requests),
             request_wait: span(written.request_wait_ms),
             request_run: span(written.request_run_ms),
+            request_restart_wait: written.request_restart_wait_ms.map(span),
             caller_timeout: span(written.caller_timeout_ms),
         }
     }
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -227,6 +227,8 @@
     pub request_wait: Duration,
     /// Longest that a runner works on one quick request.
     pub request_run: Duration,
+    /// Time after the start for which own slots rest; `None` for what routing takes by itself.
+    pub request_restart_wait: Option<Duration>,
     /// Time a caller gives a quick request when it names no deadline.
     pub caller_timeout: Duration,
 }
--- a/src/settings/wire.rs
+++ b/src/settings/wire.rs
@@ -264,6 +264,11 @@
     /// Longest that a runner works on one quick request. The same for all instances of a domain.
     #[schemars(range(min = 10, max = 600_000))]
     pub request_run_ms: u64,
+    /// Time after the start for which the instance leaves its own slots of runners alone, because
+    /// requests of an earlier process may still run there. By default somewhat more than the run
+    /// time; less only where the platform surely starts no replacement earlier.
+    #[schemars(range(min = 0, max = 1_200_000))]
+    pub request_restart_wait_ms: Option<u64>,
     /// Time a caller gives a quick request when it names no deadline.
     #[schemars(range(min = 10, max = 600_000))]
     pub caller_timeout_ms: u64,
@@ -276,6 +281,7 @@
             requests: 4_096,
             request_wait_ms: 250,
             request_run_ms: 5_000,
+            request_restart_wait_ms: None,
             caller_timeout_ms: 30_000,
         }
     }
--- a/tests/logic/runner/setup.rs
+++ b/tests/logic/runner/setup.rs
@@ -49,7 +49,7 @@
 
     pub fn with(policy: Policy, members: Vec<Member>) -> Self {
         let terms = Terms::for_run_limit(policy.run_limit);
-        let holder = Holder::new(Position::ALONE, 1, terms, Instant::default(), true);
+        let holder = Holder::new(Position::ALONE, 1, terms, Instant::default());
         let router = Router::new(policy, domain::Name::from("kurow"), holder, 7);
         let mut setup = Self { router, members, now: 0, requests: 0, effects: Vec::new() };
         setup.list();
--- a/tests/logic/runner/share.rs
+++ b/tests/logic/runner/share.rs
@@ -44,7 +44,8 @@
         let rate = [1.0, 0.99, 1.01][(run % 3) as usize];
         let position = Position { index: index as u32, count: COUNT as u32 };
         let start = local(offset, rate, now);
-        let mut holder = Holder::new(position, run, terms(), start, fresh);
+        let usable_from = if fresh { start } else { start.after(terms().loan) };
+        let mut holder = Holder::new(position, run, terms(), usable_from);
         let slots = holder.admit(&runner(), LIMIT);
         Self { holder, slots, ledger: None, run, offset, rate }
     }
--- a/tests/process/runner.rs
+++ b/tests/process/runner.rs
@@ -11,6 +11,7 @@
 use oriolefork::domain::{self, Epoch};
 use oriolefork::intent::{self, Guard};
 use oriolefork::membership::{self, Source, State, wire};
+use oriolefork::runner::handler::Access;
 use oriolefork::runner::proxy::{Options, Proxy, Role};
 use oriolefork::runner::share::{Keeper, Position};
 use oriolefork::runner::{self, Policy};
@@ -88,8 +89,7 @@
     let peers = Rc::new(peer::Client::new(peer::Limits::default()));
     let store = store::http::Client::new(log, Rc::clone(&client), Duration::from_secs(2));
     let run = u64::from(position.index) + 1;
-    let policy =
-        intent::Policy { retention: Duration::from_secs(86_400), ..intent::Policy::default() };
+    let policy = intent::Policy::default();
     let (guard, records) = Guard::new(&place.name, run, policy, Rc::new(store), clock.clone());
     monoio::spawn(records.run(Duration::from_secs(1)));
     let (proxy, driver) = Proxy::new(Options {
@@ -97,11 +97,12 @@
         domain: domain::Name::from(place.domain.as_str()),
         position,
         run: run << 32,
-        fresh: true,
+        rest: Some(Duration::ZERO),
         link: Rc::new(runner::http::Client::new(Rc::clone(&client))),
         peers: Rc::new(runner::peer::Client::new(Rc::clone(&peers))),
         clock,
         guard: Some(guard),
+        access: Access::open(),
     });
     monoio::spawn(driver.run());
     let role =
