Keep room for large work that time presses; let peak favour deadlines

Cause: a task that needs a whole worker never found one while small tasks took each other's place, and a parked class was not looked at again when its first job had aged. Change: up to two reservations, the last left to gangs; parked classes are looked at every 15 s; peak holds only batch work without a deadline, from 85 % in use, and looks two hours ahead.

--- a/src/placement/engine.rs
+++ b/src/placement/engine.rs
@@ -9,7 +9,7 @@
 use super::ledger::{Ledger, Running};
 use super::pool::Pool;
 use super::queue::{Queue, Waiting};
-use super::reservation::Reservation;
+use super::reservation::Reservations;
 use super::scorer::{self, Scorer};
 use super::team::Table;
 use super::victim::Pledges;
@@ -59,7 +59,7 @@
     pub(super) teams: Table,
     pub(super) estimator: Estimator,
     pub(super) health: Health,
-    pub(super) reservation: Option<Reservation>,
+    pub(super) reservations: Reservations,
     pub(super) pledges: Pledges,
     pub(super) quarantined: Vec<(Instant, usize)>,
     events: Vec<Event>,
@@ -77,7 +77,7 @@
             teams: Table::default(),
             estimator: Estimator::default(),
             health: Health::default(),
-            reservation: None,
+            reservations: Reservations::default(),
             pledges: Pledges::default(),
             quarantined: Vec::new(),
             events: Vec::new(),
@@ -129,9 +129,7 @@
     ///
     /// A task that holds resources already is left out, so that none is placed twice.
     pub fn enqueue(&mut self, mut request: Request) {
-        if self.reserves_for(request.job) {
-            self.unreserve();
-        }
+        self.reservations.remove(request.job, &mut self.pool);
         let tasks: BTreeSet<_> = request.tasks.drain(..).collect();
         let mut waiting = match self.queue.remove(request.job, &self.policy) {
             Some(waiting) => waiting,
@@ -149,9 +147,7 @@
         self.queue.remove(job, &self.policy);
         self.health.forget(job);
         self.pledges.drop_job(&mut self.pool, job);
-        if self.reserves_for(job) {
-            self.unreserve();
-        }
+        self.reservations.remove(job, &mut self.pool);
     }
 
     /// Counts a task that already runs on a worker, whether or not there is room for it.
@@ -269,10 +265,6 @@
         Load { capacity: self.pool.capacity, used: self.pool.used }
     }
 
-    fn reserves_for(&self, job: job::Id) -> bool {
-        self.reservation.as_ref().is_some_and(|kept| kept.job == job)
-    }
-
     fn admit(&mut self, request: Request) -> Waiting {
         let guess = self.estimator.guess(&request.team, &request.name, request.run_time);
         Waiting {
@@ -329,14 +321,6 @@
         self.pledges.redeem(&mut self.pool, waiting.job, node);
     }
 
-    /// Lets other work into the room kept for a gang.
-    pub(super) fn unreserve(&mut self) {
-        let Some(reservation) = self.reservation.take() else { return };
-        for node in reservation.nodes() {
-            self.pool.mark_grown(node);
-        }
-    }
-
     /// Keeps an event until it is taken.
     pub(super) fn note(&mut self, event: Event) {
         self.events.push(event);
--- a/src/placement/explanation.rs
+++ b/src/placement/explanation.rs
@@ -42,15 +42,18 @@
         if pledged > 0 {
             return Reason::Preempting { tasks: pledged };
         }
-        let kept = self.reservation.as_ref();
-        if let Some(kept) = kept.filter(|kept| kept.job == waiting.job) {
-            return Reason::Gang { tasks: kept.tasks };
+        if let Some(kept) = self.reservations.get(waiting.job) {
+            return match waiting.kind {
+                Kind::Gang => Reason::Gang { tasks: kept.tasks },
+                Kind::Batch | Kind::LongRunning => Reason::Kept { demand: waiting.demand },
+            };
         }
+        let first = self.reservations.first();
         let team = self.teams.get(waiting.team);
-        match (cause, team.quota, kept) {
+        match (cause, team.quota, first) {
             (None, ..) => Reason::Turn,
             (Some(Denial::Quota), Some(quota), _) => Reason::Quota { usage: team.usage, quota },
-            (Some(Denial::Reserved), _, Some(kept)) => Reason::Reserved { gang: kept.job },
+            (Some(Denial::Reserved), _, Some(job)) => Reason::Reserved { job },
             (Some(Denial::Held), ..) => Reason::Held { preset: self.policy.preset },
             _ if !self.is_available(&waiting.demand) => Reason::Unavailable,
             _ => Reason::NoRoom { demand: waiting.demand },
--- a/src/placement/policy.rs
+++ b/src/placement/policy.rs
@@ -105,16 +105,16 @@
     pub fit: Fit,
     /// Whether the shortest work of a team goes first instead of the oldest.
     pub shortest_first: bool,
-    /// Whether room is kept for the gang that goes first.
-    pub reserves: bool,
+    /// Jobs at most for which room is kept at a time; the last place is left to gangs.
+    pub reservations: usize,
     /// Which run time lets other work use that room.
     pub backfill: Backfill,
     /// Whether urgent work may preempt normal batch tasks.
     pub preempts: bool,
-    /// Thousandths of each worker that normal batch work leaves free.
+    /// Thousandths of each worker that normal batch work without a deadline leaves free.
     pub headroom: u64,
-    /// Thousandths of the failure domain in use from which normal batch work without a pressing
-    /// deadline is held back.
+    /// Thousandths of the failure domain in use from which normal batch work without a deadline is
+    /// held back until it has aged.
     pub hold_above: Option<u64>,
     /// A job whose latest start lies within this span goes before jobs in fair-share order.
     pub slack_window: Duration,
@@ -155,7 +155,7 @@
             strategy: Strategy::Chosen,
             fit: Fit::Scarcest,
             shortest_first: weighs == Leaning::Waiting,
-            reserves: true,
+            reservations: 2,
             backfill: Backfill::Safe,
             preempts: true,
             headroom: 0,
@@ -173,8 +173,9 @@
         Self {
             preset: Preset::Peak,
             headroom: 100,
-            hold_above: Some(700),
-            age_bound: Duration::from_secs(4 * 60 * 60),
+            hold_above: Some(850),
+            shortest_first: true,
+            slack_window: Duration::from_secs(2 * 60 * 60),
             ..ordinary
         }
     }
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -30,8 +30,8 @@
             };
             victims.append(&mut more);
         }
-        if self.reservation.as_ref().is_some_and(|kept| kept.job == ask.job) {
-            self.unreserve();
+        if self.pledges.count(ask.job) >= ask.tasks {
+            self.reservations.remove(ask.job, &mut self.pool);
         }
         let preempt = |(task, node): (task::Id, usize)| Decision::Preempt {
             task,
--- a/src/placement/queue.rs
+++ b/src/placement/queue.rs
@@ -75,8 +75,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum State {
     Runnable,
-    /// Found no room; until room grows or, when given, the instant has come.
-    Parked(Option<Instant>),
+    /// Found no room; until room grows or the instant has come.
+    Parked(Instant),
 }
 
 /// Jobs that are alike.
@@ -214,8 +214,7 @@
     pub(super) fn wake(&mut self, now: Instant, fits: impl Fn(&Amount) -> bool) {
         for class in &mut self.classes {
             let State::Parked(until) = class.state else { continue };
-            let due = until.is_some_and(|until| until <= now);
-            if !class.turns.is_empty() && (due || fits(&class.alike.demand)) {
+            if !class.turns.is_empty() && (until <= now || fits(&class.alike.demand)) {
                 class.state = State::Runnable;
             }
         }
--- a/src/placement/reason.rs
+++ b/src/placement/reason.rs
@@ -43,11 +43,17 @@
         /// Tasks that must run at once.
         tasks: usize,
     },
-    /// Room is kept for a gang that waits longer.
-    #[display("the room is kept for gang {gang}, which would be delayed")]
+    /// Waits for a worker on which room is kept for it.
+    #[display("no worker has {demand} free; room is being kept until a task fits")]
+    Kept {
+        /// What one task needs.
+        demand: Amount,
+    },
+    /// Room is kept for a job that waits longer.
+    #[display("the room is kept for job {job}, which would be delayed")]
     Reserved {
-        /// The gang.
-        gang: job::Id,
+        /// The job.
+        job: job::Id,
     },
     /// Its team is above its quota while others wait.
     #[display("team uses {usage} of its quota of {quota}, and teams within their quota wait")]
@@ -58,7 +64,7 @@
         quota: Amount,
     },
     /// The preset holds it back.
-    #[display("preset {preset} holds back batch work without a pressing deadline")]
+    #[display("preset {preset} holds back batch work that has no deadline while workers are busy")]
     Held {
         /// The preset.
         preset: Preset,
--- a/src/placement/reservation.rs
+++ b/src/placement/reservation.rs
@@ -1,4 +1,4 @@
-//! Room kept for the gang that goes first.
+//! Room kept for gangs, and for large tasks that smaller ones would keep out for ever.
 //!
 //! The plan follows the expected ends of running tasks to the earliest instant at which all tasks
 //! of the gang fit. Until then other work may use the room if it is expected to end in time, or
@@ -12,6 +12,7 @@
 
 use super::ledger::Ledger;
 use super::measure;
+use super::node::Node;
 use super::pool::Pool;
 use crate::clock::Instant;
 use crate::job::{self, Kind, Urgency};
@@ -29,7 +30,7 @@
     spare: Amount,
 }
 
-/// Room kept for a gang.
+/// Room kept for a job.
 #[derive(Debug)]
 pub(super) struct Reservation {
     pub(super) job: job::Id,
@@ -44,35 +45,9 @@
 }
 
 impl Reservation {
-    pub(super) fn plan(
-        job: job::Id,
-        demand: Amount,
-        tasks: usize,
-        pool: &Pool,
-        ledger: &Ledger,
-        now: Instant,
-    ) -> Self {
+    fn new(job: job::Id, demand: Amount, tasks: usize, now: Instant) -> Self {
         let shares = BTreeMap::new();
-        let mut reservation =
-            Self { job, tasks, demand, since: now, planned: now, hard: false, start: None, shares };
-        reservation.replan(pool, ledger, now);
-        reservation
-    }
-
-    /// Brings the plan up to date when it is old; returns whether it changed.
-    pub(super) fn refresh(
-        &mut self,
-        pool: &Pool,
-        ledger: &Ledger,
-        now: Instant,
-        patience: Duration,
-    ) -> bool {
-        self.hard |= self.since.after(patience) <= now;
-        let old = self.planned.after(REPLAN) <= now;
-        if old {
-            self.replan(pool, ledger, now);
-        }
-        old
+        Self { job, tasks, demand, since: now, planned: now, hard: false, start: None, shares }
     }
 
     /// How long room has been kept.
@@ -80,13 +55,15 @@
         now.since(self.since)
     }
 
-    /// Workers with a share.
-    pub(super) fn nodes(&self) -> impl Iterator<Item = usize> {
-        self.shares.keys().copied()
+    /// Room on a worker that is kept.
+    fn kept(&self, node: usize) -> Amount {
+        self.shares
+            .get(&node)
+            .map_or(Amount::ZERO, |share| measure::times(&self.demand, share.slots))
     }
 
     /// The part of `room` on a worker that a task ending at `ends` may use.
-    pub(super) fn allowance(&self, node: usize, room: Amount, ends: Option<Instant>) -> Amount {
+    fn allowance(&self, node: usize, room: Amount, ends: Option<Instant>) -> Amount {
         let Some(share) = self.shares.get(&node) else { return room };
         let in_time = self.ends_in_time(ends);
         let room = match self.hard {
@@ -97,7 +74,7 @@
     }
 
     /// Notes that other work now uses part of a worker until `ends`.
-    pub(super) fn charge(&mut self, node: usize, demand: &Amount, ends: Option<Instant>) {
+    fn charge(&mut self, node: usize, demand: &Amount, ends: Option<Instant>) {
         if self.ends_in_time(ends) {
             return;
         }
@@ -114,14 +91,120 @@
         }
     }
 
-    fn replan(&mut self, pool: &Pool, ledger: &Ledger, now: Instant) {
-        let forecast = Forecast::run(pool, ledger, &self.demand, self.tasks, now);
+    /// Plans anew around what `earlier` reservations keep.
+    fn replan(&mut self, earlier: &[Self], pool: &Pool, ledger: &Ledger, now: Instant) {
+        let kept = |node| {
+            earlier.iter().fold(Amount::ZERO, |sum, other| sum.saturating_add(&other.kept(node)))
+        };
+        let forecast = Forecast::run(pool, ledger, kept, &self.demand, self.tasks, now);
         self.planned = now;
         self.start = forecast.start;
         self.shares = forecast.shares(&self.demand, self.tasks, pool);
     }
 }
 
+/// All reservations, the earliest first.
+#[derive(Debug, Default)]
+pub(super) struct Reservations {
+    kept: Vec<Reservation>,
+}
+
+impl Reservations {
+    pub(super) fn get(&self, job: job::Id) -> Option<&Reservation> {
+        self.kept.iter().find(|kept| kept.job == job)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.kept.len()
+    }
+
+    /// The first job for which room is kept.
+    pub(super) fn first(&self) -> Option<job::Id> {
+        self.kept.first().map(|kept| kept.job)
+    }
+
+    /// Jobs for which room is kept.
+    pub(super) fn jobs(&self) -> Vec<job::Id> {
+        self.kept.iter().map(|kept| kept.job).collect()
+    }
+
+    /// Keeps room for a job in addition.
+    pub(super) fn add(
+        &mut self,
+        job: job::Id,
+        demand: Amount,
+        tasks: usize,
+        pool: &Pool,
+        ledger: &Ledger,
+        now: Instant,
+    ) {
+        let mut reservation = Reservation::new(job, demand, tasks, now);
+        reservation.replan(&self.kept, pool, ledger, now);
+        self.kept.push(reservation);
+    }
+
+    /// Lets other work into the room kept for a job.
+    pub(super) fn remove(&mut self, job: job::Id, pool: &mut Pool) {
+        let Some(position) = self.kept.iter().position(|kept| kept.job == job) else { return };
+        let reservation = self.kept.remove(position);
+        reservation.shares.keys().for_each(|&node| pool.mark_grown(node));
+    }
+
+    /// Keeps room for fewer tasks after `placed` of them have started.
+    pub(super) fn shrink(&mut self, job: job::Id, placed: usize, pool: &mut Pool) {
+        let Some(kept) = self.kept.iter_mut().find(|kept| kept.job == job) else { return };
+        kept.tasks = kept.tasks.saturating_sub(placed);
+        kept.planned = Instant::default();
+        if kept.tasks == 0 {
+            self.remove(job, pool);
+        }
+    }
+
+    /// Brings plans up to date that are old.
+    pub(super) fn refresh(
+        &mut self,
+        pool: &mut Pool,
+        ledger: &Ledger,
+        now: Instant,
+        patience: Duration,
+    ) {
+        for index in 0..self.kept.len() {
+            let (earlier, rest) = self.kept.split_at_mut(index);
+            let reservation = &mut rest[0];
+            reservation.hard |= reservation.since.after(patience) <= now;
+            if reservation.planned.after(REPLAN) > now {
+                continue;
+            }
+            reservation.shares.keys().for_each(|&node| pool.mark_grown(node));
+            reservation.replan(earlier, pool, ledger, now);
+        }
+    }
+
+    /// The part of `room` on a worker that a task of `job` ending at `ends` may use.
+    pub(super) fn allowance(
+        &self,
+        job: job::Id,
+        node: usize,
+        room: Amount,
+        ends: Option<Instant>,
+    ) -> Amount {
+        let others = self.kept.iter().filter(|kept| kept.job != job);
+        others.fold(room, |room, kept| kept.allowance(node, room, ends))
+    }
+
+    /// Notes that a task of `job` now uses part of a worker until `ends`.
+    pub(super) fn charge(
+        &mut self,
+        job: job::Id,
+        node: usize,
+        demand: &Amount,
+        ends: Option<Instant>,
+    ) {
+        let others = self.kept.iter_mut().filter(|kept| kept.job != job);
+        others.for_each(|kept| kept.charge(node, demand, ends));
+    }
+}
+
 /// Room as it is expected to become.
 struct Forecast {
     start: Option<Instant>,
@@ -133,11 +216,20 @@
 
 impl Forecast {
     /// Follows expected ends until `tasks` of `demand` fit.
-    fn run(pool: &Pool, ledger: &Ledger, demand: &Amount, tasks: usize, now: Instant) -> Self {
+    fn run(
+        pool: &Pool,
+        ledger: &Ledger,
+        kept: impl Fn(usize) -> Amount,
+        demand: &Amount,
+        tasks: usize,
+        now: Instant,
+    ) -> Self {
         let nodes = pool.nodes();
         let takes = |index: usize| nodes[index].takes(Kind::Gang, Urgency::Normal);
-        let used: Vec<_> =
-            nodes.iter().map(|node| node.used().saturating_add(&node.pledged)).collect();
+        let taken = |(index, node): (usize, &Node)| {
+            node.used().saturating_add(&node.pledged).saturating_add(&kept(index))
+        };
+        let used: Vec<_> = nodes.iter().enumerate().map(taken).collect();
         let mut forecast =
             Self { start: None, used, slots: vec![0; nodes.len()], ready: vec![now; nodes.len()] };
         let mut total = 0usize;
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -6,7 +6,6 @@
 
 use super::health::Standing;
 use super::queue::{Band, Head, State, Waiting};
-use super::reservation::Reservation;
 use super::search::{Ask, Denial};
 use super::{Assignment, Decision, Engine, Event, Strategy, measure};
 use crate::clock::{Instant, Unix};
@@ -16,7 +15,10 @@
 
 /// How long a class that waits for more than room is first left alone.
 const RETRY: Duration = Duration::from_millis(250);
-/// How often that span doubles.
+/// How long a class that waits for room is left alone while none grows; by then its first job may
+/// have come to press, which opens headroom and reservations to it.
+const WATCH: Duration = Duration::from_secs(15);
+/// How often the first span doubles.
 const DOUBLINGS: u32 = 4;
 /// Jobs of a class that are tried when the first is held up by something of its own.
 const TRIED: usize = 16;
@@ -35,7 +37,12 @@
 }
 
 impl Rank {
-    /// Whether neither urgency nor time presses the job.
+    /// Whether a deadline or long waiting presses the job.
+    pub(super) fn is_pressed(&self) -> bool {
+        self.band != Band::Fair
+    }
+
+    /// Whether neither urgency nor long waiting nor a near deadline presses the job.
     pub(super) fn is_plain(&self) -> bool {
         self.urgency == Reverse(Urgency::Normal) && self.band == Band::Fair
     }
@@ -97,7 +104,7 @@
     fn begin(&mut self, now: Instant) {
         self.end_quarantines(now);
         self.pledges.expire(&mut self.pool, now);
-        self.refresh_reservation(now);
+        self.refresh_reservations(now);
         let grown = self.pool.take_grown();
         let rooms: Vec<_> = grown.iter().map(|&index| self.pool.get(index).room()).collect();
         let widest = rooms.iter().fold(Amount::ZERO, |most, room| measure::widest(&most, room));
@@ -120,17 +127,14 @@
         }
     }
 
-    fn refresh_reservation(&mut self, now: Instant) {
-        if self.reservation.as_ref().is_some_and(|kept| !self.waits_within_quota(kept.job)) {
-            self.unreserve();
+    fn refresh_reservations(&mut self, now: Instant) {
+        for job in self.reservations.jobs() {
+            if !self.waits_within_quota(job) {
+                self.reservations.remove(job, &mut self.pool);
+            }
         }
-        let Some(mut reservation) = self.reservation.take() else { return };
-        let before: Vec<_> = reservation.nodes().collect();
         let patience = self.policy.gang_patience;
-        if reservation.refresh(&self.pool, &self.ledger, now, patience) {
-            before.into_iter().for_each(|node| self.pool.mark_grown(node));
-        }
-        self.reservation = Some(reservation);
+        self.reservations.refresh(&mut self.pool, &self.ledger, now, patience);
     }
 
     fn rank(&self, index: usize, round: &Round) -> Option<Rank> {
@@ -170,14 +174,14 @@
     }
 
     fn park(&mut self, index: usize, denial: Denial, rank: &Rank, round: &mut Round) {
-        let reserves = self.reservation.as_ref().is_some_and(|kept| kept.job == rank.job);
+        let reserves = self.reservations.get(rank.job).is_some();
         let class = self.queue.class_mut(index);
         let urgent = class.alike.urgency == Urgency::Urgent;
-        // With headroom, a job that comes to press finds room without any growth.
-        let may_come_to_press = rank.is_plain() && self.policy.headroom > 0;
-        let lasting = denial == Denial::NoRoom && !urgent && !may_come_to_press && !reserves;
-        let doublings = if urgent { 0 } else { class.tries.min(DOUBLINGS) };
-        let until = (!lasting).then(|| round.now.after(RETRY * (1 << doublings)));
+        let until = match denial {
+            Denial::NoRoom if !urgent && !reserves => round.now.after(WATCH),
+            _ if urgent => round.now.after(RETRY),
+            _ => round.now.after(RETRY * (1 << class.tries.min(DOUBLINGS))),
+        };
         class.tries += 1;
         class.state = State::Parked(until);
         class.cause = Some(denial);
@@ -201,6 +205,7 @@
             Ok(tasks) => {
                 round.left = round.left.saturating_sub(tasks.len());
                 self.queue.forget_tries(job);
+                self.reservations.shrink(job, tasks.len(), &mut self.pool);
                 self.queue.advance(job, tasks.len(), &self.policy);
                 round.decisions.push(Decision::Start { job, tasks });
                 Outcome::Placed
@@ -233,9 +238,6 @@
     fn place_gang(&mut self, ask: &Ask, round: &mut Round) -> Result<Vec<Assignment>, Denial> {
         let slots = self.find_all(ask, ask.tasks, round)?;
         let Some(waiting) = self.queue.get(ask.job).cloned() else { return Ok(Vec::new()) };
-        if self.reservation.as_ref().is_some_and(|kept| kept.job == ask.job) {
-            self.unreserve();
-        }
         let nodes = slots.iter().flat_map(|&(node, count)| std::iter::repeat_n(node, count));
         let pairs: Vec<(task::Id, usize)> = waiting.tasks.iter().copied().zip(nodes).collect();
         let assign = |(task, node)| self.assign(task, &waiting, node, ask, round.now);
@@ -251,13 +253,12 @@
         now: Instant,
     ) -> Assignment {
         self.start(task, waiting, node, now);
-        if let Some(kept) = &mut self.reservation {
-            kept.charge(node, &ask.demand, ask.ends);
-        }
+        self.reservations.charge(ask.job, node, &ask.demand, ask.ends);
         Assignment { task, worker: self.pool.get(node).name.clone() }
     }
 
-    /// After a try found no room: preempts for urgent work, reserves for a gang.
+    /// After a try found no room: preempts for urgent work, reserves for gangs and for work that
+    /// time presses.
     fn make_room(&mut self, ask: &Ask, denial: Denial, round: &mut Round) -> Denial {
         if ask.above_quota || self.policy.strategy != Strategy::Chosen {
             return denial;
@@ -268,25 +269,32 @@
                 return Denial::Preempting;
             }
         }
-        if ask.kind == Kind::Gang && denial != Denial::Quota && self.policy.reserves {
+        if (ask.kind == Kind::Gang || ask.pressed) && denial != Denial::Quota {
             self.reserve(ask, round.now);
         }
         denial
     }
 
     fn may_preempt(&self, ask: &Ask, now: Instant) -> bool {
-        let kept = self.reservation.as_ref().filter(|kept| kept.job == ask.job);
+        let kept = self.reservations.get(ask.job).filter(|_| ask.kind == Kind::Gang);
         let waited = kept.map(|kept| kept.age(now));
         let ripe = self.policy.gang_preempts.is_some_and(|bound| waited >= Some(bound));
         self.policy.preempts && (ask.urgency == Urgency::Urgent || ripe)
     }
 
+    /// Keeps room for a job; one reservation is left to gangs.
     fn reserve(&mut self, ask: &Ask, now: Instant) {
-        if self.reservation.is_some() || self.pool.slots(&ask.demand) < ask.tasks {
+        let most = match ask.kind {
+            Kind::Gang => self.policy.reservations,
+            Kind::Batch | Kind::LongRunning => self.policy.reservations.saturating_sub(1),
+        };
+        let known = self.reservations.get(ask.job).is_some();
+        let impossible = self.pool.slots(&ask.demand) < ask.tasks && ask.kind == Kind::Gang;
+        if known || impossible || self.reservations.len() >= most {
             return;
         }
-        let plan = Reservation::plan(ask.job, ask.demand, ask.tasks, &self.pool, &self.ledger, now);
-        self.reservation = Some(plan);
+        let tasks = if ask.kind == Kind::Gang { ask.tasks } else { 1 };
+        self.reservations.add(ask.job, ask.demand, tasks, &self.pool, &self.ledger, now);
     }
 
     /// Needs of the jobs within quota that wait for room without a reservation.
@@ -303,8 +311,9 @@
 
     fn starves(&self, index: usize) -> bool {
         let first = self.queue.first(index, 1);
-        let kept = self.reservation.as_ref().map(|kept| kept.job);
-        first.first().is_some_and(|&job| Some(job) != kept && self.waits_within_quota(job))
+        first.first().is_some_and(|&job| {
+            self.reservations.get(job).is_none() && self.waits_within_quota(job)
+        })
     }
 
     fn waits_within_quota(&self, job: job::Id) -> bool {
--- a/src/placement/search.rs
+++ b/src/placement/search.rs
@@ -25,8 +25,10 @@
     pub(super) demand: Amount,
     pub(super) tasks: usize,
     pub(super) above_quota: bool,
-    /// Whether it is batch work that neither urgency nor a deadline presses.
+    /// Whether it is batch work without urgency, deadline or long waiting.
     pub(super) plain: bool,
+    /// Whether a deadline or long waiting presses it.
+    pub(super) pressed: bool,
     /// When the task will surely have ended if it starts now, as far as that is known.
     pub(super) ends: Option<Instant>,
     avoided: Vec<usize>,
@@ -84,7 +86,8 @@
             demand: waiting.demand,
             tasks: waiting.tasks.len(),
             above_quota: rank.above_quota,
-            plain: rank.is_plain() && waiting.kind == Kind::Batch,
+            pressed: rank.is_pressed(),
+            plain: rank.is_plain() && waiting.kind == Kind::Batch && waiting.deadline.is_none(),
             ends,
             avoided: self.health.avoided(job).to_vec(),
             pledged: self.pledges.count(job) > 0,
@@ -199,9 +202,8 @@
             return Err(Denial::NoRoom);
         }
         let backfills = ask.urgency == Urgency::Normal;
-        let kept = self.reservation.as_ref().filter(|kept| backfills && kept.job != ask.job);
-        if let Some(kept) = kept {
-            room = kept.allowance(index, room, ask.ends);
+        if backfills {
+            room = self.reservations.allowance(ask.job, index, room, ask.ends);
             if !ask.demand.fits(&room) {
                 return Err(Denial::Reserved);
             }
