Prove ownership with real processes behind the fault proxy

Cause: the owner's state machine was tested on drawn histories only; nothing showed that daemons, stand-ins and network keep its promises when processes are killed, paused or cut off. A plan can send the calls between the instances of one failure domain through the proxy too. Two instances that cannot hear each other replace each other every three seconds while nothing is written to the log; that is mended next.

--- a/tests/process/harness/cluster.rs
+++ b/tests/process/harness/cluster.rs
@@ -2,7 +2,7 @@
 //!
 //! With a proxy, every failure domain reaches the platform, the upstreams and the entry instances of
 //! other domains over routes of its own, named `viewer/role/name`, so that each way can be broken
-//! alone. Entry instances of one domain reach each other directly.
+//! alone. Entry instances of one domain reach each other directly, unless the plan says otherwise.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -44,6 +44,10 @@
     pub runner_latency: Duration,
     /// Whether a proxy stands between.
     pub proxied: bool,
+    /// Whether entry instances of one failure domain reach each other through the proxy too.
+    ///
+    /// They still name their own addresses to each other, so calls to a known owner stay direct.
+    pub peers_proxied: bool,
     /// Time until a change of the list of instances shows.
     pub lag: Duration,
     /// Records that the log keeps of each stream.
@@ -62,6 +66,7 @@
             runners: 0,
             runner_latency: Duration::ZERO,
             proxied: false,
+            peers_proxied: false,
             lag: Duration::ZERO,
             retention: 100_000,
             settings: Value::Null,
@@ -92,6 +97,7 @@
     /// Entry instances of all failure domains.
     pub entries: Vec<Entry>,
     routes: BTreeMap<String, SocketAddr>,
+    peers_proxied: bool,
     buried: Vec<TaskView>,
 }
 
@@ -108,8 +114,7 @@
         }
         for place in &places {
             let platform = cluster.platform(&place.domain);
-            let seen = places.iter().map(|peer| cluster.seen_place(&place.domain, peer));
-            let peers: Vec<_> = seen.collect();
+            let peers: Vec<_> = places.iter().map(|peer| cluster.seen_place(place, peer)).collect();
             let entry = Entry::start(place.clone(), platform, &peers, &self.settings);
             cluster.entries.push(entry);
         }
@@ -128,6 +133,7 @@
             runners: Vec::new(),
             entries: Vec::new(),
             routes: BTreeMap::new(),
+            peers_proxied: self.peers_proxied,
             buried: Vec::new(),
         }
     }
@@ -267,7 +273,7 @@
     }
 
     fn peer_route(&mut self, viewer: &str, place: &Place) -> SocketAddr {
-        if place.domain == viewer {
+        if place.domain == viewer && !self.peers_proxied {
             return place.peer;
         }
         self.route(format!("{viewer}/entry/{}", place.name), place.peer)
@@ -294,8 +300,9 @@
         Platform { log: routed("log/log", self.log.addr), list: routed("list/list", list) }
     }
 
-    fn seen_place(&self, viewer: &str, place: &Place) -> Place {
-        let route = self.routes.get(&format!("{viewer}/entry/{}", place.name));
+    fn seen_place(&self, viewer: &Place, place: &Place) -> Place {
+        let route = self.routes.get(&format!("{}/entry/{}", viewer.domain, place.name));
+        let route = route.filter(|_| viewer.name != place.name);
         Place { peer: route.copied().unwrap_or(place.peer), ..place.clone() }
     }
 }
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod intent;
 mod membership;
 mod observe;
+mod owner;
 mod peer;
 mod runner;
 mod runtime;
--- /dev/null
+++ b/tests/process/owner/rolling.rs
@@ -0,0 +1,95 @@
+//! Every entry instance is replaced, one after the other, while jobs come in.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+
+use oriolefork::api::view::job::State;
+
+use super::site::{HALL, Runs, callers, owner};
+use super::work::{Said, Work, await_state, submit};
+use crate::harness::{Cluster, Plan, eventually};
+
+/// What the stream of submissions came to.
+#[derive(Default)]
+struct Heard {
+    accepted: Vec<String>,
+    cut: Vec<String>,
+}
+
+/// Submits job after job until told to stop, each under its key until it is accepted.
+fn stream(name: &str, addrs: &[SocketAddr], done: &AtomicBool) -> Heard {
+    let mut heard = Heard::default();
+    let mut ways = addrs.iter().cycle();
+    for number in 0.. {
+        if done.load(Ordering::Relaxed) {
+            break;
+        }
+        let key = format!("{name}-{number}");
+        let work = if number % 2 == 0 { Work::once(50) } else { Work::batch(50) };
+        eventually("a job is accepted", || {
+            match submit(*ways.next().expect("an address"), &key, &work) {
+                Said::Accepted { .. } => return Some(()),
+                Said::Cut(cause) => heard.cut.push(cause),
+                Said::NotRun | Said::Unknown | Said::Unreachable => {}
+            }
+            None
+        });
+        heard.accepted.push(key);
+    }
+    heard
+}
+
+/// Replaces every entry instance by `replace` under a stream of submissions.
+fn roll(replace: impl Fn(&mut Cluster, usize)) -> Heard {
+    let plan = Plan { entries: 3, workers: 2, proxied: true, ..Plan::default() };
+    let mut cluster = plan.start();
+    owner(&cluster, HALL, &[]);
+    let everyone = callers(&cluster, HALL, &[]);
+    let done = AtomicBool::new(false);
+    let heard = thread::scope(|scope| {
+        let streams: Vec<_> = ["north", "south"]
+            .map(|name| {
+                let (addrs, done) = (&everyone, &done);
+                scope.spawn(move || stream(name, addrs, done))
+            })
+            .into();
+        for index in 0..cluster.entries.len() {
+            replace(&mut cluster, index);
+            cluster.entries[index].process.restart();
+            cluster.entries[index].wait_ready();
+            owner(&cluster, HALL, &[]);
+        }
+        done.store(true, Ordering::Relaxed);
+        let heard = streams.into_iter().map(|stream| stream.join().expect("a stream"));
+        heard.reduce(|all, more| Heard {
+            accepted: [all.accepted, more.accepted].concat(),
+            cut: [all.cut, more.cut].concat(),
+        })
+    });
+    let heard = heard.expect("two streams");
+    await_state(&everyone, &heard.accepted, State::Succeeded);
+    let runs = Runs::of(&cluster);
+    heard.accepted.iter().for_each(|key| runs.assert_started_once(key));
+    heard
+}
+
+// An operator updates the daemon: each instance is told to stop, ends, and is replaced. Callers'
+// requests in flight are answered whole, and every job that was accepted runs exactly once.
+#[test]
+fn rolling_replacement_graceful() {
+    let heard = roll(|cluster, index| {
+        let process = &mut cluster.entries[index].process;
+        process.terminate();
+        let status = eventually("an instance ends", || process.ended());
+        assert!(status.success(), "{status}: {}", process.output());
+    });
+    assert_eq!(heard.cut, Vec::<String>::new(), "requests in flight were cut");
+}
+
+// Every instance in turn is lost without warning, as when the platform replaces them. Callers
+// repeat what was cut under the same key; each job runs exactly once.
+#[test]
+fn rolling_replacement_by_kill() {
+    roll(|cluster, index| cluster.entries[index].process.kill());
+}
