Accept connections in one place for both servers

Cause: the HTTP and the peer server each had the same loop, with the same guards; an error named a step that no longer arises. Change: `listener::Listener` binds alone, accepts until the stop and takes the backlog. `http::Step::Acquire` is gone: waiting for a connection ends as a timeout.

--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -7,9 +7,6 @@
 /// Where in a call an error arose.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum Step {
-    /// Waiting for a free connection to the peer.
-    #[display("acquire")]
-    Acquire,
     /// Opening a connection.
     #[display("connect")]
     Connect,
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -9,21 +9,15 @@
 use futures_util::FutureExt;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, StatusCode};
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
-use monoio::time::Instant;
+use monoio::net::TcpStream;
 use serde::Serialize;
 
 use super::connection::Connection;
 use super::{Handler, Limits, Response};
+use crate::listener::Listener;
 use crate::permit::{Permit, Pool};
 use crate::shutdown::Shutdown;
 
-/// Rest after a failed accept, so that a process out of descriptors does not spin.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
-/// Time after the trigger in which connections are still accepted.
-const BACKLOG_LINGER: Duration = Duration::from_millis(50);
-
 /// Refusals that are told to their callers at once; beyond, connections are closed untold.
 const REFUSALS: usize = 64;
 
@@ -32,7 +26,7 @@
 
 /// A bound listener that is not serving yet.
 pub struct Server {
-    listener: TcpListener,
+    listener: Listener,
     limits: Limits,
 }
 
@@ -44,10 +38,7 @@
     /// # Errors
     /// When the address cannot be bound, also because another process has it.
     pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
-        // By default the runtime shares a port among processes. Two daemons set to one address by
-        // mistake would then each get some of the connections instead of an error.
-        let options = ListenerOpts::new().reuse_port(false);
-        Ok(Self { listener: TcpListener::bind_with_config(addr, &options)?, limits })
+        Ok(Self { listener: Listener::bind(addr)?, limits })
     }
 
     /// The address that is bound.
@@ -73,9 +64,7 @@
             permits: Pool::new(self.limits.connections),
             refusals: Pool::new(REFUSALS),
         };
-        acceptor.accept_until(&self.listener, &stop).await;
-        acceptor.accept_backlog(&self.listener).await;
-        drop(self.listener);
+        self.listener.accept_until(&stop, |stream, peer| acceptor.admit(stream, peer)).await;
         let ended = monoio::time::timeout(grace, acceptor.permits.all()).await;
         if ended.is_err() {
             log::warn!("event=http.stop_cut grace_ms={}", grace.as_millis());
@@ -94,38 +83,6 @@
 }
 
 impl Acceptor {
-    async fn accept_until(&self, listener: &TcpListener, stop: &Shutdown) {
-        let mut stopped = Box::pin(stop.wait().fuse());
-        loop {
-            let mut accept = Box::pin(listener.accept().fuse());
-            let accepted = futures_util::select_biased! {
-                () = stopped => return,
-                accepted = accept => accepted,
-            };
-            match accepted {
-                Ok((stream, peer)) => self.admit(stream, peer),
-                Err(cause) => {
-                    log::warn!("event=http.accept_failed cause={:?}", cause.to_string());
-                    monoio::time::sleep(ACCEPT_BACKOFF).await;
-                }
-            }
-        }
-    }
-
-    /// Takes the connections that are already on their way when the trigger comes.
-    ///
-    /// The system sets up connections before the process accepts them, and callers may have sent
-    /// requests on them. Closing the listener would reset them all. The runtime learns of them only
-    /// by waiting, so that trying once is not enough.
-    async fn accept_backlog(&self, listener: &TcpListener) {
-        let deadline = Instant::now() + BACKLOG_LINGER;
-        while let Ok(Ok((stream, peer))) =
-            monoio::time::timeout_at(deadline, listener.accept()).await
-        {
-            self.admit(stream, peer);
-        }
-    }
-
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
         match self.permits.try_take() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod intent;
 pub mod job;
+mod listener;
 pub mod logging;
 pub mod membership;
 pub mod owner;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::StatusCode;
-use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio::net::TcpStream;
 use monoio::time::Instant;
 use monoio_http::h2::server::{self, Connection, SendResponse};
 use monoio_http::h2::{self, Reason, RecvStream};
@@ -16,21 +16,16 @@
 use super::body::{self, Fault};
 use super::stream::{CONNECTION_WINDOW, HEADER_BYTES, REASON_BYTES, STREAM_WINDOW};
 use super::{Code, Handler, Limits, Refusal};
+use crate::listener::Listener;
 use crate::permit::{Permit, Pool};
 use crate::shutdown::Shutdown;
 
-/// Rest after a failed accept, so that a process out of descriptors does not spin.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
-/// Time after the trigger in which connections are still accepted.
-const BACKLOG_LINGER: Duration = Duration::from_millis(50);
-
 /// Calls whose peers gave them up and whose streams are remembered, to tell late frames apart.
 const RESET_STREAMS: usize = 64;
 
 /// A bound listener that is not serving yet.
 pub struct Server {
-    listener: TcpListener,
+    listener: Listener,
     limits: Limits,
 }
 
@@ -42,10 +37,7 @@
     /// # Errors
     /// When the address cannot be bound, also because another process has it.
     pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
-        // By default the runtime shares a port among processes, which would hide a clash of
-        // addresses and split the calls between two daemons.
-        let options = ListenerOpts::new().reuse_port(false);
-        Ok(Self { listener: TcpListener::bind_with_config(addr, &options)?, limits })
+        Ok(Self { listener: Listener::bind(addr)?, limits })
     }
 
     /// The address that is bound.
@@ -72,9 +64,7 @@
                 abort: abort.clone(),
             }),
         };
-        acceptor.accept_until(&self.listener, &stop).await;
-        acceptor.accept_backlog(&self.listener).await;
-        drop(self.listener);
+        self.listener.accept_until(&stop, |stream, peer| acceptor.admit(stream, peer)).await;
         let ended = monoio::time::timeout(grace, acceptor.connections.all()).await;
         if ended.is_err() {
             log::warn!("event=peer.stop_cut grace_ms={}", grace.as_millis());
@@ -90,35 +80,6 @@
 }
 
 impl Acceptor {
-    async fn accept_until(&self, listener: &TcpListener, stop: &Shutdown) {
-        let mut stopped = Box::pin(stop.wait().fuse());
-        loop {
-            let mut accept = Box::pin(listener.accept().fuse());
-            let accepted = futures_util::select_biased! {
-                () = stopped => return,
-                accepted = accept => accepted,
-            };
-            match accepted {
-                Ok((stream, peer)) => self.admit(stream, peer),
-                Err(cause) => {
-                    log::warn!("event=peer.accept_failed cause={:?}", cause.to_string());
-                    monoio::time::sleep(ACCEPT_BACKOFF).await;
-                }
-            }
-        }
-    }
-
-    /// Takes the connections that are already on their way when the trigger comes; closing the
-    /// listener would reset them, and with them the calls that they carry.
-    async fn accept_backlog(&self, listener: &TcpListener) {
-        let deadline = Instant::now() + BACKLOG_LINGER;
-        while let Ok(Ok((stream, peer))) =
-            monoio::time::timeout_at(deadline, listener.accept()).await
-        {
-            self.admit(stream, peer);
-        }
-    }
-
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         let Some(permit) = self.connections.try_take() else {
             log::warn!("event=peer.refused peer={peer} cause=connections");
