Keep services alive when the owner dies while the log is away

Cause: with the log away nobody can claim a domain, so an owner's death stopped all of its services with their leases, ten seconds later. Change: after twice the claim timeout an instance takes the domain over at the workers in an epoch of the same term that its rank makes its own. It renews leases and does nothing else: what it has read may be behind the log, so it draws no conclusions, places nothing and refuses work as not run. Its claim goes to the log when that is back; a claim of a later term wins. Ruled out: acting on reports before the claim is read.

--- a/src/domain.rs
+++ b/src/domain.rs
@@ -87,8 +87,22 @@
         Self { term: self.term + 1, sub: 0 }
     }
 
-    /// The epoch that a takeover without the log takes.
-    pub const fn next_sub(self) -> Self {
-        Self { term: self.term, sub: self.sub + 1 }
+    /// The epoch that the instance of `rank` takes when it takes over without the log.
+    ///
+    /// Ranks differ among the instances of a failure domain, so that two of them which cannot hear
+    /// each other never take the same epoch, and workers tell them apart.
+    pub const fn next_sub(self, rank: u8) -> Self {
+        let round = self.sub / Self::RANKS + 1;
+        Self { term: self.term, sub: round * Self::RANKS + rank as u32 }
     }
+
+    /// Whether a claim of this epoch holds where `current` is in force.
+    pub const fn follows(self, current: Self) -> bool {
+        let next_term = self.term == current.term + 1 && self.sub == 0;
+        let later_sub = self.term == current.term && self.sub > current.sub;
+        next_term || later_sub
+    }
+
+    /// Takeovers without the log that one round has room for.
+    const RANKS: u32 = 256;
 }
--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -24,6 +24,9 @@
 pub struct Active {
     /// Epoch in which it owns the domain.
     pub epoch: Epoch,
+    /// Whether the claim of this epoch is in the log. Without it nothing is placed: the owner only
+    /// renews the leases of what runs.
+    pub logged: bool,
     /// Changes on their way to the log.
     pub journal: Journal,
     /// Alerts, with those on their way to the log.
@@ -75,6 +78,7 @@
     ) -> Self {
         Self {
             epoch,
+            logged: true,
             journal: Journal::new(epoch, timings.commit),
             board,
             engine: Engine::new(policy),
--- a/src/owner/election.rs
+++ b/src/owner/election.rs
@@ -210,17 +210,48 @@
         self.election.progress = Progress::FindEnd;
     }
 
-    pub(super) fn advance_follower(&mut self, now: Instant) {
+    pub(super) fn advance_follower(&mut self, now: Instant, unix: Unix) {
         if self.stopping {
             self.out.push(Effect::Stopped);
             return;
         }
-        let due = self.election.is_caught_up() && self.claim_due(now);
-        if due && !self.election.claiming {
+        if !self.election.is_caught_up() {
+            return;
+        }
+        if self.claim_due(now) {
             self.claim(now);
+        } else if self.takeover_due(now) {
+            self.take_over(now, unix);
         }
     }
 
+    /// Whether both the owner and the log have been silent for so long that the leases of all that
+    /// runs in the domain would lapse before anybody could claim it.
+    fn takeover_due(&self, now: Instant) -> bool {
+        let patience = self.timings.claim * 2 + self.rank_delay();
+        let log_away =
+            self.election.read_failing_since.is_some_and(|since| now.since(since) >= patience);
+        log_away && now.since(self.election.heard) >= patience
+    }
+
+    /// Takes the domain over without the log, to keep alive what runs.
+    ///
+    /// The failure: the owner dies while the log is away, nobody can claim, and ten seconds later
+    /// every service of the domain stops with its lease. A worker obeys the largest epoch, and
+    /// ranks keep the epochs of two takers apart, so renewing needs no agreement. Placing does: it
+    /// waits until the claim of this epoch is in the log, where a claim of a later term wins. Until
+    /// then what this instance has read may be far behind the log, so it draws no conclusion from
+    /// what workers report either; ownership begins anew once the claim is read.
+    fn take_over(&mut self, now: Instant, unix: Unix) {
+        let rank = u8::try_from(self.rank()).unwrap_or(u8::MAX);
+        let epoch = self.known_epoch().next_sub(rank);
+        log::warn!("event=owner.took_over_without_log domain={} epoch={epoch}", self.domain);
+        let mut active = self.new_active(epoch, now, unix);
+        active.logged = false;
+        self.role = Role::Owner(Box::new(active));
+        self.election.leader = Some((epoch, self.me.clone()));
+    }
+
     fn claim_due(&self, now: Instant) -> bool {
         let paused = self.election.claim_pause.is_some_and(|until| now < until);
         let log_away = self.election.read_failing_since.is_some();
@@ -236,14 +267,26 @@
 
     /// Instances claim in the order of their names, so that two seldom claim at once.
     fn rank_delay(&self) -> Duration {
-        let ahead = |name: &str| name < self.me.name.as_str();
-        let rank = self.peers().filter(|(name, _)| ahead(name)).count();
-        let steps = u32::try_from(rank).unwrap_or(u32::MAX);
+        let steps = u32::try_from(self.rank()).unwrap_or(u32::MAX);
         (self.timings.claim / RANK_SHARE).saturating_mul(steps)
     }
 
+    fn rank(&self) -> usize {
+        let ahead = |name: &str| name < self.me.name.as_str();
+        self.peers().filter(|(name, _)| ahead(name)).count()
+    }
+
     fn claim(&mut self, now: Instant) {
-        let claim = self.replica.next_claim(&self.me);
+        self.claim_epoch(self.replica.epoch().next_term(), now);
+    }
+
+    /// Appends a claim unless one is under way.
+    pub(super) fn claim_epoch(&mut self, epoch: Epoch, now: Instant) {
+        let paused = self.election.claim_pause.is_some_and(|until| now < until);
+        if self.election.claiming || paused {
+            return;
+        }
+        let claim = self.replica.claim_for(&self.me, epoch);
         log::info!("event=owner.claiming domain={} epoch={}", self.domain, claim.epoch);
         self.election.claim_pause = Some(now.after(self.timings.claim));
         match codec::encode(&Record::Claim(claim)) {
@@ -326,13 +369,25 @@
         }
     }
 
-    pub(super) fn on_handover(&mut self, epoch: Epoch, now: Instant) {
-        let current = epoch >= self.replica.epoch() && !self.stopping;
-        if current && self.election.is_caught_up() && !self.election.claiming {
-            self.claim(now);
+    pub(super) fn on_handover(&mut self, epoch: Epoch, now: Instant, unix: Unix) {
+        let current = epoch >= self.known_epoch() && !self.stopping && !self.is_owner();
+        if !current || !self.election.is_caught_up() {
+            return;
+        }
+        match self.election.read_failing_since {
+            None => self.claim(now),
+            Some(_) => self.take_over(now, unix),
         }
     }
 
+    fn new_active(&self, epoch: Epoch, now: Instant, unix: Unix) -> Active {
+        let board = self.replica.board.clone();
+        let mut active = Active::new(epoch, &self.timings, self.policy, board, now);
+        active.set_members(&self.members);
+        active.load(&self.replica.table, now, unix);
+        active
+    }
+
     pub(super) fn become_owner(&mut self, now: Instant, unix: Unix) {
         let epoch = self.replica.epoch();
         log::info!(
@@ -340,10 +395,7 @@
             self.domain,
             self.replica.table.len()
         );
-        let board = self.replica.board.clone();
-        let mut active = Active::new(epoch, &self.timings, self.policy, board, now);
-        active.set_members(&self.members);
-        active.load(&self.replica.table, now, unix);
+        let active = self.new_active(epoch, now, unix);
         self.role = Role::Owner(Box::new(active));
         self.election.leader = Some((epoch, self.me.clone()));
     }
--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -48,7 +48,7 @@
             domain: self.domain.clone(),
             owner: self.me.clone(),
             epoch: active.epoch,
-            without_log: active.journal.failing_since().is_some(),
+            without_log: active.journal.failing_since().is_some() || !active.logged,
         };
         self.out.push(Effect::Beat { to, beat });
     }
@@ -59,8 +59,10 @@
             return;
         }
         active.sweep_at = now.after(SWEEP);
-        active.expire_leases(&self.replica, &self.timings, now, unix);
-        active.prune(&self.replica.table, self.timings.history, unix);
+        if active.logged {
+            active.expire_leases(&self.replica, &self.timings, now, unix);
+            active.prune(&self.replica.table, self.timings.history, unix);
+        }
         active.watch(&self.replica.table, now, unix);
     }
 
@@ -78,7 +80,7 @@
 
     fn decide(&mut self, now: Instant, unix: Unix) {
         let Role::Owner(active) = &mut self.role else { return };
-        let log_away = active.journal.failing_since().is_some();
+        let log_away = active.journal.failing_since().is_some() || !active.logged;
         if log_away || active.journal.is_full() || self.stopping {
             return;
         }
@@ -98,6 +100,10 @@
         let position =
             journal::Position { sequence: self.replica.sequence(), floor: self.replica.floor() };
         let Role::Owner(active) = &mut self.role else { return };
+        if !active.logged {
+            let epoch = active.epoch;
+            return self.claim_epoch(epoch, now);
+        }
         let parcel = match active.journal.retry(now) {
             Some(parcel) => Some(parcel),
             None if active.journal.is_idle(now) => {
@@ -124,7 +130,8 @@
     /// Before stopping, an owner gives its domain to a peer, so that placement goes on without
     /// waiting for the claim timeout.
     fn hand_over(&mut self) {
-        let settled = self.active().is_some_and(|active| active.journal.is_settled());
+        let settled =
+            self.active().is_some_and(|active| active.journal.is_settled() || !active.logged);
         if !self.stopping || !settled {
             return;
         }
@@ -173,6 +180,7 @@
         let answer = match &mut self.role {
             Role::Follower => Some(Answer::Refused(Refusal::NotOwner(owner))),
             Role::Owner(_) if self.stopping => Some(Answer::Refused(Refusal::NotOwner(None))),
+            Role::Owner(active) if !active.logged => Some(Answer::Refused(Refusal::LogAway)),
             Role::Owner(active) => match call {
                 Call::Submit { job, key, spec } => {
                     let acceptance = Acceptance { job, key, spec, at: unix };
--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -267,7 +267,7 @@
             Message::Call { ticket, call } => self.on_call(ticket, call, now, unix),
             Message::Expired(ticket) => self.on_expired(ticket),
             Message::Policy(policy) => self.on_policy(policy),
-            Message::Handover(epoch) => self.on_handover(epoch, now),
+            Message::Handover(epoch) => self.on_handover(epoch, now, unix),
             Message::Shutdown => self.stopping = true,
         }
         self.advance(now, unix);
@@ -314,7 +314,7 @@
 
     fn advance(&mut self, now: Instant, unix: Unix) {
         match self.role {
-            Role::Follower => self.advance_follower(now),
+            Role::Follower => self.advance_follower(now, unix),
             Role::Owner(_) => self.advance_owner(now, unix),
         }
         self.read_on(now);
--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -32,7 +32,7 @@
             Ok(report) => {
                 let findings = session.answered(channel, &report);
                 active.sync_worker(worker);
-                if let Some(findings) = findings {
+                if let Some(findings) = findings.filter(|_| active.logged) {
                     active.reconcile(worker, &findings, &self.replica.table, now, unix);
                 }
                 None
--- a/src/owner/replica.rs
+++ b/src/owner/replica.rs
@@ -73,12 +73,12 @@
         &self.formers
     }
 
-    /// The claim by which `instance` would become the owner.
-    pub fn next_claim(&self, instance: &Instance) -> Claim {
+    /// The claim by which `instance` would become the owner in `epoch`.
+    pub fn claim_for(&self, instance: &Instance, epoch: Epoch) -> Claim {
         // A process that listens where a former owner did proves that one gone.
         let elsewhere = |former: &&Instance| former.peer != instance.peer;
         let formers = self.formers.iter().chain(&self.owner).filter(elsewhere).cloned().collect();
-        Claim { epoch: self.epoch.next_term(), instance: instance.clone(), formers }
+        Claim { epoch, instance: instance.clone(), formers }
     }
 
     /// First offset not yet read.
@@ -141,8 +141,7 @@
     }
 
     fn claim(&mut self, offset: Offset, claim: Claim) -> Applied {
-        let follows = claim.epoch == self.epoch.next_term() || claim.epoch == self.epoch.next_sub();
-        if !follows {
+        if !claim.epoch.follows(self.epoch) {
             return Applied::Void;
         }
         self.epoch = claim.epoch;
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -12,6 +12,7 @@
 use oriolefork::resource::Amount;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
+use test_case::test_case;
 
 use crate::world::{Faults, World};
 
@@ -162,6 +163,45 @@
     }
 }
 
+// The owner dies while the log is away. Services must not stop with their leases: an instance takes
+// over at the workers, renews, places nothing, and writes its claim when the log is back.
+#[test]
+fn take_over_log_away() {
+    let mut world = started(8);
+    let first = world.owner().unwrap();
+    world.call(first, submit("service", spec(Kind::Batch, 4, Effect::Idempotent, 90_000)));
+    world.run(1_000);
+    world.faults.log_down = true;
+    world.run(3_000);
+    world.kill(first);
+    world.run_until(8_000, |world| world.owner().is_some()).expect("somebody takes over");
+    let second = world.owner().unwrap();
+    let refused = world.call(second, submit("new", spec(Kind::Batch, 1, Effect::Idempotent, 100)));
+    world.run(60_000);
+    assert_eq!(world.runs_of(job::Id::derive("shop", "service")), 4, "nothing stopped");
+    assert_eq!(world.answers.get(&refused), Some(&Answer::Refused(Refusal::LogAway)));
+    world.faults.log_down = false;
+    world.run(5_000);
+    let owner = world.owner().expect("an owner once the log is back");
+    let later = world.call(owner, submit("new", spec(Kind::Batch, 1, Effect::Idempotent, 100)));
+    world.run_until(60_000, |world| is_over(world, "service")).expect("the services end");
+    assert!(accepted(&world, later));
+    assert_eq!(world.runs_of(job::Id::derive("shop", "service")), 4);
+    world.check_end();
+}
+
+// The log is away, both remaining instances cannot hear each other, and each takes over. Their
+// epochs differ, so a worker obeys one of them only.
+#[test_case(0, 1 ; "first_rank")]
+#[test_case(1, 2 ; "second_rank")]
+fn next_sub_ranks_differ(one: u8, other: u8) {
+    let known = Epoch { term: 4, sub: 256 };
+    assert_ne!(known.next_sub(one), known.next_sub(other));
+    assert!(known.next_sub(one).follows(known));
+    assert!(known.next_term().follows(known.next_sub(one)));
+    assert!(!known.next_sub(one).follows(known.next_term()));
+}
+
 fn open_alerts(world: &World, kind: alert::Kind) -> usize {
     let owner = world.owner().expect("an owner");
     let board = world.machine(owner).board();
