Show waiting, packing and workers as metrics

Cause: metrics named what nothing recorded, and the interface counted requests under a name of its own with a label made of text. Conclusion: waiting time, packing and the scheduler's own cost can be scraped.

--- a/src/api/service.rs
+++ b/src/api/service.rs
@@ -13,6 +13,7 @@
 use crate::api::{header, reply};
 use crate::clock::Clock;
 use crate::http::{Handler, Request, Response};
+use crate::telemetry::names;
 
 /// Renders the metrics of the process.
 pub type Render = Box<dyn Fn() -> String>;
@@ -49,6 +50,7 @@
             Err(miss) => return missed(miss),
         };
         let name = route.name();
+        let start = self.clock.now();
         let response = match self.dispatch(peer, route, request).await {
             Ok(response) => response,
             Err(refusal) => {
@@ -56,8 +58,8 @@
                 reply::refusal(refusal)
             }
         };
-        let status = response.status().as_u16().to_string();
-        metrics::counter!("api_requests_total", "route" => name, "status" => status).increment(1);
+        names::API_REQUESTS.increment(&[("route", name), ("status", class(response.status()))]);
+        names::API_REQUEST.record(self.clock.now().since(start), &[("route", name)]);
         response
     }
 
@@ -165,3 +167,13 @@
         log::debug!("event=api.refused route={route} peer={peer} reason={reason} ran={ran}");
     }
 }
+
+/// The class of a status, as a label of few values.
+fn class(status: ::http::StatusCode) -> &'static str {
+    match status.as_u16() / 100 {
+        2 => "2xx",
+        4 => "4xx",
+        5 => "5xx",
+        _ => "other",
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod backend;
 pub mod controller;
 pub mod forward;
+pub mod gauges;
 pub mod members;
 pub mod peers;
 pub mod requests;
@@ -145,7 +146,7 @@
         let peer_handler = Rc::new(peers::Peers::new(entry.clone(), requests.clone()));
         let grace = settings.http.shutdown_grace;
         let peer_server = monoio::spawn(peer.serve(peer_handler, peer_stop.clone(), grace));
-        monoio::spawn(fold(recorder.clone(), clock.clone()));
+        monoio::spawn(gauges::follow(recorder.clone(), handle.clone(), clock.clone()));
         let options = api::Options {
             operator_token: settings.operator_token.map(check),
             metrics: Box::new(move || recorder.render()),
@@ -203,17 +204,6 @@
     Rc::new(Failover::new(addresses.map(at).collect()))
 }
 
-/// Keeps the recorder's memory within bounds where nothing scrapes it.
-async fn fold(recorder: Rc<Recorder>, clock: Rc<dyn Clock>) {
-    loop {
-        clock.sleep(FOLD).await;
-        recorder.upkeep();
-    }
-}
-
-/// Pause between two folds of the recorder's samples.
-const FOLD: Duration = Duration::from_secs(5);
-
 fn check(token: Secret) -> api::Check {
     Box::new(move |offered| token.matches(offered))
 }
--- a/tests/process/observe.rs
+++ b/tests/process/observe.rs
@@ -44,7 +44,15 @@
         let text = String::from_utf8(asked("/metrics").body.clone()).expect("text");
         text.contains("oriolefork_log_reads_total").then_some(text)
     });
-    for name in ["process_cpu_seconds_total", "process_resident_memory_bytes"] {
+    let expected = [
+        "process_cpu_seconds_total ",
+        "process_resident_memory_bytes ",
+        "oriolefork_owner ",
+        "oriolefork_jobs_waiting 0",
+        "oriolefork_packing_ratio{resource=\"memory\"} ",
+        "oriolefork_api_requests_total{route=\"ready\",status=\"2xx\"} ",
+    ];
+    for name in expected {
         assert!(metrics.contains(name), "{name} is not in\n{metrics}");
     }
 
