Try a whole site with one command

Cause: a newcomer had no way to see the scheduler at work without setting up a log, a list, workers and several daemons. Change: `oriolefork dev` runs stand-ins on one thread and nine entry instances of three failure domains on another, submits sample jobs of every kind, sends quick requests, and prints waiting time, packing, control cost and alerts. A process test runs it.

--- a/src/cli/command/mod.rs
+++ b/src/cli/command/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each group of subcommands.
 
 mod alert;
+mod dev;
 mod job;
 mod preset;
 mod quota;
@@ -61,6 +62,9 @@
     if let Command::CheckSettings(flags) = &flags.subcommand {
         return Ok(settings::check(&flags.path));
     }
+    if let Command::Dev(_) = &flags.subcommand {
+        return dev::run().await;
+    }
     let context = Context::new(&flags)?;
     match flags.subcommand {
         Command::Submit(flags) => submit::submit(&context, flags).await,
@@ -88,6 +92,7 @@
         Command::Quotas(_) => quota::list(&context).await,
         Command::Quota(flags) => quota::set(&context, flags).await,
         Command::CheckSettings(flags) => Ok(settings::check(&flags.path)),
+        Command::Dev(_) => dev::run().await,
         Command::Dump(_) => status::dump(&context).await,
         Command::LogLevel(flags) => status::log_level(&context, flags.level).await,
     }
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -165,6 +165,8 @@
             /// Remove the quota.
             optional --remove
         }
+        /// Run a small site in one process, with sample jobs, to see the scheduler at work.
+        cmd dev { }
         /// Check a settings file as a whole, without starting anything.
         cmd check-settings {
             /// The file.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod codec;
 pub mod config;
+pub mod dev;
 pub mod domain;
 pub mod entry;
 pub mod http;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod config;
+mod dev;
 mod harness;
 mod http;
 mod http_client;
