Prove quick requests through the daemon

Cause: the daemon's assembly of routing was not tested. Change: three stories with real daemons: shared runners under load, a stop in the middle, and an instance killed and replaced at once while runners still work on its requests.

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod peer;
 mod runner;
+mod runner_daemon;
 mod runtime;
 mod standin;
 mod stop;
