Pass on to another domain what the own one would refuse for load

Cause: a rush in one domain was refused while runners of the next one stood idle. An instance without requests looks around once a second, and exchanges shares as often, instead of ten and two times.

--- a/src/runner/proxy/exchange.rs
+++ b/src/runner/proxy/exchange.rs
@@ -15,6 +15,8 @@
 
 /// Time between two exchanges.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// The same while nothing is lent, held or wanted.
+const QUIET_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that a call to the keeper may take.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -91,6 +93,9 @@
         self.show_waiting();
         let Some((keeper, peer)) = self.exchange.keeper() else { return };
         let ask = self.router.ask(keeper, now);
+        if ask.lines.is_empty() {
+            self.exchange.next = now.after(QUIET_INTERVAL);
+        }
         match peer {
             Some(peer) => self.call_keeper(peer, ask),
             None => {
--- a/src/runner/router/mod.rs
+++ b/src/runner/router/mod.rs
@@ -26,6 +26,8 @@
 
 /// Time between two looks at queues and at slow runners.
 const REVIEW: Duration = Duration::from_millis(100);
+/// The same while there is no request.
+const IDLE_REVIEW: Duration = Duration::from_secs(1);
 /// Shortest time after which a refused caller is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Time for which a domain that could not be reached or refused gets no requests.
@@ -129,6 +131,7 @@
     /// Takes in a request and starts, queues, passes on or refuses it.
     pub fn submit(&mut self, request: Request, now: Instant) -> Vec<Effect> {
         let id = request.id;
+        self.next_review = self.next_review.min(now.after(REVIEW));
         self.timers.push(Reverse((request.deadline, Timer::Deadline(id))));
         self.pending.insert(id, Pending::new(request, now));
         if let Some(service) = self.service_of(id) {
@@ -172,7 +175,8 @@
             }
         }
         if self.next_review <= now {
-            self.next_review = now.after(REVIEW);
+            let is_idle = self.pending.is_empty();
+            self.next_review = now.after(if is_idle { IDLE_REVIEW } else { REVIEW });
             self.review(now);
         }
         self.take_effects()
--- a/src/runner/router/outcome.rs
+++ b/src/runner/router/outcome.rs
@@ -125,7 +125,11 @@
             Outcome::NotSent | Outcome::Refused { .. } => {}
         }
         if pending.live.is_empty() {
-            self.retry(request, now);
+            let refusal = match outcome {
+                Outcome::Refused { .. } => Refusal::Overloaded,
+                _ => Refusal::Unreachable,
+            };
+            self.retry(request, refusal, now);
         }
     }
 
@@ -137,7 +141,7 @@
 
     /// Tries again where that can do no harm and the budget allows it, else ends the request at
     /// once.
-    pub(super) fn retry(&mut self, id: request::Id, now: Instant) {
+    fn retry(&mut self, id: request::Id, refusal: Refusal, now: Instant) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let Some(service) = self.services.get_mut(&pending.request.service) else { return };
         let harmless = pending.is_idempotent() || !pending.may_have_run;
@@ -146,6 +150,6 @@
             return self.place(id, now);
         }
         let wait = service.usual_latency();
-        self.give_up(id, Refusal::Unreachable, wait);
+        self.give_up(id, refusal, wait);
     }
 }
--- a/src/runner/router/way.rs
+++ b/src/runner/router/way.rs
@@ -59,7 +59,7 @@
         if let Some(refusal) = service.refusal(&self.policy, ahead, slots, left, now) {
             service.demand.overloaded = true;
             let retry_after = service.wait(service.queue.len(), slots);
-            return self.give_up(id, refusal, retry_after);
+            return self.spill(id, refusal, retry_after, now);
         }
         pending.queued = Some(due);
         service.queue.push(Entry { due, id, deadline });
@@ -99,18 +99,33 @@
     }
 
     /// Passes a request on to another domain because the own one has no usable runner.
-    pub(super) fn pass_on(&mut self, id: request::Id, now: Instant) {
-        let warming = self.shares.usable_from().since(now).max(MIN_RETRY_AFTER);
-        let Some(pending) = self.pending.get_mut(&id) else { return };
-        let Some(service) = self.services.get_mut(&pending.request.service) else { return };
+    fn pass_on(&mut self, id: request::Id, now: Instant) {
+        let warming = self.shares.usable_from().since(now);
+        if !self.forward(id, now) {
+            self.give_up(id, Refusal::NoRunner, warming);
+        }
+    }
+
+    /// Passes a request on that the own domain would refuse for load.
+    ///
+    /// Where every domain is overloaded, the first refusal of another one stops this for a while,
+    /// so that it adds next to nothing to their load.
+    fn spill(&mut self, id: request::Id, refusal: Refusal, retry_after: Duration, now: Instant) {
+        if !self.forward(id, now) {
+            self.give_up(id, refusal, retry_after);
+        }
+    }
+
+    /// Sends a request to an entry instance of another domain; false when none may get it.
+    fn forward(&mut self, id: request::Id, now: Instant) -> bool {
+        let Some(pending) = self.pending.get_mut(&id) else { return false };
+        let Some(service) = self.services.get_mut(&pending.request.service) else { return false };
         let remote = (!pending.request.forwarded)
             .then(|| {
                 service.choose_remote(&self.policy, &pending.tried_domains, now, &mut self.rng)
             })
             .flatten();
-        let Some((index, peer)) = remote else {
-            return self.give_up(id, Refusal::NoRunner, warming);
-        };
+        let Some((index, peer)) = remote else { return false };
         let remote = &mut service.remotes[index];
         remote.outstanding += 1;
         self.next_attempt += 1;
@@ -120,6 +135,7 @@
         self.attempts.insert(attempt, pending.attempt(Target::Domain(remote.domain.clone()), now));
         let budget = pending.request.deadline.since(now);
         self.effects.push(Effect::Forward { attempt, request: id, peer, budget });
+        true
     }
 
     /// Sends a second copy of a request that takes longer than most, if that can do no harm.
--- a/tests/logic/runner/load.rs
+++ b/tests/logic/runner/load.rs
@@ -9,7 +9,7 @@
 use oriolefork::runner::{Effect, Policy, Verdict};
 use test_case::test_case;
 
-use super::setup::{SERVICE, Setup, WHOLE, runner};
+use super::setup::{SERVICE, Setup, WHOLE, entry, runner};
 
 #[test_case(Rerun::Idempotent, 2 ; "idempotent_is_hedged")]
 #[test_case(Rerun::AtMostOnce, 1 ; "at_most_once_is_not")]
@@ -111,6 +111,48 @@
     assert!(matches!(setup.verdict(patient), Some(Verdict::Whole(_))));
 }
 
+fn two_domains() -> Setup {
+    let members = vec![runner("kurow", 1, 1), runner("oamaru", 9, 8), entry("oamaru", 1)];
+    Setup::with(Policy::default(), members)
+}
+
+// A morning rush meets one domain while the next one is quiet. Its callers are refused although
+// there are free slots in reach.
+#[test]
+fn submit_overload_spills_to_another_domain() {
+    let mut setup = two_domains();
+    setup.warm(100);
+    for _ in 0..4 {
+        setup.submit(Rerun::AtMostOnce, 10_000);
+    }
+    setup.sent();
+    let spilled = setup.submit(Rerun::AtMostOnce, 10_000);
+    let (attempt, port) = setup.sent()[0];
+    assert_eq!(port, 2001);
+    setup.finish(attempt, WHOLE);
+    assert_eq!(setup.verdict(spilled), Some(Verdict::Whole(attempt)));
+}
+
+// Every domain is overloaded. Requests passed around would only add to the load, and their callers
+// would wait longer to hear that they have to come back.
+#[test]
+fn submit_overload_everywhere_is_refused_at_once() {
+    let mut setup = two_domains();
+    setup.warm(100);
+    for _ in 0..4 {
+        setup.submit(Rerun::AtMostOnce, 10_000);
+    }
+    setup.sent();
+    let refused = setup.submit(Rerun::AtMostOnce, 10_000);
+    let (attempt, _) = setup.sent()[0];
+    setup.finish(attempt, Outcome::Refused { retry_after: Duration::from_secs(2) });
+    let next = setup.submit(Rerun::AtMostOnce, 10_000);
+    assert!(setup.sent().is_empty());
+    for id in [refused, next] {
+        assert!(matches!(setup.verdict(id), Some(Verdict::NotRun { .. })));
+    }
+}
+
 // Every runner answers with a fault. Retries that multiplied the load would keep them down.
 #[test]
 fn finish_retries_stay_in_budget() {
