Send one call with commands at a time to a worker

Cause: when a worker's new report emptied the outbox under a call with commands, a second call went out beside it. The failure of the first, that nothing was sent, then marked the second call's starts as never sent, and their tasks could be placed elsewhere while they ran.

Change: the next call waits until the one before has ended, whatever became of the outbox meanwhile.

Conclusion: "never sent" is said only of the call that it is about.

--- a/src/owner/session.rs
+++ b/src/owner/session.rs
@@ -69,7 +69,10 @@
     failures: u32,
     retry_at: Option<Instant>,
     outbox: VecDeque<Command>,
+    /// Commands at the head of the outbox that the call under way carries.
     in_flight: usize,
+    /// Whether a call with commands is under way.
+    commanding: bool,
     watching: bool,
     sent: BTreeMap<task::Id, Dispatch>,
     /// Ended tasks that the worker still reports.
@@ -103,6 +106,7 @@
             retry_at: None,
             outbox: VecDeque::new(),
             in_flight: 0,
+            commanding: false,
             watching: false,
             sent: BTreeMap::new(),
             known: BTreeSet::new(),
@@ -157,11 +161,14 @@
         let resting = self.retry_at.is_some_and(|at| now < at);
         // A watch that names a later report than a command under way would overtake it, and the
         // worker would answer to the command without applying it.
-        if !self.watching && !resting && self.in_flight == 0 {
+        if !self.watching && !resting && !self.commanding {
             sends.push(self.watch(now, epoch, timings));
         }
         let reachable = self.fenced && self.failing_since.is_none();
-        if reachable && self.in_flight == 0 && !self.outbox.is_empty() {
+        // One call with commands at a time, also when the outbox was emptied under it: the failure of
+        // an earlier call that nothing was sent would otherwise be taken for that of a later one, and
+        // a start that has reached the worker would count as never sent and be placed elsewhere.
+        if reachable && !self.commanding && !self.outbox.is_empty() {
             sends.push(self.command(now, epoch, timings));
         }
         sends
@@ -177,6 +184,7 @@
     fn command(&mut self, now: Instant, epoch: Epoch, timings: &Timings) -> Send {
         let count = self.outbox.len().min(MAX_COMMANDS);
         self.in_flight = count;
+        self.commanding = true;
         let commands: Vec<Command> = self.outbox.iter().take(count).cloned().collect();
         for command in &commands {
             if let Command::Start { task, .. } = command {
@@ -311,6 +319,7 @@
         match channel {
             Channel::Watch => self.watching = false,
             Channel::Command => {
+                self.commanding = false;
                 if answered {
                     self.outbox.drain(..self.in_flight.min(self.outbox.len()));
                 }
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -11,6 +11,7 @@
 mod logging;
 mod membership;
 mod owner;
+mod owner_session;
 mod permit;
 mod placement;
 mod runner;
--- /dev/null
+++ b/tests/logic/owner_session.rs
@@ -0,0 +1,58 @@
+//! What the owner holds of one worker.
+
+use std::net::SocketAddr;
+
+use oriolefork::clock::Instant;
+use oriolefork::domain::Epoch;
+use oriolefork::job;
+use oriolefork::owner::Timings;
+use oriolefork::owner::session::{Channel, Send, Session};
+use oriolefork::resource::Amount;
+use oriolefork::task;
+use oriolefork::worker::{Command, Error, Fault, Report};
+
+fn peer() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 9))
+}
+
+fn start(index: u32) -> Command {
+    let task = task_id(index);
+    Command::Start { task, demand: Amount::ZERO, payload: String::new() }
+}
+
+fn task_id(index: u32) -> task::Id {
+    task::Id { job: job::Id::from_raw(1), index, attempt: 0 }
+}
+
+fn report(run: u64) -> Report {
+    Report { run, sequence: 1, full: true, tasks: Vec::new(), capacity: Amount::ZERO }
+}
+
+fn starts(sends: &[Send]) -> Vec<task::Id> {
+    let commands = sends.iter().flat_map(|send| &send.exchange.commands);
+    let starts = commands.filter_map(|command| match command {
+        Command::Start { task, .. } => Some(*task),
+        _ => None,
+    });
+    starts.collect()
+}
+
+// A renewal runs twice. The owner's call with a first start hangs before it reaches the worker; the
+// worker restarts, and a second start goes out beside the hanging call. Then the first call fails
+// with "nothing was sent". If that is taken for the second start, its task counts as never sent and
+// is placed elsewhere while it runs.
+#[test]
+fn failed_earlier_command() {
+    let (now, timings) = (Instant::from_millis(1), Timings::default());
+    let mut session = Session::new(peer(), "rack-1");
+    session.poll(now, Epoch::FIRST, &timings);
+    session.answered(Channel::Watch, &report(1));
+    session.push(start(0));
+    assert_eq!(starts(&session.poll(now, Epoch::FIRST, &timings)), [task_id(0)]);
+    session.answered(Channel::Watch, &report(2));
+    session.push(start(1));
+    let sent = starts(&session.poll(now, Epoch::FIRST, &timings));
+    let error = Error { peer: peer(), fault: Fault::NotSent("connect timed out".to_owned()) };
+    session.failed(Channel::Command, now, &error, &timings);
+    assert!(!sent.contains(&task_id(1)) || !session.is_unsent(task_id(1)));
+}
