Go on placing while the log is away, on the word of peers

Cause: with the log away the owner placed nothing, so that a backup accepted in the evening did not run in a night's outage. Work that may run only once still waits for the log; new jobs are still refused as not run. An owner that learns of a rival reads its state anew. Ruled out: writing copies of owners before the last one, whose tries have the same numbers as later ones (a gang ran in two places); writing copies that the log holds already (an uncertain task counted as ended). Conclusion: a domain cut off from the log goes on with what it has accepted.

--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -10,17 +10,19 @@
 
 use crate::clock::{Clock, Instant, Unix};
 use crate::domain::Epoch;
-use crate::entry::peers::Heard;
+use crate::entry::peers::{Heard, Kept};
 use crate::owner::journal::Parcel;
 use crate::owner::machine::{Answer, Beat, Call, Effect, Machine, Message};
 use crate::owner::session::Send;
-use crate::owner::{Ticket, machine};
+use crate::owner::{Hold, Ticket, machine};
 use crate::peer;
 use crate::store::{Offset, Store};
 use crate::worker::{self, Link};
 
 /// Peer method that carries an owner's heartbeat.
 pub const BEAT: &str = "owner/beat";
+/// Peer method by which an owner without the log asks an instance to keep a batch.
+pub const HOLD: &str = "owner/hold";
 /// Peer method by which an owner asks an instance to take over.
 pub const HANDOVER: &str = "owner/handover";
 
@@ -160,6 +162,7 @@
                 Effect::Append(parcel) => self.append(parcel),
                 Effect::Exchange { epoch, worker, send } => self.exchange(epoch, worker, send),
                 Effect::Beat { to, beat } => self.beat(&to, &beat),
+                Effect::Hold { to, hold } => self.hold(&to, &hold),
                 Effect::Handover { to, epoch } => self.hand_over(to, epoch),
                 Effect::Reply { ticket, answer } => {
                     if let Some(reply) = self.waiting.remove(&ticket) {
@@ -210,6 +213,20 @@
         }
     }
 
+    fn hold(&self, to: &[SocketAddr], hold: &Hold) {
+        for peer in to.iter().copied() {
+            let (borders, handle) = (self.borders.clone(), self.handle.clone());
+            let hold = hold.clone();
+            monoio::spawn(async move {
+                let answer = borders.peers.call(peer, HOLD, &hold, borders.peer_timeout).await;
+                if let Ok(Kept { from, kept: true }) = answer {
+                    let (epoch, sequence) = (hold.epoch, hold.sequence);
+                    handle.send(Message::Held { from, epoch, sequence });
+                }
+            });
+        }
+    }
+
     fn hand_over(&self, to: SocketAddr, epoch: Epoch) {
         let borders = self.borders.clone();
         monoio::spawn(async move {
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -12,10 +12,10 @@
 use crate::codec;
 use crate::domain::{Epoch, Instance};
 use crate::entry::backend::Entry;
-use crate::entry::controller::{BEAT, HANDOVER};
+use crate::entry::controller::{BEAT, HANDOVER, HOLD};
 use crate::entry::forward::{self, Envelope};
-use crate::owner::Beat;
-use crate::owner::machine::Message;
+use crate::owner::machine::{Machine, Message};
+use crate::owner::{Beat, Hold};
 use crate::peer::{Code, Handler, Refusal};
 use crate::runner::{self, Proxy};
 
@@ -28,6 +28,15 @@
     pub epoch: Epoch,
 }
 
+/// Answer to a batch that was to be kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct Kept {
+    /// The instance that answers.
+    pub from: Instance,
+    /// Whether it keeps the batch.
+    pub kept: bool,
+}
+
 /// Answers to calls from other instances.
 pub struct Peers {
     entry: Rc<Entry>,
@@ -43,6 +52,7 @@
     async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
         match method {
             BEAT => encode(&self.hear(decode(body)?).await?),
+            HOLD => encode(&self.keep(decode(body)?).await?),
             HANDOVER => {
                 self.entry.handle.send(Message::Handover(decode(body)?));
                 encode(&())
@@ -53,6 +63,16 @@
         }
     }
 
+    /// The answer goes out only after the machine keeps the batch: its sender lets it take effect.
+    async fn keep(&self, hold: Hold) -> Result<Kept, Refusal> {
+        let (epoch, sequence) = (hold.epoch, hold.sequence);
+        self.entry.handle.send(Message::Hold(hold));
+        let look = move |machine: &Machine, _, _| machine.custody.keeps(epoch, sequence);
+        let kept = self.entry.handle.inspect(look).await;
+        let kept = kept.ok_or_else(|| refusal(Code::Busy, "stopping".to_owned()))?;
+        Ok(Kept { from: self.entry.me.clone(), kept })
+    }
+
     /// The answer goes out only after the machine has taken the heartbeat in: its sender concludes
     /// from it that this instance does not act as an owner of an earlier epoch any more.
     async fn hear(&self, beat: Beat) -> Result<Heard, Refusal> {
--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -1,7 +1,8 @@
 //! What an owner holds beyond the state that every instance reads: workers, decisions under way,
 //! callers who wait.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::alert::Board;
@@ -9,7 +10,7 @@
 use crate::domain::{Epoch, Instance};
 use crate::job::{Kind, Spec, Urgency};
 use crate::membership::{Member, Role, State};
-use crate::owner::journal::Journal;
+use crate::owner::journal::{Journal, Parcel, Tag};
 use crate::owner::machine::{Answer, Refusal};
 use crate::owner::record::{Conclusion, Entry, Position};
 use crate::owner::session::Session;
@@ -27,6 +28,21 @@
     /// Whether the claim of this epoch is in the log. Without it nothing is placed: the owner only
     /// renews the leases of what runs.
     pub logged: bool,
+    /// Whether changes kept for an earlier owner are still on their way to the log.
+    pub recovering: bool,
+    /// Whether an earlier owner may have started what the log does not say. What waited before this
+    /// epoch is then placed only once every worker has told all it runs.
+    pub cautious: bool,
+    /// Instances that keep batches while the log is away, by peer address.
+    pub(super) enrolled: BTreeMap<SocketAddr, Instance>,
+    /// Those of them that keep the batch under way.
+    pub(super) keepers: BTreeSet<Instance>,
+    /// Batches that took effect without the log, in order.
+    pub(super) unlogged: VecDeque<Parcel>,
+    /// Placements that took effect without the log and may start only once they are in it.
+    pub(super) deferred: BTreeSet<task::Id>,
+    pub(super) hold_at: Instant,
+    pub(super) append_at: Instant,
     /// Changes on their way to the log.
     pub journal: Journal,
     /// Alerts, with those on their way to the log.
@@ -79,6 +95,14 @@
         Self {
             epoch,
             logged: true,
+            recovering: false,
+            cautious: false,
+            enrolled: BTreeMap::new(),
+            keepers: BTreeSet::new(),
+            unlogged: VecDeque::new(),
+            deferred: BTreeSet::new(),
+            hold_at: now,
+            append_at: now,
             journal: Journal::new(epoch, timings.commit),
             board,
             engine: Engine::new(policy),
@@ -139,8 +163,10 @@
                 _ => {}
             }
         }
-        let waited = unix.since(job.accepted);
-        self.enqueue(job, waiting, now, waited);
+        if !self.cautious {
+            let waited = unix.since(job.accepted);
+            self.enqueue(job, waiting, now, waited);
+        }
     }
 
     pub(super) fn adopt(&mut self, id: task::Id, worker: &worker::Name, job: &Job, now: Instant) {
@@ -211,6 +237,39 @@
         }
     }
 
+    /// Whether this owner decides and draws conclusions: its claim and all that was kept for
+    /// earlier owners are in the log.
+    pub fn is_settled(&self) -> bool {
+        self.logged && !self.recovering
+    }
+
+    /// Ends caution once every worker has told what it runs, or holds nothing for certain.
+    pub(super) fn end_caution(&mut self, table: &Table, now: Instant, unix: Unix) {
+        let told = !self.sessions.is_empty() && self.sessions.values().all(Session::is_told);
+        if !self.cautious || !told {
+            return;
+        }
+        self.cautious = false;
+        for job in table.jobs() {
+            let waiting: Vec<task::Id> = job
+                .tasks
+                .iter()
+                .enumerate()
+                .filter(|(_, task)| task.position == Position::Pending)
+                .map(|(index, _)| job.task_id(index))
+                .filter(|id| !self.placing.contains(id) && !self.held.contains_key(id))
+                .collect();
+            self.enqueue(job, waiting, now, unix.since(job.accepted));
+        }
+    }
+
+    /// Takes in that an append failed whose batch has taken effect already.
+    pub(super) fn append_failed(&mut self, tag: Tag, now: Instant) {
+        if self.unlogged.front().is_some_and(|parcel| parcel.tag == tag) {
+            self.journal.failing(now);
+        }
+    }
+
     /// Whether every worker that the list names has told what it has.
     pub(super) fn knows_all_workers(&self) -> bool {
         self.sessions.values().all(|session| !session.capacity.is_zero())
--- a/src/owner/election.rs
+++ b/src/owner/election.rs
@@ -87,6 +87,10 @@
         self.leader.as_ref().map(|(epoch, _)| *epoch).unwrap_or_default()
     }
 
+    pub(super) fn start_over(&mut self) {
+        self.progress = Progress::FindEnd;
+    }
+
     pub(super) fn heard(&mut self, now: Instant) {
         self.heard = now;
     }
@@ -207,7 +211,7 @@
     fn restart_reading(&mut self, cause: &str) {
         log::warn!("event=owner.reading_restarted domain={} cause={cause}", self.domain);
         self.step_down(cause);
-        self.election.progress = Progress::FindEnd;
+        self.election.start_over();
     }
 
     pub(super) fn advance_follower(&mut self, now: Instant, unix: Unix) {
@@ -319,6 +323,7 @@
                 log::warn!("event=owner.append_failed domain={} {error}", self.domain);
                 if let Some(active) = self.active() {
                     active.journal.failed(tag, now);
+                    active.append_failed(tag, now);
                 }
                 if error.outcome == Outcome::Unknown {
                     self.read_soon(now);
@@ -332,6 +337,7 @@
             return;
         }
         self.on_superseded_by(beat.epoch);
+        self.enroll(beat);
         self.election.heard(now);
         self.election.leader = Some((beat.epoch, beat.owner.clone()));
         self.election.leader_without_log = match beat.without_log {
@@ -367,6 +373,9 @@
         for former in gone {
             active.retire(&former);
         }
+        if epoch == active.epoch {
+            active.enroll(from);
+        }
     }
 
     pub(super) fn on_handover(&mut self, epoch: Epoch, now: Instant, unix: Unix) {
@@ -380,10 +389,14 @@
         }
     }
 
-    fn new_active(&self, epoch: Epoch, now: Instant, unix: Unix) -> Active {
+    pub(super) fn new_active(&self, epoch: Epoch, now: Instant, unix: Unix) -> Active {
         let board = self.replica.board.clone();
         let mut active = Active::new(epoch, &self.timings, self.policy, board, now);
         active.set_members(&self.members);
+        // An owner before this one may have started what the log does not say, unless this
+        // instance would keep the record of it.
+        let previous = self.replica.previous();
+        active.cautious = previous != Epoch::default() && self.custody.enrolled() != Some(previous);
         active.load(&self.replica.table, now, unix);
         active
     }
@@ -395,7 +408,12 @@
             self.domain,
             self.replica.table.len()
         );
-        let active = self.new_active(epoch, now, unix);
+        let mut active = self.new_active(epoch, now, unix);
+        for change in self.custody.changes(self.replica.previous()) {
+            log::debug!("event=owner.relogged change={change:?}");
+            active.recovering = true;
+            active.journal.push(change, None);
+        }
         self.role = Role::Owner(Box::new(active));
         self.election.leader = Some((epoch, self.me.clone()));
     }
--- a/src/owner/journal.rs
+++ b/src/owner/journal.rs
@@ -201,13 +201,48 @@
         Some(flight.payload.clone())
     }
 
+    /// What the batch under way is.
+    pub fn flight_tag(&self) -> Option<Tag> {
+        self.flight.as_ref().map(|flight| self.tag(flight.sequence))
+    }
+
+    /// Place and content of the batch under way.
+    pub fn flight(&self) -> Option<(u64, &Bytes)> {
+        self.flight.as_ref().map(|flight| (flight.sequence, &flight.payload))
+    }
+
+    /// Takes the batch under way out of the log's hands, for it took effect otherwise. Its callers
+    /// stay to be answered by [`Self::committed`].
+    pub fn take_flight(&mut self) -> Option<Parcel> {
+        let flight = self.flight.as_mut()?;
+        flight.retry_at = None;
+        let (sequence, payload) = (flight.sequence, flight.payload.clone());
+        Some(Parcel { tag: self.tag(sequence), payload })
+    }
+
+    /// Notes that the log takes records again.
+    pub fn recovered(&mut self) {
+        self.failing_since = None;
+    }
+
+    /// Makes the batch under way due for the log, which it was not handed to before.
+    pub fn rearm(&mut self, now: Instant) {
+        if let Some(flight) = &mut self.flight {
+            flight.retry_at.get_or_insert(now);
+        }
+    }
+
+    /// Notes that the log does not take records.
+    pub fn failing(&mut self, now: Instant) {
+        self.failing_since.get_or_insert(now);
+    }
+
     fn tag(&self, sequence: u64) -> Tag {
         Tag::Batch { epoch: self.epoch, sequence }
     }
 
     /// Notes that the batch `sequence` took effect and returns the callers to answer.
     pub fn committed(&mut self, sequence: u64) -> Vec<Ticket> {
-        self.failing_since = None;
         match self.flight.take_if(|flight| flight.sequence == sequence) {
             Some(flight) => flight.tickets,
             None => Vec::new(),
--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use crate::clock::{Instant, Unix};
 use crate::job::Kind;
 use crate::owner::active::{Active, Pending};
@@ -29,10 +31,12 @@
 impl Machine {
     pub(super) fn advance_owner(&mut self, now: Instant, unix: Unix) {
         self.beat(now);
+        self.end_recovery(now, unix);
         self.sweep(now, unix);
         self.wake_resting(now);
         self.decide(now, unix);
         self.commit(now, unix);
+        self.hand_out(now);
         self.exchange(now);
         self.hand_over();
     }
@@ -49,6 +53,7 @@
             owner: self.me.clone(),
             epoch: active.epoch,
             without_log: active.journal.failing_since().is_some() || !active.logged,
+            enrolled: active.enrolled.values().cloned().collect(),
         };
         self.out.push(Effect::Beat { to, beat });
     }
@@ -59,7 +64,8 @@
             return;
         }
         active.sweep_at = now.after(SWEEP);
-        if active.logged {
+        if active.is_settled() {
+            active.end_caution(&self.replica.table, now, unix);
             active.expire_leases(&self.replica, &self.timings, now, unix);
             active.prune(&self.replica.table, self.timings.history, unix);
         }
@@ -80,8 +86,8 @@
 
     fn decide(&mut self, now: Instant, unix: Unix) {
         let Role::Owner(active) = &mut self.role else { return };
-        let log_away = active.journal.failing_since().is_some() || !active.logged;
-        if log_away || active.journal.is_full() || self.stopping {
+        let log_away = active.journal.failing_since().is_some() && !active.can_hold(now);
+        if log_away || !active.is_settled() || active.journal.is_full() || self.stopping {
             return;
         }
         for decision in active.engine.decide(now, unix, MAX_DECISIONS) {
@@ -105,6 +111,14 @@
             return self.claim_epoch(epoch, now);
         }
         let parcel = match active.journal.retry(now) {
+            _ if !active.unlogged.is_empty() => {
+                let due = active.next_unlogged(now);
+                // The next batch goes to peers, until the log has those before it.
+                if active.journal.is_idle(now) {
+                    active.journal.depart(now, position, Vec::new());
+                }
+                due
+            }
             Some(parcel) => Some(parcel),
             None if active.journal.is_idle(now) => {
                 let due = statements(&self.replica, &self.timings, unix);
@@ -130,8 +144,10 @@
     /// Before stopping, an owner gives its domain to a peer, so that placement goes on without
     /// waiting for the claim timeout.
     fn hand_over(&mut self) {
-        let settled =
-            self.active().is_some_and(|active| active.journal.is_settled() || !active.logged);
+        let settled = self.active().is_some_and(|active| {
+            let written = active.journal.is_settled() && active.unlogged.is_empty();
+            written || !active.is_settled()
+        });
         if !self.stopping || !settled {
             return;
         }
@@ -151,7 +167,7 @@
     /// owner that was paused may write after a rival's claim, and the batch is then void.
     pub(super) fn on_batch_written(&mut self, tag: Tag, offset: Offset, now: Instant, unix: Unix) {
         let next = self.replica.next();
-        let payload = self.active().and_then(|active| active.journal.payload(tag));
+        let payload = self.active().and_then(|active| active.payload(tag));
         match payload {
             Some(payload) if offset == next => self.absorb(offset, &payload, now, unix),
             _ if offset >= next => self.read_soon(now),
@@ -159,7 +175,22 @@
         }
     }
 
+    /// Begins anew once all that was kept for an earlier owner is in the log.
+    fn end_recovery(&mut self, now: Instant, unix: Unix) {
+        let ended =
+            self.active().is_some_and(|a| a.recovering && a.journal.is_settled() && a.logged);
+        if ended {
+            let epoch = self.replica.epoch();
+            log::info!("event=owner.recovered epoch={epoch}");
+            self.custody.release();
+            self.role = Role::Owner(Box::new(self.new_active(epoch, now, unix)));
+        }
+    }
+
     pub(super) fn on_changed(&mut self, batch: &Batch, now: Instant, unix: Unix) {
+        // What is in the log must not be written a second time by the next owner: its ends would
+        // count twice.
+        self.custody.logged(batch.epoch, batch.sequence + 1);
         let Role::Owner(active) = &mut self.role else {
             self.election.heard_through_log(now);
             return;
@@ -170,6 +201,9 @@
         for entry in &batch.entries {
             active.on_entry(entry, &self.replica.table, &self.timings, now, unix);
         }
+        if active.unlogged.is_empty() {
+            active.journal.recovered();
+        }
         for ticket in active.journal.committed(batch.sequence) {
             self.out.extend(active.answer_committed(ticket));
         }
@@ -180,7 +214,7 @@
         let answer = match &mut self.role {
             Role::Follower => Some(Answer::Refused(Refusal::NotOwner(owner))),
             Role::Owner(_) if self.stopping => Some(Answer::Refused(Refusal::NotOwner(None))),
-            Role::Owner(active) if !active.logged => Some(Answer::Refused(Refusal::LogAway)),
+            Role::Owner(active) if !active.is_settled() => Some(Answer::Refused(Refusal::LogAway)),
             Role::Owner(active) => match call {
                 Call::Submit { job, key, spec } => {
                     let acceptance = Acceptance { job, key, spec, at: unix };
@@ -221,6 +255,12 @@
 }
 
 impl Active {
+    /// Content of the batch that `tag` names, if its answer is awaited.
+    fn payload(&self, tag: Tag) -> Option<Bytes> {
+        let first = self.unlogged.front().filter(|parcel| parcel.tag == tag);
+        first.map(|parcel| parcel.payload.clone()).or_else(|| self.journal.payload(tag))
+    }
+
     fn place(&mut self, tasks: Vec<Assignment>) {
         let mut placements = Vec::with_capacity(tasks.len());
         for Assignment { task, worker } in tasks {
@@ -299,15 +339,15 @@
             return Some(Answer::Refused(Refusal::WorkerAnswers));
         }
         let tasks: Vec<task::Id> = table.placed_on(worker).collect();
+        if let Some(session) = self.sessions.get_mut(worker) {
+            session.clear();
+        }
         let Some((last, others)) = tasks.split_last() else { return Some(Answer::GivenUp) };
         for task in others {
             self.abandon_try(*task, None, now, unix);
         }
         self.calls.insert(ticket, Pending::GiveUp);
         self.abandon_try(*last, Some(ticket), now, unix);
-        if let Some(session) = self.sessions.get_mut(worker) {
-            session.clear();
-        }
         None
     }
 
@@ -419,6 +459,37 @@
             self.conclude(task, task::End::Stopped, now, unix);
             return;
         }
+        let unlogged = !self.unlogged.is_empty();
+        if unlogged && job.spec.effect == job::Effect::AtMostOnce {
+            // Peers' memory may be lost with them; a second start elsewhere would follow.
+            self.deferred.insert(task);
+            return;
+        }
+        self.send_start(placement, job, now, unix);
+    }
+
+    /// Starts what took effect without the log and had to wait for it.
+    pub(super) fn start_deferred(
+        &mut self,
+        batch: &Batch,
+        table: &Table,
+        now: Instant,
+        unix: Unix,
+    ) {
+        let placed = batch.entries.iter().filter_map(|entry| match entry {
+            Entry::Placed(placements) => Some(placements),
+            _ => None,
+        });
+        for placement in placed.flatten() {
+            let stands = self.deferred.remove(&placement.task);
+            if let Some(job) = table.get(placement.task.job).filter(|_| stands) {
+                self.send_start(placement, job, now, unix);
+            }
+        }
+    }
+
+    fn send_start(&mut self, placement: &Placement, job: &Job, now: Instant, unix: Unix) {
+        let task = placement.task;
         let same_run = |session: &&mut Session| session.run == placement.run;
         match self.sessions.get_mut(&placement.worker).filter(same_run) {
             Some(session) => session.push(start(job, task)),
--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -11,6 +11,7 @@
 use crate::domain::{self, Epoch, Instance};
 use crate::membership::Member;
 use crate::owner::active::Active;
+use crate::owner::custody::{Custody, Hold};
 use crate::owner::election::Election;
 use crate::owner::journal::{Parcel, Tag};
 use crate::owner::replica::{Applied, Replica};
@@ -56,6 +57,17 @@
         /// Latest epoch it knows.
         epoch: Epoch,
     },
+    /// An owner without the log asks this instance to keep a batch.
+    Hold(Hold),
+    /// An instance keeps a batch.
+    Held {
+        /// The instance.
+        from: Instance,
+        /// Epoch of the batch.
+        epoch: Epoch,
+        /// Place of the batch in that epoch.
+        sequence: u64,
+    },
     /// A caller asks for something.
     Call {
         /// Number to answer to.
@@ -84,6 +96,8 @@
     pub epoch: Epoch,
     /// Whether it cannot reach the log.
     pub without_log: bool,
+    /// Instances that keep its batches when the log is away.
+    pub enrolled: Vec<Instance>,
 }
 
 /// What a caller asks of the owner.
@@ -180,6 +194,13 @@
         /// Content.
         beat: Beat,
     },
+    /// Ask instances to keep a batch and answer with [`Message::Held`] for each that does.
+    Hold {
+        /// The instances.
+        to: Vec<SocketAddr>,
+        /// The batch.
+        hold: Hold,
+    },
     /// Ask an instance to take over.
     Handover {
         /// The instance.
@@ -224,6 +245,8 @@
     pub policy: Policy,
     /// Who owns the domain, and when to claim it.
     pub election: Election,
+    /// Batches kept for an owner without the log.
+    pub custody: Custody,
     pub(super) members: Vec<Member>,
     pub(super) stopping: bool,
     pub(super) out: Vec<Effect>,
@@ -246,6 +269,7 @@
             role: Role::Follower,
             policy,
             election: Election::new(now),
+            custody: Custody::default(),
             members: Vec::new(),
             stopping: false,
             out: Vec::new(),
@@ -263,6 +287,10 @@
             }
             Message::Members(members) => self.on_members(members),
             Message::Beat(beat) => self.on_beat(&beat, now),
+            Message::Hold(hold) => self.on_hold(hold),
+            Message::Held { from, epoch, sequence } => {
+                self.on_held(&from, epoch, sequence, now, unix);
+            }
             Message::BeatAnswered { from, epoch } => self.on_beat_answered(&from, epoch, now),
             Message::Call { ticket, call } => self.on_call(ticket, call, now, unix),
             Message::Expired(ticket) => self.on_expired(ticket),
@@ -329,7 +357,7 @@
                 self.step_down("claimed_by_other");
             }
             Applied::Changed(batch) => self.on_changed(&batch, now, unix),
-            Applied::Void => {}
+            Applied::Void => self.on_caught_up(payload, now, unix),
         }
     }
 
@@ -344,6 +372,11 @@
             self.domain,
             active.epoch
         );
+        if !active.unlogged.is_empty() {
+            // What took effect without the log is void now that another owns the domain. It cannot
+            // be taken back out of the state, so the state is read anew.
+            self.election.start_over();
+        }
         let owner = self.owner().cloned();
         for (ticket, answer) in active.abandon(owner.as_ref()) {
             self.out.push(Effect::Reply { ticket, answer });
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod active;
 pub mod alerts;
+pub mod custody;
 pub mod election;
 pub mod journal;
 pub mod lead;
@@ -18,6 +19,7 @@
 pub mod table;
 pub mod timings;
 
+pub use custody::{Custody, Hold};
 pub use machine::{Answer, Beat, Call, Effect, Machine, Message, Refusal, Role};
 pub use timings::Timings;
 
--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -32,7 +32,7 @@
             Ok(report) => {
                 let findings = session.answered(channel, &report);
                 active.sync_worker(worker);
-                if let Some(findings) = findings.filter(|_| active.logged) {
+                if let Some(findings) = findings.filter(|_| active.is_settled()) {
                     active.reconcile(worker, &findings, &self.replica.table, now, unix);
                 }
                 None
@@ -87,6 +87,10 @@
                 let end = self.true_end(worker, current, end);
                 self.conclude(id, end, now, unix);
             }
+            Phase::Ended(end) if self.is_adoptable(current, id) => {
+                self.resolve(worker, id);
+                self.conclude(id, end, now, unix);
+            }
             Phase::Ended(_) => {
                 self.release(id);
                 self.tell(worker, Command::Forget(id));
@@ -99,6 +103,13 @@
                     self.resolve(worker, id);
                 }
             }
+            Phase::Running if self.is_adoptable(current, id) => {
+                if let Some(job) = table.get(id.job) {
+                    self.placing.insert(id);
+                    self.adopt(id, worker, job, now);
+                    self.resolve(worker, id);
+                }
+            }
             Phase::Running => {
                 // A try that the log does not place here must not run beside the one that counts.
                 self.hold_stray(worker, observation, now);
@@ -126,6 +137,13 @@
         }
     }
 
+    /// Whether a worker's word on a try that the log has waiting is the truth: an owner before this
+    /// one started it without the log, and this one has not placed it itself.
+    fn is_adoptable(&self, current: Option<&Task>, id: task::Id) -> bool {
+        let waits = current.is_some_and(|task| task.position == Position::Pending);
+        waits && self.cautious && !self.placing.contains(&id) && !self.concluding.contains(&id)
+    }
+
     /// Counts what a try holds that the log does not place there, until the worker has stopped it.
     /// Otherwise its room would be given away while it is still in use.
     fn hold_stray(&mut self, worker: &worker::Name, observation: &Observation, now: Instant) {
--- a/src/owner/replica.rs
+++ b/src/owner/replica.rs
@@ -39,6 +39,7 @@
     formers: Vec<Instance>,
     claimed_at: Offset,
     sequence: u64,
+    previous: Epoch,
     next: Offset,
     /// What was in force before each record read, so that a floor can name it.
     marks: VecDeque<Floor>,
@@ -81,6 +82,11 @@
         Claim { epoch, instance: instance.clone(), formers }
     }
 
+    /// Epoch in force before the latest claim.
+    pub fn previous(&self) -> Epoch {
+        self.previous
+    }
+
     /// First offset not yet read.
     pub fn next(&self) -> Offset {
         self.next
@@ -140,10 +146,20 @@
         }
     }
 
+    /// Lets a batch take effect that is not in the log yet; its record is void when it is read.
+    /// Whether it followed on what was read.
+    ///
+    /// What it states counts as stated at the next offset, which is not after the place where it
+    /// will stand.
+    pub fn apply_unlogged(&mut self, batch: &Batch, now: Unix) -> bool {
+        matches!(self.change(self.next, batch.clone(), now), Applied::Changed(_))
+    }
+
     fn claim(&mut self, offset: Offset, claim: Claim) -> Applied {
         if !claim.epoch.follows(self.epoch) {
             return Applied::Void;
         }
+        self.previous = self.epoch;
         self.epoch = claim.epoch;
         self.owner = Some(claim.instance.clone());
         self.formers.clone_from(&claim.formers);
--- a/src/owner/session.rs
+++ b/src/owner/session.rs
@@ -63,6 +63,8 @@
     /// Tasks that hold resources there, by the worker's own word.
     pub running: BTreeMap<task::Id, Observation>,
     fenced: bool,
+    /// Whether the worker has told all it runs in this epoch, or surely runs nothing any more.
+    told: bool,
     seen: u64,
     leased_at: Option<Instant>,
     failing_since: Option<Instant>,
@@ -99,6 +101,7 @@
             run: 0,
             running: BTreeMap::new(),
             fenced: false,
+            told: false,
             seen: 0,
             leased_at: None,
             failing_since: None,
@@ -119,6 +122,11 @@
         self.fenced
     }
 
+    /// Whether it is known what earlier owners left there.
+    pub fn is_told(&self) -> bool {
+        self.told
+    }
+
     /// Whether new tasks may go there.
     pub fn is_open(&self) -> bool {
         self.fenced && self.failing_since.is_none() && !self.leaving
@@ -262,6 +270,7 @@
             return None;
         }
         self.fenced = true;
+        self.told = true;
         self.run = report.run;
         self.seen = report.sequence;
         self.note(report, joined);
@@ -346,6 +355,7 @@
     /// tell all that the worker runs before anything is placed there again.
     pub fn clear(&mut self) {
         self.fenced = false;
+        self.told = true;
         self.running.clear();
         self.sent.clear();
         self.fresh.clear();
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -190,6 +190,54 @@
     world.check_end();
 }
 
+// The log is away for a long time, with work accepted before. Tasks that do no harm twice go on
+// being placed on the word of the other instances, which keep the records; a task that may run only
+// once waits for the log. All is in the log once it is back.
+#[test]
+fn commit_by_peers_log_away() {
+    let mut world = started(9);
+    let owner = world.owner().unwrap();
+    world.run(2_000);
+    world.call(owner, submit("first", spec(Kind::Batch, 16, Effect::Idempotent, 5_000)));
+    world.call(owner, submit("next", spec(Kind::Batch, 8, Effect::Idempotent, 1_000)));
+    world.call(owner, submit("once", spec(Kind::Batch, 2, Effect::AtMostOnce, 1_000)));
+    world.run(1_000);
+    world.faults.log_down = true;
+    world.run(60_000);
+    assert_eq!(world.runs_of(job::Id::derive("shop", "next")), 8, "it ran during the outage");
+    assert_eq!(world.runs_of(job::Id::derive("shop", "once")), 0, "it waits for the log");
+    world.faults.log_down = false;
+    world.run_until(20_000, |world| is_over(world, "once")).expect("it runs once the log is back");
+    for follower in (0..3).filter(|node| *node != owner) {
+        let table = &world.machine(follower).replica.table;
+        let job = table.get(job::Id::derive("shop", "next")).expect("every instance has read it");
+        assert!(job.is_over());
+    }
+    world.check_end();
+}
+
+// As before, and the owner dies in the outage. What it started is known to whoever claims the
+// domain when the log is back, so that nothing of it starts a second time beside the first.
+#[test_case(Effect::Idempotent ; "idempotent")]
+#[test_case(Effect::AtMostOnce ; "at_most_once")]
+fn commit_by_peers_owner_killed(effect: Effect) {
+    for moment in (0..4_000).step_by(250) {
+        let mut world = started(10 + moment);
+        let owner = world.owner().unwrap();
+        world.run(2_000);
+        world.call(owner, submit("fill", spec(Kind::Batch, 16, Effect::Idempotent, 4_000)));
+        world.call(owner, submit("k", spec(Kind::Batch, 6, effect, 12_000)));
+        world.run(1_000);
+        world.faults.log_down = true;
+        world.run(3_000 + moment);
+        world.kill(owner);
+        world.run(2_000);
+        world.faults.log_down = false;
+        world.run_until(60_000, |world| is_over(world, "k")).expect("it comes to its end");
+        world.check_end();
+    }
+}
+
 // The log is away, both remaining instances cannot hear each other, and each takes over. Their
 // epochs differ, so a worker obeys one of them only.
 #[test_case(0, 1 ; "first_rank")]
--- a/tests/logic/world.rs
+++ b/tests/logic/world.rs
@@ -12,7 +12,7 @@
 use oriolefork::owner::journal::{Parcel, Tag};
 use oriolefork::owner::machine::{Answer, Call, Effect, Machine, Message};
 use oriolefork::owner::session::{Channel, Send};
-use oriolefork::owner::{Beat, Ticket, Timings};
+use oriolefork::owner::{Beat, Hold, Ticket, Timings};
 use oriolefork::placement::{Leaning, Policy, Preset};
 use oriolefork::resource::Amount;
 use oriolefork::standin::{log as fake_log, worker as fake};
@@ -98,6 +98,12 @@
         to: usize,
         beat: Beat,
     },
+    Hold {
+        from: usize,
+        run: u64,
+        to: usize,
+        hold: Hold,
+    },
     Handover {
         to: usize,
         epoch: Epoch,
@@ -385,6 +391,7 @@
                 self.exchange(node, run, epoch, worker, send, until, first);
             }
             Event::Beat { from, run, to, beat } => self.beat(from, run, to, beat),
+            Event::Hold { from, run, to, hold } => self.hold(from, run, to, hold),
             Event::Handover { to, epoch } => {
                 if self.is_up(to) {
                     self.deliver(to, Message::Handover(epoch));
@@ -397,7 +404,9 @@
     fn blocked(&self, event: &Event) -> Option<u64> {
         let until = match event {
             Event::Tick(node) | Event::ToNode { node, .. } => self.nodes[*node].frozen_until,
-            Event::Beat { to, .. } | Event::Handover { to, .. } => self.nodes[*to].frozen_until,
+            Event::Beat { to, .. } | Event::Hold { to, .. } | Event::Handover { to, .. } => {
+                self.nodes[*to].frozen_until
+            }
             Event::Exchange { worker, .. } => self.workers[worker].frozen_until,
             Event::Read { .. } | Event::Append { .. } => 0,
         };
@@ -441,6 +450,17 @@
                     }
                 }
             }
+            Effect::Hold { to, hold } => {
+                for peer in to {
+                    let to = (0..self.nodes.len()).find(|index| address(1, *index) == peer);
+                    if let Some(to) = to
+                        && !self.lost()
+                    {
+                        let hold = hold.clone();
+                        self.push(delay, Event::Hold { from: node, run, to, hold });
+                    }
+                }
+            }
             Effect::Handover { to, epoch } => {
                 let to = (0..self.nodes.len()).find(|index| address(1, *index) == to).unwrap();
                 self.push(delay, Event::Handover { to, epoch });
@@ -592,6 +612,21 @@
         self.push(delay, Event::ToNode { node: from, run, message });
     }
 
+    fn hold(&mut self, from: usize, run: u64, to: usize, hold: Hold) {
+        if self.nodes[from].cut || self.nodes[to].cut || !self.is_up(to) {
+            return;
+        }
+        let (epoch, sequence) = (hold.epoch, hold.sequence);
+        self.deliver(to, Message::Hold(hold));
+        let kept = self.is_up(to) && self.machine(to).custody.keeps(epoch, sequence);
+        if kept && !self.lost() {
+            let from_instance = self.machine(to).me.clone();
+            let message = Message::Held { from: from_instance, epoch, sequence };
+            let delay = self.latency();
+            self.push(delay, Event::ToNode { node: from, run, message });
+        }
+    }
+
     /// The promises that hold at every moment; only an exchange can break them.
     fn check(&mut self) {
         let now = Instant::from_millis(self.now);
