Guard quick requests against a list that suddenly lacks their runners

Cause: the daemon believed the list at once; one that turned empty had every request refused. Change: the routing takes the guarded view of the list, the owner hears the list as before. Conclusion: with an empty list the daemon goes on answering; a story with real daemons shows it.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -125,13 +125,13 @@
             clock: clock.clone(),
         };
         let requests = requests::start(&settings, &me, ways, stop.clone());
-        monoio::spawn(members::follow(
+        members::start(
             Rc::new(MeasuredList(Rc::new(source))),
             handle.clone(),
             requests.clone(),
             clock.clone(),
             settings.instance_list.poll,
-        ));
+        );
         let running = monoio::spawn(controller.run());
         let entry = Rc::new(Entry {
             me,
--- a/tests/process/runner_daemon.rs
+++ b/tests/process/runner_daemon.rs
@@ -15,9 +15,13 @@
 const IDEMPOTENT: [(&str, &str); 1] = [("x-effect", "idempotent")];
 
 fn start(latency: u64, queues: &Value) -> Cluster {
+    start_with(2, latency, queues)
+}
+
+fn start_with(runners: usize, latency: u64, queues: &Value) -> Cluster {
     let runner_latency = Duration::from_millis(latency);
     let settings = json!({ "queues": queues });
-    let plan = Plan { entries: 3, runners: 2, runner_latency, settings, ..Plan::default() };
+    let plan = Plan { entries: 3, runners, runner_latency, settings, ..Plan::default() };
     let cluster = plan.start();
     let places: Vec<Place> = cluster.entries.iter().map(|entry| entry.place.clone()).collect();
     for place in places {
@@ -64,6 +68,21 @@
     assert_within_slots(&cluster);
 }
 
+// What feeds the platform's list breaks, and the list lacks every runner. They all still work, and
+// callers must not be refused for want of them.
+#[test]
+fn daemon_empty_list_is_not_believed() {
+    let cluster = start_with(4, 5, &json!({ "request_restart_wait_ms": 0 }));
+    let entry = &cluster.entries[0];
+    request(Method::PUT, cluster.lists[DOMAIN].addr, "/v1/instances", &[], b"[]").expect("a list");
+    eventually("the instance doubts the list", || {
+        entry.process.output().contains("event=membership.suspect").then_some(())
+    });
+    for _ in 0..20 {
+        assert_eq!(send(&entry.place, b"work").expect("an answer").status, 200);
+    }
+}
+
 // An operator stops an instance for maintenance while it has requests in flight. Their callers get
 // whole answers, and the process ends by itself.
 #[test]
