Draw no conclusions while an earlier owner's records are written

A new owner that wrote down what it had kept for the owner before acted on those entries as on its own: with no word from the worker yet, a placement looked as if made on another process and ended as rejected. Change: until all of it is in the log the entries only reach the table. Conclusion: recovery acts only from its second beginning on.

--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -198,7 +198,10 @@
         if batch.epoch != active.epoch {
             return;
         }
-        for entry in &batch.entries {
+        // What was kept for an earlier owner only has to reach the table: this owner has no word from
+        // the workers yet, and begins anew once all of it is written.
+        let acted_on = if active.is_settled() { batch.entries.as_slice() } else { &[] };
+        for entry in acted_on {
             active.on_entry(entry, &self.replica.table, &self.timings, now, unix);
         }
         if active.unlogged.is_empty() {
