Part the settings' schema check into places, repair and messages

Cause: read as a newcomer, the two longest functions of the library were in the settings (57 and 45 lines), and one file both mended documents and wrote messages. Change: a reader of addresses, and files for places, messages and the check. Conclusion: one job a file.

--- a/src/settings/convert.rs
+++ b/src/settings/convert.rs
@@ -25,49 +25,17 @@
 /// Converts `written` and lists everything wrong with it; the settings hold only when that is
 /// nothing.
 fn convert(written: wire::Settings) -> (Settings, Problems) {
-    let mut problems = Problems::default();
-    problems.extend(contradictions::find(&written));
-    problems.extend(clashes::names(&written));
-    problems.extend(clashes::tokens(&written));
-    let mut addresses = clashes::Addresses::default();
-    let mut read = |path: String, text: &str, listens: bool| match parse(&path, text) {
-        Ok(address) => {
-            addresses.add(path, address, listens);
-            address
-        }
-        Err(problem) => {
-            problems.push(problem);
-            UNREADABLE
-        }
-    };
-    let own = Addresses {
-        api: read("addresses.api".to_owned(), &written.addresses.api, true),
-        peer: read("addresses.peer".to_owned(), &written.addresses.peer, true),
-    };
-    let log = written.log.addresses.iter().enumerate();
-    let log = log.map(|(index, text)| read(format!("log.addresses[{index}]"), text, false));
-    let log = Log { addresses: log.collect(), timeout: span(written.log.timeout_ms) };
-    let list = &written.instance_list;
-    let instance_list = InstanceList {
-        address: read("instance_list.address".to_owned(), &list.address, false),
-        poll: span(list.poll_ms),
-        timeout: span(list.timeout_ms),
-    };
-    let mut peers = Vec::new();
-    for (index, peer) in written.peers.iter().enumerate() {
-        if clashes::is_self(&written, peer) {
-            continue;
-        }
-        let address = read(format!("peers[{index}].address"), &peer.address, false);
-        peers.push(Peer { name: peer.name.clone(), domain: peer.domain.as_str().into(), address });
-    }
-    problems.extend(clashes::reachable(own.peer));
-    problems.extend(addresses.clashes());
+    let mut reader = Reader::default();
+    let addresses = reader.addresses(&written.addresses);
+    let log = reader.log(&written.log);
+    let instance_list = reader.instance_list(&written.instance_list);
+    let peers = reader.peers(&written);
+    let problems = reader.problems(&written, addresses);
     let settings = Settings {
         domains: domains(&written),
         instance: written.instance,
         domain: written.domain.into(),
-        addresses: own,
+        addresses,
         log,
         instance_list,
         peers,
@@ -83,6 +51,75 @@
     (settings, problems)
 }
 
+/// Reads addresses, and remembers them and those that it could not read.
+#[derive(Default)]
+struct Reader {
+    seen: clashes::Addresses,
+    unreadable: Vec<Problem>,
+}
+
+impl Reader {
+    fn addresses(&mut self, written: &wire::Addresses) -> Addresses {
+        Addresses {
+            api: self.read("addresses.api".to_owned(), &written.api, true),
+            peer: self.read("addresses.peer".to_owned(), &written.peer, true),
+        }
+    }
+
+    fn log(&mut self, written: &wire::Log) -> Log {
+        let texts = written.addresses.iter().enumerate();
+        let read = |(index, text): (usize, &String)| {
+            self.read(format!("log.addresses[{index}]"), text, false)
+        };
+        Log { addresses: texts.map(read).collect(), timeout: span(written.timeout_ms) }
+    }
+
+    fn instance_list(&mut self, written: &wire::InstanceList) -> InstanceList {
+        InstanceList {
+            address: self.read("instance_list.address".to_owned(), &written.address, false),
+            poll: span(written.poll_ms),
+            timeout: span(written.timeout_ms),
+        }
+    }
+
+    fn peers(&mut self, written: &wire::Settings) -> Vec<Peer> {
+        let listed = written.peers.iter().enumerate();
+        let others = listed.filter(|(_, peer)| !clashes::is_self(written, peer));
+        let read = |(index, peer): (usize, &wire::Peer)| Peer {
+            name: peer.name.clone(),
+            domain: peer.domain.as_str().into(),
+            address: self.read(format!("peers[{index}].address"), &peer.address, false),
+        };
+        others.map(read).collect()
+    }
+
+    /// Reads the address at `path`, on which this instance `listens` or to which it connects.
+    fn read(&mut self, path: String, text: &str, listens: bool) -> SocketAddr {
+        match parse(&path, text) {
+            Ok(address) => {
+                self.seen.add(path, address, listens);
+                address
+            }
+            Err(problem) => {
+                self.unreadable.push(problem);
+                UNREADABLE
+            }
+        }
+    }
+
+    /// Everything wrong with the settings, once all addresses were read.
+    fn problems(self, written: &wire::Settings, own: Addresses) -> Problems {
+        let mut problems = Problems::default();
+        problems.extend(contradictions::find(written));
+        problems.extend(clashes::names(written));
+        problems.extend(clashes::tokens(written));
+        problems.extend(self.unreadable);
+        problems.extend(clashes::reachable(own.peer));
+        problems.extend(self.seen.clashes());
+        problems
+    }
+}
+
 fn parse(path: &str, text: &str) -> Result<SocketAddr, Problem> {
     let address: SocketAddr = text.parse().map_err(|_| {
         Problem::new(
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,6 +6,7 @@
 //! ranges), limits that contradict each other, and names and addresses that clash.
 
 mod clashes;
+mod complaint;
 mod contradictions;
 mod convert;
 mod document;
@@ -13,6 +14,7 @@
 mod mend;
 mod model;
 mod overrides;
+mod place;
 mod report;
 mod schema;
 mod secret;
--- a/src/settings/report.rs
+++ b/src/settings/report.rs
@@ -73,10 +73,6 @@
 impl std::error::Error for Problems {}
 
 impl Problems {
-    pub(super) fn push(&mut self, problem: Problem) {
-        self.0.push(problem);
-    }
-
     pub(super) fn extend(&mut self, found: impl IntoIterator<Item = Problem>) {
         self.0.extend(found);
     }
