Wait for the log with what peers may forget

In the same way an ended task was forgotten at its worker while its end was with peers only, and would have been taken for never started. Change: callers are answered, and workers told to forget, once the batch that took effect without the log is in it. Ruled out: fetching copies from peers after a claim, which another owner's decisions may already contradict. Conclusion: peers' memory carries only what may be done again.

--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -41,6 +41,8 @@
     pub(super) unlogged: VecDeque<Parcel>,
     /// Placements that took effect without the log and may start only once they are in it.
     pub(super) deferred: BTreeSet<task::Id>,
+    /// Callers whose changes took effect without the log and are answered once they are in it.
+    pub(super) owed: BTreeMap<u64, Vec<Ticket>>,
     pub(super) hold_at: Instant,
     pub(super) append_at: Instant,
     /// Changes on their way to the log.
@@ -101,6 +103,7 @@
             keepers: BTreeSet::new(),
             unlogged: VecDeque::new(),
             deferred: BTreeSet::new(),
+            owed: BTreeMap::new(),
             hold_at: now,
             append_at: now,
             journal: Journal::new(epoch, timings.commit),
@@ -284,7 +287,8 @@
             answers
                 .extend(self.followers(ticket).into_iter().map(|ticket| (ticket, refusal.clone())));
         }
-        for ticket in abandoned.unknown {
+        let owed = std::mem::take(&mut self.owed).into_values().flatten();
+        for ticket in abandoned.unknown.into_iter().chain(owed) {
             answers
                 .extend(self.followers(ticket).into_iter().map(|ticket| (ticket, Answer::Unknown)));
         }
--- a/src/owner/custody.rs
+++ b/src/owner/custody.rs
@@ -179,7 +179,7 @@
         active.unlogged.pop_front();
         active.append_at = now;
         if let Ok(Record::Batch(batch)) = codec::decode(payload) {
-            active.start_deferred(&batch, &self.replica.table, now, unix);
+            self.out.extend(active.on_logged(&batch, &self.replica.table, now, unix));
         }
         if active.unlogged.is_empty() {
             log::info!("event=owner.log_caught_up epoch={}", active.epoch);
--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -207,7 +207,13 @@
         if active.unlogged.is_empty() {
             active.journal.recovered();
         }
-        for ticket in active.journal.committed(batch.sequence) {
+        let tickets = active.journal.committed(batch.sequence);
+        if !active.unlogged.is_empty() {
+            // Peers' memory may be lost with them, so "accepted" is said once the log has it.
+            active.owed.insert(batch.sequence, tickets);
+            return;
+        }
+        for ticket in tickets {
             self.out.extend(active.answer_committed(ticket));
         }
     }
@@ -471,14 +477,34 @@
         self.send_start(placement, job, now, unix);
     }
 
-    /// Starts what took effect without the log and had to wait for it.
-    pub(super) fn start_deferred(
+    /// Lets workers drop an ended task. Only once its end is in the log: an owner that finds it
+    /// neither there nor at the worker takes it for never started.
+    fn forget(&mut self, task: task::Id) {
+        for session in self.sessions.values_mut() {
+            session.forget(task);
+        }
+    }
+
+    /// Does what had to wait until a batch that took effect without the log was in it.
+    pub(super) fn on_logged(
         &mut self,
         batch: &Batch,
         table: &Table,
         now: Instant,
         unix: Unix,
-    ) {
+    ) -> Vec<Effect> {
+        self.start_deferred(batch, table, now, unix);
+        for entry in &batch.entries {
+            if let Entry::Ended(conclusion) = entry {
+                self.forget(conclusion.task);
+            }
+        }
+        let owed = self.owed.remove(&batch.sequence).unwrap_or_default();
+        owed.into_iter().flat_map(|ticket| self.answer_committed(ticket)).collect()
+    }
+
+    /// Starts what took effect without the log and had to wait for it.
+    fn start_deferred(&mut self, batch: &Batch, table: &Table, now: Instant, unix: Unix) {
         let placed = batch.entries.iter().filter_map(|entry| match entry {
             Entry::Placed(placements) => Some(placements),
             _ => None,
@@ -512,8 +538,8 @@
     ) {
         self.concluding.remove(&conclusion.task);
         let Some(job) = table.get(conclusion.task.job) else { return };
-        for session in self.sessions.values_mut() {
-            session.forget(conclusion.task);
+        if self.unlogged.is_empty() {
+            self.forget(conclusion.task);
         }
         if job.is_gang_broken() {
             self.stop_job(job);
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -238,6 +238,29 @@
     }
 }
 
+// A task that may run only once ends during the outage, and the owner dies. The instance that claims
+// the domain was not enrolled and has no record of the end: the worker must still know it.
+#[test]
+fn forget_waits_for_log() {
+    let mut world = started(11);
+    let owner = world.owner().unwrap();
+    world.run(2_000);
+    world.call(owner, submit("once", spec(Kind::Batch, 3, Effect::AtMostOnce, 4_000)));
+    world.run(1_000);
+    world.faults.log_down = true;
+    world.run(12_000);
+    for node in 0..3 {
+        world.kill(node);
+    }
+    world.faults.log_down = false;
+    for node in 0..3 {
+        world.start(node);
+    }
+    world.run_until(60_000, |world| is_over(world, "once")).expect("its end is told");
+    assert_eq!(world.runs_of(job::Id::derive("shop", "once")), 3);
+    world.check_end();
+}
+
 // The log is away, both remaining instances cannot hear each other, and each takes over. Their
 // epochs differ, so a worker obeys one of them only.
 #[test_case(0, 1 ; "first_rank")]
@@ -422,7 +445,9 @@
         if !accepted(world, *ticket) {
             continue;
         }
-        let job = table.get(job::Id::derive("shop", key)).expect("an accepted job is known");
+        let job = table.get(job::Id::derive("shop", key)).unwrap_or_else(|| {
+            panic!("accepted job {key} ({ticket}) {} is not known", job::Id::derive("shop", key))
+        });
         let stuck = !job.is_over();
         let unresolved = job.tasks.iter().any(|task| {
             matches!(task.position, oriolefork::owner::record::Position::Unresolved { .. })
--- a/tests/logic/world.rs
+++ b/tests/logic/world.rs
@@ -466,6 +466,10 @@
                 self.push(delay, Event::Handover { to, epoch });
             }
             Effect::Reply { ticket, answer } => {
+                ::log::debug!(
+                    "event=world.answered node={node} ticket={ticket} at={} answer={answer:?}",
+                    self.now
+                );
                 let before = self.answers.insert(ticket, answer);
                 assert_eq!(before, None, "a caller is answered once");
             }
