Put settings in force at the owner, and believe own connections about instances

Cause: the daemon showed a fixed preset, refused changes of presets and quotas, pretended to drain, and followed the list of instances without any check of its own. Change: the daemon starts the tasks of the settings in force and of the view of the instances. The preset reaches placement as its policy, quotas and drains reach the owner and every later one, changes go through the log and are answered once read back. Status asks the other failure domains and shows those cut off with the age of what is known. Exchanges and peer calls report to the view whether instances answer; entry instances named by the settings are used until the list names them. Readiness depends on the stream read to its end, known settings and no stop.

--- a/src/api/configuration.rs
+++ b/src/api/configuration.rs
@@ -67,7 +67,7 @@
         Ok(preset::InForce { preset: change.preset.clone(), version: version.raw(), by, at })
     }
 
-    /// Changes of preset that this instance remembers: the one in force.
+    /// Changes of preset that this instance remembers, newest first.
     ///
     /// # Errors
     ///
@@ -76,9 +76,13 @@
         &self,
         cut: &Cut<u64>,
     ) -> Result<Page<preset::InForce, u64>, Refusal> {
-        let current = self.in_force().await?;
-        let is_shown = cut.after.is_none_or(|after| current.version < after);
-        Ok(Page { items: is_shown.then_some(current).into_iter().collect(), next: None })
+        let value = self.value().await?;
+        let newest_first = value.tenures.iter().rev().map(preset::InForce::from);
+        let mut older =
+            newest_first.filter(|tenure| cut.after.is_none_or(|after| tenure.version < after));
+        let items: Vec<_> = older.by_ref().take(cut.limit).collect();
+        let next = older.next().and(items.last().map(|tenure| tenure.version));
+        Ok(Page { items, next })
     }
 
     /// Quotas of all teams that have one.
--- a/src/api/view/preset.rs
+++ b/src/api/view/preset.rs
@@ -5,7 +5,7 @@
 use crate::api::refusal::Refusal;
 use crate::clock::Unix;
 use crate::config;
-use crate::placement::{self, Leaning, Policy};
+use crate::placement::{Leaning, Policy};
 
 /// The preset in force since some version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -75,6 +75,14 @@
     }
 }
 
+impl From<&config::value::Tenure> for InForce {
+    fn from(tenure: &config::value::Tenure) -> Self {
+        let config::value::Tenure { preset, stamp } = tenure;
+        let (version, by) = (stamp.version.raw(), stamp.by.clone());
+        Self { preset: preset.to_string(), version, by, at: stamp.at }
+    }
+}
+
 impl Choice {
     /// The presets of a deployment that weighs `weighs` more, with `value` in force.
     pub fn of(value: &config::Value, weighs: Leaning) -> Self {
@@ -86,16 +94,12 @@
 
 impl Preset {
     fn of(preset: config::Preset, weighs: Leaning) -> Self {
-        let (known, about) = match preset {
-            config::Preset::Ordinary => (placement::Preset::Ordinary, "ordinary days"),
-            config::Preset::Peak => {
-                (placement::Preset::Peak, "peaks: waiting time goes before packing")
-            }
-            config::Preset::Maintenance => {
-                (placement::Preset::Maintenance, "maintenance: workers are serviced rack by rack")
-            }
+        let about = match preset {
+            config::Preset::Ordinary => "ordinary days",
+            config::Preset::Peak => "peaks: waiting time goes before packing",
+            config::Preset::Maintenance => "maintenance: workers are serviced rack by rack",
         };
-        let fields = fields(&Policy::of(known, weighs));
+        let fields = fields(&Policy::of(preset.into(), weighs));
         Self { name: preset.to_string(), about: about.to_owned(), fields }
     }
 }
--- a/src/config/value.rs
+++ b/src/config/value.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Unix;
 use crate::resource::Amount;
-use crate::{domain, worker};
+use crate::{domain, placement, worker};
 
 /// Count of accepted changes; it only rises.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,6 +53,16 @@
     pub const ALL: [Self; 3] = [Self::Ordinary, Self::Peak, Self::Maintenance];
 }
 
+impl From<Preset> for placement::Preset {
+    fn from(preset: Preset) -> Self {
+        match preset {
+            Preset::Ordinary => Self::Ordinary,
+            Preset::Peak => Self::Peak,
+            Preset::Maintenance => Self::Maintenance,
+        }
+    }
+}
+
 /// A name that is no preset.
 #[derive(Clone, Debug, Display, PartialEq, Eq, derive_more::Error)]
 #[display("unknown preset {name:?}; the presets are ordinary, peak and maintenance")]
@@ -154,6 +164,14 @@
         self.tenures.push_back(Tenure { preset, stamp: stamp.clone() });
     }
 
+    /// The preset that was in force at `version`; `None` when that is not remembered.
+    pub fn tenure_at(&self, version: Version) -> Option<&Tenure> {
+        if version > self.version {
+            return None;
+        }
+        self.tenures.iter().rev().find(|tenure| tenure.stamp.version <= version)
+    }
+
     /// Whether a worker takes no new tasks, by itself or because of its rack.
     ///
     /// ```
--- /dev/null
+++ b/src/entry/backend/alerts.rs
@@ -0,0 +1,30 @@
+//! Alerts, at the owner of the failure domain.
+
+use super::Entry;
+use super::jobs::refusal;
+use crate::alert;
+use crate::api::{Call, Reason, Refusal, view};
+use crate::entry::forward::{Reply, Tell};
+use crate::owner::machine::{self, Answer};
+
+impl Entry {
+    /// Marks an alert as seen, as the owner.
+    pub(super) async fn acknowledge_here(&self, call: Call, text: &str) -> Reply {
+        let unknown = || Refusal::not_run(Reason::NotFound, format!("no alert {text} is known"));
+        let id = alert::Id::parse(text).ok_or_else(unknown)?;
+        let by = call.by.unwrap_or_default();
+        let change = machine::Call::Acknowledge { alert: id, by };
+        match self.handle.call(&*self.clock, change, call.within).await {
+            Answer::Acknowledged => {}
+            Answer::NotFound => return Err(unknown()),
+            other => return Err(refusal("alert", text, other)),
+        }
+        self.look(move |machine, _, _| {
+            let alert = machine.board().get(id);
+            Ok(alert.map(|alert| view::alert::Alert::of(&machine.domain, alert)))
+        })
+        .await?
+        .map(Tell::Alert)
+        .ok_or_else(unknown)
+    }
+}
--- /dev/null
+++ b/src/entry/backend/jobs.rs
@@ -0,0 +1,84 @@
+//! Jobs at the owner of the failure domain.
+
+use std::time::Duration;
+
+use super::{Entry, OWNER_PAUSE};
+use crate::api::{Call, Reason, Refusal, view};
+use crate::entry::forward::{Reply, Tell};
+use crate::entry::views;
+use crate::job;
+use crate::owner::machine::{self, Answer};
+
+/// Pause that a refused caller is asked to make while the log is away or too much waits for it.
+const LOG_PAUSE: Duration = Duration::from_secs(5);
+
+impl Entry {
+    /// Accepts a job as the owner.
+    pub(super) async fn submit_here(&self, call: Call, submission: view::job::Submission) -> Reply {
+        let id = submission.id();
+        let view::job::Submission { key, spec } = submission;
+        let change = machine::Call::Submit { job: id, key, spec };
+        match self.handle.call(&*self.clock, change, call.within).await {
+            Answer::Accepted { duplicate } => Ok(Tell::Accepted(view::job::Accepted {
+                job: id,
+                durability: view::job::Durability::Log,
+                duplicate,
+            })),
+            other => Err(refusal("job", &id.to_string(), other)),
+        }
+    }
+
+    /// Stops a job as the owner.
+    pub(super) async fn cancel_here(&self, call: Call, id: job::Id) -> Reply {
+        let change = machine::Call::Cancel(id);
+        match self.handle.call(&*self.clock, change, call.within).await {
+            Answer::Cancelled => self
+                .look(move |machine, _, _| views::job(machine, id))
+                .await
+                .map(|job| Tell::Job(Box::new(job))),
+            other => Err(refusal("job", &id.to_string(), other)),
+        }
+    }
+}
+
+/// What a caller is told of a change that the owner did not carry out.
+pub(super) fn refusal(what: &str, id: &str, answer: Answer) -> Refusal {
+    let cause = match answer {
+        Answer::Refused(cause) => cause,
+        Answer::NotFound => {
+            return Refusal::not_run(Reason::NotFound, format!("no {what} {id} is known here"));
+        }
+        Answer::Unknown
+        | Answer::Accepted { .. }
+        | Answer::Cancelled
+        | Answer::Acknowledged
+        | Answer::GivenUp => {
+            let message = "the log did not answer in time; repeat with the same key to learn more";
+            return Refusal::unknown(Reason::LogUnavailable, message).after(LOG_PAUSE);
+        }
+    };
+    match cause {
+        machine::Refusal::NotOwner(_) => views::no_owner(),
+        machine::Refusal::WorkerAnswers => Refusal::not_run(
+            Reason::AlreadyEnded,
+            format!("worker {id} answers, so what it runs is known; drain it instead"),
+        ),
+        machine::Refusal::KeyReused => Refusal::not_run(
+            Reason::KeyReused,
+            format!("the idempotency key already stands for job {id} with other contents"),
+        ),
+        machine::Refusal::Impossible(reason) => {
+            Refusal::not_run(Reason::Impossible, reason.to_string())
+        }
+        machine::Refusal::Busy => {
+            Refusal::not_run(Reason::Overloaded, "too much waits for the log").after(OWNER_PAUSE)
+        }
+        machine::Refusal::LogAway => {
+            let message = "the platform's log cannot be reached, so nothing can be recorded";
+            Refusal::not_run(Reason::LogUnavailable, message).after(LOG_PAUSE)
+        }
+        machine::Refusal::Expired => {
+            Refusal::not_run(Reason::Deadline, "time ran out before anything was recorded")
+        }
+    }
+}
--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -11,6 +11,8 @@
 use crate::clock::{Clock, Instant, Unix};
 use crate::domain::Epoch;
 use crate::entry::peers::{Heard, Kept};
+use crate::entry::readiness::Readiness;
+use crate::entry::witness::Witness;
 use crate::owner::journal::Parcel;
 use crate::owner::machine::{Answer, Beat, Call, Effect, Machine, Message};
 use crate::owner::session::Send;
@@ -63,6 +65,10 @@
     pub worker_timeout: Duration,
     /// Time a heartbeat may take.
     pub peer_timeout: Duration,
+    /// Who hears whether other instances answer.
+    pub witness: Rc<Witness>,
+    /// Whether this instance should get traffic.
+    pub readiness: Rc<Readiness>,
 }
 
 /// The task's state.
@@ -172,6 +178,7 @@
                 Effect::Stopped => stopped = true,
             }
         }
+        self.borders.readiness.set_caught_up(self.machine.is_ready());
         stopped
     }
 
@@ -196,6 +203,7 @@
         monoio::spawn(async move {
             let timeout = borders.worker_timeout;
             let result = borders.workers.exchange(send.peer, &send.exchange, timeout).await;
+            borders.witness.exchanged(&worker, &result);
             handle.send(Message::Exchanged { epoch, worker, channel: send.channel, result });
         });
     }
@@ -206,6 +214,7 @@
             let beat = beat.clone();
             monoio::spawn(async move {
                 let answer = borders.peers.call(peer, BEAT, &beat, borders.peer_timeout).await;
+                borders.witness.called(peer, &answer);
                 if let Ok(Heard { from, epoch }) = answer {
                     handle.send(Message::BeatAnswered { from, epoch });
                 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -40,6 +40,8 @@
     Explain(job::Id),
     /// List workers.
     Workers,
+    /// Show a worker.
+    Worker(worker::Name),
     /// Take a worker for gone.
     GiveUp(worker::Name),
     /// List alerts, acknowledged ones too when the flag is set.
@@ -70,7 +72,7 @@
     Explanation(view::job::Explanation),
     /// To [`Ask::Workers`].
     Workers(Vec<view::worker::Worker>),
-    /// To [`Ask::GiveUp`].
+    /// To [`Ask::Worker`] and [`Ask::GiveUp`].
     Worker(view::worker::Worker),
     /// To [`Ask::Alerts`].
     Alerts(view::Page<view::alert::Alert, String>),
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -1,66 +1,34 @@
-//! The tasks that follow the platform's list of instances.
+//! The task that passes the view of the instances on to those who use it.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
-
-use crate::clock::Clock;
+use crate::config;
 use crate::entry::controller::Handle;
-use crate::membership::follow::{self, Changes, Setup};
-use crate::membership::probe::Connect;
-use crate::membership::view::Guard;
-use crate::membership::{Error, Member, Source};
+use crate::entry::directory::Directory;
+use crate::membership::follow::Changes;
 use crate::owner::machine::Message;
 use crate::runner::Proxy;
-use crate::shutdown::Shutdown;
-
-/// Time for a connection to an instance of which the list is in doubt.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Follows the list until the process ends, and hands it on: as it is to the owner, which has its
-/// own proof of each worker, and guarded against a list that suddenly lacks many to `requests`.
-pub fn start(
-    source: Rc<dyn Source>,
-    handle: Handle,
-    requests: Proxy,
-    clock: Rc<dyn Clock>,
-    poll: Duration,
-) {
-    let view = follow::start(Setup {
-        source: Rc::new(Overheard { source, handle }),
-        probe: Rc::new(Connect { timeout: PROBE_TIMEOUT }),
-        guard: Guard::default(),
-        interval: poll,
-        clock,
-        stop: Shutdown::new(),
-    });
-    monoio::spawn(hand_on(view.subscribe(), requests));
-}
-
-async fn hand_on(mut changes: Changes, requests: Proxy) {
-    while let Some(roster) = changes.recv().await {
-        for (class, count) in &roster.suspects {
-            log::warn!("event=membership.suspect class=\"{class}\" vanished={count}");
-        }
-        requests.set_members(roster.members.clone());
-    }
-}
 
-/// A list of which the owner's controller hears each state.
-struct Overheard {
-    source: Rc<dyn Source>,
-    handle: Handle,
+/// Who uses the view.
+pub struct Followers {
+    /// Those who look instances up.
+    pub directory: Rc<Directory>,
+    /// The state machine of the failure domain.
+    pub owner: Handle,
+    /// The settings in force.
+    pub config: config::Handle,
+    /// The quick requests.
+    pub requests: Proxy,
 }
 
-impl Source for Overheard {
-    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Member>, Error>> {
-        async move {
-            let members = self.source.list().await?;
-            self.handle.send(Message::Members(members.clone()));
-            Ok(members)
+impl Followers {
+    /// Passes on every change.
+    pub async fn run(self, mut changes: Changes) {
+        while let Some(roster) = changes.recv().await {
+            self.directory.update(roster.clone());
+            self.owner.send(Message::Members(roster.members.clone()));
+            self.config.set_peers(self.directory.gossip_peers());
+            self.requests.set_members(roster.members.clone());
         }
-        .boxed_local()
     }
 }
--- /dev/null
+++ b/src/entry/parts.rs
@@ -0,0 +1,153 @@
+//! Tasks and borders as the settings describe them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::clock::Clock;
+use crate::domain::{self, Instance};
+use crate::entry::controller::{Borders, Controller};
+use crate::entry::readiness::Readiness;
+use crate::entry::witness::Witness;
+use crate::membership::probe::Connect;
+use crate::membership::seed::Seeded;
+use crate::membership::view::Guard;
+use crate::membership::{Member, Role, Source, State};
+use crate::owner::Timings;
+use crate::owner::machine::Machine;
+use crate::placement::{Leaning, Policy, Preset};
+use crate::settings::{Peer, Settings, Weighs};
+use crate::shutdown::Shutdown;
+use crate::store::{Failover, Store};
+use crate::telemetry::borders::{MeasuredList, MeasuredStore, MeasuredWorkers};
+use crate::{config, http, membership, peer, store, worker};
+
+/// Stream of a failure domain in the log.
+pub fn stream(domain: &domain::Name) -> String {
+    format!("domain-{}", domain.as_str())
+}
+
+/// What the tasks of one process share.
+#[derive(Clone)]
+pub struct Shared {
+    /// This process.
+    pub me: Instance,
+    /// Time.
+    pub clock: Rc<dyn Clock>,
+    /// The platform's log.
+    pub store: Rc<dyn Store>,
+    /// Calls to other instances.
+    pub peers: Rc<peer::Client>,
+    /// Calls over HTTP.
+    pub client: Rc<http::Client>,
+    /// Ends the tasks when triggered.
+    pub stop: Shutdown,
+}
+
+impl Shared {
+    /// The shared parts of the process `me`, whose tasks end with `stop`.
+    pub fn new(settings: &Settings, me: Instance, clock: Rc<dyn Clock>, stop: Shutdown) -> Self {
+        let client = Rc::new(http::Client::new(http::Limits::default()));
+        let peers = Rc::new(peer::Client::new(peer::Limits::default()));
+        let store: Rc<dyn Store> = Rc::new(MeasuredStore(log(settings, &client)));
+        Self { me, clock, store, peers, client, stop }
+    }
+
+    /// The task that owns the state machine of the failure domain.
+    pub fn controller(
+        &self,
+        settings: &Settings,
+        witness: Rc<Witness>,
+        readiness: Rc<Readiness>,
+    ) -> Controller {
+        let machine = Machine::new(
+            self.me.clone(),
+            settings.domain.clone(),
+            timings(settings),
+            Policy::of(Preset::Ordinary, weighs(settings)),
+            self.clock.now(),
+        );
+        let workers = worker::http::Client::new(self.client.clone());
+        let borders = Borders {
+            store: self.store.clone(),
+            workers: Rc::new(MeasuredWorkers(Rc::new(workers))),
+            peers: self.peers.clone(),
+            clock: self.clock.clone(),
+            stream: stream(&settings.domain),
+            worker_timeout: settings.owner.exchange_timeout,
+            peer_timeout: settings.peer_calls.timeout,
+            witness,
+            readiness,
+        };
+        Controller::new(machine, borders)
+    }
+
+    /// Starts the tasks of the settings in force.
+    pub fn start_config(&self, settings: &Settings) -> config::Handle {
+        config::follow::start(config::follow::Setup {
+            name: settings.instance.clone(),
+            domain: settings.domain.clone(),
+            timing: config::machine::Timing::default(),
+            store: self.store.clone(),
+            peers: self.peers.clone(),
+            clock: self.clock.clone(),
+            stop: self.stop.clone(),
+        })
+    }
+
+    /// Starts the tasks that keep the view of the instances.
+    pub fn start_membership(&self, settings: &Settings) -> membership::follow::Handle {
+        let list = &settings.instance_list;
+        let source = membership::http::Client::new(list.address, self.client.clone(), list.timeout);
+        let measured: Rc<dyn Source> = Rc::new(MeasuredList(Rc::new(source)));
+        let seeds = settings.peers.iter().map(seed).collect();
+        membership::follow::start(membership::follow::Setup {
+            source: Rc::new(Seeded::new(measured, seeds)),
+            probe: Rc::new(Connect { timeout: settings.peer_calls.timeout }),
+            guard: Guard::default(),
+            interval: list.poll,
+            clock: self.clock.clone(),
+            stop: self.stop.clone(),
+        })
+    }
+}
+
+/// What the deployment weighs more.
+pub fn weighs(settings: &Settings) -> Leaning {
+    match settings.weighs {
+        Weighs::Packing => Leaning::Packing,
+        Weighs::Waiting => Leaning::Waiting,
+    }
+}
+
+fn seed(peer: &Peer) -> Member {
+    Member {
+        name: peer.name.clone(),
+        role: Role::Entry,
+        domain: peer.domain.clone(),
+        address: peer.address,
+        state: State::Live,
+    }
+}
+
+/// The platform's log at all its addresses.
+fn log(settings: &Settings, client: &Rc<http::Client>) -> Rc<dyn Store> {
+    let addresses = settings.log.addresses.iter();
+    let at = |address: &SocketAddr| -> Rc<dyn Store> {
+        Rc::new(store::http::Client::new(*address, client.clone(), settings.log.timeout))
+    };
+    Rc::new(Failover::new(addresses.map(at).collect()))
+}
+
+fn timings(settings: &Settings) -> Timings {
+    let owner = &settings.owner;
+    Timings {
+        beat: owner.heartbeat,
+        claim: owner.claim_timeout,
+        lease: owner.lease,
+        margin: owner.lease_margin,
+        watch: owner.exchange_wait,
+        commit: owner.commit_delay,
+        restate_records: owner.snapshot_records,
+        ..Timings::default()
+    }
+}
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -12,6 +12,7 @@
 use crate::codec;
 use crate::domain::{Epoch, Instance};
 use crate::entry::backend::Entry;
+use crate::entry::backend::status::STATUS;
 use crate::entry::controller::{BEAT, HANDOVER, HOLD};
 use crate::entry::forward::{self, Envelope};
 use crate::owner::machine::{Machine, Message};
@@ -57,9 +58,10 @@
                 self.entry.handle.send(Message::Handover(decode(body)?));
                 encode(&())
             }
+            STATUS => encode(&self.entry.domain_status(decode(body)?).await),
             forward::CALL => encode(&self.entry.route(decode::<Envelope>(body)?).await),
             runner::peer::ASK | runner::peer::RUN => self.requests.answer(method, body).await,
-            other => Err(refusal(Code::UnknownMethod, format!("no method {other}"))),
+            other => self.answer_settings(other, body).await,
         }
     }
 
@@ -73,6 +75,11 @@
         Ok(Kept { from: self.entry.me.clone(), kept })
     }
 
+    async fn answer_settings(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
+        let unknown = || refusal(Code::UnknownMethod, format!("no method {method}"));
+        self.entry.config.handle(method, body).await.unwrap_or_else(|| Err(unknown()))
+    }
+
     /// The answer goes out only after the machine has taken the heartbeat in: its sender concludes
     /// from it that this instance does not act as an owner of an earlier epoch any more.
     async fn hear(&self, beat: Beat) -> Result<Heard, Refusal> {
--- a/src/entry/views.rs
+++ b/src/entry/views.rs
@@ -184,26 +184,32 @@
 
 /// Workers of the failure domain, by name.
 pub fn workers(active: &Active) -> Vec<view::worker::Worker> {
-    active.sessions.iter().map(|(name, session)| show_worker(name, session)).collect()
+    let sessions = active.sessions.iter();
+    sessions.map(|(name, session)| show_worker(active, name, session)).collect()
 }
 
-/// One worker.
-pub fn show_worker(name: &worker::Name, session: &Session) -> view::worker::Worker {
+/// One worker; `None` when it is not known.
+pub fn worker(active: &Active, name: &worker::Name) -> Option<view::worker::Worker> {
+    active.sessions.get(name).map(|session| show_worker(active, name, session))
+}
+
+fn show_worker(active: &Active, name: &worker::Name, session: &Session) -> view::worker::Worker {
     let add =
         |sum: crate::resource::Amount, task: &worker::Observation| sum.saturating_add(&task.demand);
     view::worker::Worker {
         name: name.clone(),
         rack: session.rack.clone(),
-        state: worker_state(session),
+        state: worker_state(active, name, session),
         capacity: session.capacity,
         reserved: session.running.values().fold(crate::resource::Amount::ZERO, add),
         tasks: u32::try_from(session.running.len()).unwrap_or(u32::MAX),
     }
 }
 
-fn worker_state(session: &Session) -> view::worker::State {
+fn worker_state(active: &Active, name: &worker::Name, session: &Session) -> view::worker::State {
     use view::worker::State;
-    match (session.is_fenced(), session.failing_since().is_some(), session.leaving) {
+    let is_draining = session.leaving || active.is_drained(name, session);
+    match (session.is_fenced(), session.failing_since().is_some(), is_draining) {
         (_, true, _) => State::Unreachable,
         (false, false, _) => State::Unfenced,
         (true, false, true) => State::Draining,
@@ -269,8 +275,8 @@
 
 fn count_workers(active: &Active) -> view::worker::Count {
     let mut count = view::worker::Count::default();
-    for session in active.sessions.values() {
-        match worker_state(session) {
+    for (name, session) in &active.sessions {
+        match worker_state(active, name, session) {
             view::worker::State::Unreachable => count.unreachable += 1,
             view::worker::State::Unfenced => count.unfenced += 1,
             view::worker::State::Draining => count.draining += 1,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod http;
 pub mod probe;
+pub mod seed;
 pub mod view;
 pub mod wire;
 
--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use crate::alert::Board;
@@ -18,7 +19,7 @@
 use crate::owner::{Ticket, Timings};
 use crate::placement::{Availability, Engine, Holding, Policy, Request};
 use crate::resource::Amount;
-use crate::{job, task, worker};
+use crate::{config, domain, job, task, worker};
 
 /// State of an owner.
 #[derive(Debug)]
@@ -53,6 +54,10 @@
     pub engine: Engine,
     /// Workers by name.
     pub sessions: BTreeMap<worker::Name, Session>,
+    /// Failure domain that it owns.
+    domain: domain::Name,
+    /// Settings of operators in force.
+    settings: Rc<config::Value>,
     /// Kind of each call under way.
     pub(super) calls: BTreeMap<Ticket, Pending>,
     /// Jobs on their way into the table, with the callers beyond the first.
@@ -89,6 +94,7 @@
     /// State of an owner that has just claimed `epoch`.
     pub fn new(
         epoch: Epoch,
+        domain: domain::Name,
         timings: &Timings,
         policy: Policy,
         board: Board,
@@ -110,6 +116,8 @@
             board,
             engine: Engine::new(policy),
             sessions: BTreeMap::new(),
+            domain,
+            settings: Rc::default(),
             calls: BTreeMap::new(),
             accepting: BTreeMap::new(),
             concluding: BTreeSet::new(),
@@ -125,6 +133,23 @@
         }
     }
 
+    /// Takes in the settings in force: quotas of teams, and which workers take no new tasks.
+    pub fn set_settings(&mut self, settings: &Rc<config::Value>) {
+        for team in self.settings.quotas.keys() {
+            self.engine.set_quota(team, None);
+        }
+        for (team, limit) in &settings.quotas {
+            self.engine.set_quota(team, Some(*limit));
+        }
+        self.settings = settings.clone();
+        self.sync_workers();
+    }
+
+    /// Whether operators want no new tasks on a worker.
+    pub fn is_drained(&self, name: &worker::Name, session: &Session) -> bool {
+        self.settings.is_drained(&self.domain, name, &session.rack)
+    }
+
     /// Takes in the workers that the list names.
     ///
     /// A worker that vanished from the list keeps its session while tasks may run there: the list
@@ -146,6 +171,7 @@
         for (name, session) in &mut self.sessions {
             session.leaving |= !listed.contains(name.as_str());
         }
+        self.sync_workers();
     }
 
     /// Takes over the jobs of the table: waiting tasks are queued, and those on workers keep their
@@ -221,12 +247,20 @@
         }
     }
 
+    fn sync_workers(&mut self) {
+        let names: Vec<_> = self.sessions.keys().cloned().collect();
+        for name in names {
+            self.sync_worker(&name);
+        }
+    }
+
     /// Tells the engine how a worker stands.
     pub(super) fn sync_worker(&mut self, name: &worker::Name) {
         let Some(session) = self.sessions.get(name) else { return };
-        let availability = match (session.is_open(), session.leaving) {
-            (true, _) => Availability::Open,
-            (false, true) => Availability::Draining,
+        let is_drained = self.is_drained(name, session);
+        let availability = match (session.is_open(), session.leaving || is_drained) {
+            (true, false) => Availability::Open,
+            (_, true) => Availability::Draining,
             (false, false) => Availability::Closed,
         };
         self.engine.upsert_worker(name, &session.rack, session.capacity, availability);
--- a/src/owner/election.rs
+++ b/src/owner/election.rs
@@ -391,7 +391,9 @@
 
     pub(super) fn new_active(&self, epoch: Epoch, now: Instant, unix: Unix) -> Active {
         let board = self.replica.board.clone();
-        let mut active = Active::new(epoch, &self.timings, self.policy, board, now);
+        let domain = self.domain.clone();
+        let mut active = Active::new(epoch, domain, &self.timings, self.policy, board, now);
+        active.set_settings(&self.settings);
         active.set_members(&self.members);
         // An owner before this one may have started what the log does not say, unless this
         // instance would keep the record of it.
--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -1,6 +1,7 @@
 //! The state machine of an entry instance towards its failure domain.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,7 +20,7 @@
 use crate::owner::{Ticket, Timings};
 use crate::placement::Policy;
 use crate::store::{self, Offset, Page};
-use crate::{alert, job, placement, worker};
+use crate::{alert, config, job, placement, worker};
 
 /// Something that happened.
 #[derive(Debug)]
@@ -79,6 +80,8 @@
     Expired(Ticket),
     /// Another policy is in force.
     Policy(Policy),
+    /// Other settings of operators are in force.
+    Settings(Rc<config::Value>),
     /// The owner asks this instance to take over.
     Handover(Epoch),
     /// The process is to stop.
@@ -243,6 +246,8 @@
     pub role: Role,
     /// Policy in force.
     pub policy: Policy,
+    /// Settings of operators in force.
+    pub settings: Rc<config::Value>,
     /// Who owns the domain, and when to claim it.
     pub election: Election,
     /// Batches kept for an owner without the log.
@@ -268,6 +273,7 @@
             replica: Replica::default(),
             role: Role::Follower,
             policy,
+            settings: Rc::default(),
             election: Election::new(now),
             custody: Custody::default(),
             members: Vec::new(),
@@ -295,6 +301,7 @@
             Message::Call { ticket, call } => self.on_call(ticket, call, now, unix),
             Message::Expired(ticket) => self.on_expired(ticket),
             Message::Policy(policy) => self.on_policy(policy),
+            Message::Settings(settings) => self.on_settings(settings),
             Message::Handover(epoch) => self.on_handover(epoch, now, unix),
             Message::Shutdown => self.stopping = true,
         }
@@ -398,6 +405,13 @@
         self.policy = policy;
     }
 
+    fn on_settings(&mut self, settings: Rc<config::Value>) {
+        if let Some(active) = self.active() {
+            active.set_settings(&settings);
+        }
+        self.settings = settings;
+    }
+
     fn on_members(&mut self, members: Vec<Member>) {
         let here = |member: &Member| member.domain == self.domain;
         self.members = members.into_iter().filter(here).collect();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -14,6 +14,7 @@
 mod runner;
 mod runner_daemon;
 mod runtime;
+mod settings;
 mod standin;
 mod stop;
 mod support;
