Keep only settings that act

Cause: nothing read owner.commit_bytes and queues.jobs, whose bounds are fixed in the owner, and the timeout for callers that name none was fixed at 10 s whatever queues.caller_timeout_ms said. Change: the first two are gone; quick requests take the third, whose default is now those 10 s.

--- a/src/api/header.rs
+++ b/src/api/header.rs
@@ -47,7 +47,16 @@
 ///
 /// Names the header when it is repeated or malformed.
 pub fn timeout(headers: &HeaderMap) -> Result<Duration, Refusal> {
-    let Some(text) = single(headers, TIMEOUT)? else { return Ok(DEFAULT_TIMEOUT) };
+    timeout_or(headers, DEFAULT_TIMEOUT)
+}
+
+/// The time that the caller waits, or `absent` when it names none.
+///
+/// # Errors
+///
+/// Names the header when it is repeated or malformed.
+pub fn timeout_or(headers: &HeaderMap, absent: Duration) -> Result<Duration, Refusal> {
+    let Some(text) = single(headers, TIMEOUT)? else { return Ok(absent) };
     let message = "must be a whole number of milliseconds";
     let millis = text.parse().map_err(|_| Refusal::invalid(TIMEOUT, message))?;
     check::within(TIMEOUT, millis, 1, clock::millis(LONGEST_TIMEOUT))?;
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -54,7 +54,7 @@
         peers: Rc::new(runner::peer::Client::new(peers)),
         clock: clock.clone(),
         guard: Some(guard),
-        access: Access::of(&settings.services),
+        access: Access::of(&settings.services, settings.queues.caller_timeout),
     });
     monoio::spawn(driver.run());
     monoio::spawn(follow_owner(me.clone(), handle, clock, proxy.clone()));
--- a/src/runner/handler.rs
+++ b/src/runner/handler.rs
@@ -34,18 +34,20 @@
 /// Services whose requests are taken, each with what its callers must present, if anything.
 pub struct Access {
     services: Option<BTreeMap<String, Option<Secret>>>,
+    timeout: Duration,
 }
 
 impl Access {
     /// Takes the requests of every service from anyone, for tests.
     pub const fn open() -> Self {
-        Self { services: None }
+        Self { services: None, timeout: header::DEFAULT_TIMEOUT }
     }
 
-    /// Takes the requests of these services and of no other.
-    pub fn of(services: &[settings::Service]) -> Self {
+    /// Takes the requests of these services and of no other; `timeout` is the time of a caller
+    /// that names none.
+    pub fn of(services: &[settings::Service], timeout: Duration) -> Self {
         let named = services.iter().map(|service| (service.name.clone(), service.token.clone()));
-        Self { services: Some(named.collect()) }
+        Self { services: Some(named.collect()), timeout }
     }
 
     fn check(&self, service: &str, headers: &HeaderMap) -> Result<(), api::Refusal> {
@@ -86,7 +88,7 @@
     async fn answer(&self, request: Request) -> Result<Reply, api::Refusal> {
         let service = service(request.uri().path())?;
         self.access().check(&service, request.headers())?;
-        let terms = Terms::read(request.headers())?;
+        let terms = Terms::read(request.headers(), self.access().timeout)?;
         let content_type = request.headers().get(CONTENT_TYPE);
         let content_type = content_type.and_then(|value| value.to_str().ok()).map(str::to_owned);
         let id = request::Id::from_raw(0);
@@ -127,8 +129,8 @@
 
 impl Terms {
     /// Reads the headers. A request that does not say it is idempotent is sent once at most; only
-    /// with a key are several requests known to be the same.
-    fn read(headers: &HeaderMap) -> Result<Self, api::Refusal> {
+    /// with a key are several requests known to be the same. `timeout` stands for one not named.
+    fn read(headers: &HeaderMap, timeout: Duration) -> Result<Self, api::Refusal> {
         let effect = match headers.get(EFFECT).map(HeaderValue::as_bytes) {
             None => Effect::AtMostOnce,
             Some(b"idempotent") => Effect::Idempotent,
@@ -143,7 +145,7 @@
         };
         let has_key = headers.contains_key(header::IDEMPOTENCY_KEY);
         let key = if has_key { Some(header::idempotency_key(headers)?) } else { None };
-        Ok(Self { effect, key, timeout: header::timeout(headers)? })
+        Ok(Self { effect, key, timeout: header::timeout_or(headers, timeout)? })
     }
 }
 
--- a/src/settings/convert.rs
+++ b/src/settings/convert.rs
@@ -178,7 +178,6 @@
             heartbeat: span(written.heartbeat_ms),
             claim_timeout: span(written.claim_timeout_ms),
             commit_delay: span(written.commit_delay_ms),
-            commit_bytes: size(written.commit_bytes),
             snapshot_records: written.snapshot_records,
         }
     }
@@ -200,7 +199,6 @@
 impl From<wire::Queues> for Queues {
     fn from(written: wire::Queues) -> Self {
         Self {
-            jobs: size(written.jobs),
             requests: size(written.requests),
             request_wait: span(written.request_wait_ms),
             request_run: span(written.request_run_ms),
--- a/src/settings/wire.rs
+++ b/src/settings/wire.rs
@@ -185,9 +185,6 @@
     /// Longest that a record waits for others to share its append.
     #[schemars(range(min = 0, max = 1_000))]
     pub commit_delay_ms: u64,
-    /// Most bytes in one append.
-    #[schemars(range(min = 4_096, max = 4_194_304))]
-    pub commit_bytes: u64,
     /// Records after which a new snapshot is written.
     #[schemars(range(min = 10, max = 1_000_000))]
     pub snapshot_records: u64,
@@ -203,7 +200,6 @@
             heartbeat_ms: 400,
             claim_timeout_ms: 1_600,
             commit_delay_ms: 20,
-            commit_bytes: 256 * 1_024,
             snapshot_records: 2_000,
         }
     }
@@ -252,9 +248,6 @@
 #[serde(deny_unknown_fields, default)]
 #[schemars(inline)]
 pub struct Queues {
-    /// Most jobs that wait for placement in the failure domain.
-    #[schemars(range(min = 1, max = 1_000_000))]
-    pub jobs: u64,
     /// Most quick requests that wait at this instance for a runner's slot.
     #[schemars(range(min = 1, max = 1_000_000))]
     pub requests: u64,
@@ -270,19 +263,18 @@
     #[schemars(range(min = 0, max = 1_200_000))]
     pub request_restart_wait_ms: Option<u64>,
     /// Time a caller gives a quick request when it names no deadline.
-    #[schemars(range(min = 10, max = 600_000))]
+    #[schemars(range(min = 10, max = 120_000))]
     pub caller_timeout_ms: u64,
 }
 
 impl Default for Queues {
     fn default() -> Self {
         Self {
-            jobs: 20_000,
             requests: 4_096,
             request_wait_ms: 250,
             request_run_ms: 5_000,
             request_restart_wait_ms: None,
-            caller_timeout_ms: 30_000,
+            caller_timeout_ms: 10_000,
         }
     }
 }
