Show quick requests in the dump

Cause: operators were pointed to the dump for runners, and it lacked them. Change: the dump holds services, runners, their standing and the slots in use.

--- a/src/entry/backend/mod.rs
+++ b/src/entry/backend/mod.rs
@@ -20,6 +20,7 @@
 use crate::entry::views;
 use crate::entry::witness::Witness;
 use crate::owner::machine::Machine;
+use crate::runner::Proxy;
 use crate::{config, domain, job, peer, worker};
 
 /// Pause that a refused caller is asked to make while the domain changes owners.
@@ -35,6 +36,8 @@
     pub handle: Handle,
     /// Other instances.
     pub peers: Rc<peer::Client>,
+    /// Quick requests.
+    pub requests: Proxy,
     /// Time.
     pub clock: Rc<dyn Clock>,
     /// Which instances there are.
@@ -286,8 +289,9 @@
 
     fn dump(&self, _call: Call) -> api::Answer<'_, serde_json::Value> {
         async move {
-            self.look(|machine, _, _| Ok(serde_json::json!({ "machine": format!("{machine:?}") })))
-                .await
+            let machine = self.look(|machine, _, _| Ok(format!("{machine:?}"))).await?;
+            let requests = self.requests.dump().await;
+            Ok(serde_json::json!({ "machine": machine, "requests": requests }))
         }
         .boxed_local()
     }
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -179,6 +179,7 @@
         domain: settings.domain.clone(),
         handle,
         peers: shared.peers.clone(),
+        requests: requests.clone(),
         clock: clock.clone(),
         directory,
         witness,
--- a/tests/process/runner_daemon.rs
+++ b/tests/process/runner_daemon.rs
@@ -66,6 +66,10 @@
         }
     });
     assert_within_slots(&cluster);
+    let dump: Value = get_json(cluster.entries[0].place.api, "/dump");
+    let runners = dump["requests"]["services"][0]["runners"].as_array().expect("runners");
+    assert_eq!(runners.len(), 2);
+    assert!(runners.iter().all(|runner| runner["standing"] == "good"), "{runners:?}");
 }
 
 // What feeds the platform's list breaks, and the list lacks every runner. They all still work, and
