--- a/benches/placement.rs
+++ b/benches/placement.rs
@@ -59,6 +59,7 @@
 struct Bed {
     engine: Engine,
     rng: SmallRng,
+    tasks: usize,
     running: Vec<task::Id>,
     jobs: u64,
     millis: u64,
@@ -79,7 +80,7 @@
             engine.upsert_worker(&name, &rack, capacity, Availability::Open);
         }
         let rng = SmallRng::seed_from_u64(SEED);
-        Self { engine, rng, running: Vec::new(), jobs: 0, millis: 0 }
+        Self { engine, rng, tasks: size.tasks, running: Vec::new(), jobs: 0, millis: 0 }
     }
 
     /// Runs the size's number of tasks.
@@ -160,6 +161,15 @@
         self.running.len() - before
     }
 
+    /// Ends tasks until the size's number runs, then submits a job.
+    fn replace_one(&mut self) {
+        while self.running.len() > self.tasks {
+            self.end_one();
+        }
+        let request = self.request();
+        self.engine.enqueue(request);
+    }
+
     /// Ends a running task drawn at random.
     fn end_one(&mut self) {
         let index = self.rng.random_range(0..self.running.len());
@@ -202,11 +212,7 @@
     println!("{}", size.label);
     let mut bed = Bed::loaded(size);
     println!("  {} tasks run", bed.engine.held());
-    let (histogram, started) = measure(&mut bed, DECISIONS, |bed| {
-        (0..2).for_each(|_| bed.end_one());
-        let request = bed.request();
-        bed.engine.enqueue(request);
-    });
+    let (histogram, started) = measure(&mut bed, DECISIONS, Bed::replace_one);
     print("  one job a decision", &histogram, started);
 
     let mut bed = Bed::backlogged(size, 10_000);
@@ -251,9 +257,7 @@
         let mut bed = Bed::loaded(size);
         criterion.bench_function(&format!("decide one job, {}", size.label), |bencher| {
             bencher.iter(|| {
-                (0..2).for_each(|_| bed.end_one());
-                let request = bed.request();
-                bed.engine.enqueue(request);
+                bed.replace_one();
                 black_box(bed.decide(usize::MAX))
             });
         });
--- a/benches/policies/main.rs
+++ b/benches/policies/main.rs
@@ -49,6 +49,7 @@
         ("fit by sum".to_owned(), Policy { fit: Fit::Sum, ..ordinary }),
         ("fit by shape".to_owned(), Policy { fit: Fit::Shape, ..ordinary }),
         ("ages in 20 min".to_owned(), Policy { age_bound: secs(1_200), ..ordinary }),
+        ("ages in 1 h".to_owned(), Policy { age_bound: secs(3_600), ..ordinary }),
         ("gang never preempts".to_owned(), Policy { gang_preempts: None, ..ordinary }),
         ("gang preempts in 10 min".to_owned(), gangs(600, 600)),
         ("slack of 10 min".to_owned(), Policy { slack_window: secs(600), ..ordinary }),
--- a/src/placement/policy.rs
+++ b/src/placement/policy.rs
@@ -161,7 +161,7 @@
             headroom: 0,
             hold_above: None,
             slack_window: Duration::from_secs(30 * 60),
-            age_bound: Duration::from_secs(60 * 60),
+            age_bound: Self::age_bound(weighs),
             gang_patience: Duration::from_secs(5 * 60),
             gang_preempts: Some(Duration::from_secs(5 * 60)),
             drain_horizon: None,
@@ -169,11 +169,20 @@
         }
     }
 
+    /// Where the shortest work goes first, the rest is let forward earlier.
+    fn age_bound(weighs: Leaning) -> Duration {
+        match weighs {
+            Leaning::Packing => Duration::from_secs(60 * 60),
+            Leaning::Waiting => Duration::from_secs(20 * 60),
+        }
+    }
+
     fn peak(ordinary: Self) -> Self {
         Self {
             preset: Preset::Peak,
             headroom: 100,
             hold_above: Some(850),
+            age_bound: Duration::from_secs(60 * 60),
             shortest_first: true,
             slack_window: Duration::from_secs(2 * 60 * 60),
             ..ordinary
--- a/src/placement/preemption.rs
+++ b/src/placement/preemption.rs
@@ -12,7 +12,7 @@
 use crate::task;
 
 /// Tasks for which one round makes room, except for a gang, which gets room whole.
-const AT_ONCE: usize = 32;
+const AT_ONCE: usize = 8;
 
 impl Engine {
     /// Pledges room to the tasks of an urgent job, for a gang to all or to none.
--- a/src/placement/round.rs
+++ b/src/placement/round.rs
@@ -22,8 +22,8 @@
 const DOUBLINGS: u32 = 4;
 /// Jobs of a class that are tried when the first is held up by something of its own.
 const TRIED: usize = 16;
-/// Classes that may find no room in one round; the others come in the next.
-const FRUITLESS: usize = 128;
+/// Jobs that may find no room in one round; the others come in the next.
+const FRUITLESS: usize = 192;
 
 /// Rank of a class; the smallest goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -37,9 +37,9 @@
 }
 
 impl Rank {
-    /// Whether a deadline or long waiting presses the job.
-    pub(super) fn is_pressed(&self) -> bool {
-        self.band != Band::Fair
+    /// Whether the job has waited for long or is expected to miss its deadline.
+    pub(super) fn is_overdue(&self) -> bool {
+        matches!(self.band, Band::Late | Band::Aged)
     }
 
     /// Whether neither urgency nor long waiting nor a near deadline presses the job.
@@ -168,7 +168,7 @@
             }
             first.get_or_insert(denial);
         }
-        round.fruitless += 1;
+        round.fruitless += next;
         self.park(index, first.unwrap_or(Denial::NoRoom), rank, round);
         false
     }
@@ -257,8 +257,8 @@
         Assignment { task, worker: self.pool.get(node).name.clone() }
     }
 
-    /// After a try found no room: preempts for urgent work, reserves for gangs and for work that
-    /// time presses.
+    /// After a try found no room: preempts for urgent work, reserves for gangs and for work
+    /// that is overdue.
     fn make_room(&mut self, ask: &Ask, denial: Denial, round: &mut Round) -> Denial {
         if ask.above_quota || self.policy.strategy != Strategy::Chosen {
             return denial;
@@ -269,7 +269,7 @@
                 return Denial::Preempting;
             }
         }
-        if (ask.kind == Kind::Gang || ask.pressed) && denial != Denial::Quota {
+        if (ask.kind == Kind::Gang || ask.overdue) && denial != Denial::Quota {
             self.reserve(ask, round.now);
         }
         denial
--- a/src/placement/search.rs
+++ b/src/placement/search.rs
@@ -27,8 +27,8 @@
     pub(super) above_quota: bool,
     /// Whether it is batch work without urgency, deadline or long waiting.
     pub(super) plain: bool,
-    /// Whether a deadline or long waiting presses it.
-    pub(super) pressed: bool,
+    /// Whether it has waited for long or is expected to miss its deadline.
+    pub(super) overdue: bool,
     /// When the task will surely have ended if it starts now, as far as that is known.
     pub(super) ends: Option<Instant>,
     avoided: Vec<usize>,
@@ -86,7 +86,7 @@
             demand: waiting.demand,
             tasks: waiting.tasks.len(),
             above_quota: rank.above_quota,
-            pressed: rank.is_pressed(),
+            overdue: rank.is_overdue(),
             plain: rank.is_plain() && waiting.kind == Kind::Batch && waiting.deadline.is_none(),
             ends,
             avoided: self.health.avoided(job).to_vec(),
