Bind a job's key to one failure domain

Cause: a submission repeated through another failure domain was a second job, and one repeated after the owner had forgotten the ended job ran again.

Change: the instance that takes a submission fixes the domain by an intent in the log, hands the job to that domain's owner, and records its acceptance; a retry anywhere follows the same record. Each instance reads the intents when it starts.

Conclusion: the key alone names the job, whichever way it comes.

--- a/src/api/refusal.rs
+++ b/src/api/refusal.rs
@@ -5,6 +5,8 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
+use crate::intent;
+
 /// Whether the work that a call asked for may have run.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -123,3 +125,18 @@
         Self { retry_after: Some(retry_after), ..self }
     }
 }
+
+/// Why work that runs at most once was not begun. It speaks for the request alone.
+impl From<intent::Refusal> for Refusal {
+    fn from(refusal: intent::Refusal) -> Self {
+        let reason = match refusal {
+            intent::Refusal::Expired => Reason::KeyExpired,
+            intent::Refusal::Ahead => Reason::Invalid,
+            intent::Refusal::Reused => Reason::KeyReused,
+            intent::Refusal::Overloaded => Reason::Overloaded,
+            intent::Refusal::Stopped => Reason::ShuttingDown,
+            intent::Refusal::NoLog | intent::Refusal::Unsettled => Reason::LogUnavailable,
+        };
+        Self::not_run(reason, refusal.to_string())
+    }
+}
--- a/src/entry/backend/mod.rs
+++ b/src/entry/backend/mod.rs
@@ -13,6 +13,7 @@
 use crate::api::{self, Backend, Call, Configuration, Reason, Refusal, view};
 use crate::clock::{Clock, Instant, Unix};
 use crate::domain::Instance;
+use crate::entry::binding::Binding;
 use crate::entry::controller::Handle;
 use crate::entry::directory::Directory;
 use crate::entry::forward::{self, Ask, Envelope, Reply, Tell};
@@ -52,6 +53,8 @@
     pub readiness: Rc<Readiness>,
     /// What was last heard of other failure domains.
     pub memory: status::Memory,
+    /// What binds submissions to failure domains.
+    pub binding: Binding,
 }
 
 impl Entry {
@@ -84,6 +87,54 @@
         }
     }
 
+    /// Submits a job to the failure domain that its key is bound to.
+    async fn submit_bound(
+        &self,
+        call: Call,
+        submission: view::job::Submission,
+    ) -> Result<view::job::Accepted, Refusal> {
+        let started = self.clock.now();
+        let job = submission.id();
+        let bound = self.binding.fix(&call, &submission).await?;
+        if bound.accepted {
+            let durability = view::job::Durability::Log;
+            return Ok(view::job::Accepted { job, durability, duplicate: true });
+        }
+        let spent = self.clock.now().since(started);
+        let call = Call { within: call.within.saturating_sub(spent), ..call };
+        let ask = Ask::Submit(submission);
+        let reply = match bound.domain == self.domain {
+            true => self.ask(call, ask).await,
+            false => self.pass_to_domain(&bound.domain, call, ask).await,
+        };
+        match reply? {
+            Tell::Accepted(accepted) => {
+                self.binding.accept(&bound);
+                Ok(accepted)
+            }
+            _ => Err(mismatch()),
+        }
+    }
+
+    /// Asks the owner of another failure domain through the first of its instances that answers.
+    async fn pass_to_domain(&self, domain: &domain::Name, call: Call, ask: Ask) -> Reply {
+        let within = forward::within(call.within);
+        let envelope = Envelope { hops: forward::MAX_HOPS, call: Call { within, ..call }, ask };
+        let mut sent = false;
+        for address in self.binding.instances(domain) {
+            match self.peers.call(address, forward::CALL, &envelope, within).await {
+                Ok(reply) => return reply,
+                Err(error) => {
+                    log::warn!("event=entry.forward_failed domain={domain} {error}");
+                    sent |= error.sent;
+                }
+            }
+        }
+        let message = format!("the key is bound to {domain}, which does not answer");
+        let refuse = if sent { Refusal::unknown } else { Refusal::not_run };
+        Err(refuse(Reason::NoOwner, message).after(OWNER_PAUSE))
+    }
+
     async fn pass_on(&self, owner: &Instance, mut envelope: Envelope) -> Reply {
         envelope.hops -= 1;
         envelope.call.within = forward::within(envelope.call.within);
@@ -189,7 +240,7 @@
         call: Call,
         submission: view::job::Submission,
     ) -> api::Answer<'_, view::job::Accepted> {
-        ask!(self, call, Ask::Submit(submission), Tell::Accepted)
+        self.submit_bound(call, submission).boxed_local()
     }
 
     fn cancel(&self, call: Call, job: job::Id) -> api::Answer<'_, view::job::Job> {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -13,6 +13,7 @@
 use crate::domain::Instance;
 use crate::entry::backend::Entry;
 use crate::entry::backend::status::Memory;
+use crate::entry::binding::Binding;
 use crate::entry::directory::Directory;
 use crate::entry::parts::{self, Shared};
 use crate::entry::readiness::Readiness;
@@ -158,10 +159,11 @@
         readiness: readiness.clone(),
     };
     monoio::spawn(follower.run(config.subscribe()));
+    let guard = requests::start_records(&me, shared.store.clone(), clock.clone());
     let ways = requests::Ways {
         runners: Rc::new(http::Client::new(http::Limits::default())),
         peers: shared.peers.clone(),
-        store: shared.store.clone(),
+        guard: guard.clone(),
         handle: handle.clone(),
         clock: clock.clone(),
     };
@@ -174,7 +176,14 @@
     };
     monoio::spawn(followers.run(members.subscribe()));
     let running = monoio::spawn(controller.run());
+    let binding = Binding {
+        guard,
+        clock: clock.clone(),
+        domain: settings.domain.clone(),
+        peers: settings.peers.clone(),
+    };
     let entry = Entry {
+        binding,
         me,
         domain: settings.domain.clone(),
         handle,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Assembly of the daemon of an entry instance: which tasks run, and how they reach each other.
 
 pub mod backend;
+pub mod binding;
 pub mod controller;
 pub mod daemon;
 mod directory;
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -29,20 +29,25 @@
     pub runners: Rc<http::Client>,
     /// Other instances.
     pub peers: Rc<peer::Client>,
-    /// The log.
-    pub store: Rc<dyn Store>,
+    /// Intents in the log.
+    pub guard: Guard,
     /// The owner's controller.
     pub handle: Handle,
     /// Time.
     pub clock: Rc<dyn Clock>,
 }
 
+/// Starts the task that records intents of work that runs at most once.
+pub fn start_records(me: &Instance, store: Rc<dyn Store>, clock: Rc<dyn Clock>) -> Guard {
+    let (guard, records) = Guard::new(&me.name, me.run, intent::Policy::default(), store, clock);
+    monoio::spawn(records.run(RECORD_GRACE));
+    guard.warm();
+    guard
+}
+
 /// Starts the tasks that answer quick requests until `stop` is triggered and all are answered.
 pub fn start(settings: &Settings, me: &Instance, ways: Ways, stop: Shutdown) -> Proxy {
-    let Ways { runners, peers, store, handle, clock } = ways;
-    let policy = intent::Policy::default();
-    let (guard, records) = Guard::new(&me.name, me.run, policy, store, clock.clone());
-    monoio::spawn(records.run(RECORD_GRACE));
+    let Ways { runners, peers, guard, handle, clock } = ways;
     let link: Rc<dyn Link> = Rc::new(runner::http::Client::new(runners));
     let (proxy, driver) = Proxy::new(Options {
         policy: settings.queues.routing(),
--- a/src/runner/handler.rs
+++ b/src/runner/handler.rs
@@ -112,7 +112,7 @@
                 Ok(self.run_won(Call { budget, ..call }, permit).await)
             }
             Admission::Duplicate(state) => repeated(&state),
-            Admission::NotRun(refusal) => Err(not_recorded(refusal)),
+            Admission::NotRun(refusal) => Err(api::Refusal::from(refusal).after(UNRECORDED_PAUSE)),
         }
     }
 
@@ -188,18 +188,6 @@
     }
 }
 
-fn not_recorded(refusal: intent::Refusal) -> api::Refusal {
-    let reason = match refusal {
-        intent::Refusal::Expired => Reason::KeyExpired,
-        intent::Refusal::Ahead => Reason::Invalid,
-        intent::Refusal::Reused => Reason::KeyReused,
-        intent::Refusal::Overloaded => Reason::Overloaded,
-        intent::Refusal::Stopped => Reason::ShuttingDown,
-        intent::Refusal::NoLog | intent::Refusal::Unsettled => Reason::LogUnavailable,
-    };
-    api::Refusal::not_run(reason, refusal.to_string()).after(UNRECORDED_PAUSE)
-}
-
 fn unrecorded() -> Reply {
     Reply::NotRun { refusal: Refusal::Unrecorded, retry_after: UNRECORDED_PAUSE }
 }
--- a/tests/process/intent.rs
+++ b/tests/process/intent.rs
@@ -15,7 +15,9 @@
 use oriolefork::standin::proxy::{self, Mode};
 use oriolefork::{domain, http, store};
 
-use crate::harness::{LIMIT, Standin, block_on, get_json, post_json};
+use serde_json::json;
+
+use crate::harness::{Entry, LIMIT, Plan, Standin, block_on, eventually, get_json, post_json};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -301,3 +303,34 @@
         }
     });
 }
+
+// A client submits a backup in one hall, hears nothing in time, and submits it in two others with the
+// same key at the same moment. All answers mean one job, and it runs once in one hall.
+#[test]
+fn submit_in_three_domains_is_one_job() {
+    let domains = vec!["oamaru-hall", "kurow-hall", "palmerston-hall"];
+    let cluster = Plan { domains, entries: 1, workers: 1, ..Plan::default() }.start();
+    let spec = json!({
+        "name": "backup", "team": "shop", "kind": "batch", "tasks": 1,
+        "demand": { "cpu-millis": 100, "memory-mib": 64 },
+        "payload": r#"{"run_ms":100,"end":"succeeded"}"#,
+    });
+    for round in 0..5 {
+        let key = format!("backup-{round}");
+        let tell = |entry: &Entry| {
+            eventually("the job is accepted", || {
+                entry.submit(&key, &spec).ok().filter(|reply| reply.status / 100 == 2)
+            });
+        };
+        std::thread::scope(|scope| {
+            for entry in &cluster.entries {
+                scope.spawn(|| tell(entry));
+            }
+        });
+    }
+    eventually("every job ends", || {
+        let runs = cluster.runs();
+        (runs.len() >= 5 && runs.iter().all(|(_, run)| run.ended.is_some())).then_some(())
+    });
+    assert_eq!(cluster.runs().len(), 5, "{:?}", cluster.runs());
+}
