Share the intents between two streams instead of four

Cause: an instance's appends are budgeted, and each stream waits for its turn, so that every stream more is a longer wait under load.

--- a/src/intent/policy.rs
+++ b/src/intent/policy.rs
@@ -5,7 +5,7 @@
 /// Number of streams that share the keys.
 ///
 /// It is part of where a key's record lies: two instances with different numbers would not meet.
-pub const PARTITIONS: u16 = 4;
+pub const PARTITIONS: u16 = 2;
 
 /// Limits and delays of the intents of one instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
