Name the measured borders by single nouns

Cause: MeasuredStore and its like repeated in the type what the module says. Change: telemetry::measured::{Store, Workers, Runners, List}. Conclusion: names as elsewhere.

--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::shutdown::Shutdown;
 use crate::store::Store;
-use crate::telemetry::borders::MeasuredRunners;
+use crate::telemetry::measured;
 use crate::{http, peer};
 
 /// Pause between two looks at who owns the failure domain.
@@ -55,7 +55,7 @@
         position: settings.position(),
         run: me.run,
         rest: settings.queues.request_restart_wait,
-        link: Rc::new(MeasuredRunners(link)),
+        link: Rc::new(measured::Runners(link)),
         peers: Rc::new(runner::peer::Client::new(peers)),
         clock: clock.clone(),
         guard: Some(guard),
--- a/src/telemetry/borders.rs
+++ b/src/telemetry/measured.rs
@@ -13,13 +13,13 @@
 use super::{Counter, Histogram, names};
 use crate::membership::{self, Member, Source};
 use crate::runner::link as runner;
-use crate::store::{self, Offset, Outcome, Page, Store};
+use crate::store::{self, Offset, Outcome, Page};
 use crate::worker::{self, Exchange, Fault, Report};
 
 /// The platform's log, measured.
-pub struct MeasuredStore(pub Rc<dyn Store>);
+pub struct Store(pub Rc<dyn store::Store>);
 
-impl Store for MeasuredStore {
+impl store::Store for Store {
     fn append<'a>(
         &'a self,
         stream: &'a str,
@@ -49,9 +49,9 @@
 }
 
 /// The workers, measured.
-pub struct MeasuredWorkers(pub Rc<dyn worker::Link>);
+pub struct Workers(pub Rc<dyn worker::Link>);
 
-impl worker::Link for MeasuredWorkers {
+impl worker::Link for Workers {
     fn exchange<'a>(
         &'a self,
         peer: SocketAddr,
@@ -69,9 +69,9 @@
 }
 
 /// The runners, measured.
-pub struct MeasuredRunners(pub Rc<dyn runner::Link>);
+pub struct Runners(pub Rc<dyn runner::Link>);
 
-impl runner::Link for MeasuredRunners {
+impl runner::Link for Runners {
     fn call<'a>(
         &'a self,
         peer: SocketAddr,
@@ -91,9 +91,9 @@
 }
 
 /// The platform's list of instances, measured.
-pub struct MeasuredList(pub Rc<dyn Source>);
+pub struct List(pub Rc<dyn Source>);
 
-impl Source for MeasuredList {
+impl Source for List {
     fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Member>, membership::Error>> {
         counted(self.0.list(), names::LIST_FETCHES, |result| match result {
             Ok(_) => "answered",
--- a/src/telemetry/mod.rs
+++ b/src/telemetry/mod.rs
@@ -3,8 +3,8 @@
 //! [`start`] installs the recorder once a process; the daemon answers a scrape with
 //! [`Recorder::render`] over its own HTTP. [`names`] lists every metric there is.
 
-pub mod borders;
 mod kinds;
+pub mod measured;
 pub mod names;
 
 use derive_more::Display;
