Part the owner's work by duty

Change: callers' questions are in owner/calls.rs, what follows on a change that has taken effect in owner/effect.rs; lead.rs keeps the owner's steps.

--- /dev/null
+++ b/src/owner/effect.rs
@@ -0,0 +1,229 @@
+//! What an owner does once a change has taken effect: start, stop, queue again, let go.
+
+use std::time::Duration;
+
+use crate::clock::{Instant, Unix};
+use crate::job::{self, Kind};
+use crate::owner::Timings;
+use crate::owner::active::Active;
+use crate::owner::machine::Effect;
+use crate::owner::record::{Batch, Conclusion, Entry, Placement, Position};
+use crate::owner::session::Session;
+use crate::owner::table::{Job, Table};
+use crate::task;
+use crate::worker::Command;
+
+/// Bound on the jobs dropped from the table in one sweep.
+const MAX_PRUNED: usize = 64;
+
+impl Active {
+    /// Acts on a change that is now in the log and in the table.
+    pub(super) fn on_entry(
+        &mut self,
+        entry: &Entry,
+        table: &Table,
+        timings: &Timings,
+        now: Instant,
+        unix: Unix,
+    ) {
+        match entry {
+            Entry::Accepted(acceptance) => {
+                if let Some(job) = table.get(acceptance.job) {
+                    let tasks = (0..job.tasks.len()).map(|index| job.task_id(index)).collect();
+                    self.enqueue(job, tasks, now, unix.since(job.accepted));
+                }
+            }
+            Entry::Placed(placements) => {
+                for placement in placements {
+                    self.on_placed(placement, table, now, unix);
+                }
+            }
+            Entry::Ended(conclusion) => {
+                self.on_ended(conclusion, table, timings, now);
+                if let Some(job) = table.get(conclusion.task.job) {
+                    self.tell_end(job, conclusion.task, unix);
+                }
+            }
+            Entry::Cancelled(cancellation) => {
+                if let Some(job) = table.get(cancellation.job) {
+                    self.on_cancelled(job, now, unix);
+                }
+            }
+            Entry::Retired(_) => self.alone_since = now,
+            Entry::Unresolved(_)
+            | Entry::Restated(_)
+            | Entry::Pruned(_)
+            | Entry::Alert(_)
+            | Entry::Alerts(_) => {}
+        }
+    }
+
+    fn on_placed(&mut self, placement: &Placement, table: &Table, now: Instant, unix: Unix) {
+        let task = placement.task;
+        self.placing.remove(&task);
+        let Some(job) = table.get(task.job) else { return };
+        let stands =
+            job.current(task).and_then(|current| current.worker()) == Some(&placement.worker);
+        if !stands {
+            // The job was cancelled while the placement was on its way: it must not start.
+            self.release(task);
+            return;
+        }
+        if job.cancelled.is_some() {
+            self.conclude(task, task::End::Stopped, now, unix);
+            return;
+        }
+        let unlogged = !self.unlogged.is_empty();
+        if unlogged && job.spec.effect == job::Effect::AtMostOnce {
+            // Peers' memory may be lost with them; a second start elsewhere would follow.
+            self.deferred.insert(task);
+            return;
+        }
+        self.send_start(placement, job, now, unix);
+    }
+
+    /// Lets workers drop an ended task. Only once its end is in the log: an owner that finds it
+    /// neither there nor at the worker takes it for never started.
+    fn forget(&mut self, task: task::Id) {
+        for session in self.sessions.values_mut() {
+            session.forget(task);
+        }
+    }
+
+    /// Does what had to wait until a batch that took effect without the log was in it.
+    pub(super) fn on_logged(
+        &mut self,
+        batch: &Batch,
+        table: &Table,
+        now: Instant,
+        unix: Unix,
+    ) -> Vec<Effect> {
+        self.start_deferred(batch, table, now, unix);
+        for entry in &batch.entries {
+            if let Entry::Ended(conclusion) = entry {
+                self.forget(conclusion.task);
+            }
+        }
+        let owed = self.owed.remove(&batch.sequence).unwrap_or_default();
+        owed.into_iter().flat_map(|ticket| self.answer_committed(ticket)).collect()
+    }
+
+    /// Starts what took effect without the log and had to wait for it.
+    fn start_deferred(&mut self, batch: &Batch, table: &Table, now: Instant, unix: Unix) {
+        let placed = batch.entries.iter().filter_map(|entry| match entry {
+            Entry::Placed(placements) => Some(placements),
+            _ => None,
+        });
+        for placement in placed.flatten() {
+            let stands = self.deferred.remove(&placement.task);
+            if let Some(job) = table.get(placement.task.job).filter(|_| stands) {
+                self.send_start(placement, job, now, unix);
+            }
+        }
+    }
+
+    fn send_start(&mut self, placement: &Placement, job: &Job, now: Instant, unix: Unix) {
+        let task = placement.task;
+        let same_run = |session: &&mut Session| session.run == placement.run;
+        match self.sessions.get_mut(&placement.worker).filter(same_run) {
+            Some(session) => session.push(start(job, task)),
+            // The worker's process changed while the placement was on its way. A start sent now
+            // would run, while the log says that the process it was placed on is gone, and the
+            // next full report would have the task run a second time.
+            None => self.conclude(task, task::End::Rejected, now, unix),
+        }
+    }
+
+    fn on_ended(
+        &mut self,
+        conclusion: &Conclusion,
+        table: &Table,
+        timings: &Timings,
+        now: Instant,
+    ) {
+        self.concluding.remove(&conclusion.task);
+        let Some(job) = table.get(conclusion.task.job) else { return };
+        if self.unlogged.is_empty() {
+            self.forget(conclusion.task);
+        }
+        if job.is_gang_broken() {
+            self.stop_job(job);
+        }
+        let again: Vec<task::Id> = job
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(index, task)| {
+                task.position == Position::Pending
+                    && (job.spec.kind == Kind::Gang || *index == conclusion.task.index as usize)
+            })
+            .map(|(index, _)| job.task_id(index))
+            .collect();
+        let failures = job.tasks.iter().map(|task| task.failures).max().unwrap_or(0);
+        let pause = match conclusion.end {
+            task::End::Failed | task::End::Rejected => {
+                timings.retry_min.saturating_mul(1 << failures.min(10)).min(timings.retry_max)
+            }
+            task::End::Succeeded => timings.retry_min,
+            _ => Duration::ZERO,
+        };
+        for id in again {
+            self.resting.insert((now.after(pause), id), ());
+        }
+    }
+
+    /// Queues a task again after its pause. A gang is queued whole, with its first task.
+    pub(super) fn requeue(&mut self, table: &Table, id: task::Id, now: Instant) {
+        let Some(job) = table.get(id.job) else { return };
+        let waits = job.current(id).is_some_and(|task| task.position == Position::Pending);
+        if !waits || self.placing.contains(&id) {
+            return;
+        }
+        if job.spec.kind != Kind::Gang {
+            self.enqueue(job, vec![id], now, Duration::ZERO);
+        } else if id.index == 0 {
+            let tasks = (0..job.tasks.len()).map(|index| job.task_id(index)).collect();
+            self.enqueue(job, tasks, now, Duration::ZERO);
+        }
+    }
+
+    fn on_cancelled(&mut self, job: &Job, now: Instant, unix: Unix) {
+        self.engine.withdraw(job.id);
+        for (index, task) in job.tasks.iter().enumerate() {
+            let id = job.task_id(index);
+            let Position::Placed { worker, .. } = &task.position else { continue };
+            let Some(session) = self.sessions.get_mut(worker) else { continue };
+            if session.withdraw(id) {
+                self.conclude(id, task::End::Stopped, now, unix);
+            } else {
+                session.push(Command::Stop(id));
+            }
+        }
+    }
+
+    fn stop_job(&mut self, job: &Job) {
+        for (index, task) in job.tasks.iter().enumerate() {
+            let id = job.task_id(index);
+            if let Position::Placed { worker, .. } = &task.position
+                && let Some(session) = self.sessions.get_mut(worker)
+            {
+                session.push(Command::Stop(id));
+            }
+        }
+    }
+
+    pub(super) fn prune(&mut self, table: &Table, history: Duration, unix: Unix) {
+        if !self.journal.is_settled() {
+            return;
+        }
+        let old = |job: &&Job| job.ended.is_some_and(|ended| unix.since(ended) > history);
+        for job in table.jobs().filter(old).take(MAX_PRUNED) {
+            self.journal.push(Entry::Pruned(job.id), None);
+        }
+    }
+}
+
+/// The command that starts a task of `job`.
+pub(super) fn start(job: &Job, task: task::Id) -> Command {
+    Command::Start { task, demand: job.spec.demand, payload: job.spec.payload.clone() }
+}
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -7,7 +7,9 @@
 
 pub mod active;
 pub mod alerts;
+pub mod calls;
 pub mod custody;
+pub mod effect;
 pub mod election;
 pub mod journal;
 pub mod lead;
--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -4,7 +4,7 @@
 use crate::domain::Epoch;
 use crate::owner::Timings;
 use crate::owner::active::{Active, stray};
-use crate::owner::lead::start;
+use crate::owner::effect::start;
 use crate::owner::machine::{Machine, Role};
 use crate::owner::record::{Entry, Placement, Position};
 use crate::owner::replica::Replica;
