Name floors by what the log holds, and keep owners through an outage

Floors named the sequence of the owner's state, which ran ahead of the log during an outage, so a reader from there passed over the batches that reached the log later. The test written for it showed another fault: after an outage that all had, a follower that reached the log first took the domain from its owner. Change: a floor counts only batches read from the log; an owner without the log is replaced only by an instance that has reached it all the while. Conclusion: a new instance ends in the state of those that stayed.

--- a/src/owner/election.rs
+++ b/src/owner/election.rs
@@ -340,7 +340,10 @@
         self.enroll(beat);
         self.election.heard(now);
         self.election.leader = Some((beat.epoch, beat.owner.clone()));
-        self.election.leader_without_log = match beat.without_log {
+        // Only what this instance can reach and the owner cannot is a reason to take its place: an
+        // outage that both had ends for one of them first.
+        let alone = beat.without_log && self.election.read_failing_since.is_none();
+        self.election.leader_without_log = match alone {
             true => Some(self.election.leader_without_log.unwrap_or(now)),
             false => None,
         };
--- a/src/owner/replica.rs
+++ b/src/owner/replica.rs
@@ -40,6 +40,8 @@
     claimed_at: Offset,
     sequence: u64,
     previous: Epoch,
+    /// Batches that took effect before they were read from the log.
+    ahead: u64,
     next: Offset,
     /// What was in force before each record read, so that a floor can name it.
     marks: VecDeque<Floor>,
@@ -123,7 +125,10 @@
         while self.marks.len() > 1 && self.marks[1].offset <= floor {
             self.marks.pop_front();
         }
-        self.marks.push_back(Floor { offset, epoch: self.epoch, sequence: self.sequence });
+        // A new reader finds in the log what took effect here before it was there, so it has to
+        // start with the sequence that the log has come to.
+        let sequence = self.sequence - self.ahead;
+        self.marks.push_back(Floor { offset, epoch: self.epoch, sequence });
     }
 
     /// Whether records that this state still needs were dropped from the stream.
@@ -152,7 +157,9 @@
     /// What it states counts as stated at the next offset, which is not after the place where it
     /// will stand.
     pub fn apply_unlogged(&mut self, batch: &Batch, now: Unix) -> bool {
-        matches!(self.change(self.next, batch.clone(), now), Applied::Changed(_))
+        let took_effect = matches!(self.change(self.next, batch.clone(), now), Applied::Changed(_));
+        self.ahead += u64::from(took_effect);
+        took_effect
     }
 
     fn claim(&mut self, offset: Offset, claim: Claim) -> Applied {
@@ -165,6 +172,7 @@
         self.formers.clone_from(&claim.formers);
         self.claimed_at = offset;
         self.sequence = 0;
+        self.ahead = 0;
         Applied::Claimed(claim)
     }
 
@@ -195,6 +203,10 @@
 
     fn change(&mut self, offset: Offset, batch: Batch, now: Unix) -> Applied {
         if batch.epoch != self.epoch || batch.sequence != self.sequence {
+            let awaited = self.sequence - self.ahead;
+            if self.ahead > 0 && batch.epoch == self.epoch && batch.sequence == awaited {
+                self.ahead -= 1;
+            }
             return Applied::Void;
         }
         self.sequence += 1;
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -261,6 +261,38 @@
     world.check_end();
 }
 
+// An instance is replaced after an outage in which batches took effect before they were in the log.
+// It has to end in the same state as those that were there; starting with a sequence that the log
+// reached only later, it would pass over those batches and lose the jobs in them.
+#[test]
+fn floor_after_outage() {
+    let mut world = started(12);
+    world.timings.restate_records = 2;
+    for node in 0..3 {
+        world.kill(node);
+        world.start(node);
+    }
+    world.run_until(20_000, |world| world.owner().is_some()).expect("an owner");
+    world.run(2_000);
+    let owner = world.owner().unwrap();
+    for round in 0..6 {
+        world.faults.log_down = true;
+        world.run(10);
+        let job = spec(Kind::Batch, 2, Effect::Idempotent, 500 + round * 100);
+        world.call(owner, submit(&format!("k{round}"), job));
+        world.run(8_000);
+        world.faults.log_down = false;
+        world.run(4_000);
+        let fresh = (owner + 1) % 3;
+        world.kill(fresh);
+        world.start(fresh);
+        world.run(2_000);
+        assert_eq!(world.owner(), Some(owner), "round {round}");
+        let jobs = |node| world.machine(node).replica.table.len();
+        assert_eq!(jobs(fresh), jobs(owner), "round {round}");
+    }
+}
+
 // The log is away, both remaining instances cannot hear each other, and each takes over. Their
 // epochs differ, so a worker obeys one of them only.
 #[test_case(0, 1 ; "first_rank")]
