Let the log tell deaf instances that the owner lives

Cause: two instances that reach the log and the workers but not each other took the domain from each other for as long as nothing else was written, since the follower heard neither heartbeat nor batch. Change: while an instance does not answer heartbeats, the owner appends an empty batch each half claim timeout, which the others take for a sign of life, as they do every batch. The drawn histories draw such cuts too. Conclusion: a network fault between instances alone no longer moves ownership.

--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -76,6 +76,10 @@
     pub(super) retiring: Vec<Instance>,
     /// Since when no earlier owner can have renewed a lease, if nothing else stands against it.
     pub(super) alone_since: Instant,
+    /// When it claimed the domain.
+    pub(super) began: Instant,
+    /// When each other instance last answered a heartbeat, by name.
+    pub(super) heard_by: BTreeMap<String, Instant>,
     pub(super) beat_at: Instant,
     pub(super) sweep_at: Instant,
     pub(super) jobs_at: Instant,
@@ -127,6 +131,8 @@
             muted: BTreeSet::new(),
             retiring: Vec::new(),
             alone_since: now,
+            began: now,
+            heard_by: BTreeMap::new(),
             beat_at: now,
             sweep_at: now,
             jobs_at: now,
--- a/src/owner/election.rs
+++ b/src/owner/election.rs
@@ -370,6 +370,7 @@
             .cloned()
             .collect();
         let Role::Owner(active) = &mut self.role else { return };
+        active.heard_by.insert(from.name.clone(), now);
         if epoch < active.epoch {
             return;
         }
--- a/src/owner/journal.rs
+++ b/src/owner/journal.rs
@@ -78,8 +78,8 @@
     flight: Option<Flight>,
     sent_at: Option<Instant>,
     failing_since: Option<Instant>,
-    /// Whether the first batch is still owed. It goes out even when empty, so that the end of the
-    /// stream soon names a floor for new readers.
+    /// Whether a batch is owed even when it is empty: the first one, so that the end of the stream
+    /// soon names a floor for new readers, and those that show others that the owner lives.
     announce: bool,
 }
 
@@ -135,6 +135,11 @@
         Some(Parcel { tag: self.tag(sequence), payload })
     }
 
+    /// Makes the next batch go out even when empty, unless one set out within `span`.
+    pub fn keep_alive(&mut self, now: Instant, span: Duration) {
+        self.announce |= self.sent_at.is_none_or(|sent| now.since(sent) >= span);
+    }
+
     /// Whether a new batch may set out.
     pub fn is_idle(&self, now: Instant) -> bool {
         let early = self.sent_at.is_some_and(|sent| now.since(sent) < self.delay);
--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -27,6 +27,7 @@
 impl Machine {
     pub(super) fn advance_owner(&mut self, now: Instant, unix: Unix) {
         self.beat(now);
+        self.speak_through_log(now);
         self.end_recovery(now, unix);
         self.sweep(now, unix);
         self.wake_resting(now);
@@ -54,6 +55,21 @@
         self.out.push(Effect::Beat { to, beat });
     }
 
+    /// Lets an instance that does not answer heartbeats read in the log that this owner lives.
+    ///
+    /// Guards against two instances that reach the log and the workers but not each other. While
+    /// nothing else is written, each would take the other for dead and claim the domain from it
+    /// again and again, every time stopping placement until all workers are fenced anew.
+    fn speak_through_log(&mut self, now: Instant) {
+        let patience = self.timings.claim / 2;
+        let Role::Owner(active) = &self.role else { return };
+        let heard = |name| active.heard_by.get(name).copied().unwrap_or(active.began);
+        let unheard = self.peers().any(|(name, _)| now.since(heard(name)) > patience);
+        if let Some(active) = self.active().filter(|_| unheard) {
+            active.journal.keep_alive(now, patience);
+        }
+    }
+
     fn sweep(&mut self, now: Instant, unix: Unix) {
         let Role::Owner(active) = &mut self.role else { return };
         if now < active.sweep_at {
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -106,6 +106,22 @@
     world.check_end();
 }
 
+// The network between the instances breaks, and each still reaches the log and the workers. A user
+// with a quiet domain sees no change: the owner stays, because the others read that it lives.
+// Without that, each takes the other for dead and claims the domain, for as long as it lasts.
+#[test]
+fn claim_instances_deaf() {
+    let mut world = started(6);
+    let first = world.owner().unwrap();
+    let epoch = world.machine(first).known_epoch();
+    world.faults = Faults { deaf: true, ..Faults::NONE };
+    world.run(60_000);
+    assert_eq!(world.owner(), Some(first));
+    assert_eq!(world.machine(first).known_epoch(), epoch);
+    world.kill(first);
+    world.run_until(10_000, |world| world.owner().is_some()).expect("another owner");
+}
+
 // Workers cut off from everybody: their tasks lapse and run again elsewhere, but a task that may
 // run only once is shown as unresolved instead.
 #[test]
@@ -400,6 +416,7 @@
             delay: if rng.random_bool(0.2) { 300 } else { 5 },
             late: if rng.random_bool(0.3) { 0.1 } else { 0.0 },
             log_down: rng.random_bool(0.1),
+            deaf: rng.random_bool(0.1),
         };
         let node = rng.random_range(0..3);
         let worker = format!("w{}", rng.random_range(0..4));
--- a/tests/logic/world.rs
+++ b/tests/logic/world.rs
@@ -38,10 +38,12 @@
     pub late: f64,
     /// Whether the log refuses every call.
     pub log_down: bool,
+    /// Whether instances do not hear each other, though they reach the log and the workers.
+    pub deaf: bool,
 }
 
 impl Faults {
-    pub const NONE: Self = Self { loss: 0.0, delay: 3, late: 0.0, log_down: false };
+    pub const NONE: Self = Self { loss: 0.0, delay: 3, late: 0.0, log_down: false, deaf: false };
 }
 
 /// One entry instance.
@@ -602,7 +604,7 @@
     }
 
     fn beat(&mut self, from: usize, run: u64, to: usize, beat: Beat) {
-        if self.nodes[from].cut || self.nodes[to].cut || !self.is_up(to) {
+        if self.faults.deaf || self.nodes[from].cut || self.nodes[to].cut || !self.is_up(to) {
             return;
         }
         self.deliver(to, Message::Beat(beat));
