Prove the takeover without the log, and alerts of uncertain work

Cause: no story covered an owner that dies during an outage of the log. Change: a story for the outage with the owner killed. Conclusion: the stories follow what the owner is meant to show.

--- a/tests/process/owner/log.rs
+++ b/tests/process/owner/log.rs
@@ -96,6 +96,36 @@
     }
 }
 
+// The log goes away, and then the machine of the owner dies. Nobody can claim the domain, yet the
+// user's tasks run on past their leases, because another instance keeps them alive at the workers.
+// Once the log is back the domain has an owner again and nothing has run twice.
+#[test]
+fn log_away_and_owner_killed() {
+    let plan =
+        Plan { entries: 3, workers: 2, proxied: true, settings: short_lease(), ..Plan::default() };
+    let mut cluster = plan.start();
+    let everyone = callers(&cluster, HALL, &[]);
+    let (killed, _) = owner(&cluster, HALL, &[]);
+    let running = ["running-batch".to_owned(), "running-once".to_owned()];
+    for (key, work) in running.iter().zip([Work::batch(12_000), Work::once(12_000)]) {
+        submit_until_accepted(&everyone, key, &work);
+        started_on(&cluster, key);
+    }
+    Outage::Answers503.begin(&cluster);
+    cluster.entries[killed].process.kill();
+    let rest = callers(&cluster, HALL, &[killed]);
+    assert_ne!(submit(rest[0], "during", &Work::once(100)), Said::Accepted { duplicate: false });
+    for key in &running {
+        eventually("the task ends during the outage", || ended_at_worker(&cluster, key));
+    }
+    Outage::Answers503.end(&cluster);
+    submit_until_accepted(&rest, "after", &Work::once(100));
+    let after = ["after".to_owned()];
+    await_state(&rest, running.iter().chain(&after), State::Succeeded);
+    let runs = Runs::of(&cluster);
+    running.iter().chain(&after).for_each(|key| runs.assert_started_once(key));
+}
+
 // The log writes the record of a submission but its answer is lost. The caller hears late or that
 // the outcome is unknown, and submits again under the same key, at another instance too. All the
 // answers mean the same one job, which runs once.
--- a/tests/process/owner/work.rs
+++ b/tests/process/owner/work.rs
@@ -155,6 +155,18 @@
     Some(known.json())
 }
 
+/// Waits until an alert of `kind` names the job.
+pub fn await_alert(addrs: &[SocketAddr], kind: view::alert::Kind, key: &str) {
+    let job = id(key).to_string();
+    eventually("an alert names the job", || {
+        let asked = |addr: &SocketAddr| call(Method::GET, *addr, "/v1/alerts", &[], b"").ok();
+        let reply = addrs.iter().filter_map(asked).find(|reply| reply.status == 200)?;
+        let alerts: wire::Page<wire::alert::Alert> = reply.json();
+        let names = |alert: &wire::alert::Alert| alert.kind == kind && alert.subject.contains(&job);
+        alerts.items.iter().any(names).then_some(())
+    });
+}
+
 /// Waits until every job stands in `state`.
 pub fn await_state<'a>(
     addrs: &[SocketAddr],
