Start nothing that waits for the log when its worker is back

Cause: a task that may run only once, placed while the log is away, waits for its record to reach the log. A worker that was out of reach and came back without naming it was told to start it all the same. Change: settling a worker's report leaves such tasks to the log.

--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -196,7 +196,13 @@
             if known(id) || self.concluding.contains(&id) {
                 continue;
             }
-            let unsent = self.sessions.get(worker).is_some_and(|session| session.is_unsent(id));
+            // What peers alone keep the record of waits for the log, also at a worker that is back.
+            let deferred = self.deferred.contains(&id);
+            if deferred && placed_run == run {
+                continue;
+            }
+            let session = self.sessions.get(worker);
+            let unsent = deferred || session.is_some_and(|session| session.is_unsent(id));
             if placed_run != run {
                 let end = if unsent { End::Rejected } else { End::Lapsed };
                 self.conclude(id, end, now, unix);
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -277,6 +277,32 @@
     world.check_end();
 }
 
+// A task that may run only once has its record with peers alone, and its worker is out of reach for
+// a moment. Back again, the worker names no such task, which must not count as a reason to start it.
+#[test]
+fn start_deferred_worker_back() {
+    let mut world = started(13);
+    let owner = world.owner().unwrap();
+    world.run(2_000);
+    world.call(owner, submit("fill", spec(Kind::Batch, 16, Effect::Idempotent, 6_000)));
+    world.call(owner, submit("once", spec(Kind::Batch, 4, Effect::AtMostOnce, 1_000)));
+    world.run(1_000);
+    world.faults.log_down = true;
+    world.run(12_000);
+    for index in 0..4 {
+        world.cut_worker(&format!("w{index}"), true);
+    }
+    world.run(11_000);
+    for index in 0..4 {
+        world.cut_worker(&format!("w{index}"), false);
+    }
+    world.run(10_000);
+    assert_eq!(world.runs_of(job::Id::derive("shop", "once")), 0, "it waits for the log");
+    world.faults.log_down = false;
+    world.run_until(60_000, |world| is_over(world, "once")).expect("it runs once the log is back");
+    world.check_end();
+}
+
 // An instance is replaced after an outage in which batches took effect before they were in the log.
 // It has to end in the same state as those that were there; starting with a sequence that the log
 // reached only later, it would pass over those batches and lose the jobs in them.
