Find a job wherever it is, and hand one over to instances that the list names

Cause: a job that another failure domain had taken could not be looked up, explained or cancelled. A submission for another domain was handed only to instances that the settings name, and an address that had gone to an instance of a third domain would have taken the job a second time. Change: such calls ask the other domains, all at once and for a bounded time, when the own one does not know the job; a refusal says when one could not be asked. Calls to another domain go to its live instances as the list and own connections show them, and name the domain they are meant for.

--- a/src/entry/backend/mod.rs
+++ b/src/entry/backend/mod.rs
@@ -1,6 +1,7 @@
 //! What an entry instance does for callers and operators.
 
 mod alerts;
+mod elsewhere;
 mod jobs;
 mod settings;
 pub mod status;
@@ -64,7 +65,8 @@
     ///
     /// Returns the owner's refusal, or one that says that the owner cannot be reached.
     pub async fn ask(&self, call: Call, ask: Ask) -> Reply {
-        self.route(Envelope { hops: forward::MAX_HOPS, call, ask }).await
+        let domain = self.domain.clone();
+        self.route(Envelope { domain, hops: forward::MAX_HOPS, call, ask }).await
     }
 
     /// Answers a call that another instance has passed on.
@@ -73,6 +75,9 @@
     ///
     /// As for [`Self::ask`].
     pub async fn route(&self, envelope: Envelope) -> Reply {
+        if envelope.domain != self.domain {
+            return Err(views::no_owner());
+        }
         let place = self
             .handle
             .inspect(|machine, _, _| (machine.is_owner(), machine.owner().cloned()))
@@ -105,7 +110,7 @@
         let ask = Ask::Submit(submission);
         let reply = match bound.domain == self.domain {
             true => self.ask(call, ask).await,
-            false => self.pass_to_domain(&bound.domain, call, ask).await,
+            false => self.ask_domain_owner(&bound.domain, call, ask).await,
         };
         match reply? {
             Tell::Accepted(accepted) => {
@@ -116,25 +121,6 @@
         }
     }
 
-    /// Asks the owner of another failure domain through the first of its instances that answers.
-    async fn pass_to_domain(&self, domain: &domain::Name, call: Call, ask: Ask) -> Reply {
-        let within = forward::within(call.within);
-        let envelope = Envelope { hops: forward::MAX_HOPS, call: Call { within, ..call }, ask };
-        let mut sent = false;
-        for address in self.binding.instances(domain) {
-            match self.peers.call(address, forward::CALL, &envelope, within).await {
-                Ok(reply) => return reply,
-                Err(error) => {
-                    log::warn!("event=entry.forward_failed domain={domain} {error}");
-                    sent |= error.sent;
-                }
-            }
-        }
-        let message = format!("the key is bound to {domain}, which does not answer");
-        let refuse = if sent { Refusal::unknown } else { Refusal::not_run };
-        Err(refuse(Reason::NoOwner, message).after(OWNER_PAUSE))
-    }
-
     async fn pass_on(&self, owner: &Instance, mut envelope: Envelope) -> Reply {
         envelope.hops -= 1;
         envelope.call.within = forward::within(envelope.call.within);
@@ -245,7 +231,7 @@
 
     fn cancel(&self, call: Call, job: job::Id) -> api::Answer<'_, view::job::Job> {
         async move {
-            match self.ask(call, Ask::Cancel(job)).await? {
+            match self.ask_anywhere(call, job, Ask::Cancel(job)).await? {
                 Tell::Job(job) => Ok(*job),
                 _ => Err(mismatch()),
             }
@@ -255,7 +241,7 @@
 
     fn job(&self, call: Call, job: job::Id) -> api::Answer<'_, view::job::Job> {
         async move {
-            match self.ask(call, Ask::Job(job)).await? {
+            match self.ask_anywhere(call, job, Ask::Job(job)).await? {
                 Tell::Job(job) => Ok(*job),
                 _ => Err(mismatch()),
             }
@@ -273,7 +259,13 @@
     }
 
     fn explain(&self, call: Call, job: job::Id) -> api::Answer<'_, view::job::Explanation> {
-        ask!(self, call, Ask::Explain(job), Tell::Explanation)
+        async move {
+            match self.ask_anywhere(call, job, Ask::Explain(job)).await? {
+                Tell::Explanation(explanation) => Ok(explanation),
+                _ => Err(mismatch()),
+            }
+        }
+        .boxed_local()
     }
 
     fn alerts(
--- a/src/entry/binding.rs
+++ b/src/entry/binding.rs
@@ -1,13 +1,11 @@
 //! Fixes the failure domain that takes a job, so that a submission repeated anywhere is one job.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use crate::api::{Call, Refusal, view};
 use crate::clock::Clock;
 use crate::intent::{self, Attempt, Guard, Key, Kind, Placement, Request};
-use crate::settings::Peer;
 use crate::{codec, domain};
 
 /// Part of the caller's time that fixing the failure domain may take.
@@ -23,8 +21,6 @@
     pub clock: Rc<dyn Clock>,
     /// This instance's failure domain, which takes new jobs.
     pub domain: domain::Name,
-    /// Instances of every failure domain.
-    pub peers: Vec<Peer>,
 }
 
 /// A submission whose failure domain is fixed.
@@ -66,11 +62,6 @@
         self.guard.accept_job(&bound.request, bound.attempt, bound.domain.clone());
     }
 
-    /// Where instances of `domain` are reached.
-    pub fn instances(&self, domain: &domain::Name) -> impl Iterator<Item = SocketAddr> {
-        self.peers.iter().filter(move |peer| peer.domain == *domain).map(|peer| peer.address)
-    }
-
     /// A key that is no version 7 UUID counts as made now: while its record is known, the key
     /// decides, and after that it is a new one.
     fn request(&self, submission: &view::job::Submission) -> Result<Request, Refusal> {
--- a/src/entry/daemon.rs
+++ b/src/entry/daemon.rs
@@ -176,12 +176,7 @@
     };
     monoio::spawn(followers.run(members.subscribe()));
     let running = monoio::spawn(controller.run());
-    let binding = Binding {
-        guard,
-        clock: clock.clone(),
-        domain: settings.domain.clone(),
-        peers: settings.peers.clone(),
-    };
+    let binding = Binding { guard, clock: clock.clone(), domain: settings.domain.clone() };
     let entry = Entry {
         binding,
         me,
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::api::{Call, Refusal, view};
-use crate::{job, worker};
+use crate::{domain, job, worker};
 
 /// Peer method that carries a call to the owner.
 pub const CALL: &str = "owner/call";
@@ -17,6 +17,9 @@
 /// A call on its way to the owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Envelope {
+    /// Failure domain whose owner is asked. An address may have gone to an instance of another
+    /// domain, which must not accept the job a second time.
+    pub domain: domain::Name,
     /// Instances it may still pass through.
     pub hops: u8,
     /// The caller's circumstances.
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -17,4 +17,5 @@
 mod settings;
 mod standin;
 mod stop;
+mod submission;
 mod support;
