Show every slice's state in the dump as structured JSON

Cause: the dump was one text in Rust's debugging form, and of the state machine alone. Change: it shows the failure domain with jobs and workers, the settings in force and how current they are at each instance, the instances as believed, quick requests and the record of work that runs once. A story through the daemons of two domains shows that a request whose answer was lost is not run again. Conclusion: a colleague or a tool can read the whole state of a process.

--- a/src/entry/backend/mod.rs
+++ b/src/entry/backend/mod.rs
@@ -1,6 +1,7 @@
 //! What an entry instance does for callers and operators.
 
 mod alerts;
+mod dump;
 mod elsewhere;
 mod jobs;
 mod settings;
@@ -331,12 +332,7 @@
     }
 
     fn dump(&self, _call: Call) -> api::Answer<'_, serde_json::Value> {
-        async move {
-            let machine = self.look(|machine, _, _| Ok(format!("{machine:?}"))).await?;
-            let requests = self.requests.dump().await;
-            Ok(serde_json::json!({ "machine": machine, "requests": requests }))
-        }
-        .boxed_local()
+        self.dump_all().boxed_local()
     }
 
     fn set_log_level(&self, _call: Call, level: log::LevelFilter) -> api::Answer<'_, ()> {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod intent;
 mod membership;
 mod observe;
+mod once;
 mod owner;
 mod peer;
 mod runner;
--- a/tests/process/observe.rs
+++ b/tests/process/observe.rs
@@ -56,7 +56,11 @@
         assert!(metrics.contains(name), "{name} is not in\n{metrics}");
     }
 
-    let dump = String::from_utf8(asked("/dump").body.clone()).expect("text");
+    let parts: Value = asked("/dump").json();
+    for part in ["instance", "owner", "settings", "standings", "instances", "requests", "intents"] {
+        assert!(!parts[part].is_null(), "{part} is not in {parts}");
+    }
+    let dump = parts.to_string();
     let output = entry.process.output();
     assert!(!dump.contains(TOKEN), "a secret in the dump");
     assert!(!output.contains(TOKEN), "a secret in the log");
