Take no new process's rejection for the old one's word

Change: a rejection of an uncertain try ends it as lost, in the table that every instance builds alike. Conclusion: what became uncertain never waits again.

--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -190,11 +190,13 @@
         if self.cancelled.is_some() {
             return Verdict::Finish;
         }
-        if end == End::Rejected && self.spec.kind != Kind::Gang {
+        let unresolved = matches!(task.position, Position::Unresolved { .. });
+        // A process that rejects a start says nothing of the one before it, on which the try became
+        // uncertain; taken for "never ran", a task that may run only once would run again.
+        if end == End::Rejected && self.spec.kind != Kind::Gang && !unresolved {
             return Verdict::Retry;
         }
         if self.spec.effect == Effect::AtMostOnce {
-            let unresolved = matches!(task.position, Position::Unresolved { .. });
             return match end {
                 // Told a second time, the worker is back without the task or given up for good.
                 End::Lapsed if !unresolved => Verdict::Unresolved,
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -8,8 +8,10 @@
 use oriolefork::job::{self, Effect, Kind, Spec, Urgency};
 use oriolefork::owner::journal::{Journal, Position};
 use oriolefork::owner::machine::{Answer, Call, Refusal};
-use oriolefork::owner::record::{Entry, Floor};
+use oriolefork::owner::record::{Acceptance, Conclusion, Entry, Floor, Placement};
+use oriolefork::owner::table::Table;
 use oriolefork::resource::Amount;
+use oriolefork::task::End;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use test_case::test_case;
@@ -303,6 +305,26 @@
     world.check_end();
 }
 
+// A task that may run only once became uncertain when its worker's process ended. A start that was
+// on its way reaches the new process, which rejects it. The task may have run all the same.
+#[test]
+fn apply_rejected_after_unresolved() {
+    let id = job::Id::derive("shop", "once");
+    let task = oriolefork::task::Id { job: id, index: 0, attempt: 0 };
+    let at = Unix::from_millis(1);
+    let placement = Placement { task, worker: "w0".into(), run: 1 };
+    let spec = spec(Kind::Batch, 1, Effect::AtMostOnce, 100);
+    let acceptance = Acceptance { job: id, key: "once".to_owned(), spec, at };
+    let ended = |end| Entry::Ended(Conclusion { task, end, at });
+    let mut table = Table::default();
+    table.apply(&Entry::Accepted(acceptance), 0, at);
+    table.apply(&Entry::Placed(vec![placement]), 1, at);
+    table.apply(&ended(End::Lapsed), 2, at);
+    table.apply(&ended(End::Rejected), 3, at);
+    let job = table.get(id).expect("the job");
+    assert!(job.is_over() && job.is_lost(), "it is not to be placed again: {job:?}");
+}
+
 // An instance is replaced after an outage in which batches took effect before they were in the log.
 // It has to end in the same state as those that were there; starting with a sequence that the log
 // reached only later, it would pass over those batches and lose the jobs in them.
