Fetch the list of instances only when it has changed

Cause: every instance fetched the whole list each second: 10.9 KiB/s at 94 members, 124 KiB/s at 1,094, where a node may spend 6 KB/s on control. Change: the request names the version that is known (If-None-Match); the stand-in answers 304 without a body while nothing changed. An answer that announces an empty body leaves its connection in use. A server without versions is asked as before and costs as before.

--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -145,6 +145,11 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// Whether `headers` say that bytes of a body follow.
+pub(super) fn announces_body(headers: &HeaderMap) -> bool {
+    is_delimited(headers) && length(headers) != Some(0)
+}
+
 /// Whether the peer keeps the connection open after this message.
 pub(super) fn keeps_alive(version: Version, headers: &HeaderMap) -> bool {
     version == Version::HTTP_11 && !has_token(headers, "close")
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -94,7 +94,7 @@
         // repeats answers shows itself so, and the next caller must not meet them.
         let reusable = message::keeps_alive(head.version, &head.headers)
             && self.source.read_buffer().is_empty()
-            && !(bodiless && message::is_delimited(&head.headers));
+            && !(bodiless && message::announces_body(&head.headers));
         Ok(Answer { response: Response::from_parts(head, body), reusable })
     }
 
--- a/src/standin/instances/mod.rs
+++ b/src/standin/instances/mod.rs
@@ -6,10 +6,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ::http::{Method, StatusCode};
+use ::http::header::{ETAG, IF_NONE_MATCH};
+use ::http::{HeaderValue, Method, StatusCode};
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Bound, reply};
 use crate::clock::{Clock, System};
@@ -82,7 +84,7 @@
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/control") => self.control(request),
             (&Method::GET, "/v1/instances") if self.outage.get() => reply::unavailable(),
-            (&Method::GET, "/v1/instances") => self.list(),
+            (&Method::GET, "/v1/instances") => self.list(request),
             (&Method::PUT, "/v1/instances") => self.replace(request),
             _ => reply::unknown(),
         }
@@ -98,10 +100,17 @@
         reply::json(&control)
     }
 
-    fn list(&self) -> Response {
+    /// Shows the list, without a body to a caller that names the version it has already.
+    fn list(&self, request: &Request) -> Response {
         let mut state = self.state.borrow_mut();
         let members = state.shown(self.clock.now(), self.lag.get());
-        reply::json(&members.iter().map(wire::Member::from).collect::<Vec<_>>())
+        let mut response = reply::json(&members.iter().map(wire::Member::from).collect::<Vec<_>>());
+        let version = version(response.body());
+        if request.headers().get(IF_NONE_MATCH) == Some(&version) {
+            response = reply::empty(StatusCode::NOT_MODIFIED);
+        }
+        response.headers_mut().insert(ETAG, version);
+        response
     }
 
     fn replace(&self, request: &Request) -> Response {
@@ -119,6 +128,12 @@
     }
 }
 
+fn version(body: &[u8]) -> HeaderValue {
+    let text = format!("\"{:016x}\"", xxh3_64(body));
+    // Quoted hexadecimal digits always make a header.
+    HeaderValue::try_from(text).unwrap_or(HeaderValue::from_static("\"\""))
+}
+
 impl Handler for Instances {
     fn handle(&self, _peer: SocketAddr, request: Request) -> LocalBoxFuture<'_, Response> {
         std::future::ready(self.answer(&request)).boxed_local()
--- a/src/standin/reply.rs
+++ b/src/standin/reply.rs
@@ -25,6 +25,13 @@
     build(status, "text/plain", Bytes::copy_from_slice(message.as_bytes()))
 }
 
+/// An answer without a body.
+pub fn empty(status: StatusCode) -> Response {
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = status;
+    response
+}
+
 /// The answer to a path or method that does not exist.
 pub fn unknown() -> Response {
     text(StatusCode::NOT_FOUND, "no such path")
--- a/tests/process/membership.rs
+++ b/tests/process/membership.rs
@@ -11,7 +11,7 @@
 use oriolefork::membership::http::Client;
 use oriolefork::membership::probe::Connect;
 use oriolefork::membership::view::Guard;
-use oriolefork::membership::{Member, Role, State, wire};
+use oriolefork::membership::{Member, Role, Source, State, wire};
 use oriolefork::shutdown::Shutdown;
 use oriolefork::{clock, http};
 use serde_json::json;
@@ -107,3 +107,30 @@
         until(&handle, "settled", is_settled).await;
     });
 }
+
+#[test]
+fn list_unchanged_then_changed() {
+    // The list is asked for every second, so its server sends no body while nothing changes. A
+    // caller that took such an answer for an empty list would stop all work; one that kept the old
+    // list would go on giving work to an instance that leaves.
+    let list = Standin::start("instances", &[]);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut members = vec![member((0, &listener))];
+    show(list.addr, &members);
+    let whole = request(Method::GET, list.addr, "/v1/instances", &[], b"").unwrap();
+    let version = [("if-none-match", whole.headers["etag"].to_str().unwrap())];
+    let ask = || request(Method::GET, list.addr, "/v1/instances", &version, b"").unwrap();
+    assert_eq!((ask().status, ask().body.len()), (304, 0));
+
+    block_on(async {
+        let http = Rc::new(http::Client::new(http::Limits::default()));
+        let client = Client::new(list.addr, http, LIMIT);
+        for _ in 0..3 {
+            assert_eq!(client.list().await, Ok(members.clone()));
+        }
+        members[0].state = State::Leaving;
+        show(list.addr, &members);
+        assert_eq!(client.list().await, Ok(members.clone()));
+    });
+    assert_eq!(ask().status, 200);
+}
