Step the controller in time while its state is asked for

Change: the next step is due a tick after the last step, whatever came in between. Conclusion: asking for state holds nothing up any more.

--- a/src/entry/controller.rs
+++ b/src/entry/controller.rs
@@ -135,9 +135,15 @@
     }
 
     /// Runs until the machine has stopped.
+    ///
+    /// A step is due a tick after the last one, whatever came in between. Counted from the last
+    /// input instead, an owner that is asked for its state more often than once a tick would send
+    /// no heartbeat and commit nothing until some other message came.
     pub async fn run(mut self) {
+        let mut due = self.borders.clock.now().after(TICK);
         loop {
-            let message = match monoio::time::timeout(TICK, self.inputs.recv()).await {
+            let left = due.since(self.borders.clock.now());
+            let message = match monoio::time::timeout(left, self.inputs.recv()).await {
                 Err(_) => Message::Tick,
                 Ok(None) => return,
                 Ok(Some(Input::Message(message))) => message,
@@ -147,13 +153,18 @@
                 }
                 Ok(Some(Input::Expire(ticket))) => Message::Expired(ticket),
                 Ok(Some(Input::Inspect(look))) => {
-                    look(&self.machine, self.borders.clock.now(), self.borders.clock.unix());
-                    continue;
+                    let now = self.borders.clock.now();
+                    look(&self.machine, now, self.borders.clock.unix());
+                    if now < due {
+                        continue;
+                    }
+                    Message::Tick
                 }
             };
             if self.step(message) {
                 return;
             }
+            due = self.borders.clock.now().after(TICK);
         }
     }
 
--- /dev/null
+++ b/tests/process/controller.rs
@@ -0,0 +1,134 @@
+//! The task that owns the state machine, over borders that only count.
+
+use std::cell::Cell;
+use std::mem::ManuallyDrop;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use monoio::{LegacyDriver, RuntimeBuilder};
+use oriolefork::clock::{Clock, System};
+use oriolefork::domain::Instance;
+use oriolefork::entry::controller::{Borders, Controller};
+use oriolefork::entry::directory::Directory;
+use oriolefork::entry::readiness::Readiness;
+use oriolefork::entry::witness::Witness;
+use oriolefork::membership::follow::{Setup, start};
+use oriolefork::membership::probe::Connect;
+use oriolefork::membership::view::Guard;
+use oriolefork::membership::{self, Member, Source};
+use oriolefork::owner::Timings;
+use oriolefork::owner::machine::Machine;
+use oriolefork::peer;
+use oriolefork::placement::{Leaning, Policy, Preset};
+use oriolefork::shutdown::Shutdown;
+use oriolefork::store::{self, Offset, Page, Store};
+use oriolefork::worker::{self, Exchange, Link, Report};
+
+use crate::harness::LIMIT;
+
+const DOMAIN: &str = "kurow-hall";
+
+/// Shorter than any tick of the controller.
+const BETWEEN_LOOKS: Duration = Duration::from_millis(1);
+
+/// A log that counts its reads and answers none.
+#[derive(Default)]
+struct Silent {
+    reads: Cell<u32>,
+}
+
+impl Store for Silent {
+    fn append<'a>(
+        &'a self,
+        _stream: &'a str,
+        _payload: Bytes,
+    ) -> LocalBoxFuture<'a, Result<Offset, store::Error>> {
+        std::future::pending().boxed_local()
+    }
+
+    fn read<'a>(
+        &'a self,
+        _stream: &'a str,
+        _from: Offset,
+        _wait: Duration,
+    ) -> LocalBoxFuture<'a, Result<Page, store::Error>> {
+        self.reads.set(self.reads.get() + 1);
+        std::future::pending().boxed_local()
+    }
+}
+
+/// Workers and a list that never answer.
+struct Nobody;
+
+impl Source for Nobody {
+    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Member>, membership::Error>> {
+        std::future::pending().boxed_local()
+    }
+}
+
+impl Link for Nobody {
+    fn exchange<'a>(
+        &'a self,
+        _peer: SocketAddr,
+        _exchange: &'a Exchange,
+        _timeout: Duration,
+    ) -> LocalBoxFuture<'a, Result<Report, worker::Error>> {
+        std::future::pending().boxed_local()
+    }
+}
+
+/// A witness that nobody listens to.
+fn witness(me: &Instance, clock: &Rc<dyn Clock>) -> Rc<Witness> {
+    let members = start(Setup {
+        source: Rc::new(Nobody),
+        probe: Rc::new(Connect { timeout: LIMIT }),
+        guard: Guard::default(),
+        interval: LIMIT,
+        clock: clock.clone(),
+        stop: Shutdown::new(),
+    });
+    let directory = Rc::new(Directory::new(me.clone(), DOMAIN.into(), Vec::new()));
+    Rc::new(Witness::new(DOMAIN.into(), members, directory, clock.clone()))
+}
+
+#[test]
+fn run_while_looked_at() {
+    // An operator's dashboard asks an owner for its state every few milliseconds. Nothing else
+    // happens for a while, and the owner sends no heartbeat: each look put the next step off, so
+    // that another instance takes the domain from an owner that runs well.
+    let builder = RuntimeBuilder::<LegacyDriver>::new();
+    // The controller outlives the story; the runtime must not be dropped under it.
+    let mut runtime = ManuallyDrop::new(builder.enable_timer().build().unwrap());
+    runtime.block_on(async {
+        let clock: Rc<dyn Clock> = Rc::new(System::start());
+        let store = Rc::new(Silent::default());
+        let me = Instance { name: "kurow-1".into(), run: 1, peer: ([127, 0, 0, 1], 9).into() };
+        let policy = Policy::of(Preset::Ordinary, Leaning::Waiting);
+        let witness = witness(&me, &clock);
+        let machine = Machine::new(me, DOMAIN.into(), Timings::default(), policy, clock.now());
+        let borders = Borders {
+            store: store.clone(),
+            workers: Rc::new(Nobody),
+            peers: Rc::new(peer::Client::new(peer::Limits::default())),
+            clock,
+            stream: "domain-kurow-hall".to_owned(),
+            worker_timeout: LIMIT,
+            peer_timeout: LIMIT,
+            witness,
+            readiness: Rc::new(Readiness::new(Shutdown::new())),
+        };
+        let controller = Controller::new(machine, borders);
+        let handle = controller.handle();
+        monoio::spawn(controller.run());
+        let start = Instant::now();
+        while store.reads.get() == 0 {
+            assert!(start.elapsed() < LIMIT, "no step within {LIMIT:?}");
+            handle.inspect(|_, _, _| ()).await;
+            monoio::time::sleep(BETWEEN_LOOKS).await;
+        }
+    });
+}
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod config;
+mod controller;
 mod dev;
 mod harness;
 mod http;
