Show a cancelled job whose task ended otherwise as cancelled

Cause: a cancelled job whose task was rejected or lapsed instead of stopped was shown as succeeded. Change: it counts as cancelled unless every task succeeded. Conclusion: nothing that did not run to its end is shown as a success.

--- a/src/entry/views.rs
+++ b/src/entry/views.rs
@@ -110,7 +110,8 @@
         return State::Uncertain;
     }
     if job.is_over() {
-        let stopped = any(|position| matches!(position, Position::Done(End::Stopped)));
+        let stopped =
+            any(|position| matches!(position, Position::Done(end) if *end != End::Succeeded));
         return match (job.cancelled.is_some() && stopped, job.is_lost()) {
             (true, _) => State::Cancelled,
             (false, true) => State::Failed,
