Settle again what a worker has no word of

Change: a running task of a cancelled job is told to stop whenever it is reported; a worker that has not named a placed try at two looks 5 s apart is asked for all it runs, and settled like after a takeover. The story of a cancellation whose owner dies is added. Ruled out: starting again without a full report, which an ended task that the worker still knows would never answer. Conclusion: a lost command delays a job by seconds, not for ever.

--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -82,6 +82,9 @@
     pub(super) heard_by: BTreeMap<String, Instant>,
     pub(super) beat_at: Instant,
     pub(super) sweep_at: Instant,
+    pub(super) account_at: Instant,
+    /// Tries that the log places on workers which did not name them at the last look.
+    pub(super) unaccounted: BTreeSet<task::Id>,
     pub(super) jobs_at: Instant,
 }
 
@@ -135,6 +138,8 @@
             heard_by: BTreeMap::new(),
             beat_at: now,
             sweep_at: now,
+            account_at: now,
+            unaccounted: BTreeSet::new(),
             jobs_at: now,
         }
     }
--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -78,6 +78,7 @@
         active.sweep_at = now.after(SWEEP);
         if active.is_settled() {
             active.end_caution(&self.replica.table, now, unix);
+            active.account(&self.replica.table, now);
             active.expire_leases(&self.replica, &self.timings, now, unix);
             active.prune(&self.replica.table, self.timings.history, unix);
         }
--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -1,5 +1,7 @@
 //! Bringing what the log states and what workers report into agreement.
 
+use std::collections::BTreeSet;
+
 use crate::clock::{Instant, Unix};
 use crate::domain::Epoch;
 use crate::owner::Timings;
@@ -13,6 +15,9 @@
 use crate::task::{self, End, Phase};
 use crate::worker::{self, Command, Observation};
 
+/// Interval at which what the log places on workers is compared with their word.
+const ACCOUNT: std::time::Duration = std::time::Duration::from_secs(5);
+
 impl Machine {
     pub(super) fn on_exchanged(
         &mut self,
@@ -98,6 +103,11 @@
             Phase::Running if here => {
                 let unresolved =
                     current.is_some_and(|t| matches!(t.position, Position::Unresolved { .. }));
+                let cancelled = table.get(id.job).is_some_and(|job| job.cancelled.is_some());
+                if cancelled {
+                    // The order to stop may have gone down with an earlier owner or connection.
+                    self.tell(worker, Command::Stop(id));
+                }
                 if unresolved && let Some(job) = table.get(id.job) {
                     self.adopt(id, worker, job, now);
                     self.resolve(worker, id);
@@ -144,6 +154,34 @@
         waits && self.cautious && !self.placing.contains(&id) && !self.concluding.contains(&id)
     }
 
+    /// Asks workers anew for all they run where the log has placed a try that they have not named
+    /// for a while.
+    ///
+    /// The failure: a start or a report is lost in a way that no rule foresees, and the try waits
+    /// on a worker that has nothing to say of it, for ever. A full report settles it like a
+    /// takeover does.
+    pub(super) fn account(&mut self, table: &Table, now: Instant) {
+        if now < self.account_at {
+            return;
+        }
+        self.account_at = now.after(ACCOUNT);
+        let mut missing = BTreeSet::new();
+        for (worker, session) in &mut self.sessions {
+            let here: Vec<task::Id> = placed_on(table, worker)
+                .into_iter()
+                .map(|(id, _)| id)
+                .filter(|id| !session.running.contains_key(id) && !session.is_pending(*id))
+                .filter(|id| !self.concluding.contains(id) && !self.deferred.contains(id))
+                .collect();
+            if session.is_open() && here.iter().any(|id| self.unaccounted.contains(id)) {
+                log::warn!("event=owner.worker_resynced worker={worker} tasks={}", here.len());
+                session.resync();
+            }
+            missing.extend(here);
+        }
+        self.unaccounted = missing;
+    }
+
     /// Counts what a try holds that the log does not place there, until the worker has stopped it.
     /// Otherwise its room would be given away while it is still in use.
     fn hold_stray(&mut self, worker: &worker::Name, observation: &Observation, now: Instant) {
--- a/src/owner/session.rs
+++ b/src/owner/session.rs
@@ -122,6 +122,19 @@
         self.fenced
     }
 
+    /// Asks the worker for all it runs with the next exchange, and closes it until then.
+    pub fn resync(&mut self) {
+        self.fenced = false;
+    }
+
+    /// Whether a command about `task` is still to be sent or answered.
+    pub fn is_pending(&self, task: task::Id) -> bool {
+        self.outbox.iter().any(|command| match command {
+            Command::Start { task: id, .. } => *id == task,
+            _ => false,
+        })
+    }
+
     /// Whether it is known what earlier owners left there.
     pub fn is_told(&self) -> bool {
         self.told
--- a/tests/logic/owner.rs
+++ b/tests/logic/owner.rs
@@ -305,6 +305,26 @@
     world.check_end();
 }
 
+// A job is cancelled, and its owner dies before the order to stop has reached the worker. The next
+// owner finds the task running where the log has it, and has to stop it all the same.
+#[test]
+fn cancel_owner_killed() {
+    let mut world = started(14);
+    let owner = world.owner().unwrap();
+    world.call(owner, submit("k", spec(Kind::Batch, 2, Effect::Idempotent, 90_000)));
+    world.run(1_000);
+    for index in 0..4 {
+        world.cut_worker(&format!("w{index}"), true);
+    }
+    world.call(owner, Call::Cancel(job::Id::derive("shop", "k")));
+    world.run(300);
+    world.kill(owner);
+    for index in 0..4 {
+        world.cut_worker(&format!("w{index}"), false);
+    }
+    world.run_until(20_000, |world| is_over(world, "k")).expect("it is stopped");
+}
+
 // A task that may run only once became uncertain when its worker's process ended. A start that was
 // on its way reaches the new process, which rejects it. The task may have run all the same.
 #[test]
