Say once what the owner's code said twice

Cause: a read of the whole change. Two methods stepped down before a later epoch, a parcel was built in three places, the present tries of a job were listed by hand in four; a map held no values; each step collected the peers and cloned the domain's name even when no heartbeat or copy was due. Ruled out for now: dropping Entry::Unresolved, which nothing writes, since it would renumber the records of the stream. Conclusion: no behaviour changed.

--- a/src/owner/active.rs
+++ b/src/owner/active.rs
@@ -69,7 +69,7 @@
     /// Tries that the engine holds resources for, by worker.
     pub(super) held: BTreeMap<task::Id, worker::Name>,
     /// Tries that wait for the end of a pause before they are placed again.
-    pub(super) resting: BTreeMap<(Instant, task::Id), ()>,
+    pub(super) resting: BTreeSet<(Instant, task::Id)>,
     /// Callers that were answered before their change was settled.
     pub(super) muted: BTreeSet<Ticket>,
     /// Earlier owners whose end is on its way to the log.
@@ -130,7 +130,7 @@
             concluding: BTreeSet::new(),
             placing: BTreeSet::new(),
             held: BTreeMap::new(),
-            resting: BTreeMap::new(),
+            resting: BTreeSet::new(),
             muted: BTreeSet::new(),
             retiring: Vec::new(),
             alone_since: now,
@@ -300,11 +300,7 @@
         self.cautious = false;
         for job in table.jobs() {
             let waiting: Vec<task::Id> = job
-                .tasks
-                .iter()
-                .enumerate()
-                .filter(|(_, task)| task.position == Position::Pending)
-                .map(|(index, _)| job.task_id(index))
+                .pending()
                 .filter(|id| !self.placing.contains(id) && !self.held.contains_key(id))
                 .collect();
             self.enqueue(job, waiting, now, unix.since(job.accepted));
--- a/src/owner/custody.rs
+++ b/src/owner/custody.rs
@@ -6,6 +6,7 @@
 //! whichever claims the domain next writes it to the log before it decides anything.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -18,9 +19,9 @@
 use crate::owner::record::{Entry, Record};
 
 /// Failure of the log after which batches are handed to peers.
-const PATIENCE: std::time::Duration = std::time::Duration::from_millis(1_500);
+const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Pause before a batch is handed again to those that have not answered.
-const REPEAT: std::time::Duration = std::time::Duration::from_millis(250);
+const REPEAT: Duration = Duration::from_millis(250);
 
 /// Bound on the batches that take effect without the log, for the memory of those who keep them.
 const MAX_UNLOGGED: usize = 10_000;
@@ -134,13 +135,13 @@
 
     /// Hands the batch under way to the enrolled instances that do not keep it yet.
     pub(super) fn hand_out(&mut self, now: Instant) {
-        let domain = self.domain.clone();
         let Role::Owner(active) = &mut self.role else { return };
         if !active.can_hold(now) || now < active.hold_at {
             return;
         }
         let Some((sequence, payload)) = active.journal.flight() else { return };
         active.hold_at = now.after(REPEAT);
+        let domain = self.domain.clone();
         let hold = Hold { domain, epoch: active.epoch, sequence, payload: payload.to_vec() };
         let missing = active.enrolled.values().filter(|one| !active.keepers.contains(*one));
         let to = missing.map(|instance| instance.peer).collect();
@@ -163,7 +164,7 @@
         active.keepers.clear();
         active.hold_at = now;
         let Ok(Record::Batch(batch)) = codec::decode(&parcel.payload) else { return };
-        active.unlogged.push_back(parcel.clone());
+        active.unlogged.push_back(parcel);
         if self.replica.apply_unlogged(&batch, unix) {
             self.on_changed(&batch, now, unix);
         }
--- a/src/owner/effect.rs
+++ b/src/owner/effect.rs
@@ -29,7 +29,7 @@
         match entry {
             Entry::Accepted(acceptance) => {
                 if let Some(job) = table.get(acceptance.job) {
-                    let tasks = (0..job.tasks.len()).map(|index| job.task_id(index)).collect();
+                    let tasks = job.tries().collect();
                     self.enqueue(job, tasks, now, unix.since(job.accepted));
                 }
             }
@@ -149,16 +149,8 @@
         if job.is_gang_broken() {
             self.stop_job(job);
         }
-        let again: Vec<task::Id> = job
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(index, task)| {
-                task.position == Position::Pending
-                    && (job.spec.kind == Kind::Gang || *index == conclusion.task.index as usize)
-            })
-            .map(|(index, _)| job.task_id(index))
-            .collect();
+        let whole = job.spec.kind == Kind::Gang;
+        let again = job.pending().filter(|id| whole || id.index == conclusion.task.index);
         let failures = job.tasks.iter().map(|task| task.failures).max().unwrap_or(0);
         let pause = match conclusion.end {
             task::End::Failed | task::End::Rejected => {
@@ -168,7 +160,7 @@
             _ => Duration::ZERO,
         };
         for id in again {
-            self.resting.insert((now.after(pause), id), ());
+            self.resting.insert((now.after(pause), id));
         }
     }
 
@@ -182,7 +174,7 @@
         if job.spec.kind != Kind::Gang {
             self.enqueue(job, vec![id], now, Duration::ZERO);
         } else if id.index == 0 {
-            let tasks = (0..job.tasks.len()).map(|index| job.task_id(index)).collect();
+            let tasks = job.tries().collect();
             self.enqueue(job, tasks, now, Duration::ZERO);
         }
     }
--- a/src/owner/election.rs
+++ b/src/owner/election.rs
@@ -336,7 +336,7 @@
         if beat.epoch < self.known_epoch() || beat.owner == self.me {
             return;
         }
-        self.on_superseded_by(beat.epoch);
+        self.yield_to(beat.epoch, "later_owner_spoke");
         self.enroll(beat);
         self.election.heard(now);
         self.election.leader = Some((beat.epoch, beat.owner.clone()));
@@ -349,19 +349,14 @@
         };
     }
 
-    fn on_superseded_by(&mut self, epoch: Epoch) {
-        let superseded = self.active().is_some_and(|active| epoch > active.epoch);
-        if superseded {
-            self.step_down("later_owner_spoke");
-        }
-    }
-
     /// Takes in that `from` has heard this owner and knows of `epoch`.
     ///
     /// An earlier owner that has heard of a later epoch has stepped down, and a new process at its
     /// address proves the old one gone.
     pub(super) fn on_beat_answered(&mut self, from: &Instance, epoch: Epoch, now: Instant) {
-        self.on_superseded(epoch, now);
+        if self.yield_to(epoch, "peer_knows_later_epoch") {
+            self.election.heard(now);
+        }
         let gone: Vec<Instance> = self
             .replica
             .formers()
--- a/src/owner/journal.rs
+++ b/src/owner/journal.rs
@@ -131,8 +131,7 @@
     pub fn retry(&mut self, now: Instant) -> Option<Parcel> {
         let flight = self.flight.as_mut()?;
         flight.retry_at.take_if(|at| now >= *at)?;
-        let (sequence, payload) = (flight.sequence, flight.payload.clone());
-        Some(Parcel { tag: self.tag(sequence), payload })
+        self.parcel()
     }
 
     /// Makes the next batch go out even when empty, unless one set out within `span`.
@@ -167,14 +166,8 @@
             log::error!("event=owner.batch_unwritable entries={count} cause=\"{error}\"");
             Bytes::new()
         });
-        self.flight = Some(Flight {
-            sequence,
-            payload: payload.clone(),
-            tickets,
-            retry_at: None,
-            retries: 0,
-        });
-        Some(Parcel { tag: self.tag(sequence), payload })
+        self.flight = Some(Flight { sequence, payload, tickets, retry_at: None, retries: 0 });
+        self.parcel()
     }
 
     /// How many of the waiting changes the next batch takes.
@@ -221,8 +214,7 @@
     pub fn take_flight(&mut self) -> Option<Parcel> {
         let flight = self.flight.as_mut()?;
         flight.retry_at = None;
-        let (sequence, payload) = (flight.sequence, flight.payload.clone());
-        Some(Parcel { tag: self.tag(sequence), payload })
+        self.parcel()
     }
 
     /// Notes that the log takes records again.
@@ -242,6 +234,11 @@
         self.failing_since.get_or_insert(now);
     }
 
+    fn parcel(&self) -> Option<Parcel> {
+        let Flight { sequence, payload, .. } = self.flight.as_ref()?;
+        Some(Parcel { tag: self.tag(*sequence), payload: payload.clone() })
+    }
+
     fn tag(&self, sequence: u64) -> Tag {
         Tag::Batch { epoch: self.epoch, sequence }
     }
--- a/src/owner/lead.rs
+++ b/src/owner/lead.rs
@@ -39,11 +39,11 @@
     }
 
     fn beat(&mut self, now: Instant) {
-        let to: Vec<_> = self.peers().map(|(_, address)| address).collect();
-        let Role::Owner(active) = &mut self.role else { return };
-        if now < active.beat_at {
+        if self.active().is_none_or(|active| now < active.beat_at) {
             return;
         }
+        let to = self.peers().map(|(_, address)| address).collect();
+        let Role::Owner(active) = &mut self.role else { return };
         active.beat_at = now.after(self.timings.beat);
         let beat = Beat {
             domain: self.domain.clone(),
@@ -87,12 +87,12 @@
 
     fn wake_resting(&mut self, now: Instant) {
         let Role::Owner(active) = &mut self.role else { return };
-        while let Some(entry) = active.resting.first_entry() {
-            let (due, id) = *entry.key();
+        while let Some(entry) = active.resting.first() {
+            let (due, id) = *entry;
             if due > now {
                 return;
             }
-            entry.remove();
+            active.resting.pop_first();
             active.requeue(&self.replica.table, id, now);
         }
     }
--- a/src/owner/machine.rs
+++ b/src/owner/machine.rs
@@ -390,12 +390,13 @@
         }
     }
 
-    pub(super) fn on_superseded(&mut self, epoch: Epoch, now: Instant) {
+    /// Ends this instance's ownership if `epoch` supersedes it; whether it did.
+    pub(super) fn yield_to(&mut self, epoch: Epoch, cause: &str) -> bool {
         let superseded = self.active().is_some_and(|active| epoch > active.epoch);
         if superseded {
-            self.election.heard(now);
-            self.step_down("peer_knows_later_epoch");
+            self.step_down(cause);
         }
+        superseded
     }
 
     fn on_policy(&mut self, policy: Policy) {
--- a/src/owner/reconcile.rs
+++ b/src/owner/reconcile.rs
@@ -170,7 +170,7 @@
             let here: Vec<task::Id> = placed_on(table, worker)
                 .into_iter()
                 .map(|(id, _)| id)
-                .filter(|id| !session.running.contains_key(id) && !session.is_pending(*id))
+                .filter(|id| !session.running.contains_key(id) && !session.is_starting(*id))
                 .filter(|id| !self.concluding.contains(id) && !self.deferred.contains(id))
                 .collect();
             if session.is_open() && here.iter().any(|id| self.unaccounted.contains(id)) {
--- a/src/owner/session.rs
+++ b/src/owner/session.rs
@@ -127,12 +127,9 @@
         self.fenced = false;
     }
 
-    /// Whether a command about `task` is still to be sent or answered.
-    pub fn is_pending(&self, task: task::Id) -> bool {
-        self.outbox.iter().any(|command| match command {
-            Command::Start { task: id, .. } => *id == task,
-            _ => false,
-        })
+    /// Whether the start of `task` is still to be sent or answered.
+    pub fn is_starting(&self, task: task::Id) -> bool {
+        self.outbox.iter().any(|command| starts(command, task))
     }
 
     /// Whether it is known what earlier owners left there.
@@ -376,3 +373,7 @@
         self.in_flight = 0;
     }
 }
+
+fn starts(command: &Command, task: task::Id) -> bool {
+    matches!(command, Command::Start { task: id, .. } if *id == task)
+}
--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -78,6 +78,17 @@
         task::Id { job: self.id, index: u32::try_from(index).unwrap_or(u32::MAX), attempt }
     }
 
+    /// The present try of every task.
+    pub fn tries(&self) -> impl Iterator<Item = task::Id> {
+        (0..self.tasks.len()).map(|index| self.task_id(index))
+    }
+
+    /// The present tries that wait for a worker.
+    pub fn pending(&self) -> impl Iterator<Item = task::Id> {
+        let waits = |task: &Task| task.position == Position::Pending;
+        self.tries().zip(&self.tasks).filter(move |(_, task)| waits(task)).map(|(id, _)| id)
+    }
+
     /// The task that `id` names, if `id` is its present try.
     pub fn current(&self, id: task::Id) -> Option<&Task> {
         self.tasks.get(id.index as usize).filter(|task| task.attempt == id.attempt)
