Let one instance alone win the claim of an epoch, and offer a cell only while an append is stuck

Cause: the store answers a repeated append of the same producer, epoch and number with its first answer, so that six instances that claimed epoch 1 as number 0 were all told that they had won. An idle owner wrote each second and counted as cut off after 0.9 s. Change: each process numbers its claims from a random number of its own; an owner is cut off when one batch has been tried for 0.6 s; a successor asks once more before it takes over.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -168,6 +168,9 @@
         if self.follows_other(motive, before) {
             return;
         }
+        if matches!(motive, Motive::Offered(owner) if !self.is_still_offered(owner).await) {
+            return;
+        }
         if matches!(motive, Motive::Silent(_)) && self.is_owner_writing().await {
             return;
         }
@@ -209,6 +212,15 @@
         true
     }
 
+    /// Whether the owner still wants another instance to take over.
+    ///
+    /// Guards against a change of owner right when the store is back for all: the owner that
+    /// offered the cell meanwhile can write again.
+    async fn is_still_offered(&self, owner: SocketAddr) -> bool {
+        let watched = self.watch(owner).await;
+        watched.is_ok_and(|watched| !watched.owns || watched.offered)
+    }
+
     /// Whether an owner that does not answer still writes to the journal.
     ///
     /// Guards against taking a cell from an owner that only this instance cannot reach.
@@ -261,7 +273,9 @@
             "event=owner.claim cell={} epoch={epoch} end={end} motive={motive:?}",
             self.cell
         );
-        let claimed = self.node.borders.journal.claim(self.cell, epoch, end, bytes).await;
+        let first = self.node.first_sequence();
+        let journal = self.node.borders.journal.clone();
+        let claimed = journal.claim(self.cell, epoch, first, end, bytes).await;
         match claimed {
             Ok(next) => {
                 self.reading.state.apply_batch(batch);
@@ -306,7 +320,8 @@
         let state = std::mem::take(&mut self.reading).state;
         let (epoch, jobs, tasks) = (state.epoch, state.jobs.len(), state.live.len());
         let (now, unix) = (node.borders.clock.now(), node.borders.clock.unix());
-        let mut machine = Machine::new(state, node.table(), node.timings, now, unix);
+        let mut machine =
+            Machine::new(state, node.first_sequence(), node.table(), node.timings, now, unix);
         machine.handle(super::machine::Message::Present(node.me), now, unix);
         let (owner, handle) =
             Owner::new(self.cell, node.cells, node.me, machine, node.borders.clone());
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -230,10 +230,15 @@
 pub trait Journal {
     /// Takes the journal over: appends `claim` if it ends at `end`, and makes it refuse smaller
     /// epochs from then on. Returns the offset after the claim.
+    ///
+    /// `first` numbers the claim within its epoch. It differs between claimants: two that claim the
+    /// same epoch with the same number would look like one that repeats itself, and both be told
+    /// that they won.
     fn claim<'a>(
         &'a self,
         cell: Id,
         epoch: Epoch,
+        first: u64,
         end: u64,
         claim: Bytes,
     ) -> LocalBoxFuture<'a, Result<u64, Rejected>>;
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -6,7 +6,7 @@
 use crate::cell::job::{End, Id, Run};
 use crate::cell::link::Rejected;
 use crate::cell::record::{Batch, Record, WorkerId};
-use crate::cell::timings::{APPEND_BYTES, APPEND_RETRY, IDLE_APPEND};
+use crate::cell::timings::{APPEND_BYTES, APPEND_RETRY, IDLE_APPEND, STORE_SILENCE};
 use crate::clock::Instant;
 use crate::codec;
 
@@ -29,6 +29,8 @@
     out: bool,
     retry_at: Instant,
     written: Instant,
+    /// Since when the first batch has been tried.
+    trying: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -39,9 +41,15 @@
 }
 
 impl Commit {
-    pub(super) fn new(now: Instant) -> Self {
-        // The claim itself was number zero of its epoch.
-        Self { waiting: VecDeque::new(), first: 1, out: false, retry_at: now, written: now }
+    /// Nothing waits; the next batch gets number `first`.
+    pub(super) const fn new(first: u64, now: Instant) -> Self {
+        let waiting = VecDeque::new();
+        Self { waiting, first, out: false, retry_at: now, written: now, trying: None }
+    }
+
+    /// Whether a batch has been tried for longer than a slow store takes.
+    pub fn is_stuck(&self, now: Instant) -> bool {
+        self.trying.is_some_and(|since| now.since(since) > STORE_SILENCE)
     }
 
     /// When the last batch that is known to be stored was sent.
@@ -129,6 +137,7 @@
         match codec::encode(&batch) {
             Ok(batch) => {
                 self.commit.out = true;
+                self.commit.trying.get_or_insert(self.now);
                 self.effects.push(Effect::Append { sequence: self.commit.first, batch });
             }
             Err(error) => {
@@ -165,6 +174,7 @@
     fn stored(&mut self, sent: Instant) {
         self.commit.written = self.commit.written.max(sent);
         self.commit.first += 1;
+        self.commit.trying = None;
         let Some(batch) = self.commit.waiting.pop_front() else { return };
         for action in batch.then {
             self.carry_out(action);
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -133,6 +133,7 @@
             live.progress = (running.percent, now);
         }
         let unwanted = live.unwanted && matches!(live.stage, Stage::Running(_));
+        self.state.note_started(run.task.step.job);
         self.state.note_saved(&run.task, &running.saved);
         if unwanted {
             self.stop_run(run);
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -276,8 +276,16 @@
 }
 
 impl Machine {
-    /// The owner that claimed the cell at `now` and read `state` from its journal.
-    pub fn new(state: State, table: Rc<Table>, timings: Timings, now: Instant, unix: Unix) -> Self {
+    /// The owner that claimed the cell at `now`, with number `claim` of its epoch, and read `state`
+    /// from its journal.
+    pub fn new(
+        state: State,
+        claim: u64,
+        table: Rc<Table>,
+        timings: Timings,
+        now: Instant,
+        unix: Unix,
+    ) -> Self {
         let mut machine = Self {
             epoch: state.epoch,
             timings,
@@ -288,7 +296,7 @@
             tickets: BTreeMap::new(),
             run_times: BTreeMap::new(),
             shares: BTreeMap::new(),
-            commit: Commit::new(now),
+            commit: Commit::new(claim + 1, now),
             claimed: now,
             dead: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -347,7 +355,7 @@
 
     /// Whether the cell should go to an instance that reaches the store better.
     pub fn is_cut_from_store(&self, now: Instant) -> bool {
-        now.since(self.commit.written()) > super::timings::STORE_SILENCE
+        self.commit.is_stuck(now)
     }
 
     /// Instances that were heard of lately.
--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -92,7 +92,9 @@
                 live.stage = Stage::Running(now);
                 live.since = now;
                 live.progress = (0, now);
-                if live.unwanted {
+                let unwanted = live.unwanted;
+                self.state.note_started(run.task.step.job);
+                if unwanted {
                     self.stop_run(run);
                 }
             }
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Number of this process's claims within their epochs; small enough to count on from.
+    pub const fn first_sequence(&self) -> u64 {
+        self.incarnation >> 16
+    }
+
     /// The configuration in force here.
     pub fn table(&self) -> Rc<Table> {
         self.table.borrow().clone()
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -44,7 +44,8 @@
     pub job: Rc<Job>,
     /// When it was accepted.
     pub accepted: Unix,
-    /// Whether any of its tasks was placed.
+    /// Whether any of its tasks is known to have begun on a worker. A placement is not enough: its
+    /// order may never reach the worker.
     pub started: bool,
     /// Whether it was cancelled before it ended.
     pub cancelled: bool,
@@ -215,6 +216,13 @@
         self.step(&key.step)?.tasks.get(key.index as usize)
     }
 
+    /// Notes that a task of the job has begun on a worker.
+    pub fn note_started(&mut self, job: Id) {
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.started = true;
+        }
+    }
+
     /// Notes progress that was saved while a try runs.
     pub fn note_saved(&mut self, key: &TaskKey, saved: &str) {
         if saved.is_empty() {
@@ -257,7 +265,6 @@
     /// again after it.
     fn place(&mut self, run: Run, worker: &WorkerId) {
         let Some(entry) = self.jobs.get_mut(&run.task.step.job) else { return };
-        entry.started = true;
         let Some(step) = entry.step(&run.task.step) else { return };
         let Some(task) = step.tasks.get_mut(run.task.index as usize) else { return };
         if run.number <= task.last {
@@ -276,6 +283,7 @@
         let Some(entry) = self.jobs.get_mut(&key.job) else { return };
         let Some(model) = entry.job.steps.get(key.step as usize) else { return };
         let (is_gang, lasting) = (model.gang, model.lasting);
+        entry.started |= !matches!(end, End::Void | End::Lost);
         let Some(step) = entry.step(&key) else { return };
         let Some(task) = step.tasks.get_mut(run.task.index as usize) else { return };
         task.live = task.live.saturating_sub(1);
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -75,8 +75,9 @@
 /// Silence after which the owner writes an empty batch: the journal's sign of life.
 pub const IDLE_APPEND: Duration = Duration::from_millis(1_000);
 
-/// Age of the last write from which the owner offers its cell to an instance that reaches the store.
-pub const STORE_SILENCE: Duration = Duration::from_millis(900);
+/// Time that one batch may be tried before the owner offers its cell to an instance that reaches
+/// the store. A store that is 60 times slower than usual takes about 400 ms.
+pub const STORE_SILENCE: Duration = Duration::from_millis(600);
 
 /// Time an owner holds back the answer to a watching instance.
 pub const WATCH_HOLD: Duration = Duration::from_millis(250);
