--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -323,8 +323,10 @@
         let mut machine =
             Machine::new(state, node.first_sequence(), node.table(), node.timings, now, unix);
         machine.handle(super::machine::Message::Present(node.me), now, unix);
+        let (alive, cell) = (node.clone(), self.cell);
+        let alive = Box::new(move || alive.note_contact(cell));
         let (owner, handle) =
-            Owner::new(self.cell, node.cells, node.me, machine, node.borders.clone());
+            Owner::new(self.cell, node.cells, node.me, machine, node.borders.clone(), alive);
         log::info!("event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks}", self.cell);
         node.set_owning(self.cell, Some(handle.clone()));
         let why = owner.run().await;
--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -27,7 +27,44 @@
     }
 
     /// A job that is known already is accepted again: the caller has lost the first answer.
+    ///
+    /// While the store is slow, new jobs wait outside the journal, and are refused once it is stuck.
+    /// Guards against an outage that turns every caller's job into one that may or may not run:
+    /// what has been queued for the journal is written when the store is back, so that its caller
+    /// cannot be told that it was not taken.
     fn submit(&mut self, id: CallId, job: Job) {
+        if self.state.jobs.contains_key(&job.id) {
+            return self.defer(Deferred::Reply(id, Answer::Accepted));
+        }
+        if self.commit.is_stuck(self.now) {
+            return self.reply(id, Answer::Unavailable);
+        }
+        if self.commit.is_slow(self.now) {
+            self.admission.push((id, job));
+            return;
+        }
+        self.admit(id, job);
+    }
+
+    /// Takes in or refuses the jobs that waited for the journal.
+    pub(super) fn review_admission(&mut self) {
+        if self.admission.is_empty() {
+            return;
+        }
+        let stuck = self.commit.is_stuck(self.now);
+        if !stuck && self.commit.is_slow(self.now) {
+            return;
+        }
+        for (id, job) in std::mem::take(&mut self.admission) {
+            if stuck {
+                self.reply(id, Answer::Unavailable);
+            } else {
+                self.admit(id, job);
+            }
+        }
+    }
+
+    fn admit(&mut self, id: CallId, job: Job) {
         if !self.state.jobs.contains_key(&job.id) {
             log::info!(
                 "event=job.accepted job={} queue={} steps={} tasks={}",
@@ -47,6 +84,9 @@
             let answer = self.unknown();
             return self.reply(id, answer);
         };
+        if !phase.is_final() && self.commit.is_stuck(self.now) {
+            return self.reply(id, Answer::Unavailable);
+        }
         if !phase.is_final() {
             log::info!("event=job.cancelled job={job}");
             self.record(Record::Cancelled { job });
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -6,7 +6,7 @@
 use crate::cell::job::{End, Id, Run};
 use crate::cell::link::Rejected;
 use crate::cell::record::{Batch, Record, WorkerId};
-use crate::cell::timings::{APPEND_BYTES, APPEND_RETRY, IDLE_APPEND, STORE_SILENCE};
+use crate::cell::timings::{APPEND_BYTES, APPEND_RETRY, IDLE_APPEND, STORE_SILENCE, STORE_SLOW};
 use crate::clock::Instant;
 use crate::codec;
 
@@ -41,6 +41,11 @@
 }
 
 impl Commit {
+    /// Whether the batch under way takes longer than the store usually does.
+    pub(super) fn is_slow(&self, now: Instant) -> bool {
+        self.trying.is_some_and(|since| now.since(since) > STORE_SLOW)
+    }
+
     /// Nothing waits; the next batch gets number `first`.
     pub(super) const fn new(first: u64, now: Instant) -> Self {
         let waiting = VecDeque::new();
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -89,7 +89,7 @@
         self.take_ends(id, report.ended);
         let running: BTreeSet<Run> = report.running.iter().map(|running| running.run).collect();
         for running in report.running {
-            self.take_running(id, running);
+            self.take_running(id, &running);
         }
         self.settle_absent(id, sent, &running);
     }
@@ -117,7 +117,7 @@
         self.runs.get(run).is_some_and(|live| live.worker == worker)
     }
 
-    fn take_running(&mut self, id: &str, running: Running) {
+    fn take_running(&mut self, id: &str, running: &Running) {
         let run = running.run;
         if !self.is_on(&run, id) {
             self.stop_stray(id, run);
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -259,6 +259,8 @@
     /// Share of the workers that may run a step, by queue.
     pub shares: BTreeMap<String, f64>,
     commit: Commit,
+    /// New jobs that wait for a slow store.
+    admission: Vec<(CallId, Job)>,
     claimed: Instant,
     dead: BTreeSet<WorkerId>,
     unsettled: BTreeSet<Id>,
@@ -297,6 +299,7 @@
             run_times: BTreeMap::new(),
             shares: BTreeMap::new(),
             commit: Commit::new(claim + 1, now),
+            admission: Vec::new(),
             claimed: now,
             dead: BTreeSet::new(),
             unsettled: BTreeSet::new(),
@@ -338,6 +341,7 @@
     /// Does what is due and returns all effects since the last call.
     pub fn step(&mut self, now: Instant, unix: Unix) -> Vec<Effect> {
         self.advance(now, unix);
+        self.review_admission();
         self.send_orders();
         self.look_around();
         self.give_up_lapsed();
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -29,8 +29,10 @@
 /// Rest after such a read failed.
 const TABLE_RETRY: Duration = Duration::from_millis(250);
 
-/// Age of the last word of an owner from which the instance wants no callers.
-const CONTACT_LIMIT: Duration = Duration::from_millis(2_500);
+/// Age of the last word of an owner that reaches the store from which the instance wants no
+/// callers. A change of owner is over before; a failure domain that is cut off says no in time for
+/// the platform to send callers to another one.
+const CONTACT_LIMIT: Duration = Duration::from_millis(1_200);
 
 /// Time for passing the configuration to an owner.
 const TABLE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -127,10 +129,8 @@
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
         let now = self.borders.clock.now();
-        let in_contact = |view: &View| {
-            view.owning.is_some()
-                || view.contact.is_some_and(|contact| now.since(contact) < CONTACT_LIMIT)
-        };
+        let in_contact =
+            |view: &View| view.contact.is_some_and(|contact| now.since(contact) < CONTACT_LIMIT);
         !self.stop.is_triggered()
             && self.table().version > 0
             && self.views.borrow().values().all(in_contact)
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -100,6 +100,8 @@
     waiting: BTreeMap<CallId, oneshot::Sender<Answer>>,
     last_call: CallId,
     ended: Rc<Cell<bool>>,
+    /// Told at each step while the store takes what is decided.
+    alive: Box<dyn Fn()>,
 }
 
 impl Owner {
@@ -110,6 +112,7 @@
         me: SocketAddr,
         machine: Machine,
         borders: Rc<Borders>,
+        alive: Box<dyn Fn()>,
     ) -> (Self, Handle) {
         let (sender, inputs) = channel();
         let handle = Handle { inputs: sender };
@@ -124,6 +127,7 @@
             waiting: BTreeMap::new(),
             last_call: 0,
             ended: Rc::new(Cell::new(false)),
+            alive,
         };
         (owner, handle)
     }
@@ -151,6 +155,9 @@
                 }
             }
             let (now, unix) = (self.borders.clock.now(), self.borders.clock.unix());
+            if !self.machine.is_cut_from_store(now) {
+                (self.alive)();
+            }
             for effect in self.machine.step(now, unix) {
                 if let Some(why) = self.carry_out(effect) {
                     return why;
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -79,11 +79,14 @@
 /// the store. A store that is 60 times slower than usual takes about 400 ms.
 pub const STORE_SILENCE: Duration = Duration::from_millis(600);
 
+/// Time of one append from which new jobs wait outside the journal; ten times the usual 8 ms.
+pub const STORE_SLOW: Duration = Duration::from_millis(80);
+
 /// Time an owner holds back the answer to a watching instance.
-pub const WATCH_HOLD: Duration = Duration::from_millis(250);
+pub const WATCH_HOLD: Duration = Duration::from_millis(200);
 
 /// Time a watching instance waits for the owner's answer, hold included.
-pub const WATCH_TIMEOUT: Duration = Duration::from_millis(900);
+pub const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Rest between two attempts of instances of neighbouring rank to take over.
 pub const RANK_DELAY: Duration = Duration::from_millis(120);
@@ -110,8 +113,8 @@
 /// Most workers named in one question to the policy service.
 pub const ADVICE_WORKERS: usize = 100;
 
-/// Time an instance holds a call while no owner is known.
-pub const OWNERLESS_HOLD: Duration = Duration::from_millis(1_500);
+/// Time an instance holds a call while no owner takes it: a change of owner takes half of that.
+pub const OWNERLESS_HOLD: Duration = Duration::from_millis(700);
 
 /// Time kept back of a caller's deadline for the way of the answer.
 pub const ANSWER_MARGIN: Duration = Duration::from_millis(150);
