Announce a new owner, and repeat a hanging append beside the first

An append sent while the store was silent hung for 0.9 s after its return. Change: the owner announces itself to those that followed the one before; a batch without an answer is sent again after 0.2 s under the same number.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -12,7 +12,7 @@
 use super::machine::Machine;
 use super::node::Node;
 use super::owner::{FOLLOW_REST, Owner};
-use super::peer::{WATCH, Watch, Watched};
+use super::peer::{ANNOUNCE, Announcement, WATCH, Watch, Watched};
 use super::record::{Batch, Record};
 use super::state::State;
 use super::timings::{RANK_DELAY, WATCH_TIMEOUT};
@@ -26,6 +26,9 @@
 /// Time in which an owner that nobody reaches must write something to count as alive.
 const SILENT_OWNER: Duration = Duration::from_millis(250);
 
+/// Time for telling another instance of a new owner.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Failed watches in a row after which the journal is asked who owns the cell.
 const UNANSWERED: u32 = 1;
 
@@ -48,6 +51,8 @@
     cell: Id,
     reading: Reading,
     rank: u32,
+    /// Instances that followed the owner when it last answered.
+    peers: Vec<SocketAddr>,
 }
 
 /// Why an instance wants to take a cell over.
@@ -65,7 +70,8 @@
 
 /// Follows or owns the cell until the instance leaves.
 pub async fn run(node: Rc<Node>, cell: Id) {
-    let mut election = Election { node, cell, reading: Reading::default(), rank: UNRANKED };
+    let mut election =
+        Election { node, cell, reading: Reading::default(), rank: UNRANKED, peers: Vec::new() };
     let mut motive = Motive::Unknown;
     while !election.node.has_left() {
         if election.node.stop.is_triggered() {
@@ -129,6 +135,9 @@
             }
             return Some(Motive::Unknown);
         }
+        if !watched.present.is_empty() {
+            self.peers.clone_from(&watched.present);
+        }
         let place = watched.present.iter().position(|peer| *peer == self.node.me);
         self.rank = place.map_or(UNRANKED, |place| (place as u32).min(LOWEST_RANK));
         if watched.offered {
@@ -159,7 +168,13 @@
     /// Reads the journal and takes the cell over, where that is called for.
     async fn consider(&mut self, motive: Motive) {
         let before = self.reading.state.epoch;
-        self.node.borders.clock.sleep(RANK_DELAY * self.rank_now(motive)).await;
+        let known = self.node.epoch(self.cell);
+        for _ in 0..self.rank_now(motive) {
+            self.node.borders.clock.sleep(RANK_DELAY).await;
+            if self.node.epoch(self.cell) > known {
+                return;
+            }
+        }
         if !self.read().await {
             // Without the store nobody can take over; the owner may come back.
             self.node.borders.clock.sleep(READ_RETRY).await;
@@ -309,6 +324,21 @@
         }
     }
 
+    /// Tells the instances that followed the owner before.
+    fn announce(&self, epoch: Epoch) {
+        let announcement = Announcement { cell: self.cell, epoch, owner: self.node.me };
+        for peer in self.peers.iter().copied().filter(|peer| *peer != self.node.me) {
+            let borders = self.node.borders.clone();
+            monoio::spawn(async move {
+                let told: Result<(), _> =
+                    borders.peers.call(peer, ANNOUNCE, &announcement, ANNOUNCE_TIMEOUT).await;
+                if let Err(error) = told {
+                    log::info!("event=owner.not_announced peer={peer} cause={error:?}");
+                }
+            });
+        }
+    }
+
     fn claim_batch(&self, epoch: Epoch) -> Batch {
         let claim = Record::Claimed { peer: self.node.me, incarnation: self.node.incarnation };
         Batch { epoch, at: self.node.borders.clock.unix(), records: vec![claim] }
@@ -328,7 +358,9 @@
         let (owner, handle) =
             Owner::new(self.cell, node.cells, node.me, machine, node.borders.clone(), alive);
         log::info!("event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks}", self.cell);
-        node.set_owning(self.cell, Some(handle.clone()));
+        node.note_epoch(self.cell, epoch);
+        node.set_owning(self.cell, Some(handle));
+        self.announce(epoch);
         let why = owner.run().await;
         log::warn!("event=owner.end cell={} epoch={epoch} {why}", self.cell);
         node.set_owning(self.cell, None);
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -6,7 +6,10 @@
 use crate::cell::job::{End, Id, Run};
 use crate::cell::link::Rejected;
 use crate::cell::record::{Batch, Record, WorkerId};
-use crate::cell::timings::{APPEND_BYTES, APPEND_RETRY, IDLE_APPEND, STORE_SILENCE, STORE_SLOW};
+use crate::cell::timings::{
+    APPEND_BYTES, APPEND_COPIES, APPEND_COPY_AFTER, APPEND_RETRY, IDLE_APPEND, STORE_SILENCE,
+    STORE_SLOW,
+};
 use crate::clock::Instant;
 use crate::codec;
 
@@ -26,7 +29,10 @@
     waiting: VecDeque<Waiting>,
     /// Number of the first batch that waits, or of the next one.
     first: u64,
-    out: bool,
+    /// Whether the first batch has been sent, so that it takes no more records.
+    closed: bool,
+    /// Appends of the first batch that have no answer yet.
+    out: u32,
     retry_at: Instant,
     written: Instant,
     /// Since when the first batch has been tried.
@@ -49,7 +55,7 @@
     /// Nothing waits; the next batch gets number `first`.
     pub(super) const fn new(first: u64, now: Instant) -> Self {
         let waiting = VecDeque::new();
-        Self { waiting, first, out: false, retry_at: now, written: now, trying: None }
+        Self { waiting, first, closed: false, out: 0, retry_at: now, written: now, trying: None }
     }
 
     /// Whether a batch has been tried for longer than a slow store takes.
@@ -64,7 +70,7 @@
 
     fn push(&mut self, record: Record) {
         let bytes = size(&record);
-        let closed = usize::from(self.out);
+        let closed = usize::from(self.closed);
         let full = |batch: &Waiting| batch.bytes + bytes > APPEND_BYTES;
         if self.waiting.len() <= closed || self.waiting.back().is_some_and(full) {
             self.waiting.push_back(Waiting::default());
@@ -126,9 +132,13 @@
         self.defer(Deferred::Settle(job));
     }
 
-    /// Sends the next batch, or a sign of life.
+    /// Sends the next batch, or a sign of life; a batch without an answer is sent again beside the
+    /// first try, since its number makes the journal take it once.
+    ///
+    /// Guards against a store that is back while the last append hangs: without the copy the owner
+    /// would wait for the timeout, and all callers with it.
     pub(super) fn flush(&mut self) {
-        if self.commit.out || self.now < self.commit.retry_at {
+        if self.now < self.commit.retry_at || self.commit.out >= APPEND_COPIES {
             return;
         }
         if self.commit.waiting.is_empty() {
@@ -141,7 +151,9 @@
         let batch = Batch { epoch: self.epoch, at: self.unix, records: waiting.records.clone() };
         match codec::encode(&batch) {
             Ok(batch) => {
-                self.commit.out = true;
+                self.commit.out += 1;
+                self.commit.closed = true;
+                self.commit.retry_at = self.now.after(APPEND_COPY_AFTER);
                 self.commit.trying.get_or_insert(self.now);
                 self.effects.push(Effect::Append { sequence: self.commit.first, batch });
             }
@@ -158,10 +170,10 @@
         sent: Instant,
         outcome: Result<u64, Rejected>,
     ) {
-        if sequence != self.commit.first || !self.commit.out {
+        if sequence != self.commit.first {
             return;
         }
-        self.commit.out = false;
+        self.commit.out = self.commit.out.saturating_sub(1);
         match outcome {
             Ok(_) => self.stored(sent),
             Err(Rejected::Fenced | Rejected::Moved) => {
@@ -179,6 +191,9 @@
     fn stored(&mut self, sent: Instant) {
         self.commit.written = self.commit.written.max(sent);
         self.commit.first += 1;
+        self.commit.closed = false;
+        self.commit.out = 0;
+        self.commit.retry_at = self.now;
         self.commit.trying = None;
         let Some(batch) = self.commit.waiting.pop_front() else { return };
         for action in batch.then {
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -14,10 +14,13 @@
 
 use super::link::Allowed;
 use super::owner::{Borders, Handle};
-use super::peer::{self as wire, ADVISE, CALL, Envelope, Reply, TABLE, WATCH, Watch, Watched};
+use super::peer::{
+    self as wire, ADVISE, ANNOUNCE, Announcement, CALL, Envelope, Reply, TABLE, WATCH, Watch,
+    Watched,
+};
 use super::queue::Table;
 use super::timings::{Timings, WATCH_HOLD};
-use super::{Id, election};
+use super::{Epoch, Id, election};
 use crate::clock::Instant;
 use crate::codec;
 use crate::peer::{Code, Handler, Refusal};
@@ -41,6 +44,8 @@
 #[derive(Default)]
 struct View {
     owner: Option<SocketAddr>,
+    /// Latest epoch whose owner was heard of.
+    epoch: Epoch,
     owning: Option<Handle>,
     contact: Option<Instant>,
 }
@@ -236,10 +241,36 @@
                 self.take_table(decode(body)?);
                 encode(&())
             }
+            ANNOUNCE => {
+                self.take_announcement(decode(body)?);
+                encode(&())
+            }
             other => Err(refusal(Code::UnknownMethod, format!("no method {other}"))),
         }
     }
 
+    /// Follows an owner that makes itself known, unless a later one is known already.
+    fn take_announcement(&self, announcement: Announcement) {
+        let Announcement { cell, epoch, owner } = announcement;
+        let known = self.epoch(cell);
+        if epoch <= known || self.owning(cell).is_some() {
+            return;
+        }
+        self.note_epoch(cell, epoch);
+        self.set_owner(cell, Some(owner));
+    }
+
+    /// Latest epoch whose owner was heard of.
+    pub(super) fn epoch(&self, cell: Id) -> Epoch {
+        self.views.borrow().get(&cell).map_or(Epoch(0), |view| view.epoch)
+    }
+
+    pub(super) fn note_epoch(&self, cell: Id, epoch: Epoch) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.epoch = view.epoch.max(epoch);
+        }
+    }
+
     async fn take_call(&self, envelope: Envelope) -> Reply {
         let Some(owning) = self.owning(envelope.cell) else {
             return Reply::Elsewhere(self.owner(envelope.cell));
--- a/src/cell/peer.rs
+++ b/src/cell/peer.rs
@@ -4,11 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::Id;
 use super::job::StepKey;
 use super::machine::{Answer, Call};
 use super::queue::Table;
 use super::record::WorkerId;
+use super::{Epoch, Id};
 
 /// Peer method that carries a caller's call to the owner.
 pub const CALL: &str = "cell/call";
@@ -16,6 +16,8 @@
 pub const WATCH: &str = "cell/watch";
 /// Peer method by which the owner has an instance ask the policy service.
 pub const ADVISE: &str = "cell/advise";
+/// Peer method by which a new owner makes itself known.
+pub const ANNOUNCE: &str = "cell/announce";
 /// Peer method that passes on a newer configuration.
 pub const TABLE: &str = "cell/table";
 
@@ -50,6 +52,17 @@
     pub version: u64,
 }
 
+/// A new owner makes itself known, so that nobody has to find it in the journal.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct Announcement {
+    /// The cell.
+    pub cell: Id,
+    /// Epoch of the owner.
+    pub epoch: Epoch,
+    /// Where it is reached.
+    pub owner: SocketAddr,
+}
+
 /// Answer to a [`Watch`].
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Watched {
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -69,6 +69,12 @@
 /// Rest before a failed append is repeated.
 pub const APPEND_RETRY: Duration = Duration::from_millis(50);
 
+/// Time without an answer after which an append is sent again beside the first.
+pub const APPEND_COPY_AFTER: Duration = Duration::from_millis(200);
+
+/// Appends of one batch that may wait for answers at once.
+pub const APPEND_COPIES: u32 = 5;
+
 /// Most bytes of one append.
 pub const APPEND_BYTES: usize = 200_000;
 
