--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -138,7 +138,8 @@
         if !watched.present.is_empty() {
             self.peers.clone_from(&watched.present);
         }
-        let place = watched.present.iter().position(|peer| *peer == self.node.me);
+        let mut followers = watched.present.iter().filter(|peer| **peer != owner);
+        let place = followers.position(|peer| *peer == self.node.me);
         self.rank = place.map_or(UNRANKED, |place| (place as u32).min(LOWEST_RANK));
         if watched.offered {
             return Some(Motive::Offered(owner));
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -94,8 +94,9 @@
 /// Time a watching instance waits for the owner's answer, hold included.
 pub const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Rest between two attempts of instances of neighbouring rank to take over.
-pub const RANK_DELAY: Duration = Duration::from_millis(120);
+/// Rest between two attempts of instances of neighbouring rank to take over. A claim takes 20 to
+/// 40 ms with the reading before it; two that come at once cost one of them a second reading.
+pub const RANK_DELAY: Duration = Duration::from_millis(40);
 
 /// Longest silence of a peer that still counts as present.
 pub const PRESENCE: Duration = Duration::from_millis(1_500);
