--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -24,7 +24,7 @@
 pub use commit::Commit;
 
 use super::Epoch;
-use super::job::{End, Id, Job, Phase, Run, StepKey};
+use super::job::{End, Id, Job, Phase, Run, Step, StepKey};
 use super::link::{Allowed, Fault, Look, Rejected, Report, Roster, Start};
 use super::queue::Table;
 use super::record::{Record, WorkerId};
@@ -399,9 +399,12 @@
     }
 
     fn demand(&self, run: &Run) -> Amount {
-        let key = run.task.step;
-        let step = self.state.jobs.get(&key.job).and_then(|e| e.job.steps.get(key.step as usize));
-        step.map_or(Amount::ZERO, |step| step.room())
+        self.model(&run.task.step).map_or(Amount::ZERO, Step::room)
+    }
+
+    /// The step as it was submitted.
+    fn model(&self, key: &StepKey) -> Option<&Step> {
+        self.state.jobs.get(&key.job)?.job.steps.get(key.step as usize)
     }
 
     fn forget(&mut self) {
@@ -482,6 +485,10 @@
     /// Learns from an end about the worker and the queue.
     fn judge(&mut self, run: &Run, live: &Live, end: End) {
         let step = run.task.step;
+        // Lasting tasks may fail at any time; that says nothing of their worker.
+        if self.model(&step).is_some_and(|model| model.lasting) {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(&live.worker) else { return };
         match end {
             End::Done => {
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -129,7 +129,11 @@
                         continue;
                     }
                     let key = StepKey { job: *id, occurrence: *occurrence, step: number as u32 };
-                    let rank = self.rank(&entry.job, queue, &key, entry.accepted.as_millis());
+                    let rank = if model.lasting {
+                        lasting_rank(step, queue, entry.accepted.as_millis())
+                    } else {
+                        self.rank(&entry.job, queue, &key, entry.accepted.as_millis())
+                    };
                     let (job, queue) = (entry.job.clone(), queue.clone());
                     waiting.push(Waiting { key, job, queue, rank, pending });
                 }
@@ -404,6 +408,16 @@
     }
 }
 
+/// Rank of tasks that run until their job is cancelled: one that ran before serves users who miss
+/// it now, and goes before all that waits; a new one keeps its queue's place.
+fn lasting_rank(step: &crate::cell::state::Step, queue: &Queue, accepted: u64) -> Rank {
+    let ran = step.tasks.iter().any(|task| task.last > 0 && task.live == 0);
+    if ran {
+        return Rank { hope: Hope::OnTime, priority: 0, deadline: 0 };
+    }
+    Rank { hope: Hope::OnTime, priority: queue.priority, deadline: accepted + queue.target_ms }
+}
+
 /// Tasks of a step that have no try. A gang begins only when no earlier try of any member is left.
 fn pending(model: &Step, step: &crate::cell::state::Step) -> Vec<u32> {
     if step.is_done() && !model.lasting || model.gang && step.is_live() {
