Prove a cell's promises over random histories and single stories; let the strongest instance own

On the grown site instances differ fourfold and the owner does most of the work; each round of placement walked all jobs of the last two minutes and copied each worker's texts.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -118,8 +118,8 @@
     }
 
     async fn watch(&self, owner: SocketAddr) -> Result<Watched, peer::Error> {
-        let version = self.node.table().version;
-        let watch = Watch { cell: self.cell, from: self.node.me, version };
+        let (version, strength) = (self.node.table().version, self.node.strength);
+        let watch = Watch { cell: self.cell, from: self.node.me, version, strength };
         self.node.borders.peers.call(owner, WATCH, &watch, WATCH_TIMEOUT).await
     }
 
@@ -198,9 +198,8 @@
 
     fn rank_now(&self, motive: Motive) -> u32 {
         match motive {
-            // At the first start all instances come at once; one of them wins by the journal.
-            Motive::Unknown if self.reading.begun => self.rank,
-            Motive::Unknown => 0,
+            // At the first start all instances come at once, and the strongest should win.
+            Motive::Unknown if !self.reading.begun => self.node.weakness(LOWEST_RANK),
             _ => self.rank,
         }
     }
@@ -353,7 +352,8 @@
         let (now, unix) = (node.borders.clock.now(), node.borders.clock.unix());
         let mut machine =
             Machine::new(state, node.first_sequence(), node.table(), node.timings, now, unix);
-        machine.handle(super::machine::Message::Present(node.me), now, unix);
+        let (peer, strength) = (node.me, node.strength);
+        machine.handle(super::machine::Message::Present { peer, strength }, now, unix);
         let (alive, cell) = (node.clone(), self.cell);
         let alive = Box::new(move || alive.note_contact(cell));
         let (owner, handle) =
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -2,6 +2,7 @@
 //! the platform keeps.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -94,7 +95,7 @@
     /// The try.
     pub run: Run,
     /// Text of the job.
-    pub payload: std::rc::Rc<super::job::Job>,
+    pub payload: Rc<super::job::Job>,
     /// End of the lease on the worker's clock.
     pub until_ms: u64,
     /// Progress to go on from; empty for none.
@@ -275,7 +276,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Roster {
     /// Workers that appeared or changed.
-    pub present: Vec<(WorkerId, Listed)>,
+    pub present: Vec<(WorkerId, Rc<Listed>)>,
     /// Workers that are gone from the list.
     pub gone: Vec<WorkerId>,
     /// Whether `present` is the whole list.
--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -9,7 +9,7 @@
 use crate::cell::link::Allowed;
 use crate::cell::queue::Advice;
 use crate::cell::record::WorkerId;
-use crate::cell::timings::{ADVICE_SLACK, ADVICE_WORKERS, PRESENCE};
+use crate::cell::timings::{ADVICE_SLACK, ADVICE_WORKERS};
 use crate::clock::Instant;
 
 /// A question about one step.
@@ -36,7 +36,7 @@
     pub(super) fn idle_asker(&self) -> Option<SocketAddr> {
         self.askers
             .iter()
-            .find(|(_, asker)| asker.question.is_none() && self.now.since(asker.seen) < PRESENCE)
+            .find(|(_, asker)| asker.question.is_none() && asker.is_fresh(self.now))
             .map(|(peer, _)| *peer)
     }
 
--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -119,9 +119,10 @@
     }
 
     fn count_waiting(&self, queue: &str) -> u64 {
-        let waits = |entry: &&crate::cell::state::Entry| {
-            entry.job.queue == queue && !entry.started && !entry.phase().is_final()
+        let waits = |id: &&Id| {
+            let entry = self.state.jobs.get(id);
+            entry.is_some_and(|entry| entry.job.queue == queue && !entry.started)
         };
-        self.state.jobs.values().filter(waits).count() as u64
+        self.state.open.iter().filter(waits).count() as u64
     }
 }
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -109,12 +109,12 @@
             }
         }
         if last > recorded {
-            self.defer(Deferred::Forget(id.to_owned(), last));
+            self.defer(Deferred::Forget(id.into(), last));
         }
     }
 
     fn is_on(&self, run: &Run, worker: &str) -> bool {
-        self.runs.get(run).is_some_and(|live| live.worker == worker)
+        self.runs.get(run).is_some_and(|live| &*live.worker == worker)
     }
 
     fn take_running(&mut self, id: &str, running: &Running) {
@@ -148,7 +148,7 @@
         log::warn!("event=task.stray task={run} worker={id}");
         let Some(worker) = self.workers.get(id) else { return };
         let peer = worker.address();
-        self.effects.push(Effect::Stop { worker: id.to_owned(), peer, run });
+        self.effects.push(Effect::Stop { worker: id.into(), peer, run });
     }
 
     /// Draws conclusions about tries that a worker neither runs nor lists as ended.
@@ -173,7 +173,7 @@
     pub(super) fn bury(&mut self, id: &str, reason: &str) {
         let Some(worker) = self.workers.remove(id) else { return };
         log::warn!("event=worker.gone worker={id} reason={reason} tasks={}", worker.runs.len());
-        self.dead.insert(id.to_owned());
+        self.dead.insert(id.into());
         for run in worker.runs {
             self.end_run(run, End::Lost, String::new());
         }
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -12,6 +12,7 @@
 mod place;
 mod roster;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +39,13 @@
 /// Names a call that waits for its answer.
 pub type CallId = u64;
 
+/// Times the owner's processor from which another instance should own the cell: a change of owner
+/// costs about 50 ms of placements.
+const MUCH_STRONGER: f64 = 1.4;
+
+/// Time after a claim in which the cell stays where it is.
+const SETTLED_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Rest between two looks for ended jobs to forget.
 const FORGET_REST: Duration = Duration::from_secs(1);
 
@@ -129,7 +137,12 @@
     /// The configuration changed.
     Table(Rc<Table>),
     /// An instance is there and can ask the policy service.
-    Present(SocketAddr),
+    Present {
+        /// Where it is reached.
+        peer: SocketAddr,
+        /// Processor that it may use, in thousandths of a core.
+        strength: u32,
+    },
 }
 
 /// What the machine wants done.
@@ -236,6 +249,7 @@
 struct Asker {
     seen: Instant,
     question: Option<u64>,
+    strength: u32,
 }
 
 /// The owner of a cell.
@@ -331,8 +345,8 @@
             Message::Advised { question, allowed } => self.advised(question, allowed.as_ref()),
             Message::Roster(roster) => self.roster(roster),
             Message::Table(table) => self.configure(table),
-            Message::Present(peer) => {
-                let asker = Asker { seen: now, question: None };
+            Message::Present { peer, strength } => {
+                let asker = Asker { seen: now, question: None, strength };
                 self.askers.entry(peer).or_insert(asker).seen = now;
             }
         }
@@ -362,10 +376,23 @@
         self.commit.is_stuck(now)
     }
 
-    /// Instances that were heard of lately.
+    /// Instances that were heard of lately, the strongest first: the owner does most of the work,
+    /// and instances differ fourfold.
     pub fn present(&self, now: Instant) -> Vec<SocketAddr> {
-        let fresh = |asker: &Asker| now.since(asker.seen) < PRESENCE;
-        self.askers.iter().filter(|(_, asker)| fresh(asker)).map(|(peer, _)| *peer).collect()
+        let fresh = self.askers.iter().filter(|(_, asker)| asker.is_fresh(now));
+        let mut ranked: Vec<(Reverse<u32>, SocketAddr)> =
+            fresh.map(|(peer, asker)| (Reverse(asker.strength), *peer)).collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, peer)| peer).collect()
+    }
+
+    /// Whether an instance is there that is much stronger than `strength`.
+    pub fn is_outclassed(&self, strength: u32, now: Instant) -> bool {
+        let settled = now.since(self.claimed) > SETTLED_AFTER;
+        let stronger = |asker: &Asker| {
+            asker.is_fresh(now) && f64::from(asker.strength) > f64::from(strength) * MUCH_STRONGER
+        };
+        settled && self.askers.values().any(stronger)
     }
 
     fn advance(&mut self, now: Instant, unix: Unix) {
@@ -536,6 +563,12 @@
     }
 }
 
+impl Asker {
+    fn is_fresh(&self, now: Instant) -> bool {
+        now.since(self.seen) < PRESENCE
+    }
+}
+
 impl Live {
     fn new(worker: WorkerId, demand: Amount, stage: Stage, now: Instant) -> Self {
         Self {
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -8,13 +8,14 @@
 use super::commit::Deferred;
 use super::{Live, Machine, Stage};
 use crate::cell::job::{Job, Phase, Run, Step, StepKey, TaskKey};
+use crate::cell::link::Listed;
 use crate::cell::queue::{Advice, Queue};
 use crate::cell::record::{Record, WorkerId};
 use crate::cell::worker::difference;
 use crate::resource::Amount;
 
 /// Rest between two rounds; each looks at every waiting step.
-const ROUND_REST: Duration = Duration::from_millis(4);
+const ROUND_REST: Duration = Duration::from_millis(8);
 
 /// Longest rest between two rounds while nothing changes: tickets expire and jobs become due.
 const ROUND_LIMIT: Duration = Duration::from_millis(60);
@@ -67,10 +68,7 @@
 /// A worker that may take tasks in this round.
 struct Field {
     id: WorkerId,
-    service: String,
-    rack: Option<String>,
-    labels: Vec<String>,
-    capacity: Amount,
+    listed: Rc<Listed>,
     room: Amount,
     /// Kept for a gang of a higher rank.
     reserved: bool,
@@ -101,10 +99,7 @@
         let open = self.workers.values().filter(|worker| worker.is_open(self.now));
         open.map(|worker| Field {
             id: worker.id.clone(),
-            service: worker.listed.service.clone(),
-            rack: worker.listed.rack.clone(),
-            labels: worker.listed.labels.clone(),
-            capacity: worker.listed.capacity,
+            listed: worker.listed.clone(),
             room: worker.room(),
             reserved: false,
         })
@@ -115,10 +110,8 @@
     fn waiting_steps(&mut self) -> Vec<Waiting> {
         self.open_occurrences();
         let mut waiting = Vec::new();
-        for (id, entry) in &self.state.jobs {
-            if entry.phase().is_final() {
-                continue;
-            }
+        for id in &self.state.open {
+            let Some(entry) = self.state.jobs.get(id) else { continue };
             let Some(queue) = self.table.queue(&entry.job.queue) else { continue };
             for (occurrence, steps) in &entry.open {
                 for (number, step) in steps.iter().enumerate() {
@@ -145,7 +138,8 @@
     /// Begins the occurrences that are due.
     fn open_occurrences(&mut self) {
         let unix = self.unix;
-        for entry in self.state.jobs.values_mut() {
+        for id in &self.state.open {
+            let Some(entry) = self.state.jobs.get_mut(id) else { continue };
             if entry.phase() != Phase::Pending && entry.job.schedule.is_none() {
                 continue;
             }
@@ -228,16 +222,17 @@
         let tickets = self.tickets.get(&step.key);
         let needs_ticket = step.queue.advice.is_some();
         let fits = |field: &Field| {
-            let label = model.label.as_ref().is_none_or(|label| field.labels.contains(label));
+            let label =
+                model.label.as_ref().is_none_or(|label| field.listed.labels.contains(label));
             let ticket = !needs_ticket
                 || tickets.is_some_and(|tickets| tickets.valid(&field.id, self.now).is_some());
-            field.service == step.queue.service && label && ticket
+            field.listed.service == step.queue.service && label && ticket
         };
         let mut allowed: Vec<usize> = (0..fields.len()).filter(|&at| fits(&fields[at])).collect();
         if let Some(rack) = &model.data_rack
             && step.rank.hope == Hope::OnTime
         {
-            let near = |at: &usize| fields[*at].rack.as_ref() == Some(rack);
+            let near = |at: &usize| fields[*at].listed.rack.as_ref() == Some(rack);
             if allowed.iter().any(near) {
                 allowed.retain(near);
             }
@@ -253,7 +248,7 @@
         if model.same_rack {
             for rack in racks(allowed, fields) {
                 let near: Vec<usize> =
-                    allowed.iter().copied().filter(|&at| fields[at].rack == rack).collect();
+                    allowed.iter().copied().filter(|&at| fields[at].listed.rack == rack).collect();
                 let plan = self.fill(step, &near, fields);
                 if plan.len() == step.pending.len() {
                     return plan;
@@ -290,7 +285,7 @@
                     let field = &fields[at];
                     let before = failed.is_some_and(|failed| failed.contains(&field.id));
                     let penalty = if before { FAILED_BEFORE } else { 0.0 };
-                    (leftover(room, &demand, &field.capacity) + penalty, at)
+                    (leftover(room, &demand, &field.listed.capacity) + penalty, at)
                 })
                 .min_by(|one, other| one.0.total_cmp(&other.0));
             let Some((_, at)) = best else { break };
@@ -371,8 +366,8 @@
         }
         let model = step.model();
         let fits = |field: &&Field| {
-            field.service == step.queue.service
-                && model.label.as_ref().is_none_or(|label| field.labels.contains(label))
+            field.listed.service == step.queue.service
+                && model.label.as_ref().is_none_or(|label| field.listed.labels.contains(label))
         };
         let (asked, eligible) = tickets.tally();
         let mut unasked: Vec<&Field> =
@@ -443,7 +438,7 @@
 }
 
 fn racks(allowed: &[usize], fields: &[Field]) -> BTreeSet<Option<String>> {
-    allowed.iter().map(|&at| fields[at].rack.clone()).collect()
+    allowed.iter().map(|&at| fields[at].listed.rack.clone()).collect()
 }
 
 /// Room left on a worker as a share of what it has, over processors and memory.
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -27,7 +27,7 @@
         }
     }
 
-    fn list(&mut self, id: WorkerId, listed: Listed) {
+    fn list(&mut self, id: WorkerId, listed: Rc<Listed>) {
         if self.dead.contains(&id) {
             return;
         }
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -56,6 +56,8 @@
     pub me: SocketAddr,
     /// Drawn at the start of the process.
     pub incarnation: u64,
+    /// Processor that the process may use, in thousandths of a core.
+    pub strength: u32,
     /// Cells of the site.
     pub cells: u32,
     /// Spans that the site sets.
@@ -74,6 +76,7 @@
     pub fn new(
         me: SocketAddr,
         incarnation: u64,
+        strength: u32,
         cells: u32,
         timings: Timings,
         borders: Rc<Borders>,
@@ -83,6 +86,7 @@
         Rc::new(Self {
             me,
             incarnation,
+            strength,
             cells: cells.max(1),
             timings,
             borders,
@@ -103,6 +107,13 @@
         }
     }
 
+    /// Rank of the process by its processor alone: zero from half a core on, `lowest` for none.
+    pub(super) fn weakness(&self, lowest: u32) -> u32 {
+        /// Processor of the strongest instances, in thousandths of a core.
+        const STRONG: u32 = 500;
+        lowest - lowest * self.strength.min(STRONG) / STRONG
+    }
+
     /// Number of this process's claims within their epochs; small enough to count on from.
     pub const fn first_sequence(&self) -> u64 {
         self.incarnation >> 16
@@ -288,23 +299,26 @@
     async fn watched(&self, watch: &Watch) -> Watched {
         let stopping = self.stop.is_triggered();
         if let Some(owning) = self.owning(watch.cell) {
-            owning.send(super::machine::Message::Present(watch.from));
+            let (peer, strength) = (watch.from, watch.strength);
+            owning.send(super::machine::Message::Present { peer, strength });
             if !stopping {
                 let _ = monoio::time::timeout(WATCH_HOLD, self.stop.wait()).await;
             }
         }
         let table = self.table();
         let newer = (table.version > watch.version).then(|| (*table).clone());
-        let look = |machine: &super::machine::Machine, now| {
-            (machine.is_cut_from_store(now), machine.present(now))
+        let strength = self.strength;
+        let look = move |machine: &super::machine::Machine, now| {
+            let offered = machine.is_cut_from_store(now) || machine.is_outclassed(strength, now);
+            (offered, machine.present(now))
         };
         let seen = match self.owning(watch.cell) {
             Some(owning) => owning.inspect(look).await,
             None => None,
         };
         let owns = seen.is_some();
-        let (cut, present) = seen.unwrap_or_default();
-        let offered = cut || self.stop.is_triggered();
+        let (offered, present) = seen.unwrap_or_default();
+        let offered = offered || self.stop.is_triggered();
         Watched { owns, owner: self.owner(watch.cell), offered, present, table: newer }
     }
 }
--- a/src/cell/peer.rs
+++ b/src/cell/peer.rs
@@ -50,6 +50,8 @@
     pub from: SocketAddr,
     /// Version of the configuration that it has.
     pub version: u64,
+    /// Processor that the follower may use, in thousandths of a core.
+    pub strength: u32,
 }
 
 /// A new owner makes itself known, so that nobody has to find it in the journal.
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -1,6 +1,7 @@
 //! The records of a cell's journal.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
@@ -9,7 +10,7 @@
 use crate::clock::Unix;
 
 /// Name of a worker: one life of it, as the platform's list names it.
-pub type WorkerId = String;
+pub type WorkerId = Rc<str>;
 
 /// What one append carries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -3,7 +3,7 @@
 //! The owner applies a record when it decides it; an instance that takes the cell over applies the
 //! records it reads. Both arrive at the same state, since applying reads nothing else.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, btree_map};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +33,8 @@
     pub owner: Option<Owner>,
     /// Jobs that are known.
     pub jobs: BTreeMap<Id, Entry>,
+    /// Jobs that have not reached their final phase.
+    pub open: BTreeSet<Id>,
     /// Tries that are placed and not ended, with their workers.
     pub live: BTreeMap<Run, WorkerId>,
 }
@@ -193,7 +195,10 @@
             }
             Record::Accepted { at, job } => {
                 let id = job.id;
-                self.jobs.entry(id).or_insert_with(|| Entry::new(job, at));
+                if let btree_map::Entry::Vacant(vacant) = self.jobs.entry(id) {
+                    vacant.insert(Entry::new(job, at));
+                    self.open.insert(id);
+                }
             }
             Record::Cancelled { job } => self.close(job, at, |entry| entry.cancelled = true),
             Record::Failed { job } => self.close(job, at, |entry| entry.failed = true),
@@ -259,6 +264,7 @@
         }
         mark(entry);
         entry.ended = Some(at);
+        self.open.remove(&job);
     }
 
     /// Applying a placement twice changes nothing: a saved state may hold records that are read
@@ -304,6 +310,9 @@
         }
         entry.complete(at);
         entry.settle(key.occurrence, at);
+        if entry.phase().is_final() {
+            self.open.remove(&key.job);
+        }
     }
 }
 
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::job::Run;
@@ -31,7 +32,7 @@
     /// Name of this life of it.
     pub id: WorkerId,
     /// What the list says of it.
-    pub listed: Listed,
+    pub listed: Rc<Listed>,
     /// Since when the list has not named it.
     pub missing_since: Option<Instant>,
     /// Its clock and lease.
@@ -60,7 +61,7 @@
 
 impl Worker {
     /// A worker that the list names and that has not been called yet.
-    pub fn new(id: WorkerId, listed: Listed, now: Instant) -> Self {
+    pub fn new(id: WorkerId, listed: Rc<Listed>, now: Instant) -> Self {
         Self {
             id,
             listed,
@@ -80,7 +81,7 @@
     }
 
     /// Address at which it takes orders.
-    pub const fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.listed.address
     }
 
--- /dev/null
+++ b/tests/logic/cell/mod.rs
@@ -0,0 +1,9 @@
+//! Cells: the owner's machine alone, and over random histories with workers and a journal.
+
+mod histories;
+mod lease;
+mod machine;
+mod model;
+mod ticket;
+mod upstream;
+mod world;
--- /dev/null
+++ b/tests/logic/cell/ticket.rs
@@ -0,0 +1,61 @@
+//! Tickets of the policy service.
+
+use std::time::Duration;
+
+use oriolefork::cell::link::Allowed;
+use oriolefork::cell::ticket::Tickets;
+use oriolefork::clock::Instant;
+
+const VALID: Duration = Duration::from_millis(1_500);
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(millis)
+}
+
+fn answered() -> Tickets {
+    let mut tickets = Tickets::default();
+    let workers = ["w1".into(), "w2".into()];
+    tickets.ask(&workers);
+    let allowed = Allowed { workers: vec![("w1".into(), "t1".to_owned())], valid_ms: None };
+    tickets.answer(&workers, Some(&allowed), VALID, at(100));
+    tickets
+}
+
+#[test]
+fn answer_splits_workers() {
+    let tickets = answered();
+    assert!(tickets.allows("w1"));
+    assert!(!tickets.allows("w2"));
+    assert!(!tickets.is_unasked("w2"));
+    assert!(tickets.is_unasked("w3"));
+    assert_eq!(tickets.tally(), (2, 1));
+}
+
+#[test]
+fn valid_ends_before_the_ticket_does() {
+    let tickets = answered();
+    assert_eq!(tickets.valid("w1", at(200)), Some("t1"));
+    assert_eq!(tickets.valid("w1", at(1_590)), None);
+    assert_eq!(tickets.stale(at(1_590)), ["w1".into()]);
+}
+
+/// The instance that asks dies with the question. The workers it named must count as unasked
+/// again, or the step would wait for ever for an answer that nobody sends.
+#[test]
+fn answer_missing_can_be_asked_again() {
+    let mut tickets = Tickets::default();
+    let workers = ["w1".into()];
+    tickets.ask(&workers);
+    assert!(tickets.is_asking());
+    tickets.answer(&workers, None, VALID, at(100));
+    assert!(!tickets.is_asking());
+    assert!(tickets.is_unasked("w1"));
+}
+
+#[test]
+fn expire_keeps_eligibility() {
+    let mut tickets = answered();
+    tickets.expire("w1");
+    assert_eq!(tickets.valid("w1", at(200)), None);
+    assert!(tickets.allows("w1"));
+}
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -2,6 +2,7 @@
 
 mod alert;
 mod api;
+mod cell;
 mod cli;
 mod codec;
 mod config;
