--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -1,8 +1,8 @@
 //! Who owns a cell: each instance follows the owner, and takes over when the owner is gone.
 //!
-//! Safety lies in the journal alone: a claim is written only at the end that the claimant has read,
-//! so that its state is whole, and the journal refuses the owner before it from then on. Everything
-//! here only decides *when* to claim.
+//! Safety lies in the journal alone: from a claim on it refuses the owner before, so that what
+//! stands before the claim is all that ever will. The claimant reads up to its own claim and has the
+//! whole state. Everything here only decides *when* to claim.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -279,41 +279,33 @@
         false
     }
 
+    /// Claims the cell and owns it, if no other instance is faster.
+    ///
+    /// The claim goes wherever the journal ends: a busy owner that hands its cell over goes on
+    /// writing, so that a claim at the end that was read would come too late again and again.
     async fn claim(&mut self, motive: Motive) {
         let epoch = self.reading.state.epoch.next();
-        let batch = self.claim_batch(epoch);
-        let Ok(bytes) = codec::encode(&batch) else { return };
-        let end = self.reading.next;
-        log::info!(
-            "event=owner.claim cell={} epoch={epoch} end={end} motive={motive:?}",
-            self.cell
-        );
+        let Ok(bytes) = codec::encode(&self.claim_batch(epoch)) else { return };
+        log::info!("event=owner.claim cell={} epoch={epoch} motive={motive:?}", self.cell);
         let first = self.node.first_sequence();
         let journal = self.node.borders.journal.clone();
-        let claimed = journal.claim(self.cell, epoch, first, end, bytes).await;
-        match claimed {
-            Ok(next) => {
-                self.reading.state.apply_batch(batch);
-                self.reading.next = next;
-                self.own().await;
-            }
-            Err(Rejected::Moved | Rejected::Fenced) => {
+        let claimed = journal.claim(self.cell, epoch, first, bytes).await;
+        match &claimed {
+            Ok(_) => {}
+            Err(Rejected::Fenced) => {
                 log::info!("event=owner.claim_lost cell={} epoch={epoch}", self.cell);
-                if self.read().await {
-                    let owner = self.reading.state.owner.map(|owner| owner.peer);
-                    self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
-                }
             }
-            Err(rejected) => self.settle_claim(epoch, &rejected).await,
+            // It may be in the journal all the same; only reading it tells.
+            Err(rejected) => {
+                log::warn!("event=owner.claim_unknown cell={} epoch={epoch} {rejected}", self.cell);
+                self.node.borders.clock.sleep(READ_RETRY).await;
+            }
         }
-    }
-
-    /// A claim without an answer may be in the journal; only reading it tells.
-    async fn settle_claim(&mut self, epoch: Epoch, rejected: &Rejected) {
-        log::warn!("event=owner.claim_unknown cell={} epoch={epoch} {rejected}", self.cell);
-        self.node.borders.clock.sleep(READ_RETRY).await;
-        if !self.read().await {
-            return;
+        while !self.read().await {
+            if claimed.is_err() || self.node.stop.is_triggered() {
+                return;
+            }
+            self.node.borders.clock.sleep(READ_RETRY).await;
         }
         let owner = self.reading.state.owner;
         let mine = owner.is_some_and(|owner| {
@@ -321,6 +313,9 @@
         });
         if mine && self.reading.state.epoch == epoch {
             self.own().await;
+        } else {
+            let owner = owner.map(|owner| owner.peer);
+            self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
         }
     }
 
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -196,9 +196,6 @@
     /// A later owner writes the journal.
     #[display("fenced")]
     Fenced,
-    /// The journal does not end where the append should go.
-    #[display("moved on")]
-    Moved,
     /// Surely not done; may be repeated.
     #[display("not written: {_0}")]
     NotWritten(String),
@@ -229,8 +226,8 @@
 
 /// Journals of cells in the platform's store.
 pub trait Journal {
-    /// Takes the journal over: appends `claim` if it ends at `end`, and makes it refuse smaller
-    /// epochs from then on. Returns the offset after the claim.
+    /// Takes the journal over: appends `claim` and makes it refuse smaller epochs from then on.
+    /// Returns the offset after the claim.
     ///
     /// `first` numbers the claim within its epoch. It differs between claimants: two that claim the
     /// same epoch with the same number would look like one that repeats itself, and both be told
@@ -240,7 +237,6 @@
         cell: Id,
         epoch: Epoch,
         first: u64,
-        end: u64,
         claim: Bytes,
     ) -> LocalBoxFuture<'a, Result<u64, Rejected>>;
 
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -176,7 +176,7 @@
         self.commit.out = self.commit.out.saturating_sub(1);
         match outcome {
             Ok(_) => self.stored(sent),
-            Err(Rejected::Fenced | Rejected::Moved) => {
+            Err(Rejected::Fenced) => {
                 let why = "step=journal.append cause=fenced".to_owned();
                 self.effects.push(Effect::StepDown { why });
             }
