Save the whole state at times, once all decisions are stored

Change: every 60 s the state goes into the store, in pieces by one append, and a successor begins there.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -342,11 +342,11 @@
     /// Owns the cell until another instance takes it over.
     async fn own(&mut self) {
         let node = self.node.clone();
-        let state = std::mem::take(&mut self.reading).state;
+        let Reading { state, next, .. } = std::mem::take(&mut self.reading);
         let (epoch, jobs, tasks) = (state.epoch, state.jobs.len(), state.live.len());
         let (now, unix) = (node.borders.clock.now(), node.borders.clock.unix());
         let mut machine =
-            Machine::new(state, node.first_sequence(), node.table(), node.timings, now, unix);
+            Machine::new(state, node.first_sequence(), next, node.table(), node.timings, now, unix);
         let (peer, strength) = (node.me, node.strength);
         machine.handle(super::machine::Message::Present { peer, strength }, now, unix);
         let (alive, cell) = (node.clone(), self.cell);
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -4,7 +4,7 @@
 
 use super::{Answer, CallId, Effect, Machine, Stage};
 use crate::cell::job::{End, Id, Run};
-use crate::cell::link::Rejected;
+use crate::cell::link::{Base, Rejected};
 use crate::cell::record::{Batch, Record, WorkerId};
 use crate::cell::timings::{
     APPEND_BYTES, APPEND_COPIES, APPEND_COPY_AFTER, APPEND_RETRY, IDLE_APPEND, STORE_SILENCE,
@@ -35,6 +35,8 @@
     out: u32,
     retry_at: Instant,
     written: Instant,
+    /// Offset after the last batch that is known to be stored.
+    end: u64,
     /// Since when the first batch has been tried.
     trying: Option<Instant>,
 }
@@ -53,9 +55,18 @@
     }
 
     /// Nothing waits; the next batch gets number `first`.
-    pub(super) const fn new(first: u64, now: Instant) -> Self {
+    pub(super) const fn new(first: u64, end: u64, now: Instant) -> Self {
         let waiting = VecDeque::new();
-        Self { waiting, first, closed: false, out: 0, retry_at: now, written: now, trying: None }
+        Self {
+            waiting,
+            first,
+            closed: false,
+            out: 0,
+            retry_at: now,
+            written: now,
+            end,
+            trying: None,
+        }
     }
 
     /// Whether a batch has been tried for longer than a slow store takes.
@@ -104,6 +115,30 @@
 }
 
 impl Machine {
+    /// Has the whole state saved, once all decisions are stored.
+    ///
+    /// Guards against a saved state that holds decisions which never came to be stored: a successor
+    /// that has read the journal without them decides otherwise, and the one after it, beginning
+    /// with the saved state, would run again what has failed or ended.
+    fn save_when_settled(&mut self) {
+        if !self.save_due || !self.commit.waiting.is_empty() {
+            return;
+        }
+        self.save_due = false;
+        match codec::encode(&self.state) {
+            Ok(state) => {
+                let base = Base { state: Some(state), offset: self.commit.end };
+                self.effects.push(Effect::Save(base));
+            }
+            Err(error) => log::error!("event=journal.base_too_large cause={error:?}"),
+        }
+    }
+
+    /// Number of this owner's claim within its epoch.
+    pub const fn claim_number(&self) -> u64 {
+        self.claim
+    }
+
     /// Applies a decision and queues it for the journal.
     pub(super) fn record(&mut self, record: Record) {
         self.state.apply(record.clone(), self.unix);
@@ -175,7 +210,7 @@
         }
         self.commit.out = self.commit.out.saturating_sub(1);
         match outcome {
-            Ok(_) => self.stored(sent),
+            Ok(end) => self.stored(sent, end),
             Err(Rejected::Fenced) => {
                 let why = "step=journal.append cause=fenced".to_owned();
                 self.effects.push(Effect::StepDown { why });
@@ -188,7 +223,8 @@
         }
     }
 
-    fn stored(&mut self, sent: Instant) {
+    fn stored(&mut self, sent: Instant, end: u64) {
+        self.commit.end = self.commit.end.max(end);
         self.commit.written = self.commit.written.max(sent);
         self.commit.first += 1;
         self.commit.closed = false;
@@ -199,6 +235,7 @@
         for action in batch.then {
             self.carry_out(action);
         }
+        self.save_when_settled();
         self.flush();
     }
 
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -26,7 +26,7 @@
 
 use super::Epoch;
 use super::job::{End, Id, Job, Phase, Run, Step, StepKey};
-use super::link::{Allowed, Fault, Look, Rejected, Report, Roster, Start};
+use super::link::{Allowed, Base, Fault, Look, Rejected, Report, Roster, Start};
 use super::queue::Table;
 use super::record::{Record, WorkerId};
 use super::state::State;
@@ -136,6 +136,8 @@
     Roster(Roster),
     /// The configuration changed.
     Table(Rc<Table>),
+    /// The whole state is to be saved.
+    SaveDue,
     /// An instance is there and can ask the policy service.
     Present {
         /// Where it is reached.
@@ -191,6 +193,8 @@
         /// The answer.
         answer: Answer,
     },
+    /// Save the whole state.
+    Save(Base),
     /// Another owner has taken the cell over; end.
     StepDown {
         /// How it showed.
@@ -272,11 +276,13 @@
     pub run_times: BTreeMap<String, f64>,
     /// Share of the workers that may run a step, by queue.
     pub shares: BTreeMap<String, f64>,
+    claim: u64,
     commit: Commit,
     /// New jobs that wait for a slow store.
     admission: Vec<(CallId, Job)>,
     claimed: Instant,
     dead: BTreeSet<WorkerId>,
+    save_due: bool,
     unsettled: BTreeSet<Id>,
     failed_on: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     askers: BTreeMap<SocketAddr, Asker>,
@@ -293,10 +299,11 @@
 
 impl Machine {
     /// The owner that claimed the cell at `now`, with number `claim` of its epoch, and read `state`
-    /// from its journal.
+    /// from its journal up to offset `end`.
     pub fn new(
         state: State,
         claim: u64,
+        end: u64,
         table: Rc<Table>,
         timings: Timings,
         now: Instant,
@@ -312,10 +319,12 @@
             tickets: BTreeMap::new(),
             run_times: BTreeMap::new(),
             shares: BTreeMap::new(),
-            commit: Commit::new(claim + 1, now),
+            claim,
+            commit: Commit::new(claim + 1, end, now),
             admission: Vec::new(),
             claimed: now,
             dead: BTreeSet::new(),
+            save_due: false,
             unsettled: BTreeSet::new(),
             failed_on: BTreeMap::new(),
             askers: BTreeMap::new(),
@@ -345,6 +354,7 @@
             Message::Advised { question, allowed } => self.advised(question, allowed.as_ref()),
             Message::Roster(roster) => self.roster(roster),
             Message::Table(table) => self.configure(table),
+            Message::SaveDue => self.save_due = true,
             Message::Present { peer, strength } => {
                 let asker = Asker { seen: now, question: None, strength };
                 self.askers.entry(peer).or_insert(asker).seen = now;
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -11,11 +11,11 @@
 use local_sync::oneshot;
 
 use super::job::Run;
-use super::link::{Advisor, Fault, Journal, Listed, Lists, Look, Roster, Start, Workers};
+use super::link::{Advisor, Base, Fault, Journal, Listed, Lists, Look, Roster, Start, Workers};
 use super::machine::{Answer, Call, CallId, Effect, Machine, Message, Question};
 use super::peer as wire;
 use super::record::WorkerId;
-use super::timings::{APPEND_TIMEOUT, LOOK_TIMEOUT, ORDER_TIMEOUT, ROSTER_REST, TICK};
+use super::timings::{APPEND_TIMEOUT, LOOK_TIMEOUT, ORDER_TIMEOUT, ROSTER_REST, SAVE_REST, TICK};
 use super::{Epoch, Id};
 use crate::clock::{Clock, Instant};
 use crate::peer;
@@ -99,6 +99,7 @@
     handle: Handle,
     waiting: BTreeMap<CallId, oneshot::Sender<Answer>>,
     last_call: CallId,
+    saves: u64,
     ended: Rc<Cell<bool>>,
     /// Told at each step while the store takes what is decided.
     alive: Box<dyn Fn()>,
@@ -126,6 +127,7 @@
             handle: handle.clone(),
             waiting: BTreeMap::new(),
             last_call: 0,
+            saves: 0,
             ended: Rc::new(Cell::new(false)),
             alive,
         };
@@ -135,6 +137,7 @@
     /// Runs until another instance takes over or the handle says so; returns why.
     pub async fn run(mut self) -> String {
         self.follow_roster();
+        self.remind_to_save();
         let why = self.serve().await;
         self.ended.set(true);
         why
@@ -196,6 +199,7 @@
                     let _ = reply.send(answer);
                 }
             }
+            Effect::Save(base) => self.save(base),
             Effect::StepDown { why } => return Some(why),
         }
         None
@@ -252,6 +256,35 @@
         });
     }
 
+    /// Asks for the whole state to be saved at times, so that a successor reads little and the store
+    /// may drop old records.
+    fn remind_to_save(&self) {
+        let (clock, handle, ended) =
+            (self.borders.clock.clone(), self.handle.clone(), self.ended.clone());
+        monoio::spawn(async move {
+            while !ended.get() {
+                clock.sleep(SAVE_REST).await;
+                handle.send(Message::SaveDue);
+            }
+        });
+    }
+
+    fn save(&mut self, base: Base) {
+        self.saves += 1;
+        let (borders, cell, epoch) = (self.borders.clone(), self.cell, self.machine.epoch);
+        let sequence = self.machine.claim_number() + self.saves;
+        monoio::spawn(async move {
+            let bytes = base.state.as_ref().map_or(0, Bytes::len);
+            let offset = base.offset;
+            match borders.journal.save(cell, epoch, sequence, &base).await {
+                Ok(()) => {
+                    log::info!("event=journal.saved cell={cell} offset={offset} bytes={bytes}")
+                }
+                Err(cause) => log::warn!("event=journal.save_failed cell={cell} cause={cause:?}"),
+            }
+        });
+    }
+
     /// Reads the list of workers as long as the task runs.
     fn follow_roster(&self) {
         let (borders, handle) = (self.borders.clone(), self.handle.clone());
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -75,6 +75,9 @@
 /// Appends of one batch that may wait for answers at once.
 pub const APPEND_COPIES: u32 = 5;
 
+/// Rest between two saves of the whole state; the store keeps records for 300 s.
+pub const SAVE_REST: Duration = Duration::from_secs(60);
+
 /// Most bytes of one append.
 pub const APPEND_BYTES: usize = 200_000;
 
