--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -200,14 +200,16 @@
 
     fn lapse(&mut self, id: &str) {
         let Some(worker) = self.workers.get(id) else { return };
-        let runs: Vec<Run> = worker.runs.iter().copied().collect();
+        // A try whose order has not been sent cannot have run there.
+        let sent =
+            |run: &&Run| self.runs.get(run).is_some_and(|live| live.stage != Stage::Recording);
+        let runs: Vec<Run> = worker.runs.iter().filter(sent).copied().collect();
+        if runs.is_empty() {
+            return;
+        }
         log::warn!("event=worker.lapsed worker={id} tasks={}", runs.len());
         for run in runs {
-            // Not yet sent, so that nothing of it can be there.
-            let recording = self.runs.get(&run).is_some_and(|live| live.stage == Stage::Recording);
-            if !recording {
-                self.end_run(run, End::Lost, String::new());
-            }
+            self.end_run(run, End::Lost, String::new());
         }
     }
 
