--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -35,7 +35,7 @@
 /// Age of the last word of an owner that reaches the store from which the instance wants no
 /// callers. A change of owner is over before; a failure domain that is cut off says no in time for
 /// the platform to send callers to another one.
-const CONTACT_LIMIT: Duration = Duration::from_millis(1_200);
+const CONTACT_LIMIT: Duration = Duration::from_millis(700);
 
 /// Time for passing the configuration to an owner.
 const TABLE_TIMEOUT: Duration = Duration::from_millis(500);
