Keep tasks that fill away from workers that serve

Cause: a task that fills was placed wherever memory allowed, also beside tasks whose users wait; nothing paces it, so that its harm lasted as long as it ran. Change: the two kinds never share a worker. Pacing would use more of the room and is not built.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -137,6 +137,11 @@
 }
 
 impl Step {
+    /// Whether its tasks serve users of their own and must answer them in time.
+    pub const fn serves(&self) -> bool {
+        self.target_ms.is_some()
+    }
+
     /// Room that one task takes on its worker.
     pub const fn room(&self) -> Amount {
         if self.fills { Amount { cpu_millis: 0, ..self.demand } } else { self.demand }
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -72,6 +72,10 @@
     room: Amount,
     /// Kept for a gang of a higher rank.
     reserved: bool,
+    /// Whether tasks there serve users of their own and must answer in time.
+    serves: bool,
+    /// Whether tasks there live on what others leave unused.
+    fills: bool,
 }
 
 /// Tasks of a step with the fields they go to.
@@ -96,16 +100,31 @@
     }
 
     fn fields(&self) -> Vec<Field> {
+        let sharing = self.has_sharing_jobs();
         let open = self.workers.values().filter(|worker| worker.is_open(self.now));
         open.map(|worker| Field {
             id: worker.id.clone(),
             listed: worker.listed.clone(),
             room: worker.room(),
             reserved: false,
+            serves: sharing && worker.runs.iter().any(|run| self.runs_as(run, Step::serves)),
+            fills: sharing && worker.runs.iter().any(|run| self.runs_as(run, |step| step.fills)),
         })
         .collect()
     }
 
+    /// Whether any open job serves users of its own or fills gaps; few sites have such jobs, and the
+    /// others need not look at what runs on each worker.
+    fn has_sharing_jobs(&self) -> bool {
+        let shares = |step: &Step| step.fills || step.serves();
+        let jobs = self.state.open.iter().filter_map(|id| self.state.jobs.get(id));
+        jobs.into_iter().any(|entry| entry.job.steps.iter().any(shares))
+    }
+
+    fn runs_as(&self, run: &Run, is: impl Fn(&Step) -> bool) -> bool {
+        self.model(&run.task.step).is_some_and(is)
+    }
+
     /// Every step whose turn has come and that has tasks without a try.
     fn waiting_steps(&mut self) -> Vec<Waiting> {
         self.open_occurrences();
@@ -226,7 +245,7 @@
                 model.label.as_ref().is_none_or(|label| field.listed.labels.contains(label));
             let ticket = !needs_ticket
                 || tickets.is_some_and(|tickets| tickets.valid(&field.id, self.now).is_some());
-            field.listed.service == step.queue.service && label && ticket
+            field.listed.service == step.queue.service && label && ticket && field.is_quiet(model)
         };
         let mut allowed: Vec<usize> = (0..fields.len()).filter(|&at| fits(&fields[at])).collect();
         if let Some(rack) = &model.data_rack
@@ -323,6 +342,8 @@
         for (&(index, at), number) in plan.iter().zip(numbers) {
             let field = &mut fields[at];
             field.room = difference(&field.room, &demand);
+            field.serves |= step.model().serves();
+            field.fills |= step.model().fills;
             let run = Run { task: TaskKey { step: step.key, index }, number };
             if let Some(worker) = self.workers.get_mut(&field.id) {
                 worker.reserve(run, &demand);
@@ -397,6 +418,16 @@
     }
 }
 
+impl Field {
+    /// Whether the step's tasks and those that run there leave each other in peace.
+    ///
+    /// Guards against tasks that fill the gaps of a worker and slow its serving tasks beyond their
+    /// target: the two kinds are kept on different workers.
+    fn is_quiet(&self, step: &Step) -> bool {
+        !(step.fills && self.serves || step.serves() && self.fills)
+    }
+}
+
 impl Waiting {
     fn model(&self) -> &Step {
         &self.job.steps[self.key.step as usize]
--- a/tests/logic/cell/machine.rs
+++ b/tests/logic/cell/machine.rs
@@ -527,3 +527,17 @@
     story.pass(1);
     assert!(story.effects.iter().any(|effect| matches!(effect, Effect::StepDown { .. })));
 }
+
+/// A nightly job fills the gaps of a worker that serves a mailbox, and its users wait. The two kinds of
+/// tasks never share a worker, whichever comes first.
+#[test]
+fn filling_task_stays_away_from_serving_ones() {
+    let mut story = Story::begin(2);
+    let serving = Step { lasting: true, target_ms: Some(50), ..model::step(1, cores(1)) };
+    let filling = Step { fills: true, ..model::step(1, cores(4)) };
+    let first = story.running(1, serving.clone());
+    let second = story.running(2, filling);
+    assert_ne!(first[0].0, second[0].0);
+    let third = story.running(3, serving);
+    assert_eq!(third[0].0, first[0].0, "not beside what fills");
+}
