Split the machine's messages, tries and ranks from its decisions

Change: message.rs, live.rs and rank.rs stand by themselves; unused settings and functions are gone.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -11,7 +11,7 @@
 use super::link::{Base, Rejected};
 use super::machine::Machine;
 use super::node::Node;
-use super::owner::{FOLLOW_REST, Owner};
+use super::owner::Owner;
 use super::peer::{ANNOUNCE, Announcement, WATCH, Watch, Watched};
 use super::record::{Batch, Record};
 use super::state::State;
@@ -20,6 +20,9 @@
 use crate::codec;
 use crate::peer;
 
+/// Rest between two looks of an instance that is about to end.
+const FOLLOW_REST: Duration = Duration::from_millis(50);
+
 /// Rest after the store could not be read.
 const READ_RETRY: Duration = Duration::from_millis(200);
 
--- a/src/cell/front.rs
+++ b/src/cell/front.rs
@@ -9,7 +9,6 @@
 use super::node::Node;
 use super::peer::{CALL, Envelope, Reply};
 use super::timings::{ANSWER_MARGIN, OWNERLESS_HOLD};
-use crate::clock::Instant;
 
 /// Rest between two tries while no owner answers.
 const RETRY_REST: Duration = Duration::from_millis(30);
@@ -107,11 +106,6 @@
             Err(_) => Try::Untaken,
         }
     }
-
-    /// Present time, for the caller's own reckoning.
-    pub fn now(&self) -> Instant {
-        self.node.borders.clock.now()
-    }
 }
 
 /// How one try to reach the owner ended.
--- /dev/null
+++ b/src/cell/machine/live.rs
@@ -0,0 +1,67 @@
+//! A try that is not known to be over.
+
+use crate::cell::record::WorkerId;
+use crate::clock::Instant;
+use crate::resource::Amount;
+
+/// How far a try is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Its placement is on its way to the journal.
+    Recording,
+    /// The order to start it has no answer yet.
+    Starting {
+        /// Whether an order is out.
+        out: bool,
+    },
+    /// Its worker said at that instant that it runs, or has run.
+    Running(Instant),
+    /// Placed by an earlier owner; its worker has not told of it yet.
+    Inherited,
+    /// It is to be stopped.
+    Stopping {
+        /// Whether an order is out.
+        out: bool,
+        /// When the worker took the order.
+        taken: Option<Instant>,
+    },
+}
+
+/// A try that is not known to be over.
+#[derive(Clone, Debug)]
+pub struct Live {
+    /// Its worker.
+    pub worker: WorkerId,
+    /// Room it takes.
+    pub demand: Amount,
+    /// How far it is.
+    pub stage: Stage,
+    /// Orders to start that were sent.
+    pub tries: u32,
+    /// Whether an order without an answer may have reached the worker.
+    pub doubtful: bool,
+    /// When the next order is due.
+    pub next_try: Instant,
+    /// When it was placed.
+    pub since: Instant,
+    /// Whether it is to be stopped as soon as possible.
+    pub unwanted: bool,
+    /// Share of its work that is done, and when that last rose.
+    pub progress: (u32, Instant),
+}
+
+impl Live {
+    pub(super) fn new(worker: WorkerId, demand: Amount, stage: Stage, now: Instant) -> Self {
+        Self {
+            worker,
+            demand,
+            stage,
+            tries: 0,
+            doubtful: false,
+            next_try: now,
+            since: now,
+            unwanted: false,
+            progress: (0, now),
+        }
+    }
+}
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -7,9 +7,12 @@
 mod advice;
 mod calls;
 mod commit;
+mod live;
 mod looks;
+mod message;
 mod orders;
 mod place;
+mod rank;
 mod roster;
 
 use std::cmp::Reverse;
@@ -18,15 +21,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
-
 pub use advice::Question;
 pub use commit::Commit;
+pub use live::{Live, Stage};
+pub use message::{Answer, Call, CallId, Effect, Message};
 
 use super::Epoch;
 use super::job::{End, Id, Job, Phase, Run, Step, StepKey};
-use super::link::{Allowed, Base, Fault, Look, Rejected, Report, Roster, Start};
 use super::queue::Table;
 use super::record::{Record, WorkerId};
 use super::state::State;
@@ -36,9 +37,6 @@
 use crate::clock::{Instant, Unix};
 use crate::resource::Amount;
 
-/// Names a call that waits for its answer.
-pub type CallId = u64;
-
 /// Times the owner's processor from which another instance should own the cell: a change of owner
 /// costs about 50 ms of placements.
 const MUCH_STRONGER: f64 = 1.4;
@@ -49,205 +47,6 @@
 /// Rest between two looks for ended jobs to forget.
 const FORGET_REST: Duration = Duration::from_secs(1);
 
-/// What a caller asks.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Call {
-    /// Accept a job.
-    Submit(Job),
-    /// Cancel a job.
-    Cancel(Id),
-    /// Tell a job's phase.
-    Show(Id),
-    /// Count the jobs of a queue for which no task has started.
-    Waiting(String),
-}
-
-/// What a caller is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Answer {
-    /// The job is stored.
-    Accepted,
-    /// The job is cancelled.
-    Cancelled,
-    /// The job's phase.
-    Phase(Phase),
-    /// Jobs that wait.
-    Waiting(u64),
-    /// No such job.
-    Unknown,
-    /// The owner cannot tell at present; nothing was done.
-    Unavailable,
-}
-
-/// What the machine is told.
-#[derive(Debug)]
-pub enum Message {
-    /// A caller asks.
-    Call {
-        /// Names the call.
-        id: CallId,
-        /// What is asked.
-        call: Call,
-    },
-    /// An append ended.
-    Appended {
-        /// Number of the batch.
-        sequence: u64,
-        /// When it was sent.
-        sent: Instant,
-        /// Offset after it.
-        outcome: Result<u64, Rejected>,
-    },
-    /// A worker answered a look, or did not.
-    Looked {
-        /// The worker.
-        worker: WorkerId,
-        /// When the look was sent.
-        sent: Instant,
-        /// What it told.
-        outcome: Result<Report, Fault>,
-    },
-    /// A worker answered an order to start.
-    Started {
-        /// The worker.
-        worker: WorkerId,
-        /// The try.
-        run: Run,
-        /// Its clock.
-        outcome: Result<u64, Fault>,
-    },
-    /// A worker answered an order to stop.
-    Stopped {
-        /// The worker.
-        worker: WorkerId,
-        /// The try.
-        run: Run,
-        /// Its clock.
-        outcome: Result<u64, Fault>,
-    },
-    /// The policy service answered, or did not.
-    Advised {
-        /// Number of the question.
-        question: u64,
-        /// What it allows; `None` when no answer came.
-        allowed: Option<Allowed>,
-    },
-    /// The list of workers changed.
-    Roster(Roster),
-    /// The configuration changed.
-    Table(Rc<Table>),
-    /// The whole state is to be saved.
-    SaveDue,
-    /// An instance is there and can ask the policy service.
-    Present {
-        /// Where it is reached.
-        peer: SocketAddr,
-        /// Processor that it may use, in thousandths of a core.
-        strength: u32,
-    },
-}
-
-/// What the machine wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Effect {
-    /// Append a batch to the journal.
-    Append {
-        /// Its number.
-        sequence: u64,
-        /// Its content.
-        batch: Bytes,
-    },
-    /// Look at a worker.
-    Look {
-        /// The worker.
-        worker: WorkerId,
-        /// Its address.
-        peer: SocketAddr,
-        /// What to ask.
-        look: Look,
-    },
-    /// Start a try.
-    Start {
-        /// The worker.
-        worker: WorkerId,
-        /// Its address.
-        peer: SocketAddr,
-        /// The order.
-        start: Start,
-    },
-    /// Stop a try.
-    Stop {
-        /// The worker.
-        worker: WorkerId,
-        /// Its address.
-        peer: SocketAddr,
-        /// The try.
-        run: Run,
-    },
-    /// Ask the policy service.
-    Advise(Question),
-    /// Answer a caller.
-    Reply {
-        /// Names the call.
-        id: CallId,
-        /// The answer.
-        answer: Answer,
-    },
-    /// Save the whole state.
-    Save(Base),
-    /// Another owner has taken the cell over; end.
-    StepDown {
-        /// How it showed.
-        why: String,
-    },
-}
-
-/// How far a try is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// Its placement is on its way to the journal.
-    Recording,
-    /// The order to start it has no answer yet.
-    Starting {
-        /// Whether an order is out.
-        out: bool,
-    },
-    /// Its worker said at that instant that it runs, or has run.
-    Running(Instant),
-    /// Placed by an earlier owner; its worker has not told of it yet.
-    Inherited,
-    /// It is to be stopped.
-    Stopping {
-        /// Whether an order is out.
-        out: bool,
-        /// When the worker took the order.
-        taken: Option<Instant>,
-    },
-}
-
-/// A try that is not known to be over.
-#[derive(Clone, Debug)]
-pub struct Live {
-    /// Its worker.
-    pub worker: WorkerId,
-    /// Room it takes.
-    pub demand: Amount,
-    /// How far it is.
-    pub stage: Stage,
-    /// Orders to start that were sent.
-    pub tries: u32,
-    /// Whether an order without an answer may have reached the worker.
-    pub doubtful: bool,
-    /// When the next order is due.
-    pub next_try: Instant,
-    /// When it was placed.
-    pub since: Instant,
-    /// Whether it is to be stopped as soon as possible.
-    pub unwanted: bool,
-    /// Share of its work that is done, and when that last rose.
-    pub progress: (u32, Instant),
-}
-
 /// An instance that can ask the policy service.
 #[derive(Clone, Copy, Debug)]
 struct Asker {
@@ -578,19 +377,3 @@
         now.since(self.seen) < PRESENCE
     }
 }
-
-impl Live {
-    fn new(worker: WorkerId, demand: Amount, stage: Stage, now: Instant) -> Self {
-        Self {
-            worker,
-            demand,
-            stage,
-            tries: 0,
-            doubtful: false,
-            next_try: now,
-            since: now,
-            unwanted: false,
-            progress: (0, now),
-        }
-    }
-}
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::commit::Deferred;
+use super::rank::{Hope, Rank, lasting_rank};
 use super::{Live, Machine, Stage};
 use crate::cell::job::{Job, Phase, Run, Step, StepKey, TaskKey};
 use crate::cell::link::Listed;
@@ -23,13 +24,6 @@
 /// Share of the workers that may be kept free for gangs that do not fit yet.
 const RESERVED_SHARE: f64 = 0.34;
 
-/// Times its objective after which a job earns nothing any more.
-const WORTHLESS_AFTER: f64 = 3.0;
-
-/// Part of the expected run time that must fit before the objective for a job to count as on time;
-/// callers' estimates are off by half.
-const HOPE: f64 = 0.7;
-
 /// Workers asked about at least, and for each task, where most may run a step.
 const FEW_WORKERS: usize = 10;
 const WORKERS_A_TASK: usize = 4;
@@ -49,22 +43,6 @@
     pending: Vec<u32>,
 }
 
-/// Order of waiting steps; smaller goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    hope: Hope,
-    priority: u32,
-    deadline: u64,
-}
-
-/// What a job can still earn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Hope {
-    OnTime,
-    Late,
-    Worthless,
-}
-
 /// A worker that may take tasks in this round.
 struct Field {
     id: WorkerId,
@@ -173,55 +151,6 @@
         }
     }
 
-    fn rank(&self, job: &Job, queue: &Queue, key: &StepKey, accepted: u64) -> Rank {
-        let begin = job.due(key.occurrence).map_or(accepted, crate::clock::Unix::as_millis);
-        let whole = self.chain(job, 0, queue);
-        let objective = whole * queue.stretch.max(1.0) + queue.target_ms as f64;
-        let left = self.chain_from(job, key.step as usize, queue) * HOPE;
-        let end = (self.unix.as_millis().saturating_sub(begin)) as f64 + left;
-        let hope = if end <= objective {
-            Hope::OnTime
-        } else if end <= objective * WORTHLESS_AFTER {
-            Hope::Late
-        } else {
-            Hope::Worthless
-        };
-        Rank { hope, priority: queue.priority, deadline: begin + objective as u64 }
-    }
-
-    /// Expected time of the longest chain of steps of a job, from `first` on, in milliseconds.
-    fn chain(&self, job: &Job, first: usize, queue: &Queue) -> f64 {
-        let mut ends = vec![0.0_f64; job.steps.len()];
-        for (number, step) in job.steps.iter().enumerate().skip(first) {
-            let begin = step.after.iter().map(|&earlier| ends[earlier]).fold(0.0, f64::max);
-            ends[number] = begin + self.expected(step, queue);
-        }
-        ends.into_iter().fold(0.0, f64::max)
-    }
-
-    /// The same for the steps that wait for `step`, itself included.
-    fn chain_from(&self, job: &Job, step: usize, queue: &Queue) -> f64 {
-        let mut ends = vec![0.0_f64; job.steps.len()];
-        ends[step] = self.expected(&job.steps[step], queue);
-        for (number, later) in job.steps.iter().enumerate().skip(step + 1) {
-            let begin = later.after.iter().map(|&earlier| ends[earlier]).fold(0.0, f64::max);
-            if begin > 0.0 {
-                ends[number] = begin + self.expected(later, queue);
-            }
-        }
-        ends.into_iter().fold(0.0, f64::max)
-    }
-
-    /// Expected run time of a task: the caller's estimate, drawn towards what the queue's tasks took.
-    fn expected(&self, step: &Step, queue: &Queue) -> f64 {
-        let estimate = step.estimate_ms as f64;
-        match self.run_times.get(&queue.name) {
-            Some(mean) if step.estimate_ms > 0 => f64::midpoint(estimate, *mean),
-            Some(mean) => *mean,
-            None => estimate,
-        }
-    }
-
     fn place_step(&mut self, step: &Waiting, fields: &mut [Field], spare: &mut usize) {
         if let Some(advice) = &step.queue.advice {
             self.seek_advice(step, advice, fields);
@@ -434,16 +363,6 @@
     }
 }
 
-/// Rank of tasks that run until their job is cancelled: one that ran before serves users who miss
-/// it now, and goes before all that waits; a new one keeps its queue's place.
-fn lasting_rank(step: &crate::cell::state::Step, queue: &Queue, accepted: u64) -> Rank {
-    let ran = step.tasks.iter().any(|task| task.last > 0 && task.live == 0);
-    if ran {
-        return Rank { hope: Hope::OnTime, priority: 0, deadline: 0 };
-    }
-    Rank { hope: Hope::OnTime, priority: queue.priority, deadline: accepted + queue.target_ms }
-}
-
 /// Tasks of a step that have no try. A gang begins only when no earlier try of any member is left.
 fn pending(model: &Step, step: &crate::cell::state::Step) -> Vec<u32> {
     if step.is_done() && !model.lasting || model.gang && step.is_live() {
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use local_sync::mpsc::unbounded::{Rx, Tx, channel};
@@ -346,6 +345,3 @@
     roster.present.retain(|(_, listed)| cell_of(listed, cells) == cell);
     roster
 }
-
-/// Rest between two looks of an instance at what it follows.
-pub const FOLLOW_REST: Duration = Duration::from_millis(50);
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -6,12 +6,6 @@
 /// Spans that a site's platform sets, translated from its settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timings {
-    /// Longest lease that workers grant.
-    pub lease_cap: Duration,
-    /// Longest time that a worker takes to stop a task.
-    pub stop_timeout: Duration,
-    /// Time after which the members of a gang give up waiting for one another.
-    pub gang_timeout: Duration,
     /// How long an ended job must be known.
     pub status_retention: Duration,
     /// Time that the process has to end after it was told to stop.
@@ -20,13 +14,7 @@
 
 impl Default for Timings {
     fn default() -> Self {
-        Self {
-            lease_cap: Duration::from_secs(10),
-            stop_timeout: Duration::from_millis(400),
-            gang_timeout: Duration::from_secs(3),
-            status_retention: Duration::from_secs(120),
-            stop_grace: Duration::from_secs(6),
-        }
+        Self { status_retention: Duration::from_secs(120), stop_grace: Duration::from_secs(6) }
     }
 }
 
