--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -19,6 +19,7 @@
 use super::{Epoch, Id};
 use crate::codec;
 use crate::peer;
+use crate::telemetry::names;
 
 /// Rest between two looks of an instance that is about to end.
 const FOLLOW_REST: Duration = Duration::from_millis(50);
@@ -32,9 +33,6 @@
 /// Time for telling another instance of a new owner.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Failed watches in a row after which the journal is asked who owns the cell.
-const UNANSWERED: u32 = 1;
-
 /// Rank of an instance that no owner has told its place.
 const UNRANKED: u32 = 3;
 
@@ -90,7 +88,6 @@
 impl Election {
     /// Follows the known owner while it answers; returns why the instance should act.
     async fn follow(&mut self) -> Motive {
-        let mut failures = 0;
         loop {
             let Some(owner) = self.node.owner(self.cell) else { return Motive::Unknown };
             if owner == self.node.me {
@@ -98,20 +95,14 @@
             }
             match self.watch(owner).await {
                 Ok(watched) => {
-                    failures = 0;
                     if let Some(motive) = self.learn(owner, watched) {
                         return motive;
                     }
                 }
                 Err(error) => {
-                    failures += 1;
                     log::info!("event=owner.unanswered cell={} owner={owner} {error}", self.cell);
-                    if error.step != peer::Step::Timeout {
-                        return Motive::Gone(owner);
-                    }
-                    if failures >= UNANSWERED {
-                        return Motive::Silent(owner);
-                    }
+                    let silent = error.step == peer::Step::Timeout;
+                    return if silent { Motive::Silent(owner) } else { Motive::Gone(owner) };
                 }
             }
             if self.node.stop.is_triggered() {
@@ -294,12 +285,14 @@
         let journal = self.node.borders.journal.clone();
         let claimed = journal.claim(self.cell, epoch, first, bytes).await;
         match &claimed {
-            Ok(_) => {}
+            Ok(_) => names::CELL_CLAIMS.increment(&[("outcome", "written")]),
             Err(Rejected::Fenced) => {
+                names::CELL_CLAIMS.increment(&[("outcome", "lost")]);
                 log::info!("event=owner.claim_lost cell={} epoch={epoch}", self.cell);
             }
             // It may be in the journal all the same; only reading it tells.
             Err(rejected) => {
+                names::CELL_CLAIMS.increment(&[("outcome", "unknown")]);
                 log::warn!("event=owner.claim_unknown cell={} epoch={epoch} {rejected}", self.cell);
                 self.node.borders.clock.sleep(READ_RETRY).await;
             }
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -254,54 +254,70 @@
 
 /// How a try ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[display("{}", self.name())]
 pub enum End {
     /// The task has done its work.
-    #[display("done")]
     Done,
     /// It failed by its own fault or its worker's.
-    #[display("failed")]
     Failed,
     /// It was stopped on request.
-    #[display("stopped")]
     Stopped,
     /// Its worker's lease ran out.
-    #[display("lapsed")]
     Lapsed,
     /// Another member of its gang ended.
-    #[display("broken")]
     Broken,
     /// It waited too long for the other members of its gang.
-    #[display("alone")]
     Alone,
     /// It never began and surely never will.
-    #[display("void")]
     Void,
     /// Its worker is gone, and the try with it.
-    #[display("lost")]
     Lost,
 }
 
 /// What callers are told of a job.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[display("{}", self.name())]
 pub enum Phase {
     /// No task has started.
-    #[display("pending")]
     Pending,
     /// Some task has started.
-    #[display("running")]
     Running,
     /// All tasks have done their work.
-    #[display("completed")]
     Completed,
     /// A task has failed too often.
-    #[display("failed")]
     Failed,
     /// The caller cancelled it.
-    #[display("cancelled")]
     Cancelled,
 }
 
+impl End {
+    /// Its name in metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+            Self::Void => "void",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 impl Phase {
+    /// Its name in answers, log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Pending => "pending",
+            Self::Running => "running",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+
     /// Whether the job will never run again.
     pub const fn is_final(self) -> bool {
         matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -5,6 +5,7 @@
 use crate::cell::job::{Id, Job, Phase};
 use crate::cell::record::Record;
 use crate::cell::timings::VOUCH;
+use crate::telemetry::names;
 
 impl Machine {
     pub(super) fn call(&mut self, id: CallId, call: Call) {
@@ -73,6 +74,7 @@
                 job.steps.len(),
                 job.steps.iter().map(|step| step.count).sum::<u32>()
             );
+            names::CELL_JOBS.increment(&[("outcome", "accepted")]);
             self.record(Record::Accepted { at: self.unix, job });
             self.dirty = true;
         }
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -1,9 +1,10 @@
 //! Decisions on their way to the journal, and what waits for them to be stored.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::{Answer, CallId, Effect, Machine, Stage};
-use crate::cell::job::{End, Id, Run};
+use crate::cell::job::{End, Id, Phase, Run};
 use crate::cell::link::{Base, Rejected};
 use crate::cell::record::{Batch, Record, WorkerId};
 use crate::cell::timings::{
@@ -12,6 +13,7 @@
 };
 use crate::clock::Instant;
 use crate::codec;
+use crate::telemetry::names;
 
 /// What happens once a batch is stored.
 #[derive(Debug)]
@@ -25,7 +27,7 @@
 /// Batches that wait for the journal.
 #[derive(Debug)]
 pub struct Commit {
-    /// Batches in order; the first one is under way when `out` is set.
+    /// Batches in order; the first one is under way when `closed` is set.
     waiting: VecDeque<Waiting>,
     /// Number of the first batch that waits, or of the next one.
     first: u64,
@@ -158,10 +160,9 @@
     /// Guards against an owner that says *completed* and dies before the end is in the journal: if
     /// the worker is lost as well, its successor runs a task again that a caller knows to be done.
     pub(super) fn settle(&mut self, job: Id) {
-        log::info!(
-            "event=job.ended job={job} phase={}",
-            self.phase_of(job).map_or_else(|| "unknown".to_owned(), |phase| phase.to_string())
-        );
+        let phase = self.phase_of(job).unwrap_or(Phase::Pending);
+        log::info!("event=job.ended job={job} phase={phase}");
+        names::CELL_JOBS.increment(&[("outcome", phase.name())]);
         self.unsettled.insert(job);
         self.tickets.retain(|step, _| step.job != job);
         self.defer(Deferred::Settle(job));
@@ -226,6 +227,8 @@
     fn stored(&mut self, sent: Instant, end: u64) {
         self.commit.end = self.commit.end.max(end);
         self.commit.written = self.commit.written.max(sent);
+        let took = self.commit.trying.map_or(Duration::ZERO, |since| self.now.since(since));
+        names::CELL_APPEND.record(took, &[]);
         self.commit.first += 1;
         self.commit.closed = false;
         self.commit.out = 0;
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -36,6 +36,7 @@
 use super::worker::Worker;
 use crate::clock::{Instant, Unix};
 use crate::resource::Amount;
+use crate::telemetry::names;
 
 /// Times the owner's processor from which another instance should own the cell: a change of owner
 /// costs about 50 ms of placements.
@@ -263,6 +264,7 @@
             "event=task.ended task={run} worker={} end={end} took_ms={took_ms}",
             live.worker
         );
+        names::CELL_TRIES.increment(&[("end", end.name())]);
         let job = run.task.step.job;
         let was_final = self.phase_of(job).is_none_or(Phase::is_final);
         self.judge(&run, &live, end);
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -57,6 +57,14 @@
         "Quick requests that wait for a runner's slot at this instance.";
     RUNNER_CALLS: Counter = "oriolefork_runner_calls_total",
         "Calls to runners, retries and hedges included, by outcome.";
+    CELL_JOBS: Counter = "oriolefork_cell_jobs_total",
+        "Jobs of a cell, by what became of them; counted by the owner.";
+    CELL_TRIES: Counter = "oriolefork_cell_tries_total",
+        "Tries to run tasks of a cell that are over, by how they ended; counted by the owner.";
+    CELL_CLAIMS: Counter = "oriolefork_cell_claims_total",
+        "Claims of a cell by this instance, by outcome.";
+    CELL_APPEND: Histogram = "oriolefork_cell_append_seconds",
+        "Time until a batch of the cell's journal was stored, repeats included.";
     RUNNER_CALL: Histogram = "oriolefork_runner_call_seconds",
         "Time of one call to a runner.";
 }
