Take amounts from the amounts' own sums and differences

Cause: the last read of the change: cell/worker.rs wrote again what resource::Amount::saturating_add and saturating_sub do, three times over. Change: the copies are gone and the amounts' own functions are called; behaviour is unchanged.

--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -12,7 +12,6 @@
 use crate::cell::link::Listed;
 use crate::cell::queue::{Advice, Queue};
 use crate::cell::record::{Record, WorkerId};
-use crate::cell::worker::difference;
 use crate::resource::Amount;
 
 /// Rest between two rounds; each looks at every waiting step.
@@ -95,8 +94,8 @@
     /// others need not look at what runs on each worker.
     fn has_sharing_jobs(&self) -> bool {
         let shares = |step: &Step| step.fills || step.serves();
-        let jobs = self.state.open.iter().filter_map(|id| self.state.jobs.get(id));
-        jobs.into_iter().any(|entry| entry.job.steps.iter().any(shares))
+        let mut jobs = self.state.open.iter().filter_map(|id| self.state.jobs.get(id));
+        jobs.any(|entry| entry.job.steps.iter().any(shares))
     }
 
     fn runs_as(&self, run: &Run, is: impl Fn(&Step) -> bool) -> bool {
@@ -238,7 +237,7 @@
                 .min_by(|one, other| one.0.total_cmp(&other.0));
             let Some((_, at)) = best else { break };
             if let Some(room) = rooms.get_mut(&at) {
-                *room = difference(room, &demand);
+                *room = room.saturating_sub(&demand);
             }
             *counts.entry(at).or_insert(0) += 1;
             plan.push((index, at));
@@ -270,7 +269,7 @@
         let mut all = Vec::new();
         for (&(index, at), number) in plan.iter().zip(numbers) {
             let field = &mut fields[at];
-            field.room = difference(&field.room, &demand);
+            field.room = field.room.saturating_sub(&demand);
             field.serves |= step.model().serves();
             field.fills |= step.model().fills;
             let run = Run { task: TaskKey { step: step.key, index }, number };
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -98,12 +98,7 @@
 
     /// Room that nothing is reserved for.
     pub fn room(&self) -> Amount {
-        let have = self.listed.capacity;
-        Amount {
-            cpu_millis: have.cpu_millis.saturating_sub(self.used.cpu_millis),
-            memory_mib: have.memory_mib.saturating_sub(self.used.memory_mib),
-            accelerators: have.accelerators.saturating_sub(self.used.accelerators),
-        }
+        self.listed.capacity.saturating_sub(&self.used)
     }
 
     /// Its rack, as its labels name it.
@@ -114,14 +109,14 @@
     /// Reserves room for a try.
     pub fn reserve(&mut self, run: Run, demand: &Amount) {
         if self.runs.insert(run) {
-            self.used = sum(&self.used, demand);
+            self.used = self.used.saturating_add(demand);
         }
     }
 
     /// Gives the room of a try back.
     pub fn release(&mut self, run: &Run, demand: &Amount) {
         if self.runs.remove(run) {
-            self.used = difference(&self.used, demand);
+            self.used = self.used.saturating_sub(demand);
         }
     }
 
@@ -146,21 +141,3 @@
         true
     }
 }
-
-/// The sum of two amounts, capped.
-pub fn sum(one: &Amount, other: &Amount) -> Amount {
-    Amount {
-        cpu_millis: one.cpu_millis.saturating_add(other.cpu_millis),
-        memory_mib: one.memory_mib.saturating_add(other.memory_mib),
-        accelerators: one.accelerators.saturating_add(other.accelerators),
-    }
-}
-
-/// The first amount less the second, at least nothing.
-pub fn difference(one: &Amount, other: &Amount) -> Amount {
-    Amount {
-        cpu_millis: one.cpu_millis.saturating_sub(other.cpu_millis),
-        memory_mib: one.memory_mib.saturating_sub(other.memory_mib),
-        accelerators: one.accelerators.saturating_sub(other.accelerators),
-    }
-}
