Let an instance whose question failed rest before it is asked again

Change: rests of 0.5 s for each failure in a row, up to 2 s. Tests: cell::advice (failed before, pass now); the stories' harness stands in a file of its own. Also the replay bench of a cell (benches/cell), without any network.

--- /dev/null
+++ b/benches/cell/main.rs
@@ -0,0 +1,45 @@
+//! Replays job mixes through a cell's machine, without any network, and tells what the policy earns
+//! and what deciding costs.
+//!
+//! `cargo bench --bench cell` prints a line for each site and mix: share of the worth earned, waiting,
+//! packing, starts a second, and the owner's processor time for each second replayed. Name one site
+//! (`cargo bench --bench cell -- grown`) to replay only those whose label holds that word.
+
+mod mix;
+mod replay;
+
+#[path = "../../tests/logic/cell/upstream.rs"]
+#[allow(dead_code)]
+mod upstream;
+
+use mix::{Day, SITES};
+use replay::Replay;
+
+const SEED: u64 = 1;
+
+fn main() {
+    let wanted = std::env::args().skip(1).find(|argument| !argument.starts_with('-'));
+    println!(
+        "{:<20} {:<13} {:>6} {:>7} {:>21} {:>21} {:>21} {:>7} {:>8} {:>8} {:>8} {:>8}",
+        "site",
+        "day",
+        "worth",
+        "packed",
+        "waiting ms p50/p99 0",
+        "1",
+        "2",
+        "jobs",
+        "starts/s",
+        "cpu ms/s",
+        "step p99",
+        "longest"
+    );
+    for site in &SITES {
+        if wanted.as_ref().is_some_and(|wanted| !site.label.contains(wanted.as_str())) {
+            continue;
+        }
+        for day in [Day::Calm, Day::Burst, Day::Loss] {
+            println!("{}", Replay::new(site, day, SEED).run());
+        }
+    }
+}
--- /dev/null
+++ b/benches/cell/mix.rs
@@ -0,0 +1,243 @@
+//! Sites and the jobs that come there.
+
+use std::rc::Rc;
+
+use oriolefork::cell::job::{Id, Job, Step};
+use oriolefork::cell::queue::{Advice, Queue, Service, Table};
+use oriolefork::resource::Amount;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+/// Service whose workers run everything.
+pub const SERVICE: &str = "portal";
+
+/// What happens while jobs come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Day {
+    /// Nothing.
+    Calm,
+    /// Twice the jobs for four seconds.
+    Burst,
+    /// A quarter of the workers is lost for six seconds.
+    Loss,
+}
+
+/// Instances, workers and queues of a site.
+pub struct Site {
+    pub label: &'static str,
+    pub workers: usize,
+    pub cores: u64,
+    pub gib: u64,
+    pub instances: usize,
+    pub kinds: [Kind; 3],
+}
+
+/// Jobs of one queue.
+pub struct Kind {
+    pub per_second: f64,
+    pub steps: f64,
+    pub width: f64,
+    pub work_ms: f64,
+    pub cores: f64,
+    pub gib: f64,
+    pub gang: f64,
+    pub worth: f64,
+    pub late: f64,
+    pub priority: u32,
+    pub attempts: u32,
+    pub stretch: f64,
+    pub target_ms: u64,
+    /// Decision, each worker named, share of workers that may run a step.
+    pub advice: (f64, f64, f64),
+}
+
+const WAITAKI: [Kind; 3] = [
+    Kind {
+        per_second: 30.8,
+        steps: 1.0,
+        width: 2.0,
+        work_ms: 1_000.0,
+        cores: 5.6,
+        gib: 8.0,
+        gang: 0.15,
+        worth: 0.477,
+        late: 0.0954,
+        priority: 0,
+        attempts: 3,
+        stretch: 1.5,
+        target_ms: 250,
+        advice: (14.3, 1.5, 0.7),
+    },
+    Kind {
+        per_second: 1.81,
+        steps: 1.2,
+        width: 4.5,
+        work_ms: 4_000.0,
+        cores: 18.0,
+        gib: 33.0,
+        gang: 1.0,
+        worth: 9.31,
+        late: 1.86,
+        priority: 1,
+        attempts: 2,
+        stretch: 2.2,
+        target_ms: 1_000,
+        advice: (442.0, 6.37, 0.25),
+    },
+    Kind {
+        per_second: 6.81,
+        steps: 1.5,
+        width: 10.0,
+        work_ms: 2_200.0,
+        cores: 3.9,
+        gib: 6.0,
+        gang: 0.0,
+        worth: 1.54,
+        late: 0.308,
+        priority: 2,
+        attempts: 2,
+        stretch: 4.0,
+        target_ms: 3_000,
+        advice: (104.0, 1.43, 0.45),
+    },
+];
+
+const LAKESHORE: [Kind; 3] = [
+    Kind {
+        per_second: 48.3,
+        steps: 1.0,
+        width: 2.0,
+        work_ms: 640.0,
+        cores: 1.4,
+        gib: 3.0,
+        gang: 0.15,
+        worth: 0.41,
+        late: 0.082,
+        priority: 0,
+        attempts: 3,
+        stretch: 1.5,
+        target_ms: 250,
+        advice: (14.3, 1.5, 0.7),
+    },
+    Kind {
+        per_second: 1.18,
+        steps: 1.2,
+        width: 4.5,
+        work_ms: 6_200.0,
+        cores: 4.5,
+        gib: 16.0,
+        gang: 1.0,
+        worth: 19.2,
+        late: 3.84,
+        priority: 1,
+        attempts: 2,
+        stretch: 2.2,
+        target_ms: 1_000,
+        advice: (442.0, 6.37, 0.25),
+    },
+    Kind {
+        per_second: 5.45,
+        steps: 1.5,
+        width: 10.0,
+        work_ms: 2_700.0,
+        cores: 0.98,
+        gib: 3.0,
+        gang: 0.0,
+        worth: 2.59,
+        late: 0.518,
+        priority: 2,
+        attempts: 2,
+        stretch: 4.0,
+        target_ms: 3_000,
+        advice: (104.0, 1.43, 0.45),
+    },
+];
+
+const GROWN: [Kind; 3] = [
+    Kind {
+        per_second: 88.4,
+        width: 3.2,
+        cores: 9.9,
+        gib: 14.0,
+        gang: 0.3,
+        advice: (14.3, 0.208, 0.7),
+        ..WAITAKI[0]
+    },
+    Kind { per_second: 5.97, width: 20.0, advice: (442.0, 6.37, 0.25), ..WAITAKI[1] },
+    Kind { per_second: 12.3, width: 25.0, cores: 6.9, gib: 10.0, ..WAITAKI[2] },
+];
+
+/// Ten times the jobs of a site of today, a tenth as many a worker.
+const LARGE: [Kind; 3] = [
+    Kind { per_second: 150.0, ..GROWN[0] },
+    Kind { per_second: 6.0, ..GROWN[1] },
+    Kind { per_second: 24.0, ..GROWN[2] },
+];
+
+pub const SITES: [Site; 4] = [
+    Site { label: "waitaki 48", workers: 48, cores: 64, gib: 128, instances: 9, kinds: WAITAKI },
+    Site { label: "lakeshore 48", workers: 48, cores: 16, gib: 64, instances: 8, kinds: LAKESHORE },
+    Site {
+        label: "waitaki grown 350",
+        workers: 350,
+        cores: 64,
+        gib: 128,
+        instances: 30,
+        kinds: GROWN,
+    },
+    Site { label: "large 1000", workers: 1_000, cores: 64, gib: 128, instances: 80, kinds: LARGE },
+];
+
+impl Site {
+    /// The configuration in force.
+    pub fn table(&self) -> Rc<Table> {
+        let queue = |(number, kind): (usize, &Kind)| Queue {
+            name: number.to_string(),
+            host: "jobs.example".to_owned(),
+            prefix: format!("/{number}/"),
+            service: SERVICE.to_owned(),
+            priority: kind.priority,
+            attempts: kind.attempts,
+            stretch: kind.stretch,
+            target_ms: kind.target_ms,
+            advice: Some(Advice {
+                decide_ms: kind.advice.0,
+                each_ms: kind.advice.1,
+                valid_ms: 1_500,
+            }),
+        };
+        let service = Service { name: SERVICE.to_owned(), guards: false };
+        let queues = self.kinds.iter().enumerate().map(queue).collect();
+        Rc::new(Table { version: 1, queues, services: vec![service] })
+    }
+}
+
+impl Kind {
+    /// A job of this kind for queue `queue`.
+    pub fn draw(&self, id: Id, queue: usize, rng: &mut StdRng) -> Job {
+        let steps = around(self.steps, 0.4, rng).round().clamp(1.0, 4.0) as usize;
+        let gang = rng.random_bool(self.gang);
+        let step = |number: usize, rng: &mut StdRng| Step {
+            count: around(self.width, 0.8, rng).round().clamp(1.0, self.width * 6.0) as u32,
+            demand: Amount {
+                cpu_millis: (around(self.cores, 0.4, rng).min(self.cores * 2.0) * 1_000.0) as u64,
+                memory_mib: (around(self.gib, 0.5, rng).min(self.gib * 2.0) * 1_024.0) as u64,
+                accelerators: 0,
+            },
+            estimate_ms: around(self.work_ms, 0.5, rng) as u64,
+            after: if number == 0 { Vec::new() } else { vec![number - 1] },
+            gang,
+            checkpoints: rng.random_bool(0.5),
+            ..Step::default()
+        };
+        let steps = (0..steps).map(|number| step(number, rng)).collect();
+        Job { id, queue: queue.to_string(), payload: "replayed".to_owned(), steps, schedule: None }
+    }
+}
+
+/// A value around `mean`, spread like a logarithmic normal distribution of that deviation.
+pub fn around(mean: f64, spread: f64, rng: &mut StdRng) -> f64 {
+    let (one, two): (f64, f64) = (rng.random_range(f64::EPSILON..1.0), rng.random());
+    let normal = (-2.0 * one.ln()).sqrt() * (std::f64::consts::TAU * two).cos();
+    mean * (spread * normal - spread * spread / 2.0).exp()
+}
--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -34,10 +34,7 @@
 impl Machine {
     /// An instance that can ask now.
     pub(super) fn idle_asker(&self) -> Option<SocketAddr> {
-        self.askers
-            .iter()
-            .find(|(_, asker)| asker.question.is_none() && asker.is_fresh(self.now))
-            .map(|(peer, _)| *peer)
+        self.askers.iter().find(|(_, asker)| asker.is_idle(self.now)).map(|(peer, _)| *peer)
     }
 
     /// Asks about `workers`; `false` when every instance is busy.
@@ -74,7 +71,7 @@
         if let Some(asker) = self.askers.get_mut(&question.asker)
             && asker.question == Some(number)
         {
-            asker.question = None;
+            asker.note_outcome(allowed.is_some(), self.now);
         }
         if allowed.is_none() {
             let (step, asker) = (question.step, question.asker);
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -32,7 +32,7 @@
 use super::record::{Record, WorkerId};
 use super::state::State;
 use super::ticket::Tickets;
-use super::timings::{PRESENCE, Timings};
+use super::timings::{ASKER_MOST_RESTS, ASKER_REST, PRESENCE, Timings};
 use super::worker::Worker;
 use crate::clock::{Instant, Unix};
 use crate::resource::Amount;
@@ -54,6 +54,9 @@
     seen: Instant,
     question: Option<u64>,
     strength: u32,
+    /// Questions in a row that it got no answer to.
+    failures: u32,
+    rests_until: Instant,
 }
 
 /// The owner of a cell.
@@ -156,8 +159,7 @@
             Message::Table(table) => self.configure(table),
             Message::SaveDue => self.save_due = true,
             Message::Present { peer, strength } => {
-                let asker = Asker { seen: now, question: None, strength };
-                self.askers.entry(peer).or_insert(asker).seen = now;
+                self.askers.entry(peer).or_insert_with(|| Asker::new(strength, now)).seen = now;
             }
         }
     }
@@ -375,6 +377,25 @@
 }
 
 impl Asker {
+    const fn new(strength: u32, now: Instant) -> Self {
+        Self { seen: now, question: None, strength, failures: 0, rests_until: now }
+    }
+
+    /// Takes in how its question came out.
+    ///
+    /// Guards against an instance that has just gone, or that alone cannot reach the policy service:
+    /// its questions fail at once, which would make it the first that is free again, and the steps
+    /// asked about through it would wait while others could ask.
+    fn note_outcome(&mut self, answered: bool, now: Instant) {
+        self.question = None;
+        self.failures = if answered { 0 } else { self.failures + 1 };
+        self.rests_until = now.after(ASKER_REST * self.failures.min(ASKER_MOST_RESTS));
+    }
+
+    fn is_idle(&self, now: Instant) -> bool {
+        self.question.is_none() && self.is_fresh(now) && now >= self.rests_until
+    }
+
     fn is_fresh(&self, now: Instant) -> bool {
         now.since(self.seen) < PRESENCE
     }
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -108,6 +108,13 @@
 /// Time for the policy service's answer beyond what it says it takes.
 pub const ADVICE_SLACK: Duration = Duration::from_millis(2_500);
 
+/// Rest of an instance whose question got no answer, for each such question in a row. An instance
+/// that goes is heard of for up to `PRESENCE` more; three rests of 0.5, 1 and 1.5 s outlast that.
+pub const ASKER_REST: Duration = Duration::from_millis(500);
+
+/// Most such rests on end: 2 s, so that an instance is of use soon after the service is back.
+pub const ASKER_MOST_RESTS: u32 = 4;
+
 /// Most workers named in one question to the policy service.
 pub const ADVICE_WORKERS: usize = 100;
 
--- /dev/null
+++ b/tests/logic/cell/advice.rs
@@ -0,0 +1,69 @@
+//! Which instance asks the policy service, about which workers, and what its answers allow.
+
+use std::rc::Rc;
+
+use oriolefork::cell::machine::{Call, Message};
+use oriolefork::cell::queue::{Advice, Queue, Table};
+
+use super::model::{self, cores};
+use super::story::Story;
+
+const TERMS: Advice = Advice { decide_ms: 20.0, each_ms: 1.0, valid_ms: 1_500 };
+
+/// A cell whose one queue is subject to the policy service.
+fn begin(workers: usize) -> Story {
+    let mut story = Story::begin(workers);
+    let table = model::table();
+    let queues = table.queues.iter();
+    let queues = queues.map(|queue| Queue { advice: Some(TERMS), ..queue.clone() }).collect();
+    let table = Table { version: 2, queues, services: table.services.clone() };
+    story.tell(Message::Table(Rc::new(table)));
+    story
+}
+
+fn submit(story: &mut Story, number: u64) {
+    story.ask(number, Call::Submit(model::job(number, model::step(1, cores(1)))));
+    story.store_all();
+    story.pass(20);
+}
+
+/// An instance has just gone. Every question given to it fails at once, so that it is always the
+/// first that is free to ask: job after job waits for its advice although others could ask.
+#[test]
+fn asker_rests_after_a_failure() {
+    let mut story = begin(2);
+    story.present(1);
+    story.present(2);
+    submit(&mut story, 1);
+    let first = story.questions().pop().expect("a question");
+    story.tell(Message::Advised { question: first.number, allowed: None });
+    story.pass(20);
+    let second = story.questions().pop().expect("another question");
+    assert_ne!(second.asker, first.asker);
+    story.allow_all(&second);
+    submit(&mut story, 2);
+    let third = story.questions().pop().expect("a third question");
+    assert_eq!(third.asker, second.asker, "the one that failed still rests");
+}
+
+/// An instance could not reach the policy service for a while and is well again: it must not stay
+/// idle for ever while jobs wait.
+#[test]
+fn asker_is_asked_again_after_its_rest() {
+    let mut story = begin(2);
+    story.present(1);
+    submit(&mut story, 1);
+    let first = story.questions().pop().expect("a question");
+    story.tell(Message::Advised { question: first.number, allowed: None });
+    story.pass(20);
+    assert!(story.questions().is_empty());
+    story.present(1);
+    story.pass(1_000);
+    story.present(1);
+    story.pass(20);
+    let second = story.questions().pop().expect("the same asker again");
+    assert_eq!(second.asker, first.asker);
+    story.allow_all(&second);
+    story.store_all();
+    assert_eq!(story.starts().len(), 1);
+}
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -1,10 +1,12 @@
 //! Cells: the owner's machine alone, and over random histories with workers and a journal.
 
+mod advice;
 mod histories;
 mod lease;
 mod machine;
 mod model;
 mod state;
+mod story;
 mod ticket;
 mod upstream;
 mod world;
