Look at hopeful jobs and valid tickets only in each round

Cause: every 8 ms the owner ranked each open job and looked up a ticket for each waiting step and worker: 1,300 steps x 350 workers in a grown site's hand-over, 4,490 open jobs after all instances lost power. It answered watching instances too late, was replaced in vain and started 50 tasks a second where 400 were wanted. Change: a round looks at jobs that may have tasks to place and can still earn something; all open jobs four times a second. Tickets that hold are walked instead of all workers; a step that was asked about everywhere is not looked through again; queues are shared, not copied. The placement module is split by duty (fields, waiting steps, advice). Found by the random histories on the way: an ended job must leave the hopeful ones at once, or a task starts after its last attempt.

--- a/benches/cell/main.rs
+++ b/benches/cell/main.rs
@@ -38,7 +38,7 @@
         if wanted.as_ref().is_some_and(|wanted| !site.label.contains(wanted.as_str())) {
             continue;
         }
-        for day in [Day::Calm, Day::Burst, Day::Loss] {
+        for day in [Day::Calm, Day::Burst, Day::Loss, Day::Flood] {
             println!("{}", Replay::new(site, day, SEED).run());
         }
     }
--- a/benches/cell/mix.rs
+++ b/benches/cell/mix.rs
@@ -20,6 +20,8 @@
     Burst,
     /// A quarter of the workers is lost for six seconds.
     Loss,
+    /// Six times the jobs for four seconds, as when callers come back after an outage.
+    Flood,
 }
 
 /// Instances, workers and queues of a site.
@@ -207,11 +209,22 @@
             }),
         };
         let service = Service { name: SERVICE.to_owned(), guards: false };
-        let queues = self.kinds.iter().enumerate().map(queue).collect();
+        let queues = self.kinds.iter().enumerate().map(queue).map(Rc::new).collect();
         Rc::new(Table { version: 1, queues, services: vec![service] })
     }
 }
 
+impl Day {
+    /// How many times the usual number of jobs comes while the trouble lasts.
+    pub const fn rush(self) -> f64 {
+        match self {
+            Self::Calm | Self::Loss => 1.0,
+            Self::Burst => 2.0,
+            Self::Flood => 6.0,
+        }
+    }
+}
+
 impl Kind {
     /// A job of this kind for queue `queue`.
     pub fn draw(&self, id: Id, queue: usize, rng: &mut StdRng) -> Job {
--- a/benches/cell/replay.rs
+++ b/benches/cell/replay.rs
@@ -161,6 +161,7 @@
             if tick <= self.now {
                 tick = self.now + TICK_MS;
                 self.sample();
+                self.note_ends();
             }
             while let Some(entry) = self.events.first_entry() {
                 if entry.key().0 > self.now {
@@ -204,7 +205,6 @@
         for effect in effects {
             self.carry_out(effect);
         }
-        self.note_ends();
     }
 
     fn take(&mut self, event: Event) {
@@ -243,8 +243,8 @@
         let site = self.site;
         let model = &site.kinds[kind];
         let (from, to) = TROUBLE_MS;
-        let burst = self.day == Day::Burst && (from..to).contains(&self.now);
-        let rate = model.per_second * if burst { 2.0 } else { 1.0 };
+        let rush = if (from..to).contains(&self.now) { self.day.rush() } else { 1.0 };
+        let rate = model.per_second * rush;
         let gap = -self.rng.random_range(f64::EPSILON..1.0_f64).ln() * 1_000.0 / rate;
         if self.now < TRAFFIC_MS {
             self.schedule(gap as u64, Event::Arrival(kind));
--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -1,9 +1,12 @@
 //! Questions to the policy service, spread over the instances, since it answers each of them one
 //! question at a time.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::field::{Field, Fields};
+use super::waiting::Waiting;
 use super::{Effect, Machine};
 use crate::cell::job::StepKey;
 use crate::cell::link::Allowed;
@@ -12,6 +15,13 @@
 use crate::cell::timings::{ADVICE_SLACK, ADVICE_WORKERS};
 use crate::clock::Instant;
 
+/// Workers asked about at least, and for each task, where most may run a step.
+const FEW_WORKERS: usize = 10;
+const WORKERS_A_TASK: usize = 4;
+
+/// Share of eligible workers from which asking about a few is enough.
+const MOST_ELIGIBLE: f64 = 0.6;
+
 /// A question about one step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Question {
@@ -32,6 +42,69 @@
 }
 
 impl Machine {
+    /// Asks the policy service what is still needed to place the step.
+    pub(super) fn seek_advice(&mut self, step: &Waiting, advice: &Advice, fields: &Fields) {
+        if self.idle_asker().is_none() {
+            return;
+        }
+        let tickets = self.tickets.entry(step.key).or_default();
+        if tickets.is_asking() {
+            return;
+        }
+        let question = match tickets.tally() {
+            (0, _) => self.first_question(step, fields),
+            (asked, eligible) => self.next_question(step, advice, fields, asked, eligible),
+        };
+        if !question.is_empty() {
+            self.ask(step.key, question, advice);
+        }
+    }
+
+    /// A few workers where most may run the queue's steps, as many as one question takes elsewhere.
+    fn first_question(&self, step: &Waiting, fields: &Fields) -> Vec<WorkerId> {
+        let share = self.shares.get(&step.queue.name).copied().unwrap_or(0.0);
+        let few = FEW_WORKERS.max(WORKERS_A_TASK * step.pending.len());
+        let most = if share >= MOST_ELIGIBLE { few } else { ADVICE_WORKERS };
+        self.unasked(step, fields, most)
+    }
+
+    /// Tickets that are about to expire, if they are many, or else further workers.
+    fn next_question(
+        &self,
+        step: &Waiting,
+        advice: &Advice,
+        fields: &Fields,
+        asked: usize,
+        eligible: usize,
+    ) -> Vec<WorkerId> {
+        let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
+        let expected = advice.decide_ms + advice.each_ms * eligible as f64;
+        let soon = self.now.after(Duration::from_millis(expected.max(0.0) as u64));
+        let mut stale = tickets.stale(soon);
+        stale.retain(|worker| fields.find(worker).is_some());
+        if !stale.is_empty() && stale.len() * 2 >= eligible {
+            return stale;
+        }
+        // Most steps that wait have been asked about everywhere: with 350 workers, looking through
+        // them for each such step took a fifth of all deciding.
+        if asked >= self.workers.len() {
+            return Vec::new();
+        }
+        self.unasked(step, fields, ADVICE_WORKERS)
+    }
+
+    /// Up to `most` workers that nobody has asked about for the step, those with the most room first.
+    fn unasked(&self, step: &Waiting, fields: &Fields, most: usize) -> Vec<WorkerId> {
+        let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
+        let suits = |field: &&Field| {
+            field.suits(&step.queue.service, step.model()) && tickets.is_unasked(&field.id)
+        };
+        let mut unasked: Vec<&Field> = fields.iter().filter(suits).collect();
+        unasked.sort_by_key(|field| Reverse(field.room.cpu_millis));
+        unasked.truncate(most);
+        unasked.into_iter().map(|field| field.id.clone()).collect()
+    }
+
     /// An instance that can ask now.
     pub(super) fn idle_asker(&self) -> Option<SocketAddr> {
         self.askers.iter().find(|(_, asker)| asker.is_idle(self.now)).map(|(peer, _)| *peer)
--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -75,6 +75,7 @@
                 job.steps.iter().map(|step| step.count).sum::<u32>()
             );
             names::CELL_JOBS.increment(&[("outcome", "accepted")]);
+            self.hopeful.add(job.id);
             self.record(Record::Accepted { at: self.unix, job });
             self.dirty = true;
         }
--- /dev/null
+++ b/src/cell/machine/field.rs
@@ -0,0 +1,122 @@
+//! Workers as one round of placement sees them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+use super::Machine;
+use crate::cell::job::{Run, Step};
+use crate::cell::link::Listed;
+use crate::cell::record::WorkerId;
+use crate::resource::Amount;
+
+/// A worker that may take tasks in this round.
+pub(super) struct Field {
+    pub(super) id: WorkerId,
+    pub(super) listed: Rc<Listed>,
+    pub(super) room: Amount,
+    /// Kept for a gang of a higher rank.
+    pub(super) reserved: bool,
+    /// Whether tasks there serve users of their own and must answer in time.
+    pub(super) serves: bool,
+    /// Whether tasks there live on what others leave unused.
+    pub(super) fills: bool,
+}
+
+/// All of them, by place and by name.
+pub(super) struct Fields {
+    all: Vec<Field>,
+    places: HashMap<WorkerId, usize>,
+}
+
+impl Fields {
+    /// How many there are.
+    pub(super) const fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Field> {
+        self.all.iter()
+    }
+
+    pub(super) fn get(&self, at: usize) -> &Field {
+        &self.all[at]
+    }
+
+    pub(super) fn get_mut(&mut self, at: usize) -> &mut Field {
+        &mut self.all[at]
+    }
+
+    /// Place of the worker of that name.
+    pub(super) fn find(&self, id: &WorkerId) -> Option<usize> {
+        self.places.get(id).copied()
+    }
+
+    pub(super) fn racks(&self, places: &[usize]) -> BTreeSet<Option<String>> {
+        places.iter().map(|&at| self.all[at].listed.rack.clone()).collect()
+    }
+
+    /// Keeps `needed` workers for a gang that does not fit yet, those of `places` with the most
+    /// room; `spare` more may be kept in this round.
+    pub(super) fn reserve(&mut self, needed: usize, places: &[usize], spare: &mut usize) {
+        if needed > *spare {
+            return;
+        }
+        let mut open: Vec<usize> =
+            places.iter().copied().filter(|&at| !self.all[at].reserved).collect();
+        open.sort_by_key(|&at| Reverse(self.all[at].room.cpu_millis));
+        for at in open.into_iter().take(needed) {
+            self.all[at].reserved = true;
+            *spare -= 1;
+        }
+    }
+}
+
+impl Field {
+    /// Whether the step's tasks and those that run there leave each other in peace.
+    ///
+    /// Guards against tasks that fill the gaps of a worker and slow its serving tasks beyond their
+    /// target: the two kinds are kept on different workers.
+    pub(super) fn is_quiet(&self, step: &Step) -> bool {
+        !(step.fills && self.serves || step.serves() && self.fills)
+    }
+
+    /// Whether the worker belongs to `service` and bears the label that the step asks for.
+    pub(super) fn suits(&self, service: &str, step: &Step) -> bool {
+        let label = step.label.as_ref().is_none_or(|label| self.listed.labels.contains(label));
+        self.listed.service == service && label
+    }
+}
+
+impl Machine {
+    /// Workers that may take tasks now.
+    pub(super) fn fields(&self) -> Fields {
+        let sharing = self.has_sharing_jobs();
+        let open = self.workers.values().filter(|worker| worker.is_open(self.now));
+        let all: Vec<Field> = open
+            .map(|worker| Field {
+                id: worker.id.clone(),
+                listed: worker.listed.clone(),
+                room: worker.room(),
+                reserved: false,
+                serves: sharing && worker.runs.iter().any(|run| self.runs_as(run, Step::serves)),
+                fills: sharing
+                    && worker.runs.iter().any(|run| self.runs_as(run, |step| step.fills)),
+            })
+            .collect();
+        let places = all.iter().enumerate().map(|(at, field)| (field.id.clone(), at)).collect();
+        Fields { all, places }
+    }
+
+    /// Whether any open job serves users of its own or fills gaps; few sites have such jobs, and the
+    /// others need not look at what runs on each worker.
+    fn has_sharing_jobs(&self) -> bool {
+        let shares = |step: &Step| step.fills || step.serves();
+        let mut jobs = self.state.open.iter().filter_map(|id| self.state.jobs.get(id));
+        jobs.any(|entry| entry.job.steps.iter().any(shares))
+    }
+
+    fn runs_as(&self, run: &Run, is: impl Fn(&Step) -> bool) -> bool {
+        self.model(&run.task.step).is_some_and(is)
+    }
+}
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -174,6 +174,7 @@
         let Some(worker) = self.workers.remove(id) else { return };
         log::warn!("event=worker.gone worker={id} reason={reason} tasks={}", worker.runs.len());
         self.dead.insert(id.into());
+        self.forget_tickets(id);
         for run in worker.runs {
             self.end_run(run, End::Lost, String::new());
         }
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -7,6 +7,7 @@
 mod advice;
 mod calls;
 mod commit;
+mod field;
 mod live;
 mod looks;
 mod message;
@@ -14,6 +15,7 @@
 mod place;
 mod rank;
 mod roster;
+mod waiting;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +28,7 @@
 pub use live::{Live, Stage};
 pub use message::{Answer, Call, CallId, Effect, Message};
 
+use self::waiting::Hopeful;
 use super::Epoch;
 use super::job::{End, Id, Job, Phase, Run, Step, StepKey};
 use super::queue::Table;
@@ -87,6 +90,7 @@
     dead: BTreeSet<WorkerId>,
     save_due: bool,
     unsettled: BTreeSet<Id>,
+    hopeful: Hopeful,
     failed_on: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     askers: BTreeMap<SocketAddr, Asker>,
     questions: BTreeMap<u64, Question>,
@@ -129,6 +133,7 @@
             dead: BTreeSet::new(),
             save_due: false,
             unsettled: BTreeSet::new(),
+            hopeful: Hopeful::new(now),
             failed_on: BTreeMap::new(),
             askers: BTreeMap::new(),
             questions: BTreeMap::new(),
@@ -261,6 +266,7 @@
             worker.release(&run, &live.demand);
         }
         self.dirty = true;
+        self.hopeful.add(run.task.step.job);
         let took_ms = self.now.since(live.since).as_millis();
         log::info!(
             "event=task.ended task={run} worker={} end={end} took_ms={took_ms}",
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -74,11 +74,22 @@
     /// Forgets workers that are off the list and hold nothing any more.
     pub(super) fn drop_unlisted(&mut self) {
         let now = self.now;
-        self.workers.retain(|_, worker| {
+        let over = |worker: &&Worker| {
             let gone = worker.missing_since.is_some_and(|since| {
                 now.since(since) > crate::cell::timings::UNLISTED_AFTER && worker.missed > 0
             });
-            !gone || !worker.runs.is_empty()
-        });
+            gone && worker.runs.is_empty()
+        };
+        let over: Vec<WorkerId> =
+            self.workers.values().filter(over).map(|worker| worker.id.clone()).collect();
+        for id in over {
+            self.workers.remove(&id);
+            self.forget_tickets(&id);
+        }
+    }
+
+    /// Forgets what the policy service said of a life that is over.
+    pub(super) fn forget_tickets(&mut self, worker: &str) {
+        self.tickets.values_mut().for_each(|tickets| tickets.forget(worker));
     }
 }
--- /dev/null
+++ b/src/cell/machine/waiting.rs
@@ -0,0 +1,136 @@
+//! Steps with tasks that wait for a worker.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Machine;
+use super::rank::{Hope, Rank, lasting_rank};
+use crate::cell::job::{Id, Job, Step, StepKey};
+use crate::cell::queue::Queue;
+use crate::cell::state;
+use crate::clock::Instant;
+
+/// Rest between two rounds over all open jobs. Late jobs that earn nothing any more are placed only
+/// then: with 4,500 open jobs, as after a loss of all instances, looking at each in every round took
+/// all of the owner's processor.
+const SWEEP_REST: Duration = Duration::from_millis(250);
+
+/// A step with tasks that wait.
+pub(super) struct Waiting {
+    pub(super) key: StepKey,
+    pub(super) job: Rc<Job>,
+    pub(super) queue: Rc<Queue>,
+    pub(super) rank: Rank,
+    pub(super) pending: Vec<u32>,
+}
+
+impl Waiting {
+    pub(super) fn model(&self) -> &Step {
+        &self.job.steps[self.key.step as usize]
+    }
+}
+
+/// Jobs that each round looks at, among all that are open.
+#[derive(Debug)]
+pub(super) struct Hopeful {
+    /// Jobs that may have tasks to place and can still earn something.
+    jobs: BTreeSet<Id>,
+    next_sweep: Instant,
+}
+
+impl Hopeful {
+    pub(super) const fn new(now: Instant) -> Self {
+        Self { jobs: BTreeSet::new(), next_sweep: now }
+    }
+
+    /// Notes that a job may have tasks to place.
+    pub(super) fn add(&mut self, job: Id) {
+        self.jobs.insert(job);
+    }
+}
+
+impl Machine {
+    /// Steps whose turn has come and that have tasks without a try: of hopeful jobs, and at times of
+    /// all, the first in rank first.
+    pub(super) fn waiting_steps(&mut self) -> Vec<Waiting> {
+        let sweep = self.now >= self.hopeful.next_sweep;
+        if sweep {
+            self.hopeful.next_sweep = self.now.after(SWEEP_REST);
+        }
+        let candidates: Vec<Id> = if sweep {
+            self.state.open.iter().copied().collect()
+        } else {
+            self.hopeful.jobs.iter().copied().collect()
+        };
+        let mut waiting = Vec::new();
+        for id in candidates {
+            if !self.state.open.contains(&id) {
+                self.hopeful.jobs.remove(&id);
+                continue;
+            }
+            let before = waiting.len();
+            let more_to_come = self.open_occurrences(id);
+            self.list_waiting(id, &mut waiting);
+            let hopeful = |step: &Waiting| step.rank.hope != Hope::Worthless;
+            if more_to_come || waiting[before..].iter().any(hopeful) {
+                self.hopeful.jobs.insert(id);
+            } else {
+                self.hopeful.jobs.remove(&id);
+            }
+        }
+        waiting.sort_by_key(|step| step.rank);
+        waiting
+    }
+
+    fn list_waiting(&self, id: Id, waiting: &mut Vec<Waiting>) {
+        let Some(entry) = self.state.jobs.get(&id) else { return };
+        let Some(queue) = self.table.queue(&entry.job.queue) else { return };
+        let accepted = entry.accepted.as_millis();
+        for (occurrence, steps) in &entry.open {
+            for (number, step) in steps.iter().enumerate() {
+                let model = &entry.job.steps[number];
+                let ready = model.after.iter().all(|&earlier| steps[earlier].is_done());
+                let pending = if ready { pending(model, step) } else { Vec::new() };
+                if pending.is_empty() {
+                    continue;
+                }
+                let key = StepKey { job: id, occurrence: *occurrence, step: number as u32 };
+                let rank = if model.lasting {
+                    lasting_rank(step, queue, accepted)
+                } else {
+                    self.rank(&entry.job, queue, &key, accepted)
+                };
+                let (job, queue) = (entry.job.clone(), queue.clone());
+                waiting.push(Waiting { key, job, queue, rank, pending });
+            }
+        }
+    }
+
+    /// Begins the occurrences of a job that are due; `true` when others come later.
+    fn open_occurrences(&mut self, id: Id) -> bool {
+        let unix = self.unix;
+        let Some(entry) = self.state.jobs.get_mut(&id) else { return false };
+        while !entry.phase().is_final() {
+            let next = (entry.done.len() + entry.open.len()) as u32;
+            if next >= entry.job.occurrences() {
+                return false;
+            }
+            if entry.job.due(next).is_some_and(|due| due > unix) {
+                return true;
+            }
+            entry.occurrence(next);
+        }
+        false
+    }
+}
+
+/// Tasks of a step that have no try. A gang begins only when no earlier try of any member is left.
+fn pending(model: &Step, step: &state::Step) -> Vec<u32> {
+    if step.is_done() && !model.lasting || model.gang && step.is_live() {
+        return Vec::new();
+    }
+    let waits = |task: &state::Task| task.live == 0 && (!task.done || model.lasting);
+    let tasks = step.tasks.iter().enumerate().filter(|(_, task)| waits(task));
+    tasks.map(|(index, _)| index as u32).collect()
+}
--- a/src/cell/queue.rs
+++ b/src/cell/queue.rs
@@ -1,5 +1,7 @@
 //! Queues that callers hand jobs to, as the operators' configuration defines them.
 
+use std::rc::Rc;
+
 use serde::{Deserialize, Serialize};
 
 /// The operators' configuration, as far as jobs are concerned.
@@ -8,7 +10,7 @@
     /// Rises with each change.
     pub version: u64,
     /// Every queue.
-    pub queues: Vec<Queue>,
+    pub queues: Vec<Rc<Queue>>,
     /// Every service.
     pub services: Vec<Service>,
 }
@@ -62,19 +64,20 @@
     /// ```
     /// use oriolefork::cell::queue::{Queue, Table};
     /// let queue = Queue { host: "a.example".into(), prefix: "/jobs/".into(), ..Default::default() };
-    /// let table = Table { version: 1, queues: vec![queue], services: vec![] };
+    /// let table = Table { version: 1, queues: vec![queue.into()], services: vec![] };
     /// assert!(table.find("a.example", "/jobs/5c0e7a21d94b36f8").is_some());
     /// assert!(table.find("b.example", "/jobs/5c0e7a21d94b36f8").is_none());
     /// ```
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
-        let matching = |queue: &&Queue| {
+        let matching = |queue: &&Rc<Queue>| {
             queue.host.eq_ignore_ascii_case(host) && path.starts_with(&queue.prefix)
         };
-        self.queues.iter().filter(matching).max_by_key(|queue| queue.prefix.len())
+        let found = self.queues.iter().filter(matching).max_by_key(|queue| queue.prefix.len());
+        found.map(Rc::as_ref)
     }
 
     /// The queue of that name.
-    pub fn queue(&self, name: &str) -> Option<&Queue> {
+    pub fn queue(&self, name: &str) -> Option<&Rc<Queue>> {
         self.queues.iter().find(|queue| queue.name == name)
     }
 
--- a/src/cell/ticket.rs
+++ b/src/cell/ticket.rs
@@ -24,6 +24,8 @@
     refused: BTreeSet<WorkerId>,
     /// Workers that a question under way names.
     asked: BTreeSet<WorkerId>,
+    /// End of the ticket that holds longest, so that a step without any is passed over at once.
+    last_until: Instant,
 }
 
 impl Tickets {
@@ -46,6 +48,7 @@
         let Some(allowed) = allowed else { return };
         let valid = allowed.valid_ms.map_or(valid, Duration::from_millis);
         let until = now.after(valid).before(TICKET_MARGIN);
+        self.last_until = self.last_until.max(until);
         for (worker, text) in &allowed.workers {
             self.eligible.insert(worker.clone(), Ticket { text: text.clone(), until });
         }
@@ -77,12 +80,25 @@
         (now < ticket.until).then_some(ticket.text.as_str())
     }
 
+    /// Workers whose tickets hold.
+    pub fn holding(&self, now: Instant) -> impl Iterator<Item = &WorkerId> {
+        let any = now < self.last_until;
+        let holding = self.eligible.iter().filter(move |(_, ticket)| any && now < ticket.until);
+        holding.map(|(worker, _)| worker)
+    }
+
     /// Workers that may run the step and whose tickets no longer hold at `at`.
     pub fn stale(&self, at: Instant) -> Vec<WorkerId> {
         let stale = self.eligible.iter().filter(|(_, ticket)| ticket.until <= at);
         stale.map(|(worker, _)| worker.clone()).collect()
     }
 
+    /// Forgets a life of a worker that is over.
+    pub fn forget(&mut self, worker: &str) {
+        self.eligible.remove(worker);
+        self.refused.remove(worker);
+    }
+
     /// Forgets a ticket that the worker did not take.
     pub fn expire(&mut self, worker: &str) {
         if let Some(ticket) = self.eligible.get_mut(worker) {
--- a/tests/logic/cell/advice.rs
+++ b/tests/logic/cell/advice.rs
@@ -15,7 +15,8 @@
     let mut story = Story::begin(workers);
     let table = model::table();
     let queues = table.queues.iter();
-    let queues = queues.map(|queue| Queue { advice: Some(TERMS), ..queue.clone() }).collect();
+    let queues =
+        queues.map(|queue| Queue { advice: Some(TERMS), ..Queue::clone(queue) }.into()).collect();
     let table = Table { version: 2, queues, services: table.services.clone() };
     story.tell(Message::Table(Rc::new(table)));
     story
--- a/tests/logic/cell/machine.rs
+++ b/tests/logic/cell/machine.rs
@@ -385,3 +385,24 @@
     let third = story.running(3, serving);
     assert_eq!(third[0].0, first[0].0, "not beside what fills");
 }
+
+/// After an outage most open jobs are so late that they earn nothing, and rounds pass them over in
+/// favour of those that do; their callers still wait for the work to be done.
+#[test]
+fn worthless_job_is_placed_all_the_same() {
+    let mut story = Story::begin(1);
+    let long = story.running(1, model::step(1, cores(8)));
+    story.ask(2, Call::Submit(model::job(2, model::step(1, cores(8)))));
+    story.store_all();
+    for _ in 0..60 {
+        story.pass(1_000);
+        story.report(0, &[long[0].1.run], &[]);
+    }
+    assert!(story.starts().is_empty(), "the first one still runs");
+    story.report(0, &[], &[(1, long[0].1.run, End::Done)]);
+    for _ in 0..20 {
+        story.pass(20);
+        story.store_all();
+    }
+    assert_eq!(story.starts().len(), 1);
+}
--- a/tests/logic/cell/model.rs
+++ b/tests/logic/cell/model.rs
@@ -55,7 +55,7 @@
         advice: None,
     };
     let service = Service { name: "portal".to_owned(), guards: false };
-    Rc::new(Table { version: 1, queues: vec![queue], services: vec![service] })
+    Rc::new(Table { version: 1, queues: vec![queue.into()], services: vec![service] })
 }
 
 pub fn listed(number: usize, capacity: Amount) -> Listed {
