Ask the policy service only where an answer may let a step begin

Change: a question names workers with room, as many as are expected to be enough by the share that may run the queue's steps; tickets are renewed when enough room for them is free; a step without prospects is looked at again after 0.1 s; reservations go by eligibility, not by valid tickets. Tests: full_site_asks_for_nothing, question_names_as_many_as_are_needed.

--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -12,15 +12,28 @@
 use crate::cell::link::Allowed;
 use crate::cell::queue::Advice;
 use crate::cell::record::WorkerId;
-use crate::cell::timings::{ADVICE_SLACK, ADVICE_WORKERS};
+use crate::cell::timings::{ADVICE_REST, ADVICE_SLACK, ADVICE_WORKERS};
 use crate::clock::Instant;
 
-/// Workers asked about at least, and for each task, where most may run a step.
+/// Workers asked about at least, where so many have room: a question costs far more than a name.
 const FEW_WORKERS: usize = 10;
-const WORKERS_A_TASK: usize = 4;
 
-/// Share of eligible workers from which asking about a few is enough.
-const MOST_ELIGIBLE: f64 = 0.6;
+/// Times the tasks to place that the workers asked about should have room for, eligible ones alone.
+const MARGIN: f64 = 1.5;
+
+/// The same for gangs.
+const GANG_MARGIN: f64 = 3.0;
+
+/// Share of eligible workers that is assumed before the first answer; the lowest that was seen.
+const UNKNOWN_SHARE: f64 = 0.25;
+
+/// Part of a gang that must find room for its tickets to be renewed: room that comes free meanwhile
+/// takes the rest.
+const NEARLY_A_GANG: f64 = 0.7;
+
+/// Part of other steps' tasks, and number of tasks, from which a question is worth its time.
+const WORTH_ASKING: f64 = 0.25;
+const WORTH_ASKING_TASKS: f64 = 8.0;
 
 /// A question about one step.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,68 +54,134 @@
     pub timeout: Duration,
 }
 
+/// Workers that a question may name.
+#[derive(Default)]
+struct Candidates<'a> {
+    workers: Vec<(&'a Field, f64)>,
+    /// Tasks that they have room for together.
+    slots: f64,
+}
+
+impl<'a> Candidates<'a> {
+    fn add(&mut self, field: &'a Field, slots: f64) {
+        if slots > 0.0 {
+            self.workers.push((field, slots));
+            self.slots += slots;
+        }
+    }
+
+    /// The fewest of them with room for `wanted` tasks, those with the most room first.
+    fn choose(mut self, wanted: f64) -> Vec<WorkerId> {
+        self.workers.sort_by_key(|(field, _)| Reverse(field.room.cpu_millis));
+        let mut chosen = Vec::new();
+        let mut slots = 0.0;
+        for (field, here) in self.workers {
+            if chosen.len() >= ADVICE_WORKERS || slots >= wanted && chosen.len() >= FEW_WORKERS {
+                break;
+            }
+            slots += here;
+            chosen.push(field.id.clone());
+        }
+        chosen
+    }
+}
+
 impl Machine {
     /// Asks the policy service what is still needed to place the step.
     pub(super) fn seek_advice(&mut self, step: &Waiting, advice: &Advice, fields: &Fields) {
         if self.idle_asker().is_none() {
             return;
         }
+        let now = self.now;
         let tickets = self.tickets.entry(step.key).or_default();
-        if tickets.is_asking() {
+        if tickets.is_asking() || !tickets.is_due(now) {
             return;
         }
-        let question = match tickets.tally() {
-            (0, _) => self.first_question(step, fields),
-            (asked, eligible) => self.next_question(step, advice, fields, asked, eligible),
-        };
+        let question = self.question(step, advice, fields);
         if !question.is_empty() {
             self.ask(step.key, question, advice);
+        } else if let Some(tickets) = self.tickets.get_mut(&step.key) {
+            tickets.rest(now.after(ADVICE_REST));
         }
     }
 
-    /// A few workers where most may run the queue's steps, as many as one question takes elsewhere.
-    fn first_question(&self, step: &Waiting, fields: &Fields) -> Vec<WorkerId> {
-        let share = self.shares.get(&step.queue.name).copied().unwrap_or(0.0);
-        let few = FEW_WORKERS.max(WORKERS_A_TASK * step.pending.len());
-        let most = if share >= MOST_ELIGIBLE { few } else { ADVICE_WORKERS };
-        self.unasked(step, fields, most)
-    }
-
-    /// Tickets that are about to expire, if they are many, or else further workers.
-    fn next_question(
-        &self,
-        step: &Waiting,
-        advice: &Advice,
-        fields: &Fields,
-        asked: usize,
-        eligible: usize,
-    ) -> Vec<WorkerId> {
+    /// Workers to ask about: those with room whose answer may let the step begin.
+    ///
+    /// Guards against a policy service that is kept busy in vain: on a grown site that is full, steps
+    /// without room renewed their tickets all the time, 29 of 30 instances were always asking, and
+    /// new jobs waited for their first answer beside room that came free.
+    fn question(&self, step: &Waiting, advice: &Advice, fields: &Fields) -> Vec<WorkerId> {
         let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
+        let model = step.model();
+        let wanted = step.pending.len() as f64;
+        let (asked, eligible) = tickets.tally();
         let expected = advice.decide_ms + advice.each_ms * eligible as f64;
         let soon = self.now.after(Duration::from_millis(expected.max(0.0) as u64));
-        let mut stale = tickets.stale(soon);
-        stale.retain(|worker| fields.find(worker).is_some());
-        if !stale.is_empty() && stale.len() * 2 >= eligible {
-            return stale;
-        }
-        // Most steps that wait have been asked about everywhere: with 350 workers, looking through
-        // them for each such step took a fifth of all deciding.
-        if asked >= self.workers.len() {
+        let mut room = Candidates::default();
+        let mut lapsing = Candidates::default();
+        for (worker, until) in tickets.eligible() {
+            let Some(field) = fields.find(worker).map(|at| fields.get(at)) else { continue };
+            let slots = field.slots(&step.queue.service, model);
+            room.add(field, slots);
+            if until <= soon {
+                lapsing.add(field, slots);
+            }
+        }
+        if room.slots - lapsing.slots >= wanted {
             return Vec::new();
         }
-        self.unasked(step, fields, ADVICE_WORKERS)
+        let enough = if model.gang {
+            wanted * NEARLY_A_GANG
+        } else {
+            (wanted * WORTH_ASKING).min(WORTH_ASKING_TASKS)
+        };
+        if room.slots >= enough {
+            return lapsing.choose(wanted * MARGIN);
+        }
+        if asked < self.workers.len() {
+            let further = self.further(step, fields, wanted - room.slots, asked == 0);
+            if !further.is_empty() {
+                return further;
+            }
+        }
+        // While most instances have nothing to ask, tickets may as well be kept for the moment when
+        // enough room comes free.
+        if model.gang && self.are_askers_idle() {
+            return lapsing.choose(wanted * GANG_MARGIN);
+        }
+        Vec::new()
+    }
+
+    /// Whether most instances have no question to ask.
+    fn are_askers_idle(&self) -> bool {
+        let fresh = self.askers.values().filter(|asker| asker.is_fresh(self.now)).count();
+        let idle = self.askers.values().filter(|asker| asker.is_idle(self.now)).count();
+        idle * 2 > fresh
     }
 
-    /// Up to `most` workers that nobody has asked about for the step, those with the most room first.
-    fn unasked(&self, step: &Waiting, fields: &Fields, most: usize) -> Vec<WorkerId> {
+    /// Workers that nobody has asked about for the step, those with the most room first, until
+    /// enough of them may be expected to have room and to be eligible.
+    fn further(&self, step: &Waiting, fields: &Fields, wanted: f64, first: bool) -> Vec<WorkerId> {
         let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
-        let suits = |field: &&Field| {
-            field.suits(&step.queue.service, step.model()) && tickets.is_unasked(&field.id)
-        };
-        let mut unasked: Vec<&Field> = fields.iter().filter(suits).collect();
-        unasked.sort_by_key(|field| Reverse(field.room.cpu_millis));
-        unasked.truncate(most);
-        unasked.into_iter().map(|field| field.id.clone()).collect()
+        let model = step.model();
+        let service = &step.queue.service;
+        // A gang is asked about early even while nothing has room, so that room can be kept for it.
+        let early = first && model.gang;
+        let mut unasked = Candidates::default();
+        for field in fields.iter().filter(|field| tickets.is_unasked(&field.id)) {
+            let slots = field.slots(service, model);
+            if slots == 0.0 && early && field.suits(service, model) {
+                unasked.add(field, 1.0);
+            } else {
+                unasked.add(field, slots);
+            }
+        }
+        if model.same_rack || model.data_rack.is_some() {
+            return unasked.choose(f64::INFINITY);
+        }
+        let share = self.shares.get(&step.queue.name).copied().unwrap_or(UNKNOWN_SHARE);
+        let margin = if model.gang { GANG_MARGIN } else { MARGIN };
+        unasked.choose(wanted * margin / share.max(0.05))
     }
 
     /// An instance that can ask now.
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -81,6 +81,21 @@
         !(step.fills && self.serves || step.serves() && self.fills)
     }
 
+    /// Tasks of the step that fit there now.
+    pub(super) fn slots(&self, service: &str, step: &Step) -> f64 {
+        if self.reserved || !self.suits(service, step) || !self.is_quiet(step) {
+            return 0.0;
+        }
+        let demand = step.room();
+        let fits = |room: u64, demand: u64| room.checked_div(demand).unwrap_or(u64::MAX);
+        let slots = fits(self.room.cpu_millis, demand.cpu_millis)
+            .min(fits(self.room.memory_mib, demand.memory_mib))
+            .min(fits(self.room.accelerators, demand.accelerators))
+            .min(u64::from(step.count));
+        let bound = if step.spread == 0 { u64::MAX } else { u64::from(step.spread) };
+        slots.min(bound) as f64
+    }
+
     /// Whether the worker belongs to `service` and bears the label that the step asks for.
     pub(super) fn suits(&self, service: &str, step: &Step) -> bool {
         let label = step.label.as_ref().is_none_or(|label| self.listed.labels.contains(label));
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -53,7 +53,8 @@
         if !plan.is_empty() {
             self.carry_out_plan(step, &plan, fields);
         } else if step.model().gang && step.rank.hope == Hope::OnTime {
-            fields.reserve(step.pending.len(), &allowed, spare);
+            let eligible = self.eligible(step, fields);
+            fields.reserve(step.pending.len(), &eligible, spare);
         }
     }
 
@@ -78,6 +79,17 @@
         allowed
     }
 
+    /// Fields that may run the step, whether a ticket holds or would have to be renewed.
+    fn eligible(&self, step: &Waiting, fields: &Fields) -> Vec<usize> {
+        let suits = |at: &usize| fields.get(*at).suits(&step.queue.service, step.model());
+        if step.queue.advice.is_none() {
+            return (0..fields.len()).filter(suits).collect();
+        }
+        let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
+        let places = tickets.eligible().filter_map(|(worker, _)| fields.find(worker));
+        places.filter(suits).collect()
+    }
+
     /// Fields for which the step has a ticket that holds.
     fn ticketed(&self, step: &StepKey, fields: &Fields) -> Vec<usize> {
         let Some(tickets) = self.tickets.get(step) else { return Vec::new() };
--- a/src/cell/ticket.rs
+++ b/src/cell/ticket.rs
@@ -26,6 +26,8 @@
     asked: BTreeSet<WorkerId>,
     /// End of the ticket that holds longest, so that a step without any is passed over at once.
     last_until: Instant,
+    /// When a question is to be thought about again.
+    rests_until: Instant,
 }
 
 impl Tickets {
@@ -87,10 +89,19 @@
         holding.map(|(worker, _)| worker)
     }
 
-    /// Workers that may run the step and whose tickets no longer hold at `at`.
-    pub fn stale(&self, at: Instant) -> Vec<WorkerId> {
-        let stale = self.eligible.iter().filter(|(_, ticket)| ticket.until <= at);
-        stale.map(|(worker, _)| worker.clone()).collect()
+    /// Workers that may run the step, with the end of their tickets.
+    pub fn eligible(&self) -> impl Iterator<Item = (&WorkerId, Instant)> {
+        self.eligible.iter().map(|(worker, ticket)| (worker, ticket.until))
+    }
+
+    /// Whether it is time to think about a question again.
+    pub fn is_due(&self, now: Instant) -> bool {
+        now >= self.rests_until
+    }
+
+    /// Thinks about no question before `until`.
+    pub fn rest(&mut self, until: Instant) {
+        self.rests_until = until;
     }
 
     /// Forgets a life of a worker that is over.
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -115,6 +115,10 @@
 /// Most such rests on end: 2 s, so that an instance is of use soon after the service is back.
 pub const ASKER_MOST_RESTS: u32 = 4;
 
+/// Rest before a step for which no question is worth its time is looked at again: on a full site
+/// most steps are such, and each look goes through all workers.
+pub const ADVICE_REST: Duration = Duration::from_millis(100);
+
 /// Most workers named in one question to the policy service.
 pub const ADVICE_WORKERS: usize = 100;
 
--- a/tests/logic/cell/advice.rs
+++ b/tests/logic/cell/advice.rs
@@ -68,3 +68,40 @@
     story.store_all();
     assert_eq!(story.starts().len(), 1);
 }
+
+/// A site is full. Steps that find no room anywhere keep asking for new tickets as the old ones
+/// expire, all instances are busy with that, and a new job waits for its first answer beside room
+/// that has just come free. So a step asks only where an answer may let it begin.
+#[test]
+fn full_site_asks_for_nothing() {
+    let mut story = begin(2);
+    story.present(1);
+    for number in 1..=2 {
+        story.ask(number, Call::Submit(model::job(number, model::step(1, cores(8)))));
+        story.store_all();
+        story.pass(20);
+        let question = story.questions().pop().expect("room is left");
+        story.allow_all(&question);
+        story.store_all();
+    }
+    assert_eq!(story.starts().len(), 2);
+    story.ask(3, Call::Submit(model::job(3, model::step(4, cores(8)))));
+    story.store_all();
+    for _ in 0..40 {
+        story.present(1);
+        story.pass(50);
+        story.store_all();
+    }
+    assert!(story.questions().is_empty());
+}
+
+/// The workers with the most room are named first, and no more than are needed: each name costs the
+/// policy service time, and so the caller.
+#[test]
+fn question_names_as_many_as_are_needed() {
+    let mut story = begin(60);
+    story.present(1);
+    submit(&mut story, 1);
+    let question = story.questions().pop().expect("a question");
+    assert_eq!(question.workers.len(), 10);
+}
--- a/tests/logic/cell/ticket.rs
+++ b/tests/logic/cell/ticket.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use oriolefork::cell::link::Allowed;
+use oriolefork::cell::record::WorkerId;
 use oriolefork::cell::ticket::Tickets;
 use oriolefork::clock::Instant;
 
@@ -36,7 +37,12 @@
     let tickets = answered();
     assert_eq!(tickets.valid("w1", at(200)), Some("t1"));
     assert_eq!(tickets.valid("w1", at(1_590)), None);
-    assert_eq!(tickets.stale(at(1_590)), ["w1".into()]);
+    let stale: Vec<&WorkerId> = tickets
+        .eligible()
+        .filter(|(_, until)| *until <= at(1_590))
+        .map(|(worker, _)| worker)
+        .collect();
+    assert_eq!(stale, [&WorkerId::from("w1")]);
 }
 
 /// The instance that asks dies with the question. The workers it named must count as unasked
