Let gangs learn of all workers in few questions, and reserve by fitting tasks

Reservations kept a worker for each task, though two or three fit on one. Questions and answers are logged (step, names, allowed, time).

--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -64,10 +64,8 @@
 
 impl<'a> Candidates<'a> {
     fn add(&mut self, field: &'a Field, slots: f64) {
-        if slots > 0.0 {
-            self.workers.push((field, slots));
-            self.slots += slots;
-        }
+        self.workers.push((field, slots));
+        self.slots += slots;
     }
 
     /// The fewest of them with room for `wanted` tasks, those with the most room first.
@@ -123,7 +121,7 @@
             let Some(field) = fields.find(worker).map(|at| fields.get(at)) else { continue };
             let slots = field.slots(&step.queue.service, model);
             room.add(field, slots);
-            if until <= soon {
+            if until <= soon && slots > 0.0 {
                 lapsing.add(field, slots);
             }
         }
@@ -139,7 +137,7 @@
             return lapsing.choose(wanted * MARGIN);
         }
         if asked < self.workers.len() {
-            let further = self.further(step, fields, wanted - room.slots, asked == 0);
+            let further = self.further(step, fields, wanted - room.slots);
             if !further.is_empty() {
                 return further;
             }
@@ -161,18 +159,17 @@
 
     /// Workers that nobody has asked about for the step, those with the most room first, until
     /// enough of them may be expected to have room and to be eligible.
-    fn further(&self, step: &Waiting, fields: &Fields, wanted: f64, first: bool) -> Vec<WorkerId> {
+    fn further(&self, step: &Waiting, fields: &Fields, wanted: f64) -> Vec<WorkerId> {
         let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
         let model = step.model();
         let service = &step.queue.service;
-        // A gang is asked about early even while nothing has room, so that room can be kept for it.
-        let early = first && model.gang;
+        // A gang waits until enough workers have room at once, so that all must be known in the end:
+        // many in one question, since most of a question's time is not for the names.
+        let all = model.gang;
         let mut unasked = Candidates::default();
         for field in fields.iter().filter(|field| tickets.is_unasked(&field.id)) {
             let slots = field.slots(service, model);
-            if slots == 0.0 && early && field.suits(service, model) {
-                unasked.add(field, 1.0);
-            } else {
+            if slots > 0.0 || all && field.suits(service, model) {
                 unasked.add(field, slots);
             }
         }
@@ -213,6 +210,12 @@
         if let Some(asker) = self.askers.get_mut(&asker) {
             asker.question = Some(question.number);
         }
+        log::info!(
+            "event=advice.asked step={step} question={} asker={asker} workers={} valid_workers={}",
+            question.number,
+            question.workers.len(),
+            self.tickets.get(&step).map_or(0, |tickets| tickets.holding(self.now).count())
+        );
         self.questions.insert(question.number, question.clone());
         self.effects.push(Effect::Advise(question));
         true
@@ -225,7 +228,13 @@
         {
             asker.note_outcome(allowed.is_some(), self.now);
         }
-        if allowed.is_none() {
+        if let Some(allowed) = allowed {
+            let took_ms = self.now.since(question.sent).as_millis();
+            let (step, allowed) = (question.step, allowed.workers.len());
+            log::info!(
+                "event=advice.answered step={step} question={number} allowed={allowed} took_ms={took_ms}"
+            );
+        } else {
             let (step, asker) = (question.step, question.asker);
             log::warn!("event=advice.failed step={step} asker={asker} question={number}");
         }
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -56,19 +56,35 @@
         places.iter().map(|&at| self.all[at].listed.rack.clone()).collect()
     }
 
-    /// Keeps `needed` workers for a gang that does not fit yet, those of `places` with the most
-    /// room; `spare` more may be kept in this round.
-    pub(super) fn reserve(&mut self, needed: usize, places: &[usize], spare: &mut usize) {
-        if needed > *spare {
-            return;
-        }
+    /// Keeps workers for `wanted` tasks of a gang that does not fit yet, those of `places` with the
+    /// most room; `spare` more may be kept in this round.
+    ///
+    /// A worker counts with the tasks that fit there now, at least one: keeping one for each task
+    /// left most of the room on them idle.
+    pub(super) fn reserve(
+        &mut self,
+        wanted: usize,
+        service: &str,
+        step: &Step,
+        places: &[usize],
+        spare: &mut usize,
+    ) {
         let mut open: Vec<usize> =
             places.iter().copied().filter(|&at| !self.all[at].reserved).collect();
         open.sort_by_key(|&at| Reverse(self.all[at].room.cpu_millis));
-        for at in open.into_iter().take(needed) {
+        let mut slots = 0.0;
+        let enough = open.iter().position(|&at| {
+            slots += self.all[at].slots(service, step).max(1.0);
+            slots >= wanted as f64
+        });
+        let Some(last) = enough else { return };
+        if last >= *spare {
+            return;
+        }
+        for at in open.into_iter().take(last + 1) {
             self.all[at].reserved = true;
-            *spare -= 1;
         }
+        *spare -= last + 1;
     }
 }
 
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -54,7 +54,8 @@
             self.carry_out_plan(step, &plan, fields);
         } else if step.model().gang && step.rank.hope == Hope::OnTime {
             let eligible = self.eligible(step, fields);
-            fields.reserve(step.pending.len(), &eligible, spare);
+            let (wanted, service) = (step.pending.len(), &step.queue.service);
+            fields.reserve(wanted, service, step.model(), &eligible, spare);
         }
     }
 
