--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -40,9 +40,10 @@
             return;
         }
         log::info!(
-            "event=worker.listed worker={id} address={} domain={} draining={}",
+            "event=worker.listed worker={id} address={} domain={} labels={} draining={}",
             listed.address,
             crate::logging::value(&listed.domain),
+            crate::logging::value(&listed.labels.join(",")),
             listed.draining
         );
         let mut worker = Worker::new(id.clone(), listed, self.now);
