Begin the occurrence that is missing, not the one after as many as are known

Cause: the next occurrence of a repeated job was taken to be the one after as many as are done or begun.

Change: occurrences are looked through from the first one. Test: successor_begins_the_occurrence_that_is_missing (ran without end).

--- a/src/cell/machine/waiting.rs
+++ b/src/cell/machine/waiting.rs
@@ -108,18 +108,23 @@
     }
 
     /// Begins the occurrences of a job that are due; `true` when others come later.
+    ///
+    /// Guards against an owner that never comes to an end here: it may have read of a later
+    /// occurrence that was placed, and not of an earlier one that still waited.
     fn open_occurrences(&mut self, id: Id) -> bool {
         let unix = self.unix;
         let Some(entry) = self.state.jobs.get_mut(&id) else { return false };
-        while !entry.phase().is_final() {
-            let next = (entry.done.len() + entry.open.len()) as u32;
-            if next >= entry.job.occurrences() {
-                return false;
+        if entry.phase().is_final() {
+            return false;
+        }
+        for number in 0..entry.job.occurrences() {
+            if entry.done.contains(&number) || entry.open.contains_key(&number) {
+                continue;
             }
-            if entry.job.due(next).is_some_and(|due| due > unix) {
+            if entry.job.due(number).is_some_and(|due| due > unix) {
                 return true;
             }
-            entry.occurrence(next);
+            entry.occurrence(number);
         }
         false
     }
--- a/tests/logic/cell/machine.rs
+++ b/tests/logic/cell/machine.rs
@@ -3,14 +3,17 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use oriolefork::cell::job::{End, Phase, Step};
+use oriolefork::cell::Epoch;
+use oriolefork::cell::job::{End, Phase, Run, Schedule, Step, StepKey, TaskKey};
 use oriolefork::cell::link::Fault;
 use oriolefork::cell::machine::{Answer, Call, Effect, Message};
+use oriolefork::cell::record::{Batch, Record};
+use oriolefork::cell::state::State;
 use oriolefork::cell::timings::{STORE_SILENCE, STORE_SLOW};
-use oriolefork::clock::Instant;
+use oriolefork::clock::{Instant, Unix};
 
 use super::model::{self, QUEUE, cores, id};
-use super::story::{Story, WORKER_CLOCK};
+use super::story::{Story, UNIX, WORKER_CLOCK};
 
 /// A caller is told that its job is accepted, and the owner dies before the record is stored: the
 /// job is gone without a trace. So the answer waits for the store.
@@ -406,3 +409,28 @@
     }
     assert_eq!(story.starts().len(), 1);
 }
+
+/// A job repeats. Its second occurrence still waits for room when the third one is placed, and the
+/// owner dies. Its successor reads of the third alone: counting what it knows of, it took the third
+/// for the next to begin, again and again without end, as did every owner after it.
+#[test]
+fn successor_begins_the_occurrence_that_is_missing() {
+    let mut state = State::default();
+    let at = Unix::from_millis(UNIX);
+    state.apply_batch(model::claim(Epoch(1), at));
+    let mut job = model::job(1, model::step(1, cores(1)));
+    job.schedule = Some(Schedule { first: at, interval_ms: 10, count: 3 });
+    let third = StepKey { job: id(1), occurrence: 2, step: 0 };
+    let run = Run { task: TaskKey { step: third, index: 0 }, number: 1 };
+    let records =
+        vec![Record::Accepted { at, job }, Record::Placed { worker: "w0".into(), runs: vec![run] }];
+    state.apply_batch(Batch { epoch: Epoch(1), at, records });
+    let mut story = Story::take_over(state, 1);
+    for _ in 0..10 {
+        story.pass(100);
+        story.store_all();
+    }
+    let begun: BTreeSet<u32> =
+        story.starts().iter().map(|(_, start)| start.run.task.step.occurrence).collect();
+    assert!(begun.is_superset(&BTreeSet::from([0, 1])), "{begun:?}");
+}
--- a/tests/logic/cell/story.rs
+++ b/tests/logic/cell/story.rs
@@ -3,6 +3,8 @@
 use oriolefork::cell::job::{End, Run, Step};
 use oriolefork::cell::link::{Allowed, Ended, Fault, Rejected, Report, Running, Start};
 use oriolefork::cell::machine::{Answer, Call, Effect, Machine, Message, Question};
+use oriolefork::cell::state::State;
+use oriolefork::cell::timings::Timings;
 use oriolefork::clock::{Instant, Unix};
 
 use super::model::{self, cores, id};
@@ -23,7 +25,17 @@
 impl Story {
     /// Begins with workers that have answered their first look.
     pub fn begin(workers: usize) -> Self {
-        let machine = model::machine(Instant::from_millis(0), Unix::from_millis(UNIX));
+        Self::with(model::machine(Instant::from_millis(0), Unix::from_millis(UNIX)), workers)
+    }
+
+    /// Begins with an owner that has read `state`.
+    pub fn take_over(state: State, workers: usize) -> Self {
+        let (now, unix) = (Instant::from_millis(0), Unix::from_millis(UNIX));
+        let timings = Timings::default();
+        Self::with(Machine::new(state, 0, 1, model::table(), timings, now, unix), workers)
+    }
+
+    fn with(machine: Machine, workers: usize) -> Self {
         let mut story = Self { machine, now: 0, effects: Vec::new() };
         story.tell(Message::Roster(model::roster(workers, cores(8))));
         story.pass(1);
