Ask about further workers while those known have too little room

Cause: a gang that fitted by seven tenths on the eligible workers it knew of renewed their tickets and asked about nobody else, beside an idle site. Change: further workers first, then renewed tickets. Test: gang_asks_further_while_its_workers_are_too_few (failed before).

--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -133,15 +133,17 @@
         } else {
             (wanted * WORTH_ASKING).min(WORTH_ASKING_TASKS)
         };
-        if room.slots >= enough {
-            return lapsing.choose(wanted * MARGIN);
-        }
-        if asked < self.workers.len() {
+        // Further workers come first while those known have too little room. Guards against a gang
+        // that nearly fits on the few it knows of, renews their tickets and waits beside an idle site.
+        if room.slots < wanted && asked < self.workers.len() {
             let further = self.further(step, fields, wanted - room.slots);
             if !further.is_empty() {
                 return further;
             }
         }
+        if room.slots >= enough {
+            return lapsing.choose(wanted * MARGIN);
+        }
         // While most instances have nothing to ask, tickets may as well be kept for the moment when
         // enough room comes free.
         if model.gang && self.are_askers_idle() {
--- a/tests/logic/cell/advice.rs
+++ b/tests/logic/cell/advice.rs
@@ -2,8 +2,11 @@
 
 use std::rc::Rc;
 
+use oriolefork::cell::job::Step;
+use oriolefork::cell::link::Allowed;
 use oriolefork::cell::machine::{Call, Message};
 use oriolefork::cell::queue::{Advice, Queue, Table};
+use oriolefork::resource::Amount;
 
 use super::model::{self, cores};
 use super::story::Story;
@@ -105,3 +108,27 @@
     let question = story.questions().pop().expect("a question");
     assert_eq!(question.workers.len(), 10);
 }
+
+/// The site is idle. The first answer allows one worker, with room for three of a gang's four tasks.
+/// That is nearly all, so the gang kept this ticket fresh and waited for the last task's room, while
+/// nobody asked about the other workers, until its caller gave the job up for lost.
+#[test]
+fn gang_asks_further_while_its_workers_are_too_few() {
+    let mut story = begin(40);
+    story.present(1);
+    let demand = Amount { cpu_millis: 2_500, ..cores(1) };
+    let gang = Step { gang: true, ..model::step(4, demand) };
+    story.ask(1, Call::Submit(model::job(1, gang)));
+    story.store_all();
+    story.pass(20);
+    let first = story.questions().pop().expect("a question");
+    assert!(first.workers.len() < 40);
+    let allowed = Allowed { workers: vec![(first.workers[0].clone(), "t".into())], valid_ms: None };
+    story.tell(Message::Advised { question: first.number, allowed: Some(allowed) });
+    story.pass(20);
+    let second = story.questions().pop().expect("a question about others");
+    assert!(second.workers.iter().all(|worker| !first.workers.contains(worker)));
+    story.allow_all(&second);
+    story.store_all();
+    assert_eq!(story.starts().len(), 4);
+}
