Look up a job's tries and tickets by its name instead of going through all

What stood there: three copies of the same retain over all tickets, twice in a row where a job is cancelled or fails; scans over all tries for the tries of one job or step, one of them in each round for each step with a bound on tasks a worker; a scan over all tries for each newly listed worker; and a scan over all open jobs in each round to learn whether any shares workers. Now: the maps are ordered by job and step, so that ranges serve; inherited tries are reserved in one pass; whether sharing matters is read off the waiting steps, the only ones that it is asked for.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -201,6 +201,13 @@
     pub step: u32,
 }
 
+impl StepKey {
+    /// Name that stands before those of all steps of `job`.
+    pub(super) const fn first(job: Id) -> Self {
+        Self { job, occurrence: 0, step: 0 }
+    }
+}
+
 /// Names one task.
 #[derive(
     Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -252,6 +259,13 @@
     pub number: u32,
 }
 
+impl Run {
+    /// Name that stands before those of all tries of `step` and of the steps after it.
+    pub(super) const fn first(step: StepKey) -> Self {
+        Self { task: TaskKey { step, index: 0 }, number: 0 }
+    }
+}
+
 /// How a try ended.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[display("{}", self.name())]
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::{Answer, CallId, Effect, Machine, Stage};
+use super::{Answer, CallId, Effect, Machine, Stage, remove_job};
 use crate::cell::job::{End, Id, Phase, Run};
 use crate::cell::link::{Base, Rejected};
 use crate::cell::record::{Batch, Record, WorkerId};
@@ -164,7 +164,7 @@
         log::info!("event=job.ended job={job} phase={phase}");
         names::CELL_JOBS.increment(&[("outcome", phase.name())]);
         self.unsettled.insert(job);
-        self.tickets.retain(|step, _| step.job != job);
+        remove_job(&mut self.tickets, job);
         self.defer(Deferred::Settle(job));
     }
 
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use super::Machine;
+use super::waiting::Waiting;
 use crate::cell::job::{Run, Step};
 use crate::cell::link::Listed;
 use crate::cell::record::WorkerId;
@@ -120,9 +121,11 @@
 }
 
 impl Machine {
-    /// Workers that may take tasks now.
-    pub(super) fn fields(&self) -> Fields {
-        let sharing = self.has_sharing_jobs();
+    /// Workers that may take tasks now. What runs on each matters only where one of the `waiting`
+    /// steps serves users of its own or fills gaps; few sites have such steps.
+    pub(super) fn fields(&self, waiting: &[Waiting]) -> Fields {
+        let shares = |step: &Waiting| step.model().fills || step.model().serves();
+        let sharing = waiting.iter().any(shares);
         let open = self.workers.values().filter(|worker| worker.is_open(self.now));
         let all: Vec<Field> = open
             .map(|worker| Field {
@@ -139,14 +142,6 @@
         Fields { all, places }
     }
 
-    /// Whether any open job serves users of its own or fills gaps; few sites have such jobs, and the
-    /// others need not look at what runs on each worker.
-    fn has_sharing_jobs(&self) -> bool {
-        let shares = |step: &Step| step.fills || step.serves();
-        let mut jobs = self.state.open.iter().filter_map(|id| self.state.jobs.get(id));
-        jobs.any(|entry| entry.job.steps.iter().any(shares))
-    }
-
     fn runs_as(&self, run: &Run, is: impl Fn(&Step) -> bool) -> bool {
         self.model(&run.task.step).is_some_and(is)
     }
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -254,11 +254,22 @@
     fn forget(&mut self) {
         let gone = self.state.forget(self.unix, self.timings.status_retention);
         for id in gone {
-            self.tickets.retain(|step, _| step.job != id);
-            self.failed_on.retain(|step, _| step.job != id);
+            remove_job(&mut self.tickets, id);
+            remove_job(&mut self.failed_on, id);
         }
     }
 
+    /// Tries of a job that are not known to be over.
+    fn runs_of_job(&self, job: Id) -> impl Iterator<Item = &Run> {
+        let from = self.runs.range(Run::first(StepKey::first(job))..);
+        from.map(|(run, _)| run).take_while(move |run| run.task.step.job == job)
+    }
+
+    /// Tries of a step that are not known to be over, with what is known of them.
+    fn runs_of_step(&self, step: StepKey) -> impl Iterator<Item = (&Run, &Live)> {
+        self.runs.range(Run::first(step)..).take_while(move |(run, _)| run.task.step == step)
+    }
+
     /// Records the end of a try and gives its room back.
     fn end_run(&mut self, run: Run, end: End, saved: String) {
         let Some(live) = self.runs.remove(&run) else { return };
@@ -363,25 +374,32 @@
 
     /// Stops all tries of a job.
     fn stop_job(&mut self, job: Id) {
-        let runs: Vec<Run> =
-            self.runs.keys().filter(|run| run.task.step.job == job).copied().collect();
+        let runs: Vec<Run> = self.runs_of_job(job).copied().collect();
         for run in runs {
             self.stop_run(run);
         }
-        self.tickets.retain(|step, _| step.job != job);
         self.dirty = true;
     }
 
     /// The members of a gang only work together: when one is gone, the others only take up room.
     fn break_gang(&mut self, gone: &Run) {
-        let same = |run: &&Run| run.task.step == gone.task.step && run.number == gone.number;
-        let members: Vec<Run> = self.runs.keys().filter(same).copied().collect();
+        let runs = self.runs_of_step(gone.task.step).map(|(run, _)| *run);
+        let members: Vec<Run> = runs.filter(|run| run.number == gone.number).collect();
         for member in members {
             self.stop_run(member);
         }
     }
 }
 
+/// Drops what is kept of a job's steps.
+fn remove_job<T>(kept: &mut BTreeMap<StepKey, T>, job: Id) {
+    let steps = kept.range(StepKey::first(job)..).map(|(step, _)| *step);
+    let steps: Vec<StepKey> = steps.take_while(|step| step.job == job).collect();
+    for step in steps {
+        kept.remove(&step);
+    }
+}
+
 impl Asker {
     const fn new(strength: u32, now: Instant) -> Self {
         Self { seen: now, question: None, strength, failures: 0, rests_until: now }
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -37,7 +37,7 @@
         if waiting.is_empty() {
             return;
         }
-        let mut fields = self.fields();
+        let mut fields = self.fields(&waiting);
         let mut spare = (fields.len() as f64 * RESERVED_SHARE) as usize;
         for step in &waiting {
             self.place_step(step, &mut fields, &mut spare);
@@ -164,10 +164,7 @@
         if step.model().spread == 0 {
             return counts;
         }
-        for (run, live) in &self.runs {
-            if run.task.step != step.key {
-                continue;
-            }
+        for (_, live) in self.runs_of_step(step.key) {
             if let Some(at) = fields.find(&live.worker) {
                 *counts.entry(at).or_insert(0) += 1;
             }
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -18,8 +18,12 @@
             missing.iter().for_each(|id| self.miss(id));
             self.dead.retain(|id| present.contains(id));
         }
+        let mut any_new = false;
         for (id, listed) in roster.present {
-            self.list(id, listed);
+            any_new |= self.list(id, listed);
+        }
+        if any_new {
+            self.reserve_inherited();
         }
         for id in roster.gone {
             self.miss(&id);
@@ -27,9 +31,10 @@
         }
     }
 
-    fn list(&mut self, id: WorkerId, listed: Rc<Listed>) {
+    /// Takes in a worker's entry; `true` when the worker was not known.
+    fn list(&mut self, id: WorkerId, listed: Rc<Listed>) -> bool {
         if self.dead.contains(&id) {
-            return;
+            return false;
         }
         if let Some(worker) = self.workers.get_mut(&id) {
             if worker.missing_since.take().is_some() || worker.listed != listed {
@@ -37,7 +42,7 @@
                 self.dirty = true;
             }
             worker.listed = listed;
-            return;
+            return false;
         }
         log::info!(
             "event=worker.listed worker={id} address={} domain={} labels={} draining={}",
@@ -46,11 +51,17 @@
             crate::logging::value(&listed.labels.join(",")),
             listed.draining
         );
-        let mut worker = Worker::new(id.clone(), listed, self.now);
-        for (run, live) in self.runs.iter().filter(|(_, live)| live.worker == id) {
-            worker.reserve(*run, &live.demand);
+        self.workers.insert(id.clone(), Worker::new(id, listed, self.now));
+        true
+    }
+
+    /// Reserves room for the tries that an earlier owner placed, on workers that are new here.
+    fn reserve_inherited(&mut self) {
+        for (run, live) in &self.runs {
+            if let Some(worker) = self.workers.get_mut(&live.worker) {
+                worker.reserve(*run, &live.demand);
+            }
         }
-        self.workers.insert(id, worker);
     }
 
     /// Absence from the list says little: entries lapse while the store is away. What runs there
