Find the asker once a question, and drop what nothing calls

The free instance was looked for twice in a row, the names were bounded twice, and the answer of ask was read by nobody; a candidates' list was built for its sum alone; the least share is a named constant now. The wall clock is read by one function: the clock that counts suspension made a whole other clock for each reading. Worker::rack and Table::guards had no caller.

--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -27,6 +27,9 @@
 /// Share of eligible workers that is assumed before the first answer; the lowest that was seen.
 const UNKNOWN_SHARE: f64 = 0.25;
 
+/// Share below which no more names are thought to help: a question names a hundred at most.
+const LEAST_SHARE: f64 = 0.05;
+
 /// Part of a gang that must find room for its tickets to be renewed: room that comes free meanwhile
 /// takes the rest.
 const NEARLY_A_GANG: f64 = 0.7;
@@ -87,9 +90,7 @@
 impl Machine {
     /// Asks the policy service what is still needed to place the step.
     pub(super) fn seek_advice(&mut self, step: &Waiting, advice: &Advice, fields: &Fields) {
-        if self.idle_asker().is_none() {
-            return;
-        }
+        let Some(asker) = self.idle_asker() else { return };
         let now = self.now;
         let tickets = self.tickets.entry(step.key).or_default();
         if tickets.is_asking() || !tickets.is_due(now) {
@@ -97,7 +98,7 @@
         }
         let question = self.question(step, advice, fields);
         if !question.is_empty() {
-            self.ask(step.key, question, advice);
+            self.ask(asker, step.key, question, advice);
         } else if let Some(tickets) = self.tickets.get_mut(&step.key) {
             tickets.rest(now.after(ADVICE_REST));
         }
@@ -115,17 +116,17 @@
         let (asked, eligible) = tickets.tally();
         let expected = advice.decide_ms + advice.each_ms * eligible as f64;
         let soon = self.now.after(Duration::from_millis(expected.max(0.0) as u64));
-        let mut room = Candidates::default();
+        let mut room = 0.0;
         let mut lapsing = Candidates::default();
         for (worker, until) in tickets.eligible() {
             let Some(field) = fields.find(worker).map(|at| fields.get(at)) else { continue };
             let slots = field.slots(&step.queue.service, model);
-            room.add(field, slots);
+            room += slots;
             if until <= soon && slots > 0.0 {
                 lapsing.add(field, slots);
             }
         }
-        if room.slots - lapsing.slots >= wanted {
+        if room - lapsing.slots >= wanted {
             return Vec::new();
         }
         let enough = if model.gang {
@@ -135,13 +136,13 @@
         };
         // Further workers come first while those known have too little room. Guards against a gang
         // that nearly fits on the few it knows of, renews their tickets and waits beside an idle site.
-        if room.slots < wanted && asked < self.workers.len() {
-            let further = self.further(step, fields, wanted - room.slots);
+        if room < wanted && asked < self.workers.len() {
+            let further = self.further(step, fields, wanted - room);
             if !further.is_empty() {
                 return further;
             }
         }
-        if room.slots >= enough {
+        if room >= enough {
             return lapsing.choose(wanted * MARGIN);
         }
         // While most instances have nothing to ask, tickets may as well be kept for the moment when
@@ -165,13 +166,12 @@
         let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
         let model = step.model();
         let service = &step.queue.service;
-        // A gang waits until enough workers have room at once, so that all must be known in the end:
-        // many in one question, since most of a question's time is not for the names.
-        let all = model.gang;
         let mut unasked = Candidates::default();
         for field in fields.iter().filter(|field| tickets.is_unasked(&field.id)) {
             let slots = field.slots(service, model);
-            if slots > 0.0 || all && field.suits(service, model) {
+            // A gang waits until enough workers have room at once, so that all must be known in the
+            // end: many in one question, since most of a question's time is not for the names.
+            if slots > 0.0 || model.gang && field.suits(service, model) {
                 unasked.add(field, slots);
             }
         }
@@ -180,23 +180,16 @@
         }
         let share = self.shares.get(&step.queue.name).copied().unwrap_or(UNKNOWN_SHARE);
         let margin = if model.gang { GANG_MARGIN } else { MARGIN };
-        unasked.choose(wanted * margin / share.max(0.05))
+        unasked.choose(wanted * margin / share.max(LEAST_SHARE))
     }
 
     /// An instance that can ask now.
-    pub(super) fn idle_asker(&self) -> Option<SocketAddr> {
+    fn idle_asker(&self) -> Option<SocketAddr> {
         self.askers.iter().find(|(_, asker)| asker.is_idle(self.now)).map(|(peer, _)| *peer)
     }
 
-    /// Asks about `workers`; `false` when every instance is busy.
-    pub(super) fn ask(
-        &mut self,
-        step: StepKey,
-        mut workers: Vec<WorkerId>,
-        advice: &Advice,
-    ) -> bool {
-        let Some(asker) = self.idle_asker() else { return false };
-        workers.truncate(ADVICE_WORKERS);
+    /// Has `asker` ask about `workers`.
+    fn ask(&mut self, asker: SocketAddr, step: StepKey, workers: Vec<WorkerId>, advice: &Advice) {
         self.last_question += 1;
         let expected = advice.decide_ms + advice.each_ms * workers.len() as f64;
         let question = Question {
@@ -220,7 +213,6 @@
         );
         self.questions.insert(question.number, question.clone());
         self.effects.push(Effect::Advise(question));
-        true
     }
 
     pub(super) fn advised(&mut self, number: u64, allowed: Option<&Allowed>) {
--- a/src/cell/queue.rs
+++ b/src/cell/queue.rs
@@ -80,9 +80,4 @@
     pub fn queue(&self, name: &str) -> Option<&Rc<Queue>> {
         self.queues.iter().find(|queue| queue.name == name)
     }
-
-    /// Whether workers of `service` guard their own room.
-    pub fn guards(&self, service: &str) -> bool {
-        self.services.iter().any(|known| known.name == service && known.guards)
-    }
 }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -101,11 +101,6 @@
         self.listed.capacity.saturating_sub(&self.used)
     }
 
-    /// Its rack, as its labels name it.
-    pub fn rack(&self) -> Option<&str> {
-        self.listed.rack.as_deref()
-    }
-
     /// Reserves room for a try.
     pub fn reserve(&mut self, run: Run, demand: &Amount) {
         if self.runs.insert(run) {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -115,8 +115,7 @@
     }
 
     fn unix(&self) -> Unix {
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Unix(millis(since_epoch))
+        wall()
     }
 
     fn sleep(&self, span: Duration) -> LocalBoxFuture<'static, ()> {
@@ -148,7 +147,7 @@
     }
 
     fn unix(&self) -> Unix {
-        System::start().unix()
+        wall()
     }
 
     fn sleep(&self, span: Duration) -> LocalBoxFuture<'static, ()> {
@@ -156,6 +155,11 @@
     }
 }
 
+fn wall() -> Unix {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Unix(millis(since_epoch))
+}
+
 fn since_boot() -> Duration {
     // Linux has had this clock since 2.6.39; a failure would mean a broken build.
     let now = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
