--- a/benches/cell/mix.rs
+++ b/benches/cell/mix.rs
@@ -107,51 +107,30 @@
 const LAKESHORE: [Kind; 3] = [
     Kind {
         per_second: 48.3,
-        steps: 1.0,
-        width: 2.0,
         work_ms: 640.0,
         cores: 1.4,
         gib: 3.0,
-        gang: 0.15,
         worth: 0.41,
         late: 0.082,
-        priority: 0,
-        attempts: 3,
-        stretch: 1.5,
-        target_ms: 250,
-        advice: (14.3, 1.5, 0.7),
+        ..WAITAKI[0]
     },
     Kind {
         per_second: 1.18,
-        steps: 1.2,
-        width: 4.5,
         work_ms: 6_200.0,
         cores: 4.5,
         gib: 16.0,
-        gang: 1.0,
         worth: 19.2,
         late: 3.84,
-        priority: 1,
-        attempts: 2,
-        stretch: 2.2,
-        target_ms: 1_000,
-        advice: (442.0, 6.37, 0.25),
+        ..WAITAKI[1]
     },
     Kind {
         per_second: 5.45,
-        steps: 1.5,
-        width: 10.0,
         work_ms: 2_700.0,
         cores: 0.98,
         gib: 3.0,
-        gang: 0.0,
         worth: 2.59,
         late: 0.518,
-        priority: 2,
-        attempts: 2,
-        stretch: 4.0,
-        target_ms: 3_000,
-        advice: (104.0, 1.43, 0.45),
+        ..WAITAKI[2]
     },
 ];
 
@@ -165,11 +144,11 @@
         advice: (14.3, 0.208, 0.7),
         ..WAITAKI[0]
     },
-    Kind { per_second: 5.97, width: 20.0, advice: (442.0, 6.37, 0.25), ..WAITAKI[1] },
+    Kind { per_second: 5.97, width: 20.0, ..WAITAKI[1] },
     Kind { per_second: 12.3, width: 25.0, cores: 6.9, gib: 10.0, ..WAITAKI[2] },
 ];
 
-/// Ten times the jobs of a site of today, a tenth as many a worker.
+/// Up to twice the jobs of the grown site, on almost three times the workers.
 const LARGE: [Kind; 3] = [
     Kind { per_second: 150.0, ..GROWN[0] },
     Kind { per_second: 6.0, ..GROWN[1] },
