Read peers' calls and word refusals in one place

decode with a refusal stood three times and a fourth inline, the maker of a refusal three times; peer::decode and peer::Refusal::new serve all. What the encoders answer differs on purpose and stays. Lost and regained dependencies were logged by two copies of one rule; Contact keeps it. Log lines and answers are the same.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -11,10 +11,11 @@
 //! | `record.rs`, `state.rs` | the journal's records and what they add up to |
 //! | `worker.rs`, `lease.rs` | a worker's room, its clock and how long it may hold what runs |
 //! | `ticket.rs` | which workers may run a step, by the policy service's word |
-//! | `machine.rs` and its parts | the owner's decisions; pure |
+//! | `machine/` | the owner's decisions; pure |
 //! | `link.rs` | borders to workers, policy service, journal and lists |
-//! | `owner.rs`, `election.rs`, `front.rs`, `node.rs` | the tasks of an instance |
+//! | `owner.rs`, `election.rs`, `front.rs`, `node.rs`, `contact.rs` | the tasks of an instance |
 
+mod contact;
 pub mod election;
 pub mod front;
 pub mod job;
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -10,8 +10,8 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
+use super::contact::Contact;
 use super::link::Allowed;
 use super::owner::{Borders, Handle};
 use super::peer::{
@@ -23,7 +23,7 @@
 use super::{Epoch, Id, election};
 use crate::clock::Instant;
 use crate::codec;
-use crate::peer::{Code, Handler, Refusal};
+use crate::peer::{Code, Handler, Refusal, decode};
 use crate::shutdown::Shutdown;
 
 /// Time that one read for a newer configuration waits at the platform.
@@ -202,25 +202,19 @@
 
     /// Reads the configuration as it changes, and passes it to owners that may not have it.
     async fn follow_table(self: Rc<Self>) {
-        let mut failing = false;
+        let mut store = Contact::new("store");
         while !self.left.get() {
             let version = self.table().version;
             match self.borders.lists.table(version, TABLE_WAIT).await {
                 Ok(table) => {
-                    if failing {
-                        log::info!("event=store.regained");
-                    }
-                    failing = false;
+                    store.answered();
                     if let Some(table) = table {
                         self.take_table(table);
                         self.spread_table();
                     }
                 }
                 Err(cause) => {
-                    if !failing {
-                        log::warn!("event=store.lost cause={cause:?}");
-                    }
-                    failing = true;
+                    store.failed(&cause);
                     self.borders.clock.sleep(TABLE_RETRY).await;
                 }
             }
@@ -256,7 +250,7 @@
                 self.take_announcement(decode(body)?);
                 encode(&())
             }
-            other => Err(refusal(Code::UnknownMethod, format!("no method {other}"))),
+            other => Err(Refusal::new(Code::UnknownMethod, format!("no method {other}"))),
         }
     }
 
@@ -336,13 +330,5 @@
 }
 
 fn encode<T: Serialize>(value: &T) -> Result<Bytes, Refusal> {
-    codec::encode(value).map_err(|error| refusal(Code::Busy, error.to_string()))
-}
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
-    codec::decode(body).map_err(|error| refusal(Code::Malformed, error.to_string()))
-}
-
-fn refusal(code: Code, reason: String) -> Refusal {
-    Refusal { code, reason }
+    codec::encode(value).map_err(|error| Refusal::new(Code::Busy, error))
 }
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -9,6 +9,7 @@
 use local_sync::mpsc::unbounded::{Rx, Tx, channel};
 use local_sync::oneshot;
 
+use super::contact::Contact;
 use super::job::Run;
 use super::link::{Advisor, Base, Fault, Journal, Listed, Lists, Look, Roster, Start, Workers};
 use super::machine::{Answer, Call, CallId, Effect, Machine, Message, Question};
@@ -290,14 +291,14 @@
         let (cell, cells, ended) = (self.cell, self.cells, self.ended.clone());
         borders.lists.restart();
         monoio::spawn(async move {
-            let mut failing = false;
+            let mut list = Contact::new("roster");
             while !ended.get() {
                 match borders.lists.roster().await {
                     Ok(roster) => {
-                        failing = report_contact(failing, None);
+                        list.answered();
                         handle.send(Message::Roster(share(roster, cell, cells)));
                     }
-                    Err(cause) => failing = report_contact(failing, Some(&cause)),
+                    Err(cause) => list.failed(&cause),
                 }
                 borders.clock.sleep(ROSTER_REST).await;
             }
@@ -305,16 +306,6 @@
     }
 }
 
-/// Logs that the list of workers is lost or back; returns whether it is lost now.
-fn report_contact(failing: bool, cause: Option<&str>) -> bool {
-    match cause {
-        Some(cause) if !failing => log::warn!("event=roster.lost cause={cause:?}"),
-        None if failing => log::info!("event=roster.regained"),
-        _ => {}
-    }
-    cause.is_some()
-}
-
 async fn ask(
     borders: &Borders,
     me: SocketAddr,
--- a/src/config/handle.rs
+++ b/src/config/handle.rs
@@ -12,7 +12,7 @@
 use super::value::{Value, Version};
 use super::{Change, Message, wire};
 use crate::codec;
-use crate::peer::{Code, Refusal};
+use crate::peer::{self, Code, Refusal};
 use crate::store::Offset;
 
 /// Values as they come into force.
@@ -116,7 +116,7 @@
     }
 
     async fn exchange(&self, body: &[u8]) -> Result<Bytes, Refusal> {
-        let wire: wire::Digest = codec::decode(body).map_err(|error| malformed(&error))?;
+        let wire: wire::Digest = peer::decode(body)?;
         let digest: Digest = wire.try_into().map_err(|error: wire::Error| malformed(&error))?;
         let own = self.ask(|sender| Ask::Digest(digest, sender)).await.ok_or_else(stopped)?;
         codec::encode(&wire::Digest::from(&own)).map_err(|error| malformed(&error))
@@ -136,9 +136,9 @@
 }
 
 fn malformed(error: &dyn std::fmt::Display) -> Refusal {
-    Refusal { code: Code::Malformed, reason: error.to_string() }
+    Refusal::new(Code::Malformed, error)
 }
 
 fn stopped() -> Refusal {
-    Refusal { code: Code::Busy, reason: "the settings' task has stopped".to_owned() }
+    Refusal::new(Code::Busy, "the settings' task has stopped")
 }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -7,7 +7,6 @@
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 
 use crate::codec;
 use crate::domain::{Epoch, Instance};
@@ -17,7 +16,7 @@
 use crate::entry::forward::{self, Envelope};
 use crate::owner::machine::{Machine, Message};
 use crate::owner::{Beat, Hold};
-use crate::peer::{Code, Handler, Refusal};
+use crate::peer::{Code, Handler, Refusal, decode};
 use crate::runner::{self, Proxy};
 
 /// Answer to a heartbeat.
@@ -71,12 +70,12 @@
         self.entry.handle.send(Message::Hold(hold));
         let look = move |machine: &Machine, _, _| machine.custody.keeps(epoch, sequence);
         let kept = self.entry.handle.inspect(look).await;
-        let kept = kept.ok_or_else(|| refusal(Code::Busy, "stopping".to_owned()))?;
+        let kept = kept.ok_or_else(|| Refusal::new(Code::Busy, "stopping"))?;
         Ok(Kept { from: self.entry.me.clone(), kept })
     }
 
     async fn answer_settings(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
-        let unknown = || refusal(Code::UnknownMethod, format!("no method {method}"));
+        let unknown = || Refusal::new(Code::UnknownMethod, format!("no method {method}"));
         self.entry.config.handle(method, body).await.unwrap_or_else(|| Err(unknown()))
     }
 
@@ -84,11 +83,11 @@
     /// from it that this instance does not act as an owner of an earlier epoch any more.
     async fn hear(&self, beat: Beat) -> Result<Heard, Refusal> {
         if beat.domain != self.entry.domain {
-            return Err(refusal(Code::Conflict, "another failure domain".to_owned()));
+            return Err(Refusal::new(Code::Conflict, "another failure domain"));
         }
         self.entry.handle.send(Message::Beat(beat));
         let epoch = self.entry.handle.inspect(|machine, _, _| machine.known_epoch()).await;
-        let epoch = epoch.ok_or_else(|| refusal(Code::Busy, "stopping".to_owned()))?;
+        let epoch = epoch.ok_or_else(|| Refusal::new(Code::Busy, "stopping"))?;
         Ok(Heard { from: self.entry.me.clone(), epoch })
     }
 }
@@ -105,14 +104,6 @@
     }
 }
 
-fn refusal(code: Code, reason: String) -> Refusal {
-    Refusal { code, reason }
-}
-
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
-    codec::decode(body).map_err(|error| refusal(Code::Malformed, error.to_string()))
-}
-
 fn encode<T: Serialize>(answer: &T) -> Result<Bytes, Refusal> {
-    codec::encode(answer).map_err(|error| refusal(Code::Malformed, error.to_string()))
+    codec::encode(answer).map_err(|error| Refusal::new(Code::Malformed, error))
 }
--- a/src/peer/error.rs
+++ b/src/peer/error.rs
@@ -1,5 +1,6 @@
 //! Why a call to a peer brought no answer.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use derive_more::{Display, Error};
@@ -55,6 +56,18 @@
     pub reason: String,
 }
 
+impl Refusal {
+    /// A refusal of kind `code`, with its reason for people.
+    ///
+    /// ```
+    /// use oriolefork::peer::{Code, Refusal};
+    /// assert_eq!(Refusal::new(Code::Busy, "stopping").to_string(), "busy: stopping");
+    /// ```
+    pub fn new(code: Code, reason: impl fmt::Display) -> Self {
+        Self { code, reason: reason.to_string() }
+    }
+}
+
 /// Where in a call an error arose.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum Step {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -6,6 +6,9 @@
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
+use serde::de::DeserializeOwned;
+
+use crate::codec;
 
 mod body;
 mod client;
@@ -18,6 +21,21 @@
 pub use error::{Code, Error, Refusal, Step};
 pub use server::Server;
 
+/// Reads the body of a call.
+///
+/// # Errors
+/// A refusal for the caller when the body is not a `T`.
+///
+/// ```
+/// use oriolefork::{codec, peer};
+/// let body = codec::encode(&7_u32).unwrap();
+/// assert_eq!(peer::decode::<u32>(&body).unwrap(), 7);
+/// assert_eq!(peer::decode::<u32>(b"").unwrap_err().code, peer::Code::Malformed);
+/// ```
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    codec::decode(body).map_err(|error| Refusal::new(Code::Malformed, error))
+}
+
 /// Answers the calls that a [`Server`] receives.
 ///
 /// A panic in a handler ends the thread: the runtime catches none, so that no fault is hidden.
--- a/src/runner/peer.rs
+++ b/src/runner/peer.rs
@@ -146,20 +146,20 @@
         match method {
             ASK => self.grant(body).await,
             RUN => self.run(body).await,
-            _ => Err(refusal(peer::Code::UnknownMethod, method)),
+            _ => Err(peer::Refusal::new(peer::Code::UnknownMethod, method)),
         }
     }
 
     async fn grant(&self, body: &[u8]) -> Result<Bytes, peer::Refusal> {
-        let ask: wire::Ask = decode(body)?;
+        let ask: wire::Ask = peer::decode(body)?;
         let ask = share::Ask::try_from(ask)
-            .map_err(|error| refusal(peer::Code::Malformed, &error.to_string()))?;
+            .map_err(|error| peer::Refusal::new(peer::Code::Malformed, error))?;
         let grant = self.proxy.keep(ask).await;
         encode(&grant.as_ref().map(wire::Grant::from))
     }
 
     async fn run(&self, body: &[u8]) -> Result<Bytes, peer::Refusal> {
-        let run: wire::Run = decode(body)?;
+        let run: wire::Run = peer::decode(body)?;
         let passed = Passed {
             service: run.service,
             effect: run.effect,
@@ -183,14 +183,6 @@
     }
 }
 
-fn decode<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, peer::Refusal> {
-    codec::decode(body).map_err(|error| refusal(peer::Code::Malformed, &error.to_string()))
-}
-
 fn encode<T: serde::Serialize>(answer: &T) -> Result<Bytes, peer::Refusal> {
-    codec::encode(answer).map_err(|error| refusal(peer::Code::Conflict, &error.to_string()))
-}
-
-fn refusal(code: peer::Code, reason: &str) -> peer::Refusal {
-    peer::Refusal { code, reason: reason.to_owned() }
+    codec::encode(answer).map_err(|error| peer::Refusal::new(peer::Code::Conflict, error))
 }
