--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -15,7 +15,7 @@
 use super::peer::{ANNOUNCE, Announcement, WATCH, Watch, Watched};
 use super::record::{Batch, Record};
 use super::state::State;
-use super::timings::{RANK_DELAY, WATCH_TIMEOUT};
+use super::timings::{APPEND_TIMEOUT, RANK_DELAY, WATCH_TIMEOUT};
 use super::{Epoch, Id};
 use crate::codec;
 use crate::peer;
@@ -167,7 +167,7 @@
                 }
             }
             _ => {
-                if self.read().await {
+                if !self.follows_sign(Motive::Unknown).await && self.read().await {
                     let owner = self.reading.state.owner.map(|owner| owner.peer);
                     self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
                 }
@@ -324,7 +324,7 @@
         log::info!("event=owner.claim cell={} epoch={epoch} motive={motive:?}", self.cell);
         let first = self.node.first_sequence();
         let journal = self.node.borders.journal.clone();
-        let claimed = journal.claim(self.cell, epoch, first, bytes).await;
+        let claimed = journal.append(self.cell, epoch, first, bytes, APPEND_TIMEOUT).await;
         match &claimed {
             Ok(_) => names::CELL_CLAIMS.increment(&[("outcome", "written")]),
             Err(Rejected::Fenced) => {
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -235,22 +235,12 @@
 
 /// Journals of cells in the platform's store.
 pub trait Journal {
-    /// Takes the journal over: appends `claim` and makes it refuse smaller epochs from then on.
-    /// Returns the offset after the claim.
-    ///
-    /// `first` numbers the claim within its epoch. It differs between claimants: two that claim the
-    /// same epoch with the same number would look like one that repeats itself, and both be told
-    /// that they won.
-    fn claim<'a>(
-        &'a self,
-        cell: Id,
-        epoch: Epoch,
-        first: u64,
-        claim: Bytes,
-    ) -> LocalBoxFuture<'a, Result<u64, Rejected>>;
-
     /// Appends a batch as number `sequence` of its epoch; a repeat of the same number is done once.
     /// Returns the offset after it.
+    ///
+    /// The first batch of an epoch is a claim: it takes the journal over and makes it refuse smaller
+    /// epochs from then on. Its number differs between claimants: two that claim the same epoch with
+    /// the same number would look like one that repeats itself, and both be told that they won.
     fn append<'a>(
         &'a self,
         cell: Id,
