--- /dev/null
+++ b/tests/logic/cell/world/check.rs
@@ -0,0 +1,74 @@
+//! What users were promised.
+
+use std::collections::BTreeSet;
+
+use oriolefork::cell::job::{Phase, StepKey, TaskKey};
+use oriolefork::cell::link::Start;
+
+use super::World;
+use crate::cell::model;
+
+/// Time after a stored cancellation in which starts may still happen.
+const CANCEL_MS: u64 = 3_000;
+
+impl World {
+    /// Checks that every accepted job came to its end, and that nothing is left anywhere.
+    pub fn check_end(&mut self) {
+        let owner = self.owners.last().expect("an owner");
+        for (id, watched) in self.jobs.iter().filter(|(_, watched)| watched.accepted) {
+            let phase = owner.machine.state.jobs.get(id).map(|entry| entry.phase());
+            let expected = match (watched.cancel_asked, watched.fails) {
+                (true, _) => phase.is_some_and(Phase::is_final),
+                (false, true) => phase == Some(Phase::Failed),
+                (false, false) => phase == Some(Phase::Completed),
+            };
+            assert!(expected, "job {id} is {phase:?} at the end: {:?}", watched.job);
+        }
+        for (name, upstream) in &self.workers {
+            assert!(upstream.runs.is_empty(), "{name} still runs {:?}", upstream.runs);
+            assert!(upstream.has_forgotten_all(), "{name} was not told to forget its ends");
+        }
+    }
+
+    /// The promises that hold at every start.
+    pub(super) fn check_start(&mut self, worker: &str, start: &Start) {
+        self.starts += 1;
+        let (run, now) = (start.run, self.now);
+        let upstream = &self.workers[worker];
+        let used = upstream.used();
+        assert!(used.fits(&upstream.capacity), "{now}: {worker} is given {used} for {run}");
+        for (other, upstream) in &self.workers {
+            let twin = upstream.runs.keys().find(|twin| twin.task == run.task && **twin != run);
+            assert!(twin.is_none(), "{now}: {run} starts on {worker} beside {twin:?} on {other}");
+            let same = other != worker && upstream.runs.contains_key(&run);
+            assert!(!same, "{now}: {run} starts on {worker} and runs on {other}");
+        }
+        assert!(!self.done_noted.contains(&run.task), "{now}: {run} starts after it was done");
+        let watched = &self.jobs[&run.task.step.job];
+        assert_eq!(start.payload.payload, watched.job.payload);
+        if let Some(cancelled) = watched.cancelled_at {
+            assert!(now < cancelled + CANCEL_MS, "{now}: {run} starts after its job was cancelled");
+        }
+        let model = &watched.job.steps[run.task.step.step as usize];
+        let state = &self.owners.last().expect("an owner").machine.state;
+        for &earlier in &model.after {
+            let key = StepKey { step: earlier as u32, ..run.task.step };
+            let done = (0..watched.job.steps[earlier].count)
+                .all(|index| self.done.contains_key(&TaskKey { step: key, index }));
+            assert!(
+                done,
+                "{now}: {run} starts before step {earlier} is done, {:?}",
+                state.step(&key)
+            );
+        }
+        let failures = self.failures.get(&run.task).map_or(0, BTreeSet::len);
+        assert!(
+            failures < model::ATTEMPTS as usize,
+            "{now}: {run} starts after {failures} failures"
+        );
+        if model.spread > 0 {
+            let here = upstream.runs.keys().filter(|twin| twin.task.step == run.task.step).count();
+            assert!(here <= model.spread as usize, "{now}: {here} tasks of {run} on {worker}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/logic/cell/world/faults.rs
@@ -0,0 +1,105 @@
+//! Faults drawn from the seed, and owners replaced.
+
+use std::rc::Rc;
+
+use oriolefork::cell::link::Roster;
+use oriolefork::cell::machine::{Machine, Message};
+use oriolefork::cell::record::Batch;
+use oriolefork::cell::state::State;
+use oriolefork::cell::timings::Timings;
+use oriolefork::codec;
+use rand::Rng;
+
+use super::{Event, Owner, STEP_MS, World, name};
+use crate::cell::model;
+use crate::cell::upstream::Upstream;
+
+/// Mean time for which the store answers nobody, and mean time between two outages.
+const OUTAGE_MS: u64 = 1_000;
+const OUTAGE_REST_MS: u64 = 5_000;
+
+/// Mean time between two saves of the whole state, by all that take themselves for owners.
+const SAVE_REST_MS: u64 = 1_500;
+
+impl World {
+    pub(super) fn draw_faults(&mut self) {
+        let every = |span: u64| if span == 0 { 0.0 } else { STEP_MS as f64 / span as f64 };
+        if self.chance(every(self.faults.takeover_ms)) && !self.store_down {
+            self.take_over();
+        }
+        if self.chance(every(self.faults.worker_ms)) {
+            self.disturb_worker();
+        }
+        let turn = if self.store_down { OUTAGE_MS } else { OUTAGE_REST_MS };
+        if self.chance(every(SAVE_REST_MS)) {
+            for owner in 0..self.owners.len() {
+                self.schedule(1, Event::Owner { owner, message: Message::SaveDue });
+            }
+        }
+        if self.faults.outages && self.chance(every(turn)) {
+            self.store_down = !self.store_down;
+        }
+    }
+
+    pub(super) fn disturb_worker(&mut self) {
+        let number = self.rng.random_range(0..self.lives.len());
+        let life = self.lives[&number];
+        let current = name(number, life);
+        if self.rng.random_bool(0.3) {
+            // It crashes and comes back as another life at the same address.
+            self.workers.remove(&current);
+            self.lives.insert(number, life + 1);
+            let offset = self.rng.random_range(0..1_000_000);
+            let upstream = Upstream::new(model::cores(16), offset);
+            self.workers.insert(name(number, life + 1), upstream);
+            self.tell_roster();
+        } else if let Some(upstream) = self.workers.get_mut(&current) {
+            upstream.reachable = !upstream.reachable;
+        }
+    }
+
+    pub(super) fn tell_roster(&mut self) {
+        let present = self.lives.iter().map(|(number, life)| {
+            let listed = model::listed(*number, model::cores(16));
+            (name(*number, *life).into(), Rc::new(listed))
+        });
+        let roster = Roster { present: present.collect(), gone: Vec::new(), whole: true };
+        for owner in 0..self.owners.len() {
+            let delay = self.rng.random_range(5..400);
+            let message = Message::Roster(roster.clone());
+            self.schedule(delay, Event::Owner { owner, message });
+        }
+    }
+
+    /// Another instance claims the cell with the state that the journal adds up to.
+    pub fn take_over(&mut self) {
+        self.takeovers += 1;
+        if let Some(owner) = self.owners.last_mut() {
+            owner.alive = self.faults.zombies && !self.calm;
+        }
+        let (now, unix) = self.clocks();
+        let (mut state, from) = self.base();
+        for record in &self.journal[from..] {
+            state.apply_batch(codec::decode::<Batch>(record).expect("a batch"));
+        }
+        let epoch = state.epoch.next();
+        let claim = model::claim(epoch, unix);
+        self.journal.push(codec::encode(&claim).expect("a small batch"));
+        state.apply_batch(claim);
+        self.epoch = epoch;
+        self.claims += 1;
+        self.sequence = self.claims * 1_000_000;
+        let end = self.journal.len() as u64;
+        let machine =
+            Machine::new(state, self.sequence, end, model::table(), Timings::default(), now, unix);
+        self.owners.push(Owner { machine, alive: true });
+        self.tell_roster();
+    }
+
+    /// Where reading begins: at the state that was saved last.
+    pub(super) fn base(&self) -> (State, usize) {
+        let Some(base) = &self.saved else { return (State::default(), 0) };
+        let state = base.state.as_ref().expect("a saved state");
+        (codec::decode(state).expect("a state"), base.offset as usize)
+    }
+}
