Send callers away from an instance that is cut off

Cause: callers keep their connections. Through a whole cut of a failure domain each job from there began at a cut instance, was refused, and came to another one 1.08 s later; quick jobs were late. An owner that answers counts as contact also while the store keeps it from serving, since callers fare no better elsewhere then.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -166,13 +166,14 @@
         let mut followers = watched.present.iter().filter(|peer| **peer != owner);
         let place = followers.position(|peer| *peer == self.node.me);
         self.rank = place.map_or(UNRANKED, |place| (place as u32).min(LOWEST_RANK));
+        // An owner that answers is in contact, also while the store keeps it from serving: callers
+        // would fare no better at another instance.
+        self.node.note_contact(self.cell);
         match watched.offer {
-            Offer::Open => return Some(Motive::Offered(owner)),
-            Offer::IfQuicker => return Some(Motive::Struggling(owner)),
-            Offer::Kept => {}
+            Offer::Open => Some(Motive::Offered(owner)),
+            Offer::IfQuicker => Some(Motive::Struggling(owner)),
+            Offer::Kept => None,
         }
-        self.node.note_contact(self.cell);
-        None
     }
 
     /// Passes on what is known of the owner, without taking over.
@@ -226,8 +227,7 @@
         let sign = self.sign().await;
         let took = self.node.borders.clock.now().since(asked);
         if matches!(motive, Motive::Struggling(_)) && (sign.is_err() || took > STORE_QUICK) {
-            // The store is slow or away for all; the owner is alive and tries.
-            self.node.note_contact(self.cell);
+            // The store is slow or away for all.
             self.node.borders.clock.sleep(READ_RETRY).await;
             return false;
         }
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -39,6 +39,13 @@
 /// the platform to send callers to another one.
 const CONTACT_LIMIT: Duration = Duration::from_millis(400);
 
+/// Time without contact after which callers' resting connections are closed: long enough for a change
+/// of owner, and about when the platform begins to send new connections elsewhere.
+const RELIEF_AFTER: Duration = Duration::from_millis(1_000);
+
+/// Rest between two looks at the contact for that.
+const RELIEF_REST: Duration = Duration::from_millis(100);
+
 /// Time for passing the configuration to an owner.
 const TABLE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -73,6 +80,8 @@
     table: RefCell<Rc<Table>>,
     views: RefCell<BTreeMap<Id, View>>,
     left: Cell<bool>,
+    /// Raised while callers are served better elsewhere.
+    relief: RefCell<Shutdown>,
 }
 
 impl Node {
@@ -98,6 +107,7 @@
             table: RefCell::default(),
             views: RefCell::new(views),
             left: Cell::new(false),
+            relief: RefCell::new(Shutdown::new()),
         })
     }
 
@@ -105,6 +115,8 @@
     pub fn start(self: &Rc<Self>) {
         let node = self.clone();
         monoio::spawn(async move { node.follow_table().await });
+        let node = self.clone();
+        monoio::spawn(async move { node.follow_contact().await });
         for cell in 0..self.cells {
             let node = self.clone();
             monoio::spawn(async move { election::run(node, Id(cell)).await });
@@ -173,12 +185,40 @@
 
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
+        !self.stop.is_triggered() && self.table().version > 0 && self.is_in_contact(CONTACT_LIMIT)
+    }
+
+    /// Whether a working owner of every cell was heard of within `limit`.
+    fn is_in_contact(&self, limit: Duration) -> bool {
         let now = self.borders.clock.now();
-        let in_contact =
-            |view: &View| view.contact.is_some_and(|contact| now.since(contact) < CONTACT_LIMIT);
-        !self.stop.is_triggered()
-            && self.table().version > 0
-            && self.views.borrow().values().all(in_contact)
+        let heard = |view: &View| view.contact.is_some_and(|at| now.since(at) < limit);
+        self.views.borrow().values().all(heard)
+    }
+
+    /// A flag that is raised when callers' resting connections should close.
+    ///
+    /// Guards against callers that stay with an instance which is cut off: the platform sends new
+    /// connections elsewhere after two seconds, but callers kept theirs through the whole cut, were
+    /// refused at each first try and came back a second later. In a cut of six seconds all 45 jobs
+    /// from there waited 1.08 s, and the quick ones were late.
+    pub fn relief(&self) -> Shutdown {
+        self.relief.borrow().clone()
+    }
+
+    /// Keeps the flag for resting connections.
+    async fn follow_contact(self: Rc<Self>) {
+        while !self.left.get() {
+            self.borders.clock.sleep(RELIEF_REST).await;
+            let lost = !self.is_in_contact(RELIEF_AFTER);
+            let raised = self.relief.borrow().is_triggered();
+            if lost && !raised {
+                log::warn!("event=callers.sent_away reason=no_owner");
+                self.relief.borrow().trigger();
+            } else if raised && !lost {
+                log::info!("event=callers.welcome");
+                self.relief.replace(Shutdown::new());
+            }
+        }
     }
 
     /// The owner of a cell, as far as it is known.
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -68,7 +68,7 @@
         // A connection that never carried a request gets less time, so that a peer cannot hold
         // many for nothing.
         let mut patience = self.limits.read_timeout;
-        while self.wait_for_request(patience).await {
+        while self.wait_for_request(patience, handler.relief()).await {
             if self.step(handler).await == Next::Close {
                 break;
             }
@@ -84,13 +84,15 @@
     }
 
     /// Waits for the first byte of a request; `false` when the connection should close instead.
-    async fn wait_for_request(&mut self, patience: Duration) -> bool {
+    async fn wait_for_request(&mut self, patience: Duration, relief: Option<Shutdown>) -> bool {
         self.source.get_mut().allow(self.limits.head_bytes());
         let mut arrived = Box::pin(self.source.peek_data().fuse());
         let mut idle = Box::pin(rest(&self.stop, patience).fuse());
+        let mut relieved = Box::pin(relieved(relief).fuse());
         futures_util::select_biased! {
             data = arrived => data.is_ok_and(|data| !data.is_empty()),
             () = idle => false,
+            () = relieved => false,
         }
     }
 
@@ -184,6 +186,17 @@
     }
 }
 
+/// Completes once the handler has asked for resting connections to close.
+async fn relieved(relief: Option<Shutdown>) {
+    match relief {
+        Some(relief) => {
+            relief.wait().await;
+            monoio::time::sleep(STOP_LINGER).await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
 fn check_head(head: &http::request::Parts, limits: &Limits) -> Result<(), Fault> {
     if head.version == Version::HTTP_11 && head.headers.get_all(HOST).iter().count() != 1 {
         return Err(Fault::Malformed("exactly one host header is needed".to_owned()));
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
+use crate::shutdown::Shutdown;
+
 mod client;
 mod connection;
 mod error;
@@ -37,6 +39,12 @@
     /// Requests on one connection are handled one after another, those of several connections side
     /// by side. A handler that has begun runs to its end even when the peer has gone.
     fn handle(&self, peer: SocketAddr, request: Request) -> LocalBoxFuture<'_, Response>;
+
+    /// A flag that is raised when resting connections should close, for an instance whose callers
+    /// are served better elsewhere; `None` where that never happens.
+    fn relief(&self) -> Option<Shutdown> {
+        None
+    }
 }
 
 /// Bounds on what one peer can make this process hold or wait for.
--- a/tests/process/http.rs
+++ b/tests/process/http.rs
@@ -17,9 +17,11 @@
 use crate::support::{GENEROUS, run};
 
 /// Echoes path and body; `/hold` waits for the stop, `/stop` triggers it, `/freeze` keeps the whole
-/// process from doing anything until it is told to go on, and then triggers the stop.
+/// process from doing anything until it is told to go on, and then triggers the stop. `/relieve` wants
+/// resting connections to close.
 struct Echo {
     stop: Shutdown,
+    relief: Shutdown,
     thaw: mpsc::Receiver<()>,
 }
 
@@ -28,6 +30,7 @@
         async move {
             match request.uri().path() {
                 "/stop" => self.stop.trigger(),
+                "/relieve" => self.relief.trigger(),
                 "/freeze" => {
                     self.thaw.recv().unwrap();
                     self.stop.trigger();
@@ -42,6 +45,10 @@
         }
         .boxed_local()
     }
+
+    fn relief(&self) -> Option<Shutdown> {
+        Some(self.relief.clone())
+    }
 }
 
 struct Running {
@@ -58,7 +65,8 @@
             let server = Server::bind("127.0.0.1:0".parse().unwrap(), limits).unwrap();
             sender.send(server.local_addr().unwrap()).unwrap();
             let stop = Shutdown::new();
-            let handler = Rc::new(Echo { stop: stop.clone(), thaw: thawed });
+            let handler =
+                Rc::new(Echo { stop: stop.clone(), relief: Shutdown::new(), thaw: thawed });
             server.serve(handler, stop, GENEROUS).await;
         });
     });
@@ -308,6 +316,20 @@
 
 // Two daemons are set to one address by mistake. The second must say so rather than take half of
 // the first one's connections.
+/// A failure domain is cut off. Its instances refuse each call, but their callers keep the connection
+/// and begin the next call at the same instance. So connections that rest are closed.
+#[test]
+fn serve_relieved_closes_resting_connections() {
+    let server = serve(Limits::default());
+    let mut resting = server.connect();
+    resting.write_all(b"GET /first HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    read_until(&mut resting, "/first ");
+    server.converse(b"GET /relieve HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    assert_eq!(resting.read(&mut [0; 100]).unwrap(), 0, "the server ends it");
+    assert!(server.is_taking_connections(), "new ones are welcome");
+    server.stop();
+}
+
 #[test]
 fn bind_taken_address() {
     let server = serve(Limits::default());
