Stop tasks that can wait where a more urgent step finds no room

Cause: gangs of pairings waited half a minute for room on a site that is four fifths full, while re-checks that save their progress and end long before their objective ran on the same workers. Nothing under src/cell stopped one task for another. Questions to the policy service count the room that would be yielded.

--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -119,8 +119,9 @@
         let mut room = 0.0;
         let mut lapsing = Candidates::default();
         for (worker, until) in tickets.eligible() {
-            let Some(field) = fields.find(worker).map(|at| fields.get(at)) else { continue };
-            let slots = field.slots(&step.queue.service, model);
+            let Some(at) = fields.find(worker) else { continue };
+            let field = fields.get(at);
+            let slots = self.reachable_slots(at, step, fields);
             room += slots;
             if until <= soon && slots > 0.0 {
                 lapsing.add(field, slots);
@@ -167,8 +168,11 @@
         let model = step.model();
         let service = &step.queue.service;
         let mut unasked = Candidates::default();
-        for field in fields.iter().filter(|field| tickets.is_unasked(&field.id)) {
-            let slots = field.slots(service, model);
+        for (at, field) in fields.iter().enumerate() {
+            if !tickets.is_unasked(&field.id) {
+                continue;
+            }
+            let slots = self.reachable_slots(at, step, fields);
             // A gang waits until enough workers have room at once, so that all must be known in the
             // end: many in one question, since most of a question's time is not for the names.
             if slots > 0.0 || model.gang && field.suits(service, model) {
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -100,14 +100,19 @@
 
     /// Tasks of the step that fit there now.
     pub(super) fn slots(&self, service: &str, step: &Step) -> f64 {
+        self.slots_in(&self.room, service, step)
+    }
+
+    /// Tasks of the step that would fit there if it had `room`.
+    pub(super) fn slots_in(&self, room: &Amount, service: &str, step: &Step) -> f64 {
         if self.reserved || !self.suits(service, step) || !self.is_quiet(step) {
             return 0.0;
         }
         let demand = step.room();
         let fits = |room: u64, demand: u64| room.checked_div(demand).unwrap_or(u64::MAX);
-        let slots = fits(self.room.cpu_millis, demand.cpu_millis)
-            .min(fits(self.room.memory_mib, demand.memory_mib))
-            .min(fits(self.room.accelerators, demand.accelerators))
+        let slots = fits(room.cpu_millis, demand.cpu_millis)
+            .min(fits(room.memory_mib, demand.memory_mib))
+            .min(fits(room.accelerators, demand.accelerators))
             .min(u64::from(step.count));
         let bound = if step.spread == 0 { u64::MAX } else { u64::from(step.spread) };
         slots.min(bound) as f64
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -13,6 +13,7 @@
 mod message;
 mod orders;
 mod place;
+mod preemption;
 mod rank;
 mod roster;
 mod waiting;
@@ -93,6 +94,8 @@
     unsettled: BTreeSet<Id>,
     hopeful: Hopeful,
     failed_on: BTreeMap<StepKey, BTreeSet<WorkerId>>,
+    /// When tasks were last stopped to make room for a step.
+    preempted: BTreeMap<StepKey, Instant>,
     askers: BTreeMap<SocketAddr, Asker>,
     questions: BTreeMap<u64, Question>,
     last_question: u64,
@@ -136,6 +139,7 @@
             unsettled: BTreeSet::new(),
             hopeful: Hopeful::new(now),
             failed_on: BTreeMap::new(),
+            preempted: BTreeMap::new(),
             askers: BTreeMap::new(),
             questions: BTreeMap::new(),
             last_question: 0,
@@ -267,6 +271,7 @@
         for id in gone {
             remove_job(&mut self.tickets, id);
             remove_job(&mut self.failed_on, id);
+            remove_job(&mut self.preempted, id);
         }
     }
 
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -50,9 +50,17 @@
         }
         let allowed = self.allowed(step, fields);
         let plan = self.plan(step, &allowed, fields);
+        let left = step.pending.len() - plan.len();
         if !plan.is_empty() {
             self.carry_out_plan(step, &plan, fields);
-        } else if step.model().gang && step.rank.hope == Hope::OnTime {
+        }
+        if left > 0 {
+            self.make_room(step, left, &allowed, fields);
+        }
+        if !plan.is_empty() {
+            return;
+        }
+        if step.model().gang && step.rank.hope == Hope::OnTime {
             let eligible = self.eligible(step, fields);
             let (wanted, service) = (step.pending.len(), &step.queue.service);
             fields.reserve(wanted, service, step.model(), &eligible, spare);
@@ -159,7 +167,7 @@
     }
 
     /// Tasks of the step on each field, where the step bounds them.
-    fn spread_counts(&self, step: &Waiting, fields: &Fields) -> BTreeMap<usize, u32> {
+    pub(super) fn spread_counts(&self, step: &Waiting, fields: &Fields) -> BTreeMap<usize, u32> {
         let mut counts = BTreeMap::new();
         if step.model().spread == 0 {
             return counts;
--- a/src/cell/machine/rank.rs
+++ b/src/cell/machine/rank.rs
@@ -31,8 +31,7 @@
     /// Rank of a step whose job came at `accepted`, on the wall clock in milliseconds.
     pub(super) fn rank(&self, job: &Job, queue: &Queue, key: &StepKey, accepted: u64) -> Rank {
         let begin = job.due(key.occurrence).map_or(accepted, crate::clock::Unix::as_millis);
-        let whole = self.chain(job, 0, queue);
-        let objective = whole * queue.stretch.max(1.0) + queue.target_ms as f64;
+        let objective = self.objective(job, queue);
         let left = self.chain_from(job, key.step as usize, queue) * HOPE;
         let end = (self.unix.as_millis().saturating_sub(begin)) as f64 + left;
         let hope = if end <= objective {
@@ -45,6 +44,25 @@
         Rank { hope, priority: queue.priority, deadline: begin + objective as u64 }
     }
 
+    /// Time that a step of a job may still be held up, in milliseconds; negative once it is late.
+    pub(super) fn slack_ms(
+        &self,
+        job: &Job,
+        queue: &Queue,
+        key: &StepKey,
+        accepted: u64,
+    ) -> f64 {
+        let begin = job.due(key.occurrence).map_or(accepted, crate::clock::Unix::as_millis);
+        let passed = self.unix.as_millis().saturating_sub(begin) as f64;
+        let left = self.chain_from(job, key.step as usize, queue);
+        self.objective(job, queue) - passed - left
+    }
+
+    /// Time within which a job should end, in milliseconds.
+    fn objective(&self, job: &Job, queue: &Queue) -> f64 {
+        self.chain(job, 0, queue) * queue.stretch.max(1.0) + queue.target_ms as f64
+    }
+
     /// Expected time of the longest chain of steps of a job, from `first` on, in milliseconds.
     fn chain(&self, job: &Job, first: usize, queue: &Queue) -> f64 {
         let mut ends = vec![0.0_f64; job.steps.len()];
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,6 +13,7 @@
 //! | `ticket.rs` | which workers may run a step, by the policy service's word |
 //! | `machine/` | the owner's decisions; pure |
 //! | `link.rs` | borders to workers, policy service, journal and lists |
+//! | `preempt.rs` | which running tasks make room for more urgent ones |
 //! | `patience.rs` | how long a call waits for an owner |
 //! | `owner.rs`, `election.rs`, `front.rs`, `node.rs`, `contact.rs` | the tasks of an instance |
 
@@ -27,6 +28,7 @@
 pub mod owner;
 pub mod patience;
 pub mod peer;
+pub mod preempt;
 pub mod queue;
 pub mod record;
 pub mod state;
