--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -19,7 +19,16 @@
         let now = self.now;
         let may_grant = self.may_grant();
         let epoch = self.epoch;
+        let table = self.table.clone();
         for worker in self.workers.values_mut() {
+            // An entry of a service that no configuration names may be another program's. What an
+            // earlier owner started there is looked after all the same.
+            if worker.runs.is_empty()
+                && !worker.fenced
+                && !table.has_service(&worker.listed.service)
+            {
+                continue;
+            }
             // An answer that never comes: the adapter's own timeout has been overslept, or the
             // message of its end got lost with the task.
             let overdue = LOOK_WAIT + LOOK_TIMEOUT * 2;
--- a/src/cell/queue.rs
+++ b/src/cell/queue.rs
@@ -76,6 +76,11 @@
         found.map(Rc::as_ref)
     }
 
+    /// Whether there is a service of that name.
+    pub fn has_service(&self, name: &str) -> bool {
+        self.services.iter().any(|service| service.name == name)
+    }
+
     /// The queue of that name.
     pub fn queue(&self, name: &str) -> Option<&Rc<Queue>> {
         self.queues.iter().find(|queue| queue.name == name)
--- a/tests/logic/cell/machine.rs
+++ b/tests/logic/cell/machine.rs
@@ -1,11 +1,12 @@
 //! The owner's decisions, one story each.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use oriolefork::cell::Epoch;
 use oriolefork::cell::job::{End, Phase, Run, Schedule, Step, StepKey, TaskKey};
-use oriolefork::cell::link::Fault;
+use oriolefork::cell::link::{Fault, Listed, Roster};
 use oriolefork::cell::machine::{Answer, Call, Effect, Message};
 use oriolefork::cell::peer::Offer;
 use oriolefork::cell::record::{Batch, Record};
@@ -450,3 +451,17 @@
         story.starts().iter().map(|(_, start)| start.run.task.step.occurrence).collect();
     assert!(begun.is_superset(&BTreeSet::from([0, 1])), "{begun:?}");
 }
+
+/// An entry in the list names a service that the operators never named: another program wrote it. It
+/// was called like any worker.
+#[test]
+fn look_passes_over_an_unknown_service() {
+    let mut story = Story::begin(1);
+    let listed = Listed { service: "elsewhere".to_owned(), ..model::listed(7, cores(8)) };
+    let present = vec![("w7".into(), Rc::new(listed))];
+    story.tell(Message::Roster(Roster { present, gone: Vec::new(), whole: false }));
+    story.pass(400);
+    let looked_at =
+        |effect: &Effect| matches!(effect, Effect::Look { worker, .. } if &**worker == "w7");
+    assert!(!story.effects.iter().any(looked_at));
+}
