--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -222,41 +222,46 @@
     /// Waits for the instance's turn; whether it should take the cell over, as far as the owner's
     /// sign tells.
     async fn may_claim(&mut self, motive: Motive) -> bool {
-        let known = self.node.epoch(self.cell);
-        let asked = self.node.borders.clock.now();
-        let sign = self.sign().await;
-        let took = self.node.borders.clock.now().since(asked);
-        if matches!(motive, Motive::Struggling(_)) && (sign.is_err() || took > STORE_QUICK) {
+        if matches!(motive, Motive::Struggling(_)) && !self.reaches_store_quickly().await {
             // The store is slow or away for all.
             self.node.borders.clock.sleep(READ_RETRY).await;
             return false;
         }
-        let sign = sign.unwrap_or_default();
-        if self.follows_sign(sign, motive) {
-            return false;
+        let mut rank = self.rank;
+        if motive == Motive::Unknown && !self.reading.begun {
+            let sign = self.sign().await.unwrap_or_default();
+            if self.follows_sign(sign, motive) {
+                return false;
+            }
+            rank = self.first_rank(sign);
+            if rank == 0 {
+                return true;
+            }
         }
-        let rank = self.rank_now(motive, sign);
+        let known = self.node.epoch(self.cell);
         for _ in 0..rank {
             self.node.borders.clock.sleep(RANK_DELAY).await;
             if self.node.epoch(self.cell) > known {
                 return false;
             }
         }
-        if rank == 0 {
-            return true;
-        }
         let sign = self.sign().await.unwrap_or_default();
         !self.follows_sign(sign, motive)
     }
 
-    /// Place in the order in which instances take over.
-    fn rank_now(&self, motive: Motive, sign: Option<Sign>) -> u32 {
-        if motive != Motive::Unknown || self.reading.begun {
-            return self.rank;
-        }
-        // All instances come at once, and the strongest should win; where one owned the cell before,
-        // those that are as strong need not wait for each other. Buys 0.16 s after each loss of all
-        // instances of a quarter of a core (begin of the process to its claim, 0.29 s before).
+    /// Whether the store answers this instance in its usual time.
+    async fn reaches_store_quickly(&self) -> bool {
+        let asked = self.node.borders.clock.now();
+        let sign = self.sign().await;
+        sign.is_ok() && self.node.borders.clock.now().since(asked) <= STORE_QUICK
+    }
+
+    /// Place in the order in which instances that have just begun take over.
+    ///
+    /// All come at once, and the strongest should win; where one owned the cell before, those that
+    /// are as strong need not wait for each other. Buys 0.16 s after each loss of all instances of a
+    /// quarter of a core (from the begin of a process to its claim, 0.29 s before).
+    fn first_rank(&self, sign: Option<Sign>) -> u32 {
         match sign {
             Some(sign) if sign.strength > 0 && self.node.strength >= sign.strength => 0,
             _ => self.node.weakness(LOWEST_RANK),
