--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -8,13 +8,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::link::{Base, Rejected, Sign};
+use super::link::{Rejected, Sign};
 use super::machine::Machine;
 use super::node::Node;
 use super::owner::Owner;
 use super::peer::{ANNOUNCE, Announcement, Offer, WATCH, Watch, Watched};
+use super::reading::Reading;
 use super::record::{Batch, Record};
-use super::state::State;
 use super::timings::{
     APPEND_RETRY, APPEND_TIMEOUT, PROBE_TIMEOUT, RANK_DELAY, SIGN_TIMEOUT, STORE_QUICK,
     WATCH_TIMEOUT,
@@ -46,14 +46,6 @@
 /// Bounds the rank, so that the last instance of many does not wait for long.
 const LOWEST_RANK: u32 = 8;
 
-/// What an instance has read of a cell's journal.
-#[derive(Default)]
-struct Reading {
-    state: State,
-    next: u64,
-    begun: bool,
-}
-
 struct Election {
     node: Rc<Node>,
     cell: Id,
@@ -475,25 +467,3 @@
         node.set_owning(self.cell, None);
     }
 }
-
-impl Reading {
-    fn begin(&mut self, base: &Base) {
-        self.begun = true;
-        self.next = base.offset;
-        self.state = State::default();
-        let Some(bytes) = &base.state else { return };
-        match codec::decode(bytes) {
-            Ok(state) => self.state = state,
-            Err(error) => log::error!("event=journal.base_unreadable cause={error:?}"),
-        }
-    }
-
-    fn take(&mut self, record: &[u8]) {
-        match codec::decode::<Batch>(record) {
-            Ok(batch) => {
-                self.state.apply_batch(batch);
-            }
-            Err(error) => log::error!("event=journal.record_unreadable cause={error:?}"),
-        }
-    }
-}
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -58,10 +58,7 @@
         if left > 0 {
             self.make_room(step, left, &allowed, fields);
         }
-        if !plan.is_empty() {
-            return;
-        }
-        if step.model().gang && step.rank.hope == Hope::OnTime {
+        if plan.is_empty() && step.model().gang && step.rank.hope == Hope::OnTime {
             let eligible = self.eligible(step, fields);
             let (wanted, service) = (step.pending.len(), &step.queue.service);
             fields.reserve(wanted, service, step.model(), &eligible, spare);
