Want no callers while the store keeps the owner waiting

Traced to the change that counts such an owner as contact; the test passed only where the instance asked owned the cell. Change: readiness goes by the last word of an owner that reaches the store; connections and calls go by the last word of any owner.

--- a/src/cell/election.rs
+++ b/src/cell/election.rs
@@ -159,8 +159,11 @@
         let place = followers.position(|peer| *peer == self.node.me);
         self.rank = place.map_or(UNRANKED, |place| (place as u32).min(LOWEST_RANK));
         // An owner that answers is in contact, also while the store keeps it from serving: callers
-        // would fare no better at another instance.
+        // are passed on to it and keep their connections, since they fare no better elsewhere.
         self.node.note_contact(self.cell);
+        if watched.offer != Offer::Open {
+            self.node.note_served(self.cell);
+        }
         match watched.offer {
             Offer::Open => Some(Motive::Offered(owner)),
             Offer::IfQuicker => Some(Motive::Struggling(owner)),
--- a/src/cell/node.rs
+++ b/src/cell/node.rs
@@ -56,7 +56,10 @@
     /// Latest epoch whose owner was heard of.
     epoch: Epoch,
     owning: Option<Handle>,
+    /// When the owner was last heard of.
     contact: Option<Instant>,
+    /// When an owner was last heard of that reaches the store.
+    served: Option<Instant>,
     /// Raised while this instance owns the cell and the store keeps it waiting.
     alarm: Shutdown,
 }
@@ -162,6 +165,7 @@
     pub(super) fn note_health(&self, cell: Id, health: Health) {
         if health != Health::Stuck {
             self.note_contact(cell);
+            self.note_served(cell);
         }
         let mut views = self.views.borrow_mut();
         let Some(view) = views.get_mut(&cell) else { return };
@@ -185,14 +189,16 @@
 
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
-        !self.stop.is_triggered() && self.table().version > 0 && self.is_in_contact(CONTACT_LIMIT)
+        !self.stop.is_triggered()
+            && self.table().version > 0
+            && self.is_recent(CONTACT_LIMIT, |view| view.served)
     }
 
-    /// Whether a working owner of every cell was heard of within `limit`.
-    fn is_in_contact(&self, limit: Duration) -> bool {
+    /// Whether what `moment` tells of each cell lies no longer back than `limit`.
+    fn is_recent(&self, limit: Duration, moment: impl Fn(&View) -> Option<Instant>) -> bool {
         let now = self.borders.clock.now();
-        let heard = |view: &View| view.contact.is_some_and(|at| now.since(at) < limit);
-        self.views.borrow().values().all(heard)
+        let recent = |view: &View| moment(view).is_some_and(|at| now.since(at) < limit);
+        self.views.borrow().values().all(recent)
     }
 
     /// A flag that is raised when callers' resting connections should close.
@@ -209,7 +215,7 @@
     async fn follow_contact(self: Rc<Self>) {
         while !self.left.get() {
             self.borders.clock.sleep(RELIEF_REST).await;
-            let lost = !self.is_in_contact(RELIEF_AFTER);
+            let lost = !self.is_recent(RELIEF_AFTER, |view| view.contact);
             let raised = self.relief.borrow().is_triggered();
             if lost && !raised {
                 log::warn!("event=callers.sent_away reason=no_owner");
@@ -248,7 +254,14 @@
         }
     }
 
-    /// When this instance last heard of an owner of the cell that reaches the store.
+    /// Notes that an owner was heard of that reaches the store.
+    pub(super) fn note_served(&self, cell: Id) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.served = Some(self.borders.clock.now());
+        }
+    }
+
+    /// When this instance last heard of the cell's owner.
     pub(super) fn contact(&self, cell: Id) -> Option<Instant> {
         self.views.borrow().get(&cell).and_then(|view| view.contact)
     }
