--- a/src/cell/preempt.rs
+++ b/src/cell/preempt.rs
@@ -56,7 +56,7 @@
 /// ```
 /// use oriolefork::cell::preempt::{Place, choose};
 /// use oriolefork::resource::Amount;
-/// let cores = |cores| Amount { cpu_millis: cores * 1_000, memory_mib: 0, accelerators: 0 };
+/// let cores = |cores: u64| Amount { cpu_millis: cores * 1_000, memory_mib: 0, accelerators: 0 };
 /// let place = Place { room: cores(4), bound: 9, victims: Vec::new() };
 /// let choice = choose(&cores(3), 2, vec![place]);
 /// assert_eq!((choice.fitting, choice.lost), (1, 0));
