Log how many connections a peer has when one is lost

Cause: the log showed that orders to one worker were reset, but not whether a kept connection had died or a new one was not taken, nor how many there were, so that four explanations of the stuck tasks could not be told apart. Change: http.connections_many for each further 16 connections to a peer, http.connection_lost once a second a peer, with fresh, used and resting.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -65,6 +65,7 @@
             }
         }
         let connection = open(peer, deadline).await?;
+        pool.note_opened(peer);
         self.exchange(&pool, connection, peer, &request, deadline).await
     }
 
@@ -86,7 +87,10 @@
                 }
                 Ok(answer.response)
             }
-            Some(Err(Failure { step, cause })) => Err(Error { step, peer, sent, cause }),
+            Some(Err(Failure { step, cause })) => {
+                pool.note_lost(peer, connection.is_fresh(), &cause);
+                Err(Error { step, peer, sent, cause })
+            }
             None => Err(Error { step: Step::Timeout, peer, sent, cause: late(sent) }),
         }
     }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -27,12 +27,20 @@
 /// Interim answers that are passed over before the final one.
 const INTERIM_LIMIT: usize = 4;
 
+/// Connections to one peer of which each further such number is told in the log.
+const NOTED_CONNECTIONS: usize = 16;
+
+/// Rest between two log lines on lost connections to one peer.
+const NOTE_REST: Duration = Duration::from_secs(1);
+
 /// One connection to a peer, used by one request at a time.
 pub(super) struct Connection {
     source: Source<ResponseHeadDecoder>,
     sink: GenericEncoder<Writer>,
     written: Rc<Cell<usize>>,
     rested: Instant,
+    /// Whether it has not carried an answer yet.
+    fresh: bool,
 }
 
 /// An answer, and whether the connection may carry another request.
@@ -57,6 +65,7 @@
             sink: GenericEncoder::new(Writer::new(write, written.clone())),
             written,
             rested: Instant::now(),
+            fresh: true,
         }
     }
 
@@ -65,6 +74,11 @@
         self.written.get() > 0
     }
 
+    /// Whether it has not carried an answer yet.
+    pub(super) fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
     /// Forgets the bytes of the request before.
     pub(super) fn begin(&mut self) {
         self.written.set(0);
@@ -147,11 +161,19 @@
 pub(super) struct Pool {
     permits: permit::Pool,
     resting: RefCell<Vec<Connection>>,
+    /// Most connections that the log has told of.
+    noted: Cell<usize>,
+    next_note: Cell<Instant>,
 }
 
 impl Pool {
     pub(super) fn new(connections: usize) -> Self {
-        Self { permits: permit::Pool::new(connections), resting: RefCell::new(Vec::new()) }
+        Self {
+            permits: permit::Pool::new(connections),
+            resting: RefCell::new(Vec::new()),
+            noted: Cell::new(0),
+            next_note: Cell::new(Instant::now()),
+        }
     }
 
     /// The right to use one connection; waits while all are in use.
@@ -170,8 +192,38 @@
         None
     }
 
+    /// Connections in use or at rest.
+    fn open(&self) -> usize {
+        self.permits.used() + self.resting.borrow().len()
+    }
+
+    /// Tells the log when the peer has many connections of this process: it may bound their number.
+    pub(super) fn note_opened(&self, peer: SocketAddr) {
+        let open = self.open();
+        if open >= self.noted.get() + NOTED_CONNECTIONS {
+            self.noted.set(open);
+            log::info!("event=http.connections_many peer={peer} open={open}");
+        }
+    }
+
+    /// Tells the log of a connection that ended without an answer: whether it ever carried one, and
+    /// how many others there are, tell a peer that takes no more from a way that is dead.
+    pub(super) fn note_lost(&self, peer: SocketAddr, fresh: bool, cause: &str) {
+        let now = Instant::now();
+        if now < self.next_note.get() {
+            return;
+        }
+        self.next_note.set(now + NOTE_REST);
+        let (used, resting) = (self.permits.used(), self.resting.borrow().len());
+        log::info!(
+            "event=http.connection_lost peer={peer} fresh={fresh} used={used} resting={resting} \
+             cause={cause:?}"
+        );
+    }
+
     /// Keeps a connection whose answer was read whole.
     pub(super) fn put(&self, mut connection: Connection) {
+        connection.fresh = false;
         connection.rested = Instant::now();
         self.resting.borrow_mut().push(connection);
     }
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -84,9 +84,14 @@
         }
     }
 
+    /// Permits that are out.
+    pub fn used(&self) -> usize {
+        self.size - self.shared.free.get()
+    }
+
     /// Whether any permit is out.
     pub fn is_used(&self) -> bool {
-        self.shared.free.get() < self.size
+        self.used() > 0
     }
 }
 
