--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -10,5 +10,6 @@
 mod state;
 mod story;
 mod ticket;
+mod unanswered;
 mod upstream;
 mod world;
--- /dev/null
+++ b/tests/logic/cell/unanswered.rs
@@ -0,0 +1,109 @@
+//! A worker that answers looks and takes no order.
+//!
+//! Users saw accepted tasks stand still for half a minute beside free workers, after all instances had
+//! lost power. One worker reset each order of the new owner: the connections of two former owners, which
+//! nobody closes once their machines have no power, used up those that it takes. The one connection
+//! that was left carried the looks. Each order to start ended with an unknown outcome, and the task
+//! waited for a stop that never got through, while the looks went on renewing the worker's lease.
+//! Proved by the log lines on lost connections: 32 and 31 of the two former owners at that worker,
+//! and fresh ones of the new owner reset while it had two.
+
+use oriolefork::cell::job::Run;
+use oriolefork::cell::link::{Fault, Start};
+use oriolefork::cell::machine::{Call, Message};
+use oriolefork::cell::timings::{LEASE, LEASE_MARGIN};
+
+use super::model::{self, cores, id};
+use super::story::Story;
+
+/// Time between two of the worker's answers to looks.
+const LOOK_MS: u64 = 100;
+
+fn reset() -> Fault {
+    Fault::Unknown("connection reset".to_owned())
+}
+
+/// A job with one task whose order has just been sent to the worker returned.
+fn ordered(story: &mut Story, number: u64) -> (usize, Start) {
+    story.ask(number, Call::Submit(model::job(number, model::step(1, cores(1)))));
+    story.store_all();
+    story.pass(10);
+    story.store_all();
+    story.starts().remove(0)
+}
+
+/// Lets time pass in which worker `deaf` answers looks and resets all orders; returns the orders to
+/// start that went elsewhere.
+fn pass_deaf(story: &mut Story, deaf: usize, millis: u64) -> Vec<(usize, Start)> {
+    let end = story.now + millis;
+    let mut elsewhere = Vec::new();
+    while story.now < end {
+        story.pass(LOOK_MS);
+        story.store_all();
+        for start in story.starts() {
+            if start.0 == deaf {
+                story.started(&start, Err(reset()));
+            } else {
+                elsewhere.push(start);
+            }
+        }
+        for run in story.stops() {
+            let worker = format!("w{deaf}").into();
+            story.tell(Message::Stopped { worker, run, outcome: Err(reset()) });
+        }
+        story.report(deaf, &[], &[]);
+    }
+    elsewhere
+}
+
+fn runs(starts: &[(usize, Start)]) -> Vec<Run> {
+    starts.iter().map(|(_, start)| start.run).collect()
+}
+
+/// The task may begin at the worker as long as the lease that its order names; from then on the worker
+/// refuses the order. Once the worker's own clock has passed that, and it still does not list the task,
+/// the task goes elsewhere without any stop.
+#[test]
+fn start_unanswered_moves_once_its_lease_is_over() {
+    let mut story = Story::begin(2);
+    let (deaf, first) = ordered(&mut story, 1);
+    story.started(&(deaf, first.clone()), Err(reset()));
+    let lease = LEASE.as_millis() as u64;
+    assert_eq!(runs(&pass_deaf(&mut story, deaf, lease - 500)), [], "it may still begin there");
+    let moved = pass_deaf(&mut story, deaf, 1_500);
+    assert_eq!(moved.len(), 1, "the order's lease is over");
+    assert_eq!(moved[0].1.run.task, first.run.task);
+    assert!(moved[0].1.run.number > first.run.number);
+}
+
+/// An order is held up on its way and arrives within its lease, after the owner has given it up. The
+/// worker lists the task, which therefore stays there.
+#[test]
+fn start_unanswered_that_begins_stays_there() {
+    let mut story = Story::begin(2);
+    let (deaf, first) = ordered(&mut story, 1);
+    story.started(&(deaf, first.clone()), Err(reset()));
+    pass_deaf(&mut story, deaf, 4_000);
+    let until = story.now + (LEASE + LEASE_MARGIN * 2).as_millis() as u64;
+    while story.now < until {
+        story.report(deaf, &[first.run], &[]);
+        story.pass(LOOK_MS);
+        story.store_all();
+        assert_eq!(runs(&story.starts()), [], "it runs there");
+    }
+    assert!(story.machine.runs.contains_key(&first.run));
+}
+
+/// The owner went on placing tasks on the worker whose orders it had given up, since its looks were
+/// answered; each was stuck in its turn.
+#[test]
+fn start_unanswered_keeps_new_tasks_away() {
+    let mut story = Story::begin(2);
+    let (deaf, first) = ordered(&mut story, 1);
+    story.started(&(deaf, first), Err(reset()));
+    pass_deaf(&mut story, deaf, 500);
+    story.ask(2, Call::Submit(model::job(2, model::step(1, cores(1)))));
+    let starts = pass_deaf(&mut story, deaf, 200);
+    assert_eq!(starts.len(), 1, "the other worker takes it");
+    assert_eq!(starts[0].1.run.task.step.job, id(2));
+}
--- a/tests/process/http_client.rs
+++ b/tests/process/http_client.rs
@@ -206,6 +206,36 @@
 
 // A server takes a request on a kept connection and closes without an answer. It may have acted on
 // it: the caller is told so, and the request is not sent a second time.
+/// An instance owned a cell, sent many orders to one worker at once, and was replaced. It calls that
+/// worker no more, and kept its 32 connections for as long as it lived: sweeping took place beside
+/// calls alone. The worker takes 64 in all, and reset the orders of the owner after the next.
+#[test]
+fn send_rested_connections_closed_without_further_calls() {
+    const AT_ONCE: usize = 8;
+    let (addr, server) = serve(|listener| {
+        let mut streams: Vec<TcpStream> = (0..AT_ONCE).map(|_| accept(&listener)).collect();
+        for stream in &mut streams {
+            assert!(read_request(stream));
+        }
+        for stream in &mut streams {
+            stream.write_all(WHOLE).unwrap();
+        }
+        streams.iter_mut().all(|stream| !read_request(stream))
+    });
+    run(async {
+        let idle_timeout = Duration::from_millis(400);
+        let client = Client::new(Limits { idle_timeout, ..Limits::default() });
+        let calls = (0..AT_ONCE).map(|_| send(&client, addr));
+        for answer in futures_util::future::join_all(calls).await {
+            assert_eq!(answer.unwrap(), "ok");
+        }
+        while !server.is_finished() {
+            monoio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    assert!(server.join().unwrap(), "each connection is closed by the client");
+}
+
 #[test]
 fn send_closed_without_answer() {
     let (addr, server) = serve(|listener| {
