Close connections that rest, also when nothing is sent any more

Cause: a client closed resting connections beside its next call alone, and left out each peer with a call under way. An instance that owned a cell and was replaced kept up to 32 connections to a worker as long as it lived; an owner, which always has a look out at each worker, closed none. Workers take 64 and reset further ones, so that orders of the next owner but one were lost.

Pools of all peers move into a module of their own.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,5 @@
 //! Client with pooled connections that tells surely-not-sent from maybe-sent.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::fmt::Display;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -14,6 +12,7 @@
 
 use super::message::Fault;
 use super::pool::{Answer, Connection, Pool};
+use super::pools::Pools;
 use super::{Error, Limits, Request, Response, Step};
 
 /// Sends requests to peers named by address.
@@ -24,16 +23,19 @@
 ///
 /// Nothing is retried, with one exception: a pooled connection that fails before it took one byte
 /// of the request is replaced by a fresh one.
+///
+/// Connections rest for half of the idle timeout, and at most once more as long until they are closed,
+/// also when nothing is sent any more. So a peer that bounds its connections is not held up by a
+/// process that calls it no longer.
 pub struct Client {
     limits: Limits,
-    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
-    swept: Cell<Instant>,
+    pools: Rc<Pools>,
 }
 
 impl Client {
     /// Builds a client without connections.
     pub fn new(limits: Limits) -> Self {
-        Self { limits, pools: RefCell::new(HashMap::new()), swept: Cell::new(Instant::now()) }
+        Self { limits, pools: Rc::new(Pools::new(limits.connections, limits.idle_timeout / 2)) }
     }
 
     /// Sends `request` to `peer` and reads the whole answer, both within `timeout`.
@@ -51,12 +53,11 @@
     ) -> Result<Response, Error> {
         let deadline = Instant::now() + timeout;
         prepare(&mut request, peer);
-        self.sweep();
-        let pool = self.pool(peer);
+        let pool = self.pools.of(peer);
         let Some(_permit) = before(deadline, pool.permits().take()).await else {
             return Err(unsent(Step::Timeout, peer, "no free connection in time"));
         };
-        if let Some(connection) = pool.take(self.max_rest()) {
+        if let Some(connection) = pool.take(self.pools.max_rest()) {
             let result = self.exchange(&pool, connection, peer, &request, deadline).await;
             match result {
                 // The peer closed the resting connection and the system took nothing for it.
@@ -84,6 +85,7 @@
             Some(Ok(answer)) => {
                 if answer.reusable {
                     pool.put(connection);
+                    self.pools.keep_swept();
                 }
                 Ok(answer.response)
             }
@@ -94,27 +96,6 @@
             None => Err(Error { step: Step::Timeout, peer, sent, cause: late(sent) }),
         }
     }
-
-    fn pool(&self, peer: SocketAddr) -> Rc<Pool> {
-        let mut pools = self.pools.borrow_mut();
-        pools.entry(peer).or_insert_with(|| Rc::new(Pool::new(self.limits.connections))).clone()
-    }
-
-    fn max_rest(&self) -> Duration {
-        self.limits.idle_timeout / 2
-    }
-
-    /// Lets go of connections and peers that are no longer used.
-    fn sweep(&self) {
-        if self.swept.get().elapsed() < self.max_rest() {
-            return;
-        }
-        self.swept.set(Instant::now());
-        let max_rest = self.max_rest();
-        self.pools
-            .borrow_mut()
-            .retain(|_, pool| Rc::strong_count(pool) > 1 || pool.sweep(max_rest));
-    }
 }
 
 /// What went wrong on one connection, before peer and progress are known.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -18,6 +18,7 @@
 mod limited;
 mod message;
 mod pool;
+mod pools;
 mod server;
 
 pub use client::Client;
--- a/tests/process/http_client.rs
+++ b/tests/process/http_client.rs
@@ -236,6 +236,35 @@
     assert!(server.join().unwrap(), "each connection is closed by the client");
 }
 
+/// An owner always has a long poll out at each worker. What a burst of orders had opened beside it was
+/// never closed, since a peer in use was left out when connections at rest were closed.
+#[test]
+fn send_rested_connections_closed_beside_a_long_call() {
+    const AT_ONCE: usize = 8;
+    let (addr, server) = serve(|listener| {
+        let mut streams: Vec<TcpStream> = (0..AT_ONCE).map(|_| accept(&listener)).collect();
+        for stream in &mut streams {
+            assert!(read_request(stream));
+        }
+        let (long, others) = streams.split_first_mut().unwrap();
+        for stream in others.iter_mut() {
+            stream.write_all(WHOLE).unwrap();
+        }
+        let closed = others.iter_mut().all(|stream| !read_request(stream));
+        long.write_all(WHOLE).unwrap();
+        closed
+    });
+    run(async {
+        let idle_timeout = Duration::from_millis(400);
+        let client = Client::new(Limits { idle_timeout, ..Limits::default() });
+        let calls = (0..AT_ONCE).map(|_| send(&client, addr));
+        for answer in futures_util::future::join_all(calls).await {
+            assert_eq!(answer.unwrap(), "ok");
+        }
+    });
+    assert!(server.join().unwrap(), "each connection at rest is closed by the client");
+}
+
 #[test]
 fn send_closed_without_answer() {
     let (addr, server) = serve(|listener| {
