Settle a start that got no answer once its lease is over

Cause: a task whose start had an unknown outcome waited without bound until its worker had taken a stop. A worker that answers looks and resets orders never takes it, and its looks went on renewing its lease: seven to nine tasks stood still for 30 s beside free workers.

Change: an order names the end of a lease on the worker's clock, from which on the worker refuses it. A report that the worker made after that, and that does not list the task, proves that it never begins; it goes elsewhere without a stop. A try that has been seen to run still waits for its listed end.

--- a/src/cell/machine/live.rs
+++ b/src/cell/machine/live.rs
@@ -40,6 +40,11 @@
     pub tries: u32,
     /// Whether an order without an answer may have reached the worker.
     pub doubtful: bool,
+    /// Latest end of a lease that this owner's orders to start it named, on the worker's clock in
+    /// milliseconds; zero before the first. The worker refuses these orders from then on.
+    pub ordered_until_ms: u64,
+    /// Whether its worker has said that it runs.
+    pub begun: bool,
     /// When the next order is due.
     pub next_try: Instant,
     /// When it was placed.
@@ -58,6 +63,8 @@
             stage,
             tries: 0,
             doubtful: false,
+            ordered_until_ms: 0,
+            begun: false,
             next_try: now,
             since: now,
             unwanted: false,
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::commit::Deferred;
-use super::{Effect, Machine, Stage};
+use super::{Effect, Live, Machine, Stage};
 use crate::cell::job::{End, Run};
 use crate::cell::link::{Ended, Fault, Look, Report, Running};
 use crate::cell::record::WorkerId;
@@ -100,7 +100,7 @@
         for running in report.running {
             self.take_running(id, &running);
         }
-        self.settle_absent(id, sent, &running);
+        self.settle_absent(id, sent, report.clock_ms, &running);
     }
 
     /// Records what ended, and lets the worker forget it once that is stored.
@@ -134,6 +134,7 @@
         }
         let now = self.now;
         let Some(live) = self.runs.get_mut(&run) else { return };
+        live.begun = true;
         if matches!(live.stage, Stage::Starting { .. } | Stage::Inherited) {
             live.stage = Stage::Running(now);
             live.progress.1 = now;
@@ -160,8 +161,9 @@
         self.effects.push(Effect::Stop { worker: id.into(), peer, run });
     }
 
-    /// Draws conclusions about tries that a worker neither runs nor lists as ended.
-    fn settle_absent(&mut self, id: &str, sent: Instant, running: &BTreeSet<Run>) {
+    /// Draws conclusions about tries that a worker neither runs nor lists as ended in a report that it
+    /// made at `clock_ms` on its clock.
+    fn settle_absent(&mut self, id: &str, sent: Instant, clock_ms: u64, running: &BTreeSet<Run>) {
         let Some(worker) = self.workers.get(id) else { return };
         let absent: Vec<Run> = worker.runs.difference(running).copied().collect();
         for run in absent {
@@ -172,6 +174,7 @@
                 Stage::Inherited => End::Void,
                 Stage::Running(seen) if seen <= sent => End::Lost,
                 Stage::Stopping { taken: Some(taken), .. } if taken <= sent => End::Void,
+                Stage::Stopping { .. } if is_refused(live, clock_ms) => End::Void,
                 Stage::Running(_) | Stage::Stopping { .. } => continue,
             };
             self.end_run(run, end, String::new());
@@ -238,6 +241,16 @@
     }
 }
 
+/// Whether a try that its worker does not list at `clock_ms` can never begin there.
+///
+/// Guards against a worker that answers looks and takes no orders: a task whose start had an unknown
+/// outcome waited without bound for its stop, beside free workers. No stop is needed once the lease of
+/// the last order is over: an order that arrives from then on is refused as too late, and one that
+/// arrived before shows in the report. A try that has run is left to its listed end.
+const fn is_refused(live: &Live, clock_ms: u64) -> bool {
+    !live.begun && clock_ms > live.ordered_until_ms
+}
+
 fn look(worker: &mut Worker, epoch: crate::cell::Epoch, may_grant: bool, now: Instant) -> Look {
     // A look that gets no answer may still extend the lease when it arrives; while a worker does
     // not answer, nothing is granted, so that the end of its lease stays known.
--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -32,6 +32,7 @@
         let Some(live) = self.runs.get_mut(&run) else { return };
         live.stage = Stage::Starting { out: true };
         live.tries += 1;
+        live.ordered_until_ms = live.ordered_until_ms.max(start.until_ms);
         let worker = live.worker.clone();
         let Some(peer) = self.workers.get(&worker).map(super::Worker::address) else { return };
         self.effects.push(Effect::Start { worker, peer, start });
@@ -90,6 +91,7 @@
         match outcome {
             Ok(_) => {
                 live.stage = Stage::Running(now);
+                live.begun = true;
                 live.since = now;
                 live.progress = (0, now);
                 let unwanted = live.unwanted;
