Keep new tasks away from a worker that takes no orders

Cause: a worker counted as open as long as it answered looks. One that reset all orders went on getting tasks for 30 s, each stuck in its turn.

Until it takes an order again it comes last among the workers with room.

--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -18,6 +18,8 @@
     pub(super) room: Amount,
     /// Kept for a gang of a higher rank.
     pub(super) reserved: bool,
+    /// Whether its worker has left the latest orders without an answer.
+    pub(super) unanswering: bool,
     /// Whether tasks there serve users of their own and must answer in time.
     pub(super) serves: bool,
     /// Whether tasks there live on what others leave unused.
@@ -138,6 +140,7 @@
                 listed: worker.listed.clone(),
                 room: worker.room(),
                 reserved: false,
+                unanswering: worker.unanswered > 0,
                 serves: sharing && worker.runs.iter().any(|run| self.runs_as(run, Step::serves)),
                 fills: sharing
                     && worker.runs.iter().any(|run| self.runs_as(run, |step| step.fills)),
--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -131,6 +131,7 @@
                 // The same order again is carried out once, so that repeating it settles whether
                 // the first one arrived.
                 if live.tries >= START_TRIES {
+                    self.note_unanswered(worker);
                     self.give_up_start(run);
                 }
             }
@@ -192,19 +193,35 @@
             }
         };
         live.stage = Stage::Stopping { out: false, taken };
-        if taken.is_some()
-            && let Some(worker) = self.workers.get_mut(worker)
-        {
+        let Some(worker) = self.workers.get_mut(worker) else { return };
+        if taken.is_some() {
             worker.next_look = worker.next_look.min(now);
+        } else {
+            worker.distrust(now);
         }
     }
 
+    /// Takes the clock out of the answer to an order that the worker has taken.
     fn read_clock(&mut self, worker: &str, clock_ms: u64) {
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.lease.read(clock_ms, now);
+            worker.note_answered();
         }
     }
+
+    /// Keeps new tasks away from a worker that left all orders to start one without an answer.
+    fn note_unanswered(&mut self, id: &str) {
+        let now = self.now;
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.note_unanswered(now);
+        log::warn!(
+            "event=worker.unanswering worker={id} starts={} fenced={} missed={}",
+            worker.unanswered,
+            worker.fenced,
+            worker.missed
+        );
+    }
 }
 
 impl Stage {
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -24,6 +24,11 @@
 /// Cost of a worker on which the task's step has failed before, in units of a whole worker's room.
 const FAILED_BEFORE: f64 = 4.0;
 
+/// Cost of a worker that has left the latest orders without an answer, in the same unit: it gets tasks
+/// only where no other worker has room. A rest alone let two such workers hold one gang by turns, for
+/// a lease each, beside ten sound ones.
+const UNANSWERING: f64 = 4.0;
+
 /// Tasks of a step with the fields they go to.
 type Plan = Vec<(u32, usize)>;
 
@@ -150,8 +155,10 @@
                 .map(|(&at, room)| {
                     let field = fields.get(at);
                     let before = failed.is_some_and(|failed| failed.contains(&field.id));
-                    let penalty = if before { FAILED_BEFORE } else { 0.0 };
-                    (leftover(room, &demand, &field.listed.capacity) + penalty, at)
+                    let failed_cost = if before { FAILED_BEFORE } else { 0.0 };
+                    let unanswering_cost = if field.unanswering { UNANSWERING } else { 0.0 };
+                    let left = leftover(room, &demand, &field.listed.capacity);
+                    (left + failed_cost + unanswering_cost, at)
                 })
                 .min_by(|one, other| one.0.total_cmp(&other.0));
             let Some((_, at)) = best else { break };
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -16,6 +16,7 @@
     zombies: false,
     worker_ms: 0,
     outages: false,
+    deaf: 0,
 };
 
 fn seeds() -> u64 {
@@ -59,6 +60,11 @@
 #[test_case(Faults { takeover_ms: 2_500, zombies: true, ..CALM }; "owners_beside_successors")]
 #[test_case(Faults { worker_ms: 700, ..CALM }; "workers_cut_and_crashed")]
 #[test_case(Faults { outages: true, ..CALM }; "store_down")]
+#[test_case(Faults { deaf: 2, late: 0.06, ..CALM }; "workers_that_reset_orders")]
+#[test_case(
+    Faults { deaf: 2, late: 0.06, takeover_ms: 2_500, zombies: true, ..CALM };
+    "workers_that_reset_orders_of_every_owner"
+)]
 #[test_case(
     Faults {
         late: 0.04,
@@ -67,6 +73,7 @@
         zombies: true,
         worker_ms: 1_000,
         outages: true,
+        deaf: 0,
     };
     "everything_at_once"
 )]
--- a/tests/logic/cell/upstream.rs
+++ b/tests/logic/cell/upstream.rs
@@ -19,6 +19,8 @@
     pub capacity: Amount,
     /// Whether messages reach it.
     pub reachable: bool,
+    /// Whether it resets orders and answers looks alone.
+    pub deaf: bool,
     pub runs: BTreeMap<Run, Amount>,
     offset_ms: u64,
     fence: Epoch,
@@ -35,6 +37,7 @@
         Self {
             capacity,
             reachable: true,
+            deaf: false,
             runs: BTreeMap::new(),
             offset_ms,
             fence: Epoch(0),
