Add failing tests for a task started twice in one millisecond

Cause: instants have milliseconds, and a report counted as later than an answer of the same millisecond.

--- /dev/null
+++ b/tests/logic/cell/looks.rs
@@ -0,0 +1,63 @@
+//! What a report says of tries that it does not list.
+
+use oriolefork::cell::link::Report;
+use oriolefork::cell::machine::Message;
+use oriolefork::clock::Instant;
+
+use super::model::{self, cores};
+use super::story::{Story, WORKER_CLOCK};
+
+/// Looks at `worker` with a report that lists nothing, of a look that was sent at `sent`.
+fn report_nothing(story: &mut Story, worker: usize, sent: u64) {
+    let report = Report { clock_ms: WORKER_CLOCK + story.now, ..Report::default() };
+    let (worker, sent) = (format!("w{worker}").into(), Instant::from_millis(sent));
+    story.tell(Message::Looked { worker, sent, outcome: Ok(report) });
+    story.pass(20);
+    story.store_all();
+    story.pass(20);
+    story.store_all();
+}
+
+/// A task ran twice at once, with two starts of one owner 17 ms apart. A look and an order to start it
+/// left within the same millisecond; the worker in the owner's own failure domain, 0.1 ms away, answered
+/// the look, then began the task, and both answers were in before the millisecond was over. The owner
+/// took the report, which did not list the task, for later than the start: it took the task for lost
+/// and started it again. Proved by the log: `end=lost took_ms=3`, then `task.stray` for the same try.
+#[test]
+fn report_of_the_start_s_millisecond_proves_no_loss() {
+    let mut story = Story::begin(2);
+    let starts = story.running(1, model::step(1, cores(1)));
+    let since = story.now - 1;
+    report_nothing(&mut story, starts[0].0, since);
+    assert!(story.starts().is_empty(), "it runs");
+    assert!(story.machine.runs.contains_key(&starts[0].1.run));
+}
+
+/// The same with the order to stop it: the report may be older than the stop, after which the worker
+/// refuses the start that is on its way.
+#[test]
+fn report_of_the_stop_s_millisecond_proves_no_end() {
+    let mut story = Story::begin(2);
+    let starts = story.running(1, model::step(1, cores(1)));
+    story.ask(2, oriolefork::cell::machine::Call::Cancel(model::id(1)));
+    story.store_all();
+    story.pass(10);
+    let (worker, run) = (starts[0].0, starts[0].1.run);
+    assert_eq!(story.stops(), [run]);
+    let taken = story.now;
+    let outcome = Ok(WORKER_CLOCK + taken);
+    story.tell(Message::Stopped { worker: format!("w{worker}").into(), run, outcome });
+    report_nothing(&mut story, worker, taken);
+    assert!(story.machine.runs.contains_key(&run), "its end has not been listed");
+}
+
+/// A report of a look that left later than the start was answered does prove it.
+#[test]
+fn report_after_the_start_proves_the_loss() {
+    let mut story = Story::begin(2);
+    let starts = story.running(1, model::step(1, cores(1)));
+    story.pass(100);
+    let sent = story.now;
+    report_nothing(&mut story, starts[0].0, sent);
+    assert_eq!(story.starts().len(), 1, "it is started again");
+}
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod histories;
 mod lease;
+mod looks;
 mod machine;
 mod model;
 mod patience;
