Take a report as later than an answer only from the next millisecond on

Cause: a report counted as later than the start it did not list when both bore the same millisecond. A worker 0.1 ms away answers a look, begins the task and answers that within one; the task was taken for lost and ran twice at once (TWICE, and LIMIT where the worker was full).

Change: the comparison is strict, for starts and for stops. Looks follow each other at once, so that a real loss shows with the next one.

--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -172,8 +172,10 @@
                 Stage::Recording | Stage::Starting { .. } => continue,
                 // Orders of earlier owners are refused from here on, so that it never begins.
                 Stage::Inherited => End::Void,
-                Stage::Running(seen) if seen <= sent => End::Lost,
-                Stage::Stopping { taken: Some(taken), .. } if taken <= sent => End::Void,
+                // Strictly: instants have milliseconds, and within one of them a worker nearby answers
+                // a look and then takes the order, so that the report is older than the answer.
+                Stage::Running(seen) if seen < sent => End::Lost,
+                Stage::Stopping { taken: Some(taken), .. } if taken < sent => End::Void,
                 Stage::Stopping { .. } if is_refused(live, clock_ms) => End::Void,
                 Stage::Running(_) | Stage::Stopping { .. } => continue,
             };
