Split the instance of a cell by duty

In the way: node.rs had 418 lines: what is known of each cell, the configuration, readiness and answers to other instances. Change: src/cell/node/ with one file for each. Lines moved, not changed; only visibility and imports differ.

--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -15,7 +15,7 @@
 //! | `link.rs` | borders to workers, policy service, journal and lists |
 //! | `preempt.rs` | which running tasks make room for more urgent ones |
 //! | `patience.rs` | how long a call waits for an owner |
-//! | `owner.rs`, `election/`, `front.rs`, `node.rs`, `reading.rs`, `contact.rs` | the tasks of an instance |
+//! | `owner.rs`, `election/`, `front.rs`, `node/`, `reading.rs`, `contact.rs` | the tasks of an instance |
 
 mod contact;
 pub mod election;
--- /dev/null
+++ b/src/cell/node/answer.rs
@@ -0,0 +1,102 @@
+//! Answers to other instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use serde::Serialize;
+
+use super::Node;
+use crate::cell::link::Allowed;
+use crate::cell::machine::{Machine, Message};
+use crate::cell::peer::{
+    ADVISE, ANNOUNCE, Announcement, Ask, CALL, Envelope, Offer, Reply, TABLE, WATCH, Watch, Watched,
+};
+use crate::cell::timings::WATCH_HOLD;
+use crate::codec;
+use crate::peer::{Code, Handler, Refusal, decode};
+
+impl Node {
+    async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
+        match method {
+            CALL => encode(&self.take_call(decode(body)?).await),
+            WATCH => encode(&self.watched(&decode(body)?).await),
+            ADVISE => encode(&self.advise(decode(body)?).await),
+            TABLE => {
+                self.take_table(decode(body)?);
+                encode(&())
+            }
+            ANNOUNCE => {
+                self.take_announcement(decode(body)?);
+                encode(&())
+            }
+            other => Err(Refusal::new(Code::UnknownMethod, format!("no method {other}"))),
+        }
+    }
+
+    /// Follows an owner that makes itself known, unless a later one is known already.
+    fn take_announcement(&self, announcement: Announcement) {
+        let Announcement { cell, epoch, owner } = announcement;
+        let known = self.epoch(cell);
+        if epoch <= known || self.owning(cell).is_some() {
+            return;
+        }
+        self.note_epoch(cell, epoch);
+        self.set_owner(cell, Some(owner));
+    }
+
+    async fn take_call(&self, envelope: Envelope) -> Reply {
+        let Some(owning) = self.owning(envelope.cell) else {
+            return Reply::Elsewhere(self.owner(envelope.cell));
+        };
+        owning.call(envelope.call).await.map_or(Reply::Cut, Reply::Answer)
+    }
+
+    async fn advise(&self, ask: Ask) -> Result<Allowed, String> {
+        let timeout = Duration::from_millis(ask.timeout_ms);
+        self.borders.advisor.advise(&ask.step, &ask.workers, timeout).await
+    }
+
+    /// Answers a follower after a while, so that its next word is due again soon and neither side
+    /// takes the other's silence for long.
+    async fn watched(&self, watch: &Watch) -> Watched {
+        if let Some(owning) = self.owning(watch.cell) {
+            let (peer, strength) = (watch.from, watch.strength);
+            owning.send(Message::Present { peer, strength });
+            if watch.patient {
+                let _ = monoio::time::timeout(WATCH_HOLD, self.until_relief(watch.cell)).await;
+            }
+        }
+        let table = self.table();
+        let newer = (table.version > watch.version).then(|| (*table).clone());
+        let strength = self.strength;
+        let look =
+            move |machine: &Machine, now| (machine.offer(strength, now), machine.present(now));
+        let seen = match self.owning(watch.cell) {
+            Some(owning) => owning.inspect(look).await,
+            None => None,
+        };
+        let owns = seen.is_some();
+        let (offer, present) = seen.unwrap_or_default();
+        let offer = if self.stop.is_triggered() { Offer::Open } else { offer };
+        Watched { owns, owner: self.owner(watch.cell), offer, present, table: newer }
+    }
+}
+
+impl Handler for Node {
+    fn handle(
+        &self,
+        _peer: SocketAddr,
+        method: &str,
+        body: Bytes,
+    ) -> LocalBoxFuture<'_, Result<Bytes, Refusal>> {
+        let method = method.to_owned();
+        async move { self.answer(&method, &body).await }.boxed_local()
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Bytes, Refusal> {
+    codec::encode(value).map_err(|error| Refusal::new(Code::Busy, error))
+}
--- /dev/null
+++ b/src/cell/node/mod.rs
@@ -0,0 +1,116 @@
+//! An instance: what it knows of every cell, and its answers to other instances.
+//!
+//! | File | Duty |
+//! |---|---|
+//! | `view.rs` | what is known of each cell |
+//! | `table.rs` | the configuration, and who else has it |
+//! | `readiness.rs` | whether callers should come here, and their resting connections stay |
+//! | `answer.rs` | what other instances are told |
+
+mod answer;
+mod readiness;
+mod table;
+mod view;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use view::View;
+
+use super::owner::Borders;
+use super::queue::Table;
+use super::timings::Timings;
+use super::{Id, election};
+use crate::shutdown::Shutdown;
+
+/// One instance.
+pub struct Node {
+    /// Address at which other instances reach it.
+    pub me: SocketAddr,
+    /// Drawn at the start of the process.
+    pub incarnation: u64,
+    /// Processor that the process may use, in thousandths of a core.
+    pub strength: u32,
+    /// Cells of the site.
+    pub cells: u32,
+    /// Spans that the site sets.
+    pub timings: Timings,
+    /// Ways to the outside.
+    pub borders: Rc<Borders>,
+    /// Raised when the process is told to stop.
+    pub stop: Shutdown,
+    table: RefCell<Rc<Table>>,
+    views: RefCell<BTreeMap<Id, View>>,
+    left: Cell<bool>,
+    /// Raised while callers are served better elsewhere.
+    relief: RefCell<Shutdown>,
+}
+
+impl Node {
+    /// Builds an instance that knows nothing yet.
+    pub fn new(
+        me: SocketAddr,
+        incarnation: u64,
+        strength: u32,
+        cells: u32,
+        timings: Timings,
+        borders: Rc<Borders>,
+        stop: Shutdown,
+    ) -> Rc<Self> {
+        let views = (0..cells.max(1)).map(|cell| (Id(cell), View::default())).collect();
+        Rc::new(Self {
+            me,
+            incarnation,
+            strength,
+            cells: cells.max(1),
+            timings,
+            borders,
+            stop,
+            table: RefCell::default(),
+            views: RefCell::new(views),
+            left: Cell::new(false),
+            relief: RefCell::new(Shutdown::new()),
+        })
+    }
+
+    /// Starts following the configuration and every cell; the tasks end with the process.
+    pub fn start(self: &Rc<Self>) {
+        let node = self.clone();
+        monoio::spawn(async move { node.follow_table().await });
+        let node = self.clone();
+        monoio::spawn(async move { node.follow_contact().await });
+        for cell in 0..self.cells {
+            let node = self.clone();
+            monoio::spawn(async move { election::run(node, Id(cell)).await });
+        }
+    }
+
+    /// Rank of the process by its processor alone: zero from half a core on, `lowest` for none.
+    pub(super) fn weakness(&self, lowest: u32) -> u32 {
+        /// Processor of the strongest instances, in thousandths of a core.
+        const STRONG: u32 = 500;
+        lowest - lowest * self.strength.min(STRONG) / STRONG
+    }
+
+    /// Number of this process's claims within their epochs; small enough to count on from.
+    pub const fn first_sequence(&self) -> u64 {
+        self.incarnation >> 16
+    }
+
+    /// Ends ownership of every cell; for the end of a process that was told to stop.
+    pub fn leave(&self) {
+        self.left.set(true);
+        for view in self.views.borrow().values() {
+            if let Some(owning) = &view.owning {
+                owning.end();
+            }
+        }
+    }
+
+    /// Whether the instance takes part no more.
+    pub fn has_left(&self) -> bool {
+        self.left.get()
+    }
+}
--- /dev/null
+++ b/src/cell/node/table.rs
@@ -0,0 +1,82 @@
+//! The configuration: taken from the store or another instance, and passed on to owners.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Node;
+use crate::cell::contact::Contact;
+use crate::cell::machine::Message;
+use crate::cell::peer::TABLE;
+use crate::cell::queue::Table;
+
+/// Time that one read for a newer configuration waits at the platform.
+const TABLE_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Rest after such a read failed.
+const TABLE_RETRY: Duration = Duration::from_millis(250);
+
+/// Time for passing the configuration to an owner.
+const TABLE_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Node {
+    /// The configuration in force here.
+    pub fn table(&self) -> Rc<Table> {
+        self.table.borrow().clone()
+    }
+
+    /// Takes a configuration that is newer than the present one.
+    ///
+    /// Guards against going back: an older version that arrives late, from the store or from an
+    /// instance that has been cut off, is passed over.
+    pub fn take_table(&self, table: Table) {
+        if table.version <= self.table().version {
+            return;
+        }
+        log::info!("event=config.received version={} queues={}", table.version, table.queues.len());
+        let table = Rc::new(table);
+        *self.table.borrow_mut() = table.clone();
+        for view in self.views.borrow().values() {
+            if let Some(owning) = &view.owning {
+                owning.send(Message::Table(table.clone()));
+            }
+        }
+    }
+
+    /// Reads the configuration as it changes, and passes it to owners that may not have it.
+    pub(in crate::cell) async fn follow_table(self: Rc<Self>) {
+        let mut store = Contact::new("store");
+        while !self.left.get() {
+            let version = self.table().version;
+            match self.borders.lists.table(version, TABLE_WAIT).await {
+                Ok(table) => {
+                    store.answered();
+                    if let Some(table) = table {
+                        self.take_table(table);
+                        self.spread_table();
+                    }
+                }
+                Err(cause) => {
+                    store.failed(&cause);
+                    self.borders.clock.sleep(TABLE_RETRY).await;
+                }
+            }
+        }
+    }
+
+    fn spread_table(&self) {
+        let table = self.table();
+        let owners: Vec<SocketAddr> =
+            self.views.borrow().values().filter_map(|view| view.owner).collect();
+        for owner in owners.into_iter().filter(|owner| *owner != self.me) {
+            let (borders, table) = (self.borders.clone(), table.clone());
+            monoio::spawn(async move {
+                let told: Result<(), _> =
+                    borders.peers.call(owner, TABLE, &*table, TABLE_TIMEOUT).await;
+                if let Err(error) = told {
+                    log::info!("event=config.not_passed owner={owner} cause={error:?}");
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/cell/node/view.rs
@@ -0,0 +1,82 @@
+//! What an instance knows of each cell.
+
+use std::net::SocketAddr;
+
+use super::Node;
+use crate::cell::owner::Handle;
+use crate::cell::{Epoch, Id};
+use crate::clock::Instant;
+use crate::shutdown::Shutdown;
+
+/// What an instance knows of one cell.
+#[derive(Default)]
+pub(super) struct View {
+    pub(super) owner: Option<SocketAddr>,
+    /// Latest epoch whose owner was heard of.
+    pub(super) epoch: Epoch,
+    pub(super) owning: Option<Handle>,
+    /// When the owner was last heard of.
+    pub(super) contact: Option<Instant>,
+    /// When an owner was last heard of that reaches the store.
+    pub(super) served: Option<Instant>,
+    /// Raised while this instance owns the cell and the store keeps it waiting.
+    pub(super) alarm: Shutdown,
+}
+
+impl Node {
+    /// The owner of a cell, as far as it is known.
+    pub fn owner(&self, cell: Id) -> Option<SocketAddr> {
+        self.views.borrow().get(&cell).and_then(|view| view.owner)
+    }
+
+    /// The way to the cell's owner when that is this instance.
+    pub fn owning(&self, cell: Id) -> Option<Handle> {
+        self.views.borrow().get(&cell).and_then(|view| view.owning.clone())
+    }
+
+    pub(in crate::cell) fn set_owner(&self, cell: Id, owner: Option<SocketAddr>) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            if view.owner != owner {
+                let name = owner.map_or_else(|| "none".to_owned(), |owner| owner.to_string());
+                log::info!("event=owner.known cell={cell} owner={name}");
+            }
+            view.owner = owner;
+        }
+    }
+
+    pub(in crate::cell) fn set_owning(&self, cell: Id, owning: Option<Handle>) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.owner = owning.as_ref().map(|_| self.me);
+            view.owning = owning;
+        }
+    }
+
+    /// Notes that an owner was heard of that reaches the store.
+    pub(in crate::cell) fn note_served(&self, cell: Id) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.served = Some(self.borders.clock.now());
+        }
+    }
+
+    /// When this instance last heard of the cell's owner.
+    pub(in crate::cell) fn contact(&self, cell: Id) -> Option<Instant> {
+        self.views.borrow().get(&cell).and_then(|view| view.contact)
+    }
+
+    pub(in crate::cell) fn note_contact(&self, cell: Id) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.contact = Some(self.borders.clock.now());
+        }
+    }
+
+    /// Latest epoch whose owner was heard of.
+    pub(in crate::cell) fn epoch(&self, cell: Id) -> Epoch {
+        self.views.borrow().get(&cell).map_or(Epoch(0), |view| view.epoch)
+    }
+
+    pub(in crate::cell) fn note_epoch(&self, cell: Id, epoch: Epoch) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.epoch = view.epoch.max(epoch);
+        }
+    }
+}
