Read controls of stand-ins in one place, and serve them by Bound alone

In the way: four stand-ins each read, applied and repeated their control with the same lines, and each had a serve() that nobody calls beside bind() and Bound::serve. Change: reply::control does the first; the four unused functions are gone.

--- a/src/standin/instances/mod.rs
+++ b/src/standin/instances/mod.rs
@@ -17,7 +17,6 @@
 use crate::clock::{Clock, System};
 use crate::http::{Handler, Request, Response};
 use crate::membership::{Member, wire};
-use crate::shutdown::Shutdown;
 
 mod state;
 
@@ -53,16 +52,6 @@
     Bound::new(addr, CONNECTIONS, Rc::new(Instances::new(options)))
 }
 
-/// Runs a list until `stop` is triggered.
-///
-/// # Errors
-///
-/// Fails when the address cannot be taken.
-pub async fn serve(addr: SocketAddr, options: Options, stop: Shutdown) -> io::Result<()> {
-    bind(addr, options)?.serve(stop).await;
-    Ok(())
-}
-
 struct Instances {
     state: RefCell<State>,
     lag: Cell<Duration>,
@@ -91,13 +80,10 @@
     }
 
     fn control(&self, request: &Request) -> Response {
-        let control = match reply::parse::<Control>(request) {
-            Ok(control) => control,
-            Err(response) => return *response,
-        };
-        self.outage.set(control.outage.unwrap_or(self.outage.get()));
-        self.lag.set(control.lag_ms.map_or(self.lag.get(), Duration::from_millis));
-        reply::json(&control)
+        reply::control(request, |control: &Control| {
+            self.outage.set(control.outage.unwrap_or(self.outage.get()));
+            self.lag.set(control.lag_ms.map_or(self.lag.get(), Duration::from_millis));
+        })
     }
 
     /// Shows the list, without a body to a caller that names the version it has already.
--- a/src/standin/log/mod.rs
+++ b/src/standin/log/mod.rs
@@ -16,7 +16,6 @@
 use super::{Bound, reply};
 use crate::clock::{Clock, Instant, System};
 use crate::http::{Handler, Request, Response};
-use crate::shutdown::Shutdown;
 use crate::store::wire;
 
 mod state;
@@ -105,16 +104,6 @@
     Bound::new(addr, CONNECTIONS, Rc::new(Log::new(options)))
 }
 
-/// Runs a log until `stop` is triggered.
-///
-/// # Errors
-///
-/// Fails when the address cannot be taken.
-pub async fn serve(addr: SocketAddr, options: Options, stop: Shutdown) -> io::Result<()> {
-    bind(addr, options)?.serve(stop).await;
-    Ok(())
-}
-
 struct Log {
     state: RefCell<State>,
     outage: Cell<bool>,
@@ -150,19 +139,16 @@
     }
 
     fn control(&self, request: &Request) -> Response {
-        let control = match reply::parse::<Control>(request) {
-            Ok(control) => control,
-            Err(response) => return *response,
-        };
-        self.outage.set(control.outage.unwrap_or(self.outage.get()));
-        self.drop_answers.set(control.drop_answers.unwrap_or(self.drop_answers.get()));
-        let latency = control.latency_ms.map(Duration::from_millis);
-        self.latency.set(latency.unwrap_or(self.latency.get()));
-        if let Some(retention) = control.retention {
-            self.state.borrow_mut().set_retention(retention);
-        }
-        self.changed.raise();
-        reply::json(&control)
+        reply::control(request, |control: &Control| {
+            self.outage.set(control.outage.unwrap_or(self.outage.get()));
+            self.drop_answers.set(control.drop_answers.unwrap_or(self.drop_answers.get()));
+            let latency = control.latency_ms.map(Duration::from_millis);
+            self.latency.set(latency.unwrap_or(self.latency.get()));
+            if let Some(retention) = control.retention {
+                self.state.borrow_mut().set_retention(retention);
+            }
+            self.changed.raise();
+        })
     }
 
     fn snapshot(&self) -> Snapshot {
--- a/src/standin/reply.rs
+++ b/src/standin/reply.rs
@@ -48,6 +48,20 @@
         .map_err(|error| Box::new(text(StatusCode::BAD_REQUEST, &error.to_string())))
 }
 
+/// Lets `apply` carry out a control, and repeats it in the answer.
+pub fn control<T: Serialize + DeserializeOwned>(
+    request: &Request,
+    apply: impl FnOnce(&T),
+) -> Response {
+    match parse(request) {
+        Ok(control) => {
+            apply(&control);
+            json(&control)
+        }
+        Err(response) => *response,
+    }
+}
+
 /// Reads a number from the query.
 pub fn number(request: &Request, name: &str) -> Option<u64> {
     let query = request.uri().query()?;
--- a/src/standin/runner/mod.rs
+++ b/src/standin/runner/mod.rs
@@ -15,7 +15,6 @@
 use super::{Bound, reply};
 use crate::clock::{Clock, System};
 use crate::http::{Handler, Request, Response};
-use crate::shutdown::Shutdown;
 
 mod state;
 
@@ -100,16 +99,6 @@
     Bound::new(addr, connections, Rc::new(Runner::new(options)))
 }
 
-/// Runs a runner until `stop` is triggered.
-///
-/// # Errors
-///
-/// Fails when the address cannot be taken.
-pub async fn serve(addr: SocketAddr, options: Options, stop: Shutdown) -> io::Result<()> {
-    bind(addr, options)?.serve(stop).await;
-    Ok(())
-}
-
 struct Runner {
     state: RefCell<State>,
     latency: Cell<Duration>,
@@ -139,15 +128,12 @@
     }
 
     fn control(&self, request: &Request) -> Response {
-        let control = match reply::parse::<Control>(request) {
-            Ok(control) => control,
-            Err(response) => return *response,
-        };
-        let latency = control.latency_ms.map(Duration::from_millis);
-        self.latency.set(latency.unwrap_or(self.latency.get()));
-        self.fail.set(control.fail.unwrap_or(self.fail.get()));
-        self.lie.set(control.lie.unwrap_or(self.lie.get()));
-        reply::json(&control)
+        reply::control(request, |control: &Control| {
+            let latency = control.latency_ms.map(Duration::from_millis);
+            self.latency.set(latency.unwrap_or(self.latency.get()));
+            self.fail.set(control.fail.unwrap_or(self.fail.get()));
+            self.lie.set(control.lie.unwrap_or(self.lie.get()));
+        })
     }
 
     async fn run(&self, peer: SocketAddr, request: Request) -> Response {
--- a/src/standin/worker/mod.rs
+++ b/src/standin/worker/mod.rs
@@ -15,7 +15,6 @@
 use crate::clock::{Clock, Instant, System};
 use crate::domain::Epoch;
 use crate::http::{Handler, Request, Response};
-use crate::shutdown::Shutdown;
 use crate::worker::{Exchange, wire};
 
 mod instruction;
@@ -40,16 +39,6 @@
     Bound::new(addr, CONNECTIONS, Rc::new(Worker::new(options)))
 }
 
-/// Runs a worker until `stop` is triggered.
-///
-/// # Errors
-///
-/// Fails when the address cannot be taken.
-pub async fn serve(addr: SocketAddr, options: Options, stop: Shutdown) -> io::Result<()> {
-    bind(addr, options)?.serve(stop).await;
-    Ok(())
-}
-
 struct Worker {
     state: RefCell<State>,
     paused: Cell<bool>,
@@ -78,14 +67,11 @@
     }
 
     fn control(&self, request: &Request) -> Response {
-        let control = match reply::parse::<Control>(request) {
-            Ok(control) => control,
-            Err(response) => return *response,
-        };
-        self.paused.set(control.pause.unwrap_or(self.paused.get()));
-        control.apply(&mut self.state.borrow_mut().options);
-        self.changed.raise();
-        reply::json(&control)
+        reply::control(request, |control: &Control| {
+            self.paused.set(control.pause.unwrap_or(self.paused.get()));
+            control.apply(&mut self.state.borrow_mut().options);
+            self.changed.raise();
+        })
     }
 
     fn snapshot(&self) -> Snapshot {
