--- a/src/alert/board.rs
+++ b/src/alert/board.rs
@@ -39,6 +39,12 @@
     pub acknowledged: Option<Acknowledgement>,
 }
 
+impl Alert {
+    const fn raised(id: Id, key: Key, message: String, at: Unix) -> Self {
+        Self { id, key, message, raised: at, last: at, count: 1, ended: None, acknowledged: None }
+    }
+}
+
 /// No alert has this identity.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, derive_more::Error)]
 #[display("there is no alert {id}")]
@@ -225,16 +231,7 @@
             self.count(id, key, message, at);
             return;
         }
-        self.insert(Alert {
-            id,
-            key: key.clone(),
-            message: message.to_owned(),
-            raised: at,
-            last: at,
-            count: 1,
-            ended: None,
-            acknowledged: None,
-        });
+        self.insert(Alert::raised(id, key.clone(), message.to_owned(), at));
     }
 
     /// Counts an alert in the one on many.
@@ -253,16 +250,7 @@
             alert.message = format!("{} more; the latest: {message}", alert.count);
             return;
         }
-        self.insert(Alert {
-            id,
-            key: many,
-            message: format!("1 more: {message}"),
-            raised: at,
-            last: at,
-            count: 1,
-            ended: None,
-            acknowledged: None,
-        });
+        self.insert(Alert::raised(id, many, format!("1 more: {message}"), at));
     }
 
     fn close(&mut self, id: Id, acknowledgement: &Acknowledgement) {
