Judge a whole answer in one place

In the way: the rule that a status of 500 and more is a runner's failure stood twice, for own and passed-on requests. Change: one function in the proxy's driver.

--- a/src/runner/proxy/driver.rs
+++ b/src/runner/proxy/driver.rs
@@ -208,7 +208,7 @@
         let link = Rc::clone(&self.link);
         let attempt = async move {
             let (outcome, answer) = match link.call(peer, &call, timeout).await {
-                Ok(answer) => (Outcome::Whole { failed: answer.status >= 500 }, Some(answer)),
+                Ok(answer) => whole(answer),
                 Err(error) => {
                     log::debug!("event=runner.call_failed request={request} {error}");
                     (outcome_of(&error.fault), None)
@@ -233,9 +233,7 @@
         let attempt = async move {
             let ended = peers.run(peer, &call, effect, budget + FORWARD_SLACK).await;
             let (outcome, answer) = match ended {
-                Ok(Ended::Whole(answer)) => {
-                    (Outcome::Whole { failed: answer.status >= 500 }, Some(answer))
-                }
+                Ok(Ended::Whole(answer)) => whole(answer),
                 Ok(Ended::NotRun { retry_after }) => (Outcome::Refused { retry_after }, None),
                 Ok(Ended::Unknown) => (Outcome::Broken, None),
                 Err(fault) => (outcome_of(&fault), None),
@@ -261,6 +259,11 @@
     }
 }
 
+/// A whole answer, which may still say that the runner failed.
+fn whole(answer: Answer) -> (Outcome, Option<Answer>) {
+    (Outcome::Whole { failed: answer.status >= 500 }, Some(answer))
+}
+
 fn outcome_of(fault: &Fault) -> Outcome {
     match fault {
         Fault::NotSent(_) => Outcome::NotSent,
