--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether it ended for good otherwise than in success.
+    fn is_lost(&self) -> bool {
+        matches!(self.position, Position::Done(end) if end != End::Succeeded)
+    }
+
     fn retry(&mut self) {
         self.attempt += 1;
         self.position = Position::Pending;
@@ -101,21 +106,13 @@
 
     /// Whether any task ended for good otherwise than in success, though nobody cancelled the job.
     pub fn is_lost(&self) -> bool {
-        let failed = |task: &Task| match task.position {
-            Position::Done(end) => end != End::Succeeded,
-            _ => false,
-        };
-        self.cancelled.is_none() && self.tasks.iter().any(failed)
+        self.cancelled.is_none() && self.tasks.iter().any(Task::is_lost)
     }
 
     /// Whether a task of a gang ended without success, so that the others must stop before the
     /// gang starts anew.
     pub fn is_gang_broken(&self) -> bool {
-        let broken = |task: &Task| match task.position {
-            Position::Done(end) => end != End::Succeeded,
-            _ => false,
-        };
-        self.spec.kind == Kind::Gang && self.tasks.iter().any(broken) && !self.is_over()
+        self.spec.kind == Kind::Gang && self.tasks.iter().any(Task::is_lost) && !self.is_over()
     }
 
     fn new(acceptance: &Acceptance, stated: Offset, now: Unix) -> Self {
