Share the smallest settings file between the tests

In the way: the tests of the settings and those of the daemon each wrote out the same file. Change: tests/support/file.rs serves both. No assertion changed.

--- a/tests/logic/settings.rs
+++ b/tests/logic/settings.rs
@@ -1,5 +1,8 @@
 //! The settings file: what is accepted, and that everything wrong with it is said at once.
 
+#[path = "../support/file.rs"]
+mod file;
+
 use std::fs;
 use std::path::{Path, PathBuf};
 
@@ -10,17 +13,9 @@
 use serde_json::{Value, json};
 use test_case::test_case;
 
-const TOKEN: &str = "a-secret-that-must-never-show";
+use file::smallest;
 
-fn smallest() -> Value {
-    json!({
-        "instance": "oamaru-1",
-        "domain": "oamaru-hall",
-        "addresses": {"api": "127.0.0.1:7400", "peer": "127.0.0.1:7401"},
-        "log": {"addresses": ["127.0.0.1:7300"]},
-        "instance_list": {"address": "127.0.0.1:7310"}
-    })
-}
+const TOKEN: &str = "a-secret-that-must-never-show";
 
 /// The smallest file with `value` at the JSON pointer `place`, whose parents must exist or are one
 /// missing section.
--- a/tests/process/observe.rs
+++ b/tests/process/observe.rs
@@ -1,5 +1,8 @@
 //! What operators see of a running daemon: its log lines, metrics and refusal of bad settings.
 
+#[path = "../support/file.rs"]
+mod file;
+
 use std::fs;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
@@ -11,6 +14,8 @@
 
 use crate::harness::{Cluster, Place, Plan, eventually, get, request, settings};
 
+use file::smallest;
+
 const ENTRY: &str = env!("CARGO_BIN_EXE_oriolefork-entry");
 const TOKEN: &str = "a-secret-that-must-never-show";
 
@@ -128,16 +133,6 @@
     command.output().expect("run the check")
 }
 
-fn smallest() -> Value {
-    json!({
-        "instance": "oamaru-1",
-        "domain": "oamaru-hall",
-        "addresses": {"api": "127.0.0.1:7400", "peer": "127.0.0.1:7401"},
-        "log": {"addresses": ["127.0.0.1:7300"]},
-        "instance_list": {"address": "127.0.0.1:7310"}
-    })
-}
-
 #[test]
 fn check_settings_valid() {
     let output = check(&smallest(), "observe-valid.json", &[]);
