Plan clusters with short leases in one place

In the way: seven stories repeated one plan, of which only the numbers of instances and workers differ. Change: site::short_lease takes the two numbers and returns the plan. No assertion changed.

--- a/tests/process/owner/log.rs
+++ b/tests/process/owner/log.rs
@@ -10,7 +10,7 @@
 
 use super::site::{HALL, Runs, callers, owner, short_lease, started_on};
 use super::work::{Said, Work, await_state, submit, submit_until_accepted};
-use crate::harness::{Cluster, Plan, eventually, post_json};
+use crate::harness::{Cluster, eventually, post_json};
 
 /// How the log goes away.
 #[derive(Clone, Copy, Debug)]
@@ -61,9 +61,7 @@
 #[test_case(Outage::Network(Mode::Refuse) ; "refuses")]
 #[test_case(Outage::Network(Mode::CutBoth) ; "cut")]
 fn log_away(outage: Outage) {
-    let plan =
-        Plan { entries: 2, workers: 2, proxied: true, settings: short_lease(), ..Plan::default() };
-    let cluster = plan.start();
+    let cluster = short_lease(2, 2).start();
     let everyone = callers(&cluster, HALL, &[]);
     owner(&cluster, HALL, &[]);
     let running = ["running-batch".to_owned(), "running-once".to_owned()];
@@ -101,9 +99,7 @@
 // Once the log is back the domain has an owner again and nothing has run twice.
 #[test]
 fn log_away_and_owner_killed() {
-    let plan =
-        Plan { entries: 3, workers: 2, proxied: true, settings: short_lease(), ..Plan::default() };
-    let mut cluster = plan.start();
+    let mut cluster = short_lease(3, 2).start();
     let everyone = callers(&cluster, HALL, &[]);
     let (killed, _) = owner(&cluster, HALL, &[]);
     let running = ["running-batch".to_owned(), "running-once".to_owned()];
@@ -131,9 +127,7 @@
 // answers mean the same one job, which runs once.
 #[test]
 fn log_answer_lost_while_submitting() {
-    let plan =
-        Plan { entries: 2, workers: 1, proxied: true, settings: short_lease(), ..Plan::default() };
-    let cluster = plan.start();
+    let cluster = short_lease(2, 1).start();
     let everyone = callers(&cluster, HALL, &[]);
     owner(&cluster, HALL, &[]);
     let keys: Vec<String> = (0..3).map(|number| format!("lost-{number}")).collect();
@@ -155,9 +149,7 @@
 // again stands for one job that ran once, and the others never start.
 #[test]
 fn log_answers_dropped_by_network() {
-    let plan =
-        Plan { entries: 2, workers: 1, proxied: true, settings: short_lease(), ..Plan::default() };
-    let cluster = plan.start();
+    let cluster = short_lease(2, 1).start();
     let everyone = callers(&cluster, HALL, &[]);
     owner(&cluster, HALL, &[]);
     let keys: Vec<String> = (0..4).map(|number| format!("dropped-{number}")).collect();
--- a/tests/process/owner/pause.rs
+++ b/tests/process/owner/pause.rs
@@ -8,7 +8,7 @@
 
 use super::site::{HALL, Runs, callers, owner, short_lease, started_on};
 use super::work::{Work, await_state, submit_until_accepted};
-use crate::harness::{Plan, eventually};
+use crate::harness::eventually;
 
 /// Lease and margin of [`short_lease`].
 const LEASE: Duration = Duration::from_secs(5);
@@ -18,9 +18,7 @@
 // still owns the domain, and must be refused by the workers and step down: nothing runs twice.
 #[test]
 fn owner_paused_past_lease() {
-    let plan =
-        Plan { entries: 3, workers: 3, proxied: true, settings: short_lease(), ..Plan::default() };
-    let cluster = plan.start();
+    let cluster = short_lease(3, 3).start();
     let everyone = callers(&cluster, HALL, &[]);
     let keys = |wave: &str| -> Vec<String> {
         ["batch", "once", "gang"].iter().map(|kind| format!("{wave}-{kind}")).collect()
@@ -65,9 +63,7 @@
 // after another instance has taken over. They carry an earlier epoch and must have no effect.
 #[test]
 fn owner_paused_with_exchanges_held_up() {
-    let plan =
-        Plan { entries: 2, workers: 1, proxied: true, settings: short_lease(), ..Plan::default() };
-    let cluster = plan.start();
+    let cluster = short_lease(2, 1).start();
     let everyone = callers(&cluster, HALL, &[]);
     let (paused, _) = owner(&cluster, HALL, &[]);
     let keys: Vec<String> = (0..6).map(|number| format!("held-{number}")).collect();
--- a/tests/process/owner/site.rs
+++ b/tests/process/owner/site.rs
@@ -8,13 +8,17 @@
 use serde_json::{Value, json};
 
 use super::work::id;
-use crate::harness::{Cluster, eventually, get};
+use crate::harness::{Cluster, Plan, eventually, get};
 
 /// The failure domain of stories that need only one.
 pub const HALL: &str = "oamaru-hall";
 
-/// Shorter leases for stories that wait for their lapse.
-pub fn short_lease() -> Value {
+/// One failure domain behind the proxy whose leases lapse soon, for stories that wait for that.
+pub fn short_lease(entries: usize, workers: usize) -> Plan {
+    Plan { entries, workers, proxied: true, settings: short_lease_settings(), ..Plan::default() }
+}
+
+fn short_lease_settings() -> Value {
     json!({
         "log": { "timeout_ms": 800 },
         "owner": {
--- a/tests/process/owner/worker.rs
+++ b/tests/process/owner/worker.rs
@@ -13,7 +13,7 @@
 const ONCE: &str = "once";
 
 fn plan() -> Plan {
-    Plan { entries: 2, workers: 4, proxied: true, settings: short_lease(), ..Plan::default() }
+    short_lease(2, 4)
 }
 
 /// Starts an idempotent and an at-most-once task that do not end, and returns their workers.
