--- a/tests/logic/config/retention.rs
+++ b/tests/logic/config/retention.rs
@@ -28,6 +28,20 @@
     fleet.flush(0);
 }
 
+/// Two instances, of which the second wrote its snapshot of version 1 behind the change to version 2.
+fn late_snapshot() -> Fleet {
+    let mut fleet = Fleet::new(&["oamaru-hall", "kurow-hall"]);
+    fleet.read_all();
+    accept(&mut fleet, 0, Change::Preset(Preset::Peak));
+    fleet.advance(fleet.timing.snapshot);
+    fleet.tick(1);
+    fleet.advance(fleet.timing.spread);
+    fleet.tick(1);
+    accept(&mut fleet, 1, quota("shop"));
+    fleet.flush(1);
+    fleet
+}
+
 #[test]
 fn snapshot_survives_retention_cut() {
     // The log drops the change that set the preset. An instance that starts afterwards must still
@@ -50,15 +64,7 @@
     // A snapshot of version 1 lands behind the change to version 2, and retention drops everything
     // before that change. A starting instance must replay the change on the snapshot: with the
     // snapshot alone it would show version 1 and reject what everyone else accepts.
-    let mut fleet = Fleet::new(&["oamaru-hall", "kurow-hall"]);
-    fleet.read_all();
-    accept(&mut fleet, 0, Change::Preset(Preset::Peak));
-    fleet.advance(fleet.timing.snapshot);
-    fleet.tick(1);
-    fleet.advance(fleet.timing.spread);
-    fleet.tick(1);
-    accept(&mut fleet, 1, quota("shop"));
-    fleet.flush(1);
+    let mut fleet = late_snapshot();
     fleet.read_all();
     fleet.log.oldest = 1;
     fleet.restart(1);
@@ -73,15 +79,7 @@
     // The snapshot covers version 1 only, and the change to version 2 behind it was dropped as
     // well. A starting instance cannot know version 2 from the log, so it shows nothing until an
     // instance that remembers writes a snapshot.
-    let mut fleet = Fleet::new(&["oamaru-hall", "kurow-hall"]);
-    fleet.read_all();
-    accept(&mut fleet, 0, Change::Preset(Preset::Peak));
-    fleet.advance(fleet.timing.snapshot);
-    fleet.tick(1);
-    fleet.advance(fleet.timing.spread);
-    fleet.tick(1);
-    accept(&mut fleet, 1, quota("shop"));
-    fleet.flush(1);
+    let mut fleet = late_snapshot();
     fleet.log.oldest = 2;
     fleet.restart(1);
     fleet.read_all();
