Split the election of a domain's owner by duty

Change: owner/election/ with reading.rs and claim.rs beside the state. Lines moved, not changed; only visibility and imports differ.

--- /dev/null
+++ b/src/owner/election/mod.rs
@@ -0,0 +1,191 @@
+//! Following the stream, noticing that the owner is gone, and claiming its place.
+
+mod claim;
+mod reading;
+
+use std::net::SocketAddr;
+
+use reading::Progress;
+
+use crate::clock::{Instant, Unix};
+use crate::domain::{Epoch, Instance};
+use crate::membership::{Role as MemberRole, State};
+use crate::owner::active::Active;
+use crate::owner::machine::{Beat, Machine, Role};
+use crate::owner::record::Claim;
+
+/// What this instance knows of the owner and of the stream.
+#[derive(Clone, Debug)]
+pub struct Election {
+    progress: Progress,
+    reading: bool,
+    read_at: Instant,
+    read_failing_since: Option<Instant>,
+    heard: Instant,
+    leader: Option<(Epoch, Instance)>,
+    leader_without_log: Option<Instant>,
+    claiming: bool,
+    /// Claim whose append got no answer; it may still take effect.
+    claim_pause: Option<Instant>,
+}
+
+impl Election {
+    /// State of a process that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            progress: Progress::FindEnd,
+            reading: false,
+            read_at: now,
+            read_failing_since: None,
+            heard: now,
+            leader: None,
+            leader_without_log: None,
+            claiming: false,
+            claim_pause: None,
+        }
+    }
+
+    /// Whether all that the stream held at the start has been read.
+    pub fn is_caught_up(&self) -> bool {
+        self.progress == Progress::Live
+    }
+
+    /// Since when reading the log has failed.
+    pub fn read_failing_since(&self) -> Option<Instant> {
+        self.read_failing_since
+    }
+
+    /// The instance that says it owns the domain in an epoch not before `epoch`.
+    pub fn leader(&self, epoch: Epoch) -> Option<&Instance> {
+        self.leader.as_ref().filter(|(theirs, _)| *theirs >= epoch).map(|(_, owner)| owner)
+    }
+
+    /// Highest epoch that any instance has named.
+    pub fn highest(&self) -> Epoch {
+        self.leader.as_ref().map(|(epoch, _)| *epoch).unwrap_or_default()
+    }
+
+    pub(in crate::owner) fn start_over(&mut self) {
+        self.progress = Progress::FindEnd;
+    }
+
+    pub(in crate::owner) fn heard(&mut self, now: Instant) {
+        self.heard = now;
+    }
+
+    /// An owner that still appends is alive, even if its heartbeats do not get through.
+    pub(in crate::owner) fn heard_through_log(&mut self, now: Instant) {
+        if self.progress == Progress::Live {
+            self.heard = now;
+        }
+    }
+
+    pub(in crate::owner) fn claimed(&mut self, claim: &Claim, now: Instant) {
+        self.heard = now;
+        self.leader = Some((claim.epoch, claim.instance.clone()));
+        self.leader_without_log = None;
+    }
+}
+
+impl Machine {
+    pub(in crate::owner) fn on_beat(&mut self, beat: &Beat, now: Instant) {
+        if beat.epoch < self.known_epoch() || beat.owner == self.me {
+            return;
+        }
+        self.yield_to(beat.epoch, "later_owner_spoke");
+        self.enroll(beat);
+        self.election.heard(now);
+        self.election.leader = Some((beat.epoch, beat.owner.clone()));
+        // Only what this instance can reach and the owner cannot is a reason to take its place: an
+        // outage that both had ends for one of them first.
+        let alone = beat.without_log && self.election.read_failing_since.is_none();
+        self.election.leader_without_log = match alone {
+            true => Some(self.election.leader_without_log.unwrap_or(now)),
+            false => None,
+        };
+    }
+
+    /// Takes in that `from` has heard this owner and knows of `epoch`.
+    ///
+    /// An earlier owner that has heard of a later epoch has stepped down, and a new process at its
+    /// address proves the old one gone.
+    pub(in crate::owner) fn on_beat_answered(
+        &mut self,
+        from: &Instance,
+        epoch: Epoch,
+        now: Instant,
+    ) {
+        if self.yield_to(epoch, "peer_knows_later_epoch") {
+            self.election.heard(now);
+        }
+        let gone: Vec<Instance> = self
+            .replica
+            .formers()
+            .iter()
+            .filter(|former| former.peer == from.peer)
+            .cloned()
+            .collect();
+        let Role::Owner(active) = &mut self.role else { return };
+        active.heard_by.insert(from.name.clone(), now);
+        if epoch < active.epoch {
+            return;
+        }
+        for former in gone {
+            active.retire(&former);
+        }
+        if epoch == active.epoch {
+            active.enroll(from);
+        }
+    }
+
+    pub(in crate::owner) fn on_handover(&mut self, epoch: Epoch, now: Instant, unix: Unix) {
+        let current = epoch >= self.known_epoch() && !self.stopping && !self.is_owner();
+        if !current || !self.election.is_caught_up() {
+            return;
+        }
+        match self.election.read_failing_since {
+            None => self.claim(now),
+            Some(_) => self.take_over(now, unix),
+        }
+    }
+
+    pub(in crate::owner) fn new_active(&self, epoch: Epoch, now: Instant, unix: Unix) -> Active {
+        let board = self.replica.board.clone();
+        let domain = self.domain.clone();
+        let mut active = Active::new(epoch, domain, &self.timings, self.policy, board, now);
+        active.set_settings(&self.settings);
+        active.set_members(&self.members);
+        // An owner before this one may have started what the log does not say, unless this
+        // instance would keep the record of it.
+        let previous = self.replica.previous();
+        active.cautious = previous != Epoch::default() && self.custody.enrolled() != Some(previous);
+        active.load(&self.replica.table, now, unix);
+        active
+    }
+
+    pub(in crate::owner) fn become_owner(&mut self, now: Instant, unix: Unix) {
+        let epoch = self.replica.epoch();
+        log::info!(
+            "event=owner.claimed domain={} epoch={epoch} jobs={}",
+            self.domain,
+            self.replica.table.len()
+        );
+        let mut active = self.new_active(epoch, now, unix);
+        for change in self.custody.changes(self.replica.previous()) {
+            log::debug!("event=owner.relogged change={change:?}");
+            active.recovering = true;
+            active.journal.push(change, None);
+        }
+        self.role = Role::Owner(Box::new(active));
+        self.election.leader = Some((epoch, self.me.clone()));
+    }
+
+    /// Entry instances of the domain other than this one, by name.
+    pub(in crate::owner) fn peers(&self) -> impl Iterator<Item = (&str, SocketAddr)> {
+        self.members
+            .iter()
+            .filter(|member| member.role == MemberRole::Entry && member.state == State::Live)
+            .filter(|member| member.address != self.me.peer)
+            .map(|member| (member.name.as_str(), member.address))
+    }
+}
--- /dev/null
+++ b/src/owner/election/reading.rs
@@ -0,0 +1,173 @@
+//! Reading the stream: where to begin, and how far this instance has come.
+
+use std::time::Duration;
+
+use crate::clock::{Instant, Unix};
+use crate::codec;
+use crate::domain::Epoch;
+use crate::owner::machine::{Effect, Machine};
+use crate::owner::record::{Floor, Record};
+use crate::owner::replica::Replica;
+use crate::store::{self, Offset, Page};
+
+/// Records at the end of the stream in which a new reader first looks for a floor.
+const TAIL: Offset = 64;
+
+/// Factor by which that window grows while it holds no floor.
+const TAIL_GROWTH: Offset = 16;
+
+/// Pause after a failed read.
+const READ_PAUSE: Duration = Duration::from_millis(300);
+
+/// How far this instance has come with reading the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// Asks where the stream ends.
+    FindEnd,
+    /// Looks through this many last records for a floor.
+    FindFloor(Offset),
+    /// Reads from the floor to the end that the stream had at the start.
+    CatchUp(Offset),
+    /// Has read all that there was at the start.
+    Live,
+}
+
+impl Machine {
+    /// Issues the next read unless one is under way.
+    ///
+    /// An owner learns of its own records from the answers to its appends, so it reads only to
+    /// fill a gap or, at a slow pace, to find a rival's claim.
+    pub(in crate::owner) fn read_on(&mut self, now: Instant) {
+        if self.election.reading || now < self.election.read_at {
+            return;
+        }
+        let wait = if self.is_owner() { Duration::ZERO } else { self.timings.follow };
+        let (from, wait) = match self.election.progress {
+            Progress::FindEnd => (Offset::MAX, Duration::ZERO),
+            Progress::FindFloor(start) => (start, Duration::ZERO),
+            Progress::CatchUp(_) => (self.replica.next(), Duration::ZERO),
+            Progress::Live => (self.replica.next(), wait),
+        };
+        self.election.reading = true;
+        self.out.push(Effect::Read { from, wait });
+    }
+
+    /// Makes the next read due at once, to find out what became of an append.
+    pub(in crate::owner) fn read_soon(&mut self, now: Instant) {
+        self.election.read_at = now;
+    }
+
+    pub(in crate::owner) fn on_read(
+        &mut self,
+        result: Result<Page, store::Error>,
+        now: Instant,
+        unix: Unix,
+    ) {
+        self.election.reading = false;
+        let page = match result {
+            Ok(page) => page,
+            Err(error) => {
+                log::warn!("event=owner.read_failed domain={} {error}", self.domain);
+                self.election.read_failing_since.get_or_insert(now);
+                self.election.read_at = now.after(READ_PAUSE);
+                return;
+            }
+        };
+        self.election.read_failing_since = None;
+        self.election.read_at = if self.is_owner() { now.after(self.timings.check) } else { now };
+        match self.election.progress {
+            Progress::FindEnd => self.on_end(&page),
+            Progress::FindFloor(start) => self.on_tail(start, &page),
+            Progress::CatchUp(_) | Progress::Live => self.on_page(&page, now, unix),
+        }
+    }
+
+    fn on_end(&mut self, page: &Page) {
+        let start = page.end.saturating_sub(TAIL).max(page.oldest);
+        self.election.progress = Progress::FindFloor(start);
+    }
+
+    fn on_tail(&mut self, start: Offset, page: &Page) {
+        let floor = find_floor(page).filter(|floor| floor.offset >= page.oldest);
+        let whole = start <= page.oldest;
+        match floor {
+            Some(floor) => self.start_at(floor, page.end),
+            None if whole => self.start_at(first_floor(page), page.end),
+            None => {
+                let window = (page.end.saturating_sub(start)).saturating_mul(TAIL_GROWTH);
+                let wider = page.end.saturating_sub(window).max(page.oldest);
+                self.election.progress = Progress::FindFloor(wider);
+            }
+        }
+    }
+
+    fn start_at(&mut self, floor: Floor, end: Offset) {
+        self.replica = Replica::starting_at(floor);
+        self.election.progress = Progress::CatchUp(end);
+    }
+
+    fn on_page(&mut self, page: &Page, now: Instant, unix: Unix) {
+        if self.replica.has_gap(page) {
+            self.restart_reading("records_dropped");
+            return;
+        }
+        for record in &page.records {
+            if record.offset == self.replica.next() {
+                self.absorb(record.offset, &record.payload, now, unix);
+            }
+        }
+        let behind = self.replica.next() < page.end;
+        if behind {
+            self.read_soon(now);
+        }
+        if let Progress::CatchUp(end) = self.election.progress
+            && self.replica.next() >= end
+        {
+            log::info!(
+                "event=owner.caught_up domain={} offset={} jobs={}",
+                self.domain,
+                end,
+                self.replica.table.len()
+            );
+            self.election.progress = Progress::Live;
+            self.election.heard(now);
+        }
+    }
+
+    /// Retention has dropped records this instance never read. What it holds may be wrong in any
+    /// part, so it starts over from a floor near the end.
+    fn restart_reading(&mut self, cause: &str) {
+        log::warn!("event=owner.reading_restarted domain={} cause={cause}", self.domain);
+        self.step_down(cause);
+        self.election.start_over();
+    }
+}
+
+/// The latest floor that a batch of the page names.
+fn find_floor(page: &Page) -> Option<Floor> {
+    let floor = |payload| match codec::decode::<Record>(payload) {
+        Ok(Record::Batch(batch)) => Some(batch.floor),
+        _ => None,
+    };
+    page.records.iter().filter_map(|record| floor(&record.payload)).max_by_key(|floor| floor.offset)
+}
+
+/// Where to start when no floor is left: at the oldest record, in the epoch that makes it hold.
+fn first_floor(page: &Page) -> Floor {
+    let Some(first) = page.records.first() else {
+        return Floor { offset: page.oldest, ..Floor::default() };
+    };
+    let (epoch, sequence) = match codec::decode::<Record>(&first.payload) {
+        Ok(Record::Batch(batch)) => (batch.epoch, batch.sequence),
+        Ok(Record::Claim(claim)) => (previous(claim.epoch), 0),
+        Err(_) => (Epoch::default(), 0),
+    };
+    Floor { offset: page.oldest, epoch, sequence }
+}
+
+fn previous(epoch: Epoch) -> Epoch {
+    match epoch.sub {
+        0 => Epoch { term: epoch.term.saturating_sub(1), sub: 0 },
+        sub => Epoch { term: epoch.term, sub: sub - 1 },
+    }
+}
