Keep the messages of the owner's machine apart from it

In the way: owner/machine.rs had 424 lines, half of them messages, answers and effects. Change: owner/machine/message.rs, under the same paths as before. Lines moved, not changed; only visibility and imports differ.

--- a/src/owner/machine.rs
+++ b/src/owner/machine/mod.rs
@@ -1,226 +1,25 @@
 //! The state machine of an entry instance towards its failure domain.
 
-use std::net::SocketAddr;
+mod message;
+
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+
+pub use message::{Answer, Beat, Call, Effect, Message, Refusal};
 
 use crate::alert::Board;
 use crate::clock::{Instant, Unix};
+use crate::config;
 use crate::domain::{self, Epoch, Instance};
 use crate::membership::Member;
+use crate::owner::Timings;
 use crate::owner::active::Active;
-use crate::owner::custody::{Custody, Hold};
+use crate::owner::custody::Custody;
 use crate::owner::election::Election;
-use crate::owner::journal::{Parcel, Tag};
 use crate::owner::replica::{Applied, Replica};
-use crate::owner::session::{Channel, Send};
-use crate::owner::{Ticket, Timings};
 use crate::placement::Policy;
-use crate::store::{self, Offset, Page};
-use crate::{alert, config, job, placement, worker};
-
-/// Something that happened.
-#[derive(Debug)]
-pub enum Message {
-    /// Time passed.
-    Tick,
-    /// A read of the stream ended.
-    Read(Result<Page, store::Error>),
-    /// An append to the stream ended.
-    Appended {
-        /// What was appended.
-        tag: Tag,
-        /// Its offset, or what went wrong.
-        result: Result<Offset, store::Error>,
-    },
-    /// An exchange with a worker ended.
-    Exchanged {
-        /// Epoch in which it was sent.
-        epoch: Epoch,
-        /// The worker.
-        worker: worker::Name,
-        /// Call it belonged to.
-        channel: Channel,
-        /// Its result.
-        result: Result<worker::Report, worker::Error>,
-    },
-    /// The list of instances was read.
-    Members(Vec<Member>),
-    /// Another instance of the domain says that it is the owner.
-    Beat(Beat),
-    /// An instance has taken in a heartbeat and answered.
-    BeatAnswered {
-        /// The instance that answered.
-        from: Instance,
-        /// Latest epoch it knows.
-        epoch: Epoch,
-    },
-    /// An owner without the log asks this instance to keep a batch.
-    Hold(Hold),
-    /// An instance keeps a batch.
-    Held {
-        /// The instance.
-        from: Instance,
-        /// Epoch of the batch.
-        epoch: Epoch,
-        /// Place of the batch in that epoch.
-        sequence: u64,
-    },
-    /// A caller asks for something.
-    Call {
-        /// Number to answer to.
-        ticket: Ticket,
-        /// What it asks for.
-        call: Call,
-    },
-    /// A caller's time is up; it is answered at once.
-    Expired(Ticket),
-    /// Another policy is in force.
-    Policy(Policy),
-    /// Other settings of operators are in force.
-    Settings(Rc<config::Value>),
-    /// The owner asks this instance to take over.
-    Handover(Epoch),
-    /// The process is to stop.
-    Shutdown,
-}
-
-/// Heartbeat of an owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
-    /// Failure domain it owns.
-    pub domain: domain::Name,
-    /// The owner.
-    pub owner: Instance,
-    /// Its epoch.
-    pub epoch: Epoch,
-    /// Whether it cannot reach the log.
-    pub without_log: bool,
-    /// Instances that keep its batches when the log is away.
-    pub enrolled: Vec<Instance>,
-}
-
-/// What a caller asks of the owner.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
-    /// Accept a job.
-    Submit {
-        /// Identity of the job.
-        job: job::Id,
-        /// Idempotency key.
-        key: String,
-        /// What it asks for.
-        spec: job::Spec,
-    },
-    /// Stop a job.
-    Cancel(job::Id),
-    /// Mark an alert as seen.
-    Acknowledge {
-        /// The alert.
-        alert: alert::Id,
-        /// Who saw it.
-        by: String,
-    },
-    /// Take a worker that does not answer for gone, with all that it ran.
-    GiveUp(worker::Name),
-}
-
-/// Answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Answer {
-    /// The job is in the log.
-    Accepted {
-        /// Whether it was there before.
-        duplicate: bool,
-    },
-    /// The cancellation is in the log.
-    Cancelled,
-    /// The acknowledgement is in the log.
-    Acknowledged,
-    /// The end of all that the worker ran is in the log.
-    GivenUp,
-    /// The job, alert or worker is not known.
-    NotFound,
-    /// Nothing was written and nothing will run because of the call.
-    Refused(Refusal),
-    /// The call may have taken effect; asking again with the same identity tells.
-    Unknown,
-}
-
-/// Why a call was refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// This instance does not own the domain.
-    NotOwner(Option<Instance>),
-    /// The worker answers, so it is not gone.
-    WorkerAnswers,
-    /// The key stands for another job.
-    KeyReused,
-    /// No worker could ever run it.
-    Impossible(placement::Reason),
-    /// Too much waits for the log.
-    Busy,
-    /// The log cannot be reached.
-    LogAway,
-    /// Time ran out before anything was written.
-    Expired,
-}
-
-/// Something to do.
-#[derive(Debug)]
-pub enum Effect {
-    /// Read the stream and answer with [`Message::Read`].
-    Read {
-        /// First offset wanted.
-        from: Offset,
-        /// How long to wait for a record.
-        wait: Duration,
-    },
-    /// Append to the stream and answer with [`Message::Appended`].
-    Append(Parcel),
-    /// Call a worker and answer with [`Message::Exchanged`].
-    Exchange {
-        /// Present epoch, to be returned with the result.
-        epoch: Epoch,
-        /// The worker.
-        worker: worker::Name,
-        /// What to send.
-        send: Send,
-    },
-    /// Send a heartbeat and answer with [`Message::BeatAnswered`] for each answer.
-    Beat {
-        /// Instances of the domain.
-        to: Vec<SocketAddr>,
-        /// Content.
-        beat: Beat,
-    },
-    /// Ask instances to keep a batch and answer with [`Message::Held`] for each that does.
-    Hold {
-        /// The instances.
-        to: Vec<SocketAddr>,
-        /// The batch.
-        hold: Hold,
-    },
-    /// Ask an instance to take over.
-    Handover {
-        /// The instance.
-        to: SocketAddr,
-        /// Epoch that ends.
-        epoch: Epoch,
-    },
-    /// Answer a caller.
-    Reply {
-        /// Number of the call.
-        ticket: Ticket,
-        /// Answer.
-        answer: Answer,
-    },
-    /// Nothing is left to do before the process ends.
-    Stopped,
-}
+use crate::store::Offset;
 
 /// Part that the instance plays.
 #[derive(Debug)]
@@ -252,9 +51,9 @@
     pub election: Election,
     /// Batches kept for an owner without the log.
     pub custody: Custody,
-    pub(super) members: Vec<Member>,
-    pub(super) stopping: bool,
-    pub(super) out: Vec<Effect>,
+    pub(in crate::owner) members: Vec<Member>,
+    pub(in crate::owner) stopping: bool,
+    pub(in crate::owner) out: Vec<Effect>,
 }
 
 impl Machine {
@@ -340,7 +139,7 @@
         }
     }
 
-    pub(super) fn active(&mut self) -> Option<&mut Active> {
+    pub(in crate::owner) fn active(&mut self) -> Option<&mut Active> {
         match &mut self.role {
             Role::Owner(active) => Some(active),
             Role::Follower => None,
@@ -356,7 +155,13 @@
     }
 
     /// Takes in one record that follows what was read so far.
-    pub(super) fn absorb(&mut self, offset: Offset, payload: &Bytes, now: Instant, unix: Unix) {
+    pub(in crate::owner) fn absorb(
+        &mut self,
+        offset: Offset,
+        payload: &Bytes,
+        now: Instant,
+        unix: Unix,
+    ) {
         match self.replica.apply(offset, payload, unix) {
             Applied::Claimed(claim) if claim.instance == self.me => self.become_owner(now, unix),
             Applied::Claimed(claim) => {
@@ -370,7 +175,7 @@
 
     /// Ends this instance's ownership. Callers whose change was never handed to the log hear that
     /// nothing was done; the others hear that they have to ask again.
-    pub(super) fn step_down(&mut self, cause: &str) {
+    pub(in crate::owner) fn step_down(&mut self, cause: &str) {
         let Role::Owner(mut active) = std::mem::replace(&mut self.role, Role::Follower) else {
             return;
         };
@@ -391,7 +196,7 @@
     }
 
     /// Ends this instance's ownership if `epoch` supersedes it; whether it did.
-    pub(super) fn yield_to(&mut self, epoch: Epoch, cause: &str) -> bool {
+    pub(in crate::owner) fn yield_to(&mut self, epoch: Epoch, cause: &str) -> bool {
         let superseded = self.active().is_some_and(|active| epoch > active.epoch);
         if superseded {
             self.step_down(cause);
