Keep a job's rules apart from the table of jobs

Change: owner/table/job.rs, under the same paths as before. Lines moved, not changed; only visibility and imports differ.

--- a/src/owner/table.rs
+++ b/src/owner/table/job.rs
@@ -1,16 +1,8 @@
-//! Jobs of a failure domain as the log states them.
-//!
-//! Every instance of the domain builds the same table from the same records, so the rules that
-//! turn an end into a retry live here and depend on nothing but the records.
-
-use std::collections::{BTreeMap, BTreeSet};
-use std::ops::Bound::{Excluded, Unbounded};
+//! A job as the log states it, and the rules that turn the end of a try into the next one.
 
 use crate::clock::Unix;
 use crate::job::{self, Effect, Kind};
-use crate::owner::record::{
-    Acceptance, Conclusion, Entry, Placement, Position, Standing, Statement,
-};
+use crate::owner::record::{Acceptance, Conclusion, Placement, Position, Standing, Statement};
 use crate::store::Offset;
 use crate::task::{self, End};
 use crate::worker;
@@ -115,7 +107,7 @@
         self.spec.kind == Kind::Gang && self.tasks.iter().any(Task::is_lost) && !self.is_over()
     }
 
-    fn new(acceptance: &Acceptance, stated: Offset, now: Unix) -> Self {
+    pub(super) fn new(acceptance: &Acceptance, stated: Offset, now: Unix) -> Self {
         let count = acceptance.spec.tasks as usize;
         Self {
             id: acceptance.job,
@@ -130,7 +122,7 @@
         }
     }
 
-    fn restated(statement: &Statement, offset: Offset, now: Unix) -> Self {
+    pub(super) fn restated(statement: &Statement, offset: Offset, now: Unix) -> Self {
         let task = |standing: &Standing| Task {
             attempt: standing.attempt,
             failures: standing.failures,
@@ -152,7 +144,7 @@
             .filter_map(|(index, task)| Some((task.worker()?, self.task_id(index))))
     }
 
-    fn place(&mut self, placement: &Placement) {
+    pub(super) fn place(&mut self, placement: &Placement) {
         let Some(task) = self.tasks.get_mut(placement.task.index as usize) else { return };
         let adoptable = matches!(task.position, Position::Pending | Position::Unresolved { .. });
         if !adoptable || task.attempt > placement.task.attempt {
@@ -162,7 +154,7 @@
         task.position = Position::Placed { worker: placement.worker.clone(), run: placement.run };
     }
 
-    fn conclude(&mut self, conclusion: &Conclusion) {
+    pub(super) fn conclude(&mut self, conclusion: &Conclusion) {
         if self.current(conclusion.task).is_none() {
             return;
         }
@@ -239,7 +231,7 @@
         }
     }
 
-    fn unresolve(&mut self, id: task::Id) {
+    pub(super) fn unresolve(&mut self, id: task::Id) {
         let Some(task) = self.tasks.get_mut(id.index as usize) else { return };
         if task.attempt != id.attempt {
             return;
@@ -249,7 +241,7 @@
         }
     }
 
-    fn cancel(&mut self, at: Unix) {
+    pub(super) fn cancel(&mut self, at: Unix) {
         if self.is_over() || self.cancelled.is_some() {
             return;
         }
@@ -291,111 +283,3 @@
         }
     }
 }
-
-/// Jobs by identity.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Table {
-    jobs: BTreeMap<job::Id, Job>,
-    /// Jobs by the offset of their last whole statement.
-    stated: BTreeSet<(Offset, job::Id)>,
-    /// Present tries by the worker that may hold resources for them.
-    placed: BTreeMap<worker::Name, BTreeSet<task::Id>>,
-}
-
-impl Table {
-    /// The job named `id`.
-    pub fn get(&self, id: job::Id) -> Option<&Job> {
-        self.jobs.get(&id)
-    }
-
-    /// Every job, by identity.
-    pub fn jobs(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.values()
-    }
-
-    /// Every job after `cursor`, by identity.
-    pub fn after(&self, cursor: Option<job::Id>) -> impl Iterator<Item = &Job> {
-        let start = cursor.map_or(Unbounded, Excluded);
-        self.jobs.range((start, Unbounded)).map(|(_, job)| job)
-    }
-
-    /// Number of jobs.
-    pub fn len(&self) -> usize {
-        self.jobs.len()
-    }
-
-    /// Whether there is no job.
-    pub fn is_empty(&self) -> bool {
-        self.jobs.is_empty()
-    }
-
-    /// Oldest offset at which a job is stated whole.
-    pub fn oldest_statement(&self) -> Option<Offset> {
-        self.stated.first().map(|(offset, _)| *offset)
-    }
-
-    /// Jobs by the age of their last whole statement, oldest first.
-    pub fn by_statement(&self) -> impl Iterator<Item = &Job> {
-        self.stated.iter().filter_map(|(_, id)| self.jobs.get(id))
-    }
-
-    /// Present tries for which `worker` may hold resources.
-    pub fn placed_on(&self, worker: &worker::Name) -> impl Iterator<Item = task::Id> {
-        self.placed.get(worker).into_iter().flatten().copied()
-    }
-
-    /// Takes in one change read at `offset`.
-    ///
-    /// A change to a job that the table does not hold is skipped: the reader started past the
-    /// job's acceptance, and its restatement follows.
-    pub fn apply(&mut self, entry: &Entry, offset: Offset, now: Unix) {
-        match entry {
-            Entry::Accepted(acceptance) if self.jobs.contains_key(&acceptance.job) => {}
-            Entry::Accepted(acceptance) => self.insert(Job::new(acceptance, offset, now)),
-            Entry::Placed(placements) => {
-                for placement in placements {
-                    self.update(placement.task.job, |job| job.place(placement));
-                }
-            }
-            Entry::Ended(conclusion) => {
-                self.update(conclusion.task.job, |job| job.conclude(conclusion));
-            }
-            Entry::Unresolved(task) => self.update(task.job, |job| job.unresolve(*task)),
-            Entry::Cancelled(cancellation) => {
-                self.update(cancellation.job, |job| job.cancel(cancellation.at));
-            }
-            Entry::Restated(statement) => self.insert(Job::restated(statement, offset, now)),
-            Entry::Pruned(job) => {
-                self.remove(*job);
-            }
-            Entry::Retired(_) | Entry::Alert(_) | Entry::Alerts(_) => {}
-        }
-    }
-
-    fn update(&mut self, id: job::Id, change: impl FnOnce(&mut Job)) {
-        if let Some(mut job) = self.remove(id) {
-            change(&mut job);
-            self.insert(job);
-        }
-    }
-
-    fn remove(&mut self, id: job::Id) -> Option<Job> {
-        let job = self.jobs.remove(&id)?;
-        self.stated.remove(&(job.stated, id));
-        for (worker, task) in job.placements() {
-            if let Some(tasks) = self.placed.get_mut(worker) {
-                tasks.remove(&task);
-            }
-        }
-        Some(job)
-    }
-
-    fn insert(&mut self, job: Job) {
-        self.remove(job.id);
-        self.stated.insert((job.stated, job.id));
-        for (worker, task) in job.placements() {
-            self.placed.entry(worker.clone()).or_default().insert(task);
-        }
-        self.jobs.insert(job.id, job);
-    }
-}
