--- a/tests/logic/cell/preempt.rs
+++ b/tests/logic/cell/preempt.rs
@@ -79,6 +79,14 @@
     Step { estimate_ms: 1_000, ..model::step(count, demand) }
 }
 
+/// Lets a job of `step` run on the only worker for a while.
+fn fill(story: &mut Story, step: Step) -> Vec<Run> {
+    let runs: Vec<Run> = story.running(1, step).iter().map(|start| start.1.run).collect();
+    story.pass(1_500);
+    story.report(0, &runs, &[]);
+    runs
+}
+
 fn submit_urgent(story: &mut Story, number: u64, step: Step) {
     let job = Job { queue: URGENT.to_owned(), ..model::job(number, step) };
     story.ask(number, Call::Submit(job));
@@ -91,10 +99,7 @@
 #[test]
 fn place_stops_what_can_wait_for_an_urgent_step() {
     let mut story = begin(1);
-    let starts = story.running(1, patient(2, cores(4)));
-    let runs: Vec<Run> = starts.iter().map(|start| start.1.run).collect();
-    story.pass(1_500);
-    story.report(0, &runs, &[]);
+    let runs = fill(&mut story, patient(2, cores(4)));
     submit_urgent(&mut story, 2, urgent(1, cores(3)));
     let stopped = story.stops();
     assert_eq!(stopped.len(), 1, "one makes room enough");
@@ -112,9 +117,7 @@
 fn place_spares_what_saves_nothing() {
     let mut story = begin(1);
     let step = Step { checkpoints: false, ..patient(2, cores(4)) };
-    let runs: Vec<Run> = story.running(1, step).iter().map(|start| start.1.run).collect();
-    story.pass(1_500);
-    story.report(0, &runs, &[]);
+    fill(&mut story, step);
     submit_urgent(&mut story, 2, urgent(1, cores(3)));
     assert!(story.stops().is_empty());
 }
@@ -123,10 +126,7 @@
 #[test]
 fn place_loses_no_more_than_it_gains() {
     let mut story = begin(1);
-    let runs: Vec<Run> =
-        story.running(1, patient(2, cores(4))).iter().map(|start| start.1.run).collect();
-    story.pass(1_500);
-    story.report(0, &runs, &[]);
+    fill(&mut story, patient(2, cores(4)));
     submit_urgent(&mut story, 2, Step { estimate_ms: 100, ..urgent(1, cores(3)) });
     assert!(story.stops().is_empty());
 }
@@ -135,10 +135,7 @@
 #[test]
 fn place_spares_equals() {
     let mut story = begin(1);
-    let runs: Vec<Run> =
-        story.running(1, patient(2, cores(4))).iter().map(|start| start.1.run).collect();
-    story.pass(1_500);
-    story.report(0, &runs, &[]);
+    fill(&mut story, patient(2, cores(4)));
     story.ask(2, Call::Submit(model::job(2, patient(1, cores(3)))));
     story.store_all();
     story.pass(300);
@@ -150,10 +147,7 @@
 #[test]
 fn place_stops_nothing_for_a_part_of_a_gang() {
     let mut story = begin(1);
-    let runs: Vec<Run> =
-        story.running(1, patient(2, cores(4))).iter().map(|start| start.1.run).collect();
-    story.pass(1_500);
-    story.report(0, &runs, &[]);
+    fill(&mut story, patient(2, cores(4)));
     let gang = Step { gang: true, ..urgent(3, cores(4)) };
     submit_urgent(&mut story, 2, gang);
     assert!(story.stops().is_empty());
--- a/tests/logic/runner/load.rs
+++ b/tests/logic/runner/load.rs
@@ -111,21 +111,23 @@
     assert!(matches!(setup.verdict(patient), Some(Verdict::Whole(_))));
 }
 
-fn two_domains() -> Setup {
+/// A domain with all its slots taken and a free one beside it.
+fn overloaded() -> Setup {
     let members = vec![runner("kurow", 1, 1), runner("oamaru", 9, 8), entry("oamaru", 1)];
-    Setup::with(Policy::default(), members)
+    let mut setup = Setup::with(Policy::default(), members);
+    setup.warm(100);
+    for _ in 0..4 {
+        setup.submit(Rerun::AtMostOnce, 10_000);
+    }
+    setup.sent();
+    setup
 }
 
 // A morning rush meets one domain while the next one is quiet. Its callers are refused although
 // there are free slots in reach.
 #[test]
 fn submit_overload_spills_to_another_domain() {
-    let mut setup = two_domains();
-    setup.warm(100);
-    for _ in 0..4 {
-        setup.submit(Rerun::AtMostOnce, 10_000);
-    }
-    setup.sent();
+    let mut setup = overloaded();
     let spilled = setup.submit(Rerun::AtMostOnce, 10_000);
     let (attempt, port) = setup.sent()[0];
     assert_eq!(port, 2001);
@@ -137,12 +139,7 @@
 // would wait longer to hear that they have to come back.
 #[test]
 fn submit_overload_everywhere_is_refused_at_once() {
-    let mut setup = two_domains();
-    setup.warm(100);
-    for _ in 0..4 {
-        setup.submit(Rerun::AtMostOnce, 10_000);
-    }
-    setup.sent();
+    let mut setup = overloaded();
     let refused = setup.submit(Rerun::AtMostOnce, 10_000);
     let (attempt, _) = setup.sent()[0];
     setup.finish(attempt, Outcome::Refused { retry_after: Duration::from_secs(2) });
