Log what waits, and for what, once a second

Cause: from the log it could not be told whether tasks that stand still wait for room, for the policy service or for the owner's processor. Change: event=steps.waiting with the waiting steps by hope, those that nobody has asked about, the instances that can ask and that are idle, free cores and rounds.

--- /dev/null
+++ b/src/cell/machine/backlog.rs
@@ -0,0 +1,62 @@
+//! What waits and what it waits for, told in the log once a second.
+
+use std::time::Duration;
+
+use super::Machine;
+use super::field::Fields;
+use super::rank::Hope;
+use super::waiting::Waiting;
+use crate::clock::Instant;
+
+/// Rest between two lines.
+const REST: Duration = Duration::from_secs(1);
+
+/// What the next line needs beside the present state.
+#[derive(Debug)]
+pub(super) struct Backlog {
+    next: Instant,
+    /// Rounds of placement since the last line.
+    rounds: u32,
+}
+
+impl Backlog {
+    pub(super) const fn new(now: Instant) -> Self {
+        Self { next: now, rounds: 0 }
+    }
+}
+
+impl Machine {
+    /// Tells the log how many steps wait, how many of them nobody has asked the policy service
+    /// about, how many instances could ask and how much room is left: steps that wait beside free
+    /// workers are told apart from those that find none.
+    pub(super) fn tell_backlog(&mut self, waiting: &[Waiting], fields: &Fields, whole: bool) {
+        self.backlog.rounds += 1;
+        if !whole || self.now < self.backlog.next {
+            return;
+        }
+        self.backlog.next = self.now.after(REST);
+        let rounds = std::mem::take(&mut self.backlog.rounds);
+        let hopes = [Hope::OnTime, Hope::Late, Hope::Worthless];
+        let [on_time, late, worthless] =
+            hopes.map(|hope| waiting.iter().filter(|step| step.rank.hope == hope).count());
+        let gangs = waiting.iter().filter(|step| step.model().gang).count();
+        let unasked = waiting.iter().filter(|step| self.needs_first_question(step)).count();
+        let fresh = self.askers.values().filter(|asker| asker.is_fresh(self.now)).count();
+        let idle = self.askers.values().filter(|asker| asker.is_idle(self.now)).count();
+        let free: u64 = fields.iter().map(|field| field.room.cpu_millis / 1_000).sum();
+        let cores: u64 = fields.iter().map(|field| field.listed.capacity.cpu_millis / 1_000).sum();
+        log::info!(
+            "event=steps.waiting on_time={on_time} late={late} worthless={worthless} gangs={gangs} \
+             unasked={unasked} askers={fresh} idle_askers={idle} free_cores={free} cores={cores} \
+             workers={} rounds={rounds}",
+            fields.len()
+        );
+    }
+
+    /// Whether the step needs the policy service's word and nobody has asked for it.
+    pub(super) fn needs_first_question(&self, step: &Waiting) -> bool {
+        let tickets = self.tickets.get(&step.key);
+        step.queue.advice.is_some()
+            && tickets.is_none_or(|tickets| tickets.tally().0 == 0 && !tickets.is_asking())
+    }
+}
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -5,6 +5,7 @@
 //! callers, final phases, and the leave that a worker gets to forget an end.
 
 mod advice;
+mod backlog;
 mod calls;
 mod commit;
 mod field;
@@ -29,6 +30,7 @@
 pub use live::{Live, Stage};
 pub use message::{Answer, Call, CallId, Effect, Message};
 
+use self::backlog::Backlog;
 use self::waiting::Hopeful;
 use super::Epoch;
 use super::job::{End, Id, Job, Phase, Run, Step, StepKey};
@@ -97,6 +99,7 @@
     save_due: bool,
     unsettled: BTreeSet<Id>,
     hopeful: Hopeful,
+    backlog: Backlog,
     failed_on: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     /// When a step may next look for tasks to stop.
     preempted: BTreeMap<StepKey, Instant>,
@@ -144,6 +147,7 @@
             save_due: false,
             unsettled: BTreeSet::new(),
             hopeful: Hopeful::new(now),
+            backlog: Backlog::new(now),
             failed_on: BTreeMap::new(),
             preempted: BTreeMap::new(),
             askers: BTreeMap::new(),
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -38,12 +38,14 @@
         self.dirty = false;
         self.next_place = self.now.after(ROUND_REST);
         self.place_by = self.now.after(ROUND_LIMIT);
+        let whole = self.hopeful.is_due(self.now);
         let waiting = self.waiting_steps();
         if waiting.is_empty() {
             return;
         }
         self.look_for_yielding();
         let mut fields = self.fields(&waiting);
+        self.tell_backlog(&waiting, &fields, whole);
         let mut spare = (fields.len() as f64 * RESERVED_SHARE) as usize;
         for step in &waiting {
             self.place_step(step, &mut fields, &mut spare);
--- a/src/cell/machine/waiting.rs
+++ b/src/cell/machine/waiting.rs
@@ -44,6 +44,11 @@
         Self { jobs: BTreeSet::new(), next_sweep: now }
     }
 
+    /// Whether the next round looks at all jobs.
+    pub(super) fn is_due(&self, now: Instant) -> bool {
+        now >= self.next_sweep
+    }
+
     /// Notes that a job may have tasks to place.
     pub(super) fn add(&mut self, job: Id) {
         self.jobs.insert(job);
@@ -54,7 +59,7 @@
     /// Steps whose turn has come and that have tasks without a try: of hopeful jobs, and at times of
     /// all, the first in rank first.
     pub(super) fn waiting_steps(&mut self) -> Vec<Waiting> {
-        let sweep = self.now >= self.hopeful.next_sweep;
+        let sweep = self.hopeful.is_due(self.now);
         if sweep {
             self.hopeful.next_sweep = self.now.after(SWEEP_REST);
         }
