--- a/src/cell/election/consider.rs
+++ b/src/cell/election/consider.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::motive::Motive;
+use super::search::Found;
 use super::{Election, READ_RETRY};
 use crate::cell::Epoch;
 use crate::cell::peer::Offer;
@@ -19,10 +20,14 @@
         if !self.may_claim(motive).await {
             return;
         }
-        if !self.read().await {
-            // Without the store nobody can take over; the owner may come back.
-            self.node.borders.clock.sleep(READ_RETRY).await;
-            return;
+        match self.read_unless_owned(before).await {
+            Found::Journal => {}
+            Found::Owner => return,
+            Found::Nothing => {
+                // Without the store nobody can take over; the owner may come back.
+                self.node.borders.clock.sleep(READ_RETRY).await;
+                return;
+            }
         }
         if self.follows_other(motive, before) {
             return;
--- a/src/cell/election/mod.rs
+++ b/src/cell/election/mod.rs
@@ -17,6 +17,7 @@
 mod follow;
 mod journal;
 mod motive;
+mod search;
 mod sign;
 mod turn;
 
--- a/src/cell/election/sign.rs
+++ b/src/cell/election/sign.rs
@@ -35,10 +35,15 @@
         if known || sign.peer == self.node.me {
             return false;
         }
+        self.follow_sign(sign);
+        true
+    }
+
+    /// Follows the owner that left the sign.
+    pub(super) fn follow_sign(&mut self, sign: Sign) {
         self.followed = Some(sign);
         self.node.note_epoch(self.cell, sign.epoch);
         self.node.set_owner(self.cell, Some(sign.peer));
-        true
     }
 
     /// Leaves a sign for instances that do not know the owner.
