Let a short silence cost a worker a second, and a full report prove nothing

And a worker with more ends than one report holds lists neither running nor ended what stands on the next page; that counted as lost or never begun.

Change: cell::silence counts what is out at once once, ends with any answer, and is forgotten 20 s after its rest. A report with a full page of ends or an unreadable row is partial and settles nothing that it does not list. A stop taken asks for a look in the next millisecond.

--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -59,6 +59,8 @@
     pub running: Vec<Running>,
     /// Ends that it has not been told to forget.
     pub ended: Vec<Ended>,
+    /// Whether ends or tries may be missing, so that a try that is not listed proves nothing.
+    pub partial: bool,
 }
 
 /// A try that runs on a worker.
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -140,7 +140,7 @@
                 listed: worker.listed.clone(),
                 room: worker.room(),
                 reserved: false,
-                unanswering: worker.unanswered > 0,
+                unanswering: worker.silence.is_remembered(self.now),
                 serves: sharing && worker.runs.iter().any(|run| self.runs_as(run, Step::serves)),
                 fills: sharing
                     && worker.runs.iter().any(|run| self.runs_as(run, |step| step.fills)),
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -100,7 +100,11 @@
         for running in report.running {
             self.take_running(id, &running);
         }
-        self.settle_absent(id, sent, report.clock_ms, &running);
+        // Guards against a page of ends that is full: a try whose end is on the next one would be taken
+        // for lost and run again, though it may have ended as done.
+        if !report.partial {
+            self.settle_absent(id, sent, report.clock_ms, &running);
+        }
     }
 
     /// Records what ended, and lets the worker forget it once that is stored.
--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -1,5 +1,7 @@
 //! Orders to start and stop tries, and their answers.
 
+use std::time::Duration;
+
 use super::{Effect, Machine, Stage};
 use crate::cell::job::{End, Run};
 use crate::cell::link::{Fault, Start};
@@ -80,6 +82,7 @@
 
     pub(super) fn started(&mut self, worker: &str, run: Run, outcome: Result<u64, Fault>) {
         let now = self.now;
+        self.note_answer(worker, &outcome);
         if let Ok(clock_ms) = outcome {
             self.read_clock(worker, clock_ms);
         }
@@ -169,6 +172,7 @@
 
     pub(super) fn stopped(&mut self, worker: &str, run: Run, outcome: Result<u64, Fault>) {
         let now = self.now;
+        self.note_answer(worker, &outcome);
         if let Ok(clock_ms) = outcome {
             self.read_clock(worker, clock_ms);
         }
@@ -195,9 +199,20 @@
         live.stage = Stage::Stopping { out: false, taken };
         let Some(worker) = self.workers.get_mut(worker) else { return };
         if taken.is_some() {
-            worker.next_look = worker.next_look.min(now);
+            // A report settles it only if its look leaves in a later millisecond.
+            worker.next_look = worker.next_look.min(now.after(Duration::from_millis(1)));
         } else {
-            worker.distrust(now);
+            worker.silence.note_stop(now);
+        }
+    }
+
+    /// Takes an answer to an order for a sign that orders arrive there.
+    fn note_answer(&mut self, id: &str, outcome: &Result<u64, Fault>) {
+        if matches!(outcome, Err(Fault::NotSent(_) | Fault::Unknown(_))) {
+            return;
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.silence.end();
         }
     }
 
@@ -206,7 +221,6 @@
         let now = self.now;
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.lease.read(clock_ms, now);
-            worker.note_answered();
         }
     }
 
@@ -214,13 +228,13 @@
     fn note_unanswered(&mut self, id: &str) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.note_unanswered(now);
-        log::warn!(
-            "event=worker.unanswering worker={id} starts={} fenced={} missed={}",
-            worker.unanswered,
-            worker.fenced,
-            worker.missed
-        );
+        if worker.silence.note_start(now) {
+            let times = worker.silence.times();
+            log::warn!(
+                "event=worker.unanswering worker={id} times={times} missed={}",
+                worker.missed
+            );
+        }
     }
 }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -32,6 +32,7 @@
 pub mod queue;
 mod reading;
 pub mod record;
+pub mod silence;
 pub mod state;
 pub mod ticket;
 pub mod timings;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -11,6 +11,7 @@
 use super::link::Listed;
 use super::preempt::Victim;
 use super::record::WorkerId;
+use super::silence::Silence;
 use crate::clock::Instant;
 use crate::resource::Amount;
 
@@ -24,10 +25,6 @@
 /// Time without new work after a worker refused an order: about one look.
 const REFUSAL_REST: Duration = Duration::from_secs(1);
 
-/// Most rests of that length, one for each start in a row that was given up without an answer: as long
-/// as a lease, after which such a start may be tried elsewhere.
-const MOST_RESTS: u32 = 8;
-
 /// Looks in a row without an answer after which nothing new is placed on a worker.
 const MISSED_LOOKS: u32 = 1;
 
@@ -71,8 +68,8 @@
     pub failures: BTreeSet<super::job::Id>,
     /// Tasks on it that may be stopped for more urgent ones, as of the last look for such.
     pub yielding: Vec<Yielding>,
-    /// Starts in a row that were given up without an answer.
-    pub unanswered: u32,
+    /// Orders that it left without an answer.
+    pub silence: Silence,
     /// Until when it gets no new work because of failures.
     pub quarantined_until: Option<Instant>,
 }
@@ -95,7 +92,7 @@
             missed: 0,
             failures: BTreeSet::new(),
             yielding: Vec::new(),
-            unanswered: 0,
+            silence: Silence::default(),
             quarantined_until: None,
         }
     }
@@ -114,6 +111,7 @@
             && !self.listed.draining
             && self.missed < MISSED_LOOKS
             && !quarantined
+            && !self.silence.is_resting(now)
     }
 
     /// Room that nothing is reserved for.
@@ -135,7 +133,7 @@
         }
     }
 
-    /// Places nothing there for a moment, after it refused an order or left one to stop unanswered.
+    /// Places nothing there for a moment, after it refused an order.
     pub fn distrust(&mut self, now: Instant) {
         self.rest_until(now.after(REFUSAL_REST));
     }
@@ -145,21 +143,6 @@
         self.quarantined_until = self.quarantined_until.max(Some(end));
     }
 
-    /// Places nothing there for a while, after a start was given up without an answer.
-    ///
-    /// Guards against a worker that answers looks and takes no orders: it went on getting tasks, and
-    /// each was held up for a lease or longer. The rest grows with each such start, so that one held
-    /// up on its way costs a second of a sound worker.
-    pub fn note_unanswered(&mut self, now: Instant) {
-        self.unanswered = (self.unanswered + 1).min(MOST_RESTS);
-        self.rest_until(now.after(REFUSAL_REST * self.unanswered));
-    }
-
-    /// Notes that it has taken an order.
-    pub fn note_answered(&mut self) {
-        self.unanswered = 0;
-    }
-
     /// Notes a task that went well.
     pub fn note_success(&mut self) {
         self.failures.clear();
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -77,6 +77,18 @@
     };
     "everything_at_once"
 )]
+#[test_case(
+    Faults {
+        late: 0.06,
+        lost_appends: 0.1,
+        takeover_ms: 2_500,
+        zombies: true,
+        worker_ms: 1_000,
+        outages: true,
+        deaf: 2,
+    };
+    "everything_at_once_and_reset_orders"
+)]
 fn history_keeps_promises(faults: Faults) {
     for seed in 1..=seeds() {
         let world = play(seed, faults);
--- a/tests/logic/cell/looks.rs
+++ b/tests/logic/cell/looks.rs
@@ -9,7 +9,11 @@
 
 /// Looks at `worker` with a report that lists nothing, of a look that was sent at `sent`.
 fn report_nothing(story: &mut Story, worker: usize, sent: u64) {
-    let report = Report { clock_ms: WORKER_CLOCK + story.now, ..Report::default() };
+    report(story, worker, sent, false);
+}
+
+fn report(story: &mut Story, worker: usize, sent: u64, partial: bool) {
+    let report = Report { clock_ms: WORKER_CLOCK + story.now, partial, ..Report::default() };
     let (worker, sent) = (format!("w{worker}").into(), Instant::from_millis(sent));
     story.tell(Message::Looked { worker, sent, outcome: Ok(report) });
     story.pass(20);
@@ -61,3 +65,15 @@
     report_nothing(&mut story, starts[0].0, sent);
     assert_eq!(story.starts().len(), 1, "it is started again");
 }
+
+/// A worker has more ends to tell of than fit into one report. A try that ended as done stands on the
+/// next page: taken for lost, it ran a second time.
+#[test]
+fn report_that_is_partial_proves_no_loss() {
+    let mut story = Story::begin(2);
+    let starts = story.running(1, model::step(1, cores(1)));
+    story.pass(100);
+    let sent = story.now;
+    report(&mut story, starts[0].0, sent, true);
+    assert!(story.starts().is_empty(), "its end may be on the next page");
+}
--- a/tests/logic/cell/story.rs
+++ b/tests/logic/cell/story.rs
@@ -110,6 +110,7 @@
             clock_ms: WORKER_CLOCK + self.now,
             running: running.collect(),
             ended: ended.collect(),
+            partial: false,
         };
         let sent = Instant::from_millis(self.now);
         let worker = format!("w{worker}").into();
--- a/tests/logic/cell/unanswered.rs
+++ b/tests/logic/cell/unanswered.rs
@@ -12,9 +12,10 @@
 use oriolefork::cell::link::{Fault, Start};
 use oriolefork::cell::machine::{Call, Message};
 use oriolefork::cell::timings::{LEASE, LEASE_MARGIN};
+use oriolefork::clock::Instant;
 
 use super::model::{self, cores, id};
-use super::story::Story;
+use super::story::{Story, WORKER_CLOCK};
 
 /// Time between two of the worker's answers to looks.
 const LOOK_MS: u64 = 100;
@@ -107,3 +108,59 @@
     assert_eq!(starts.len(), 1, "the other worker takes it");
     assert_eq!(starts[0].1.run.task.step.job, id(2));
 }
+
+/// A worker is cut off for 1.7 s while eight tasks are on their way to it. It is sound, and a new task
+/// finds no other: counted once for each task, the worker rested for eight seconds.
+#[test]
+fn start_unanswered_rests_a_sound_worker_briefly() {
+    const TASKS: u32 = 8;
+    let mut story = Story::begin(1);
+    story.ask(1, Call::Submit(model::job(1, model::step(TASKS, cores(1)))));
+    story.store_all();
+    story.pass(10);
+    story.store_all();
+    for _ in 0..4 {
+        let starts = story.starts();
+        assert_eq!(starts.len(), TASKS as usize);
+        story.pass(400);
+        starts.iter().for_each(|start| story.started(start, Err(reset())));
+        story.pass(31);
+    }
+    let over = story.now;
+    story.ask(2, Call::Submit(model::job(2, model::step(1, cores(1)))));
+    while story.starts().is_empty() {
+        assert!(story.now < over + 3_000, "a sound worker stays shut");
+        for run in story.stops() {
+            let outcome = Ok(WORKER_CLOCK + story.now);
+            story.tell(Message::Stopped { worker: "w0".into(), run, outcome });
+        }
+        story.pass(20);
+        story.report(0, &[], &[]);
+        story.pass(20);
+        story.store_all();
+    }
+}
+
+/// The tries of a start never leave: no connection. The worker answers looks ever after, and gets no
+/// order that it could answer; it came last among the workers for good.
+#[test]
+fn start_unanswered_is_forgotten_in_time() {
+    let mut story = Story::begin(2);
+    let (mut silent, mut start) = ordered(&mut story, 1);
+    for _ in 0..4 {
+        story.started(&(silent, start.clone()), Err(Fault::NotSent("refused".to_owned())));
+        story.pass(40);
+        if let Some(next) = story.starts().pop() {
+            (silent, start) = next;
+        }
+    }
+    let named = format!("w{silent}");
+    let remembered = |story: &Story| {
+        let now = Instant::from_millis(story.now);
+        let worker = story.machine.workers.values().find(|worker| *worker.id == *named);
+        worker.expect("a worker").silence.is_remembered(now)
+    };
+    assert!(remembered(&story), "it comes last for a while");
+    story.pass(30_000);
+    assert!(!remembered(&story));
+}
--- a/tests/logic/cell/upstream.rs
+++ b/tests/logic/cell/upstream.rs
@@ -84,6 +84,7 @@
             clock_ms: self.clock_ms(now),
             running: self.runs.keys().map(running).collect(),
             ended: self.ended.clone(),
+            partial: false,
         })
     }
 
--- a/tests/logic/cell/world/check.rs
+++ b/tests/logic/cell/world/check.rs
@@ -11,6 +11,9 @@
 /// Time after a stored cancellation in which starts may still happen.
 const CANCEL_MS: u64 = 3_000;
 
+/// Time after it in which orders may still leave.
+const CANCEL_SEEN_MS: u64 = 100;
+
 impl World {
     /// Checks that every accepted job came to its end, and that nothing is left anywhere.
     pub fn check_end(&mut self) {
@@ -54,8 +57,11 @@
         assert_eq!(start.payload.payload, watched.job.payload);
         if let Some(cancelled) = watched.cancelled_at {
             // A stop overtakes an order that is held up on its way, but for a worker that resets it.
-            let ordered = if upstream.deaf { sent } else { now };
-            let in_time = ordered < cancelled + CANCEL_MS;
+            let in_time = if upstream.deaf {
+                sent < cancelled + CANCEL_SEEN_MS
+            } else {
+                now < cancelled + CANCEL_MS
+            };
             assert!(in_time, "{now}: {run}, sent at {sent}, starts after its job was cancelled");
         }
         let model = &watched.job.steps[run.task.step.step as usize];
