--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::askers::Askers;
 use super::field::{Field, Fields};
 use super::waiting::Waiting;
 use super::{Effect, Machine};
@@ -89,16 +90,30 @@
 
 impl Machine {
     /// Asks the policy service what is still needed to place the step.
-    pub(super) fn seek_advice(&mut self, step: &Waiting, advice: &Advice, fields: &Fields) {
-        let Some(asker) = self.idle_asker() else { return };
+    pub(super) fn seek_advice(
+        &mut self,
+        step: &Waiting,
+        advice: &Advice,
+        fields: &Fields,
+        askers: &mut Askers,
+    ) {
         let now = self.now;
         let tickets = self.tickets.entry(step.key).or_default();
         if tickets.is_asking() || !tickets.is_due(now) {
             return;
         }
+        askers.turn(&step.queue);
+        let Some(asker) = self.idle_asker() else { return };
+        let admitted = askers.admits(&step.queue);
+        if !admitted && !askers.may_put_back() {
+            return;
+        }
         let question = self.question(step, advice, fields);
-        if !question.is_empty() {
+        if !question.is_empty() && admitted {
+            askers.take(&step.queue);
             self.ask(asker, step.key, question, advice);
+        } else if !question.is_empty() {
+            askers.put_back(step.key, question, *advice);
         } else if let Some(tickets) = self.tickets.get_mut(&step.key) {
             tickets.rest(now.after(ADVICE_REST));
         }
@@ -188,12 +203,18 @@
     }
 
     /// An instance that can ask now.
-    fn idle_asker(&self) -> Option<SocketAddr> {
+    pub(super) fn idle_asker(&self) -> Option<SocketAddr> {
         self.askers.iter().find(|(_, asker)| asker.is_idle(self.now)).map(|(peer, _)| *peer)
     }
 
     /// Has `asker` ask about `workers`.
-    fn ask(&mut self, asker: SocketAddr, step: StepKey, workers: Vec<WorkerId>, advice: &Advice) {
+    pub(super) fn ask(
+        &mut self,
+        asker: SocketAddr,
+        step: StepKey,
+        workers: Vec<WorkerId>,
+        advice: &Advice,
+    ) {
         self.last_question += 1;
         let expected = advice.decide_ms + advice.each_ms * workers.len() as f64;
         let question = Question {
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -5,6 +5,7 @@
 //! callers, final phases, and the leave that a worker gets to forget an end.
 
 mod advice;
+mod askers;
 mod calls;
 mod commit;
 mod field;
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -40,15 +40,21 @@
         self.look_for_yielding();
         let mut fields = self.fields(&waiting);
         let mut spare = (fields.len() as f64 * RESERVED_SHARE) as usize;
+        let mut askers = self.askers(&waiting);
         for step in &waiting {
+            // Jobs that come too late anyway ask after all that can be on time.
+            if step.rank.hope != Hope::OnTime {
+                self.ask_put_back(&mut askers);
+            }
+            if let Some(advice) = &step.queue.advice {
+                self.seek_advice(step, advice, &fields, &mut askers);
+            }
             self.place_step(step, &mut fields, &mut spare);
         }
+        self.ask_put_back(&mut askers);
     }
 
     fn place_step(&mut self, step: &Waiting, fields: &mut Fields, spare: &mut usize) {
-        if let Some(advice) = &step.queue.advice {
-            self.seek_advice(step, advice, fields);
-        }
         let allowed = self.allowed(step, fields);
         let plan = self.plan(step, &allowed, fields);
         let left = step.pending.len() - plan.len();
