Test the shares of the instances that ask the policy service

Cause: on a grown site asked for 110 % of its room, gangs' questions (1.1 s each, three in four asked again because tickets lapse) held 25 of 30 instances from second 12 to 42. Steps of the lowest priority were not asked about once in that time, while 32 % of the processors of the workers were free.

Two of the four tests fail on the old code, with (12, 0) questions in place of (9, 3) and (11, 1).

--- a/src/cell/machine/askers.rs
+++ b/src/cell/machine/askers.rs
@@ -16,6 +16,11 @@
 use crate::cell::record::WorkerId;
 
 /// Share of the instances that a queue is entitled to, as a part of that of the next higher priority.
+///
+/// On a site of 350 workers and 30 instances that is asked for 110 % of its room, shares of the worth
+/// owed that the lowest of three priorities earned, and the one above it, whose jobs are wide gangs
+/// (means of five runs): 0.37 and 0.64 without shares, 0.62 and 0.55 with a third, 0.79 and 0.44
+/// with a half, 0.99 and 0.36 with equal shares.
 const NEXT_PRIORITY: f64 = 1.0 / 3.0;
 
 /// A question that has to wait until the other queues have had their share.
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -1,6 +1,7 @@
 //! Cells: the owner's machine alone, and over random histories with workers and a journal.
 
 mod advice;
+mod askers;
 mod histories;
 mod lease;
 mod machine;
