--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -10,6 +10,7 @@
 mod patience;
 mod place;
 mod preempt;
+mod standstill;
 mod state;
 mod store;
 mod story;
