Look at some worthless jobs in each round

Cause: jobs that earn nothing any more are looked at four times a second only. Change: the first 64 in rank are looked at in each round.

--- a/src/cell/machine/waiting.rs
+++ b/src/cell/machine/waiting.rs
@@ -11,11 +11,15 @@
 use crate::cell::state;
 use crate::clock::Instant;
 
-/// Rest between two rounds over all open jobs. Late jobs that earn nothing any more are placed only
+/// Rest between two rounds over all open jobs. Most jobs that earn nothing any more are placed only
 /// then: with 4,500 open jobs, as after a loss of all instances, looking at each in every round took
 /// all of the owner's processor.
 const SWEEP_REST: Duration = Duration::from_millis(250);
 
+/// Jobs that earn nothing any more and that each round looks at all the same, the first in rank: as
+/// many as twice the instances of a grown site, each of which asks one question at a time.
+const OTHERS: usize = 64;
+
 /// A step with tasks that wait.
 pub(super) struct Waiting {
     pub(super) key: StepKey,
@@ -36,12 +40,17 @@
 pub(super) struct Hopeful {
     /// Jobs that may have tasks to place and can still earn something.
     jobs: BTreeSet<Id>,
+    /// Some that can earn nothing any more.
+    ///
+    /// Guards against a site that has only such jobs left and works them off at the pace of the
+    /// sweeps: its instances stood idle between them, and their answers waited for the next.
+    others: BTreeSet<Id>,
     next_sweep: Instant,
 }
 
 impl Hopeful {
     pub(super) const fn new(now: Instant) -> Self {
-        Self { jobs: BTreeSet::new(), next_sweep: now }
+        Self { jobs: BTreeSet::new(), others: BTreeSet::new(), next_sweep: now }
     }
 
     /// Whether the next round looks at all jobs.
@@ -66,7 +75,7 @@
         let candidates: Vec<Id> = if sweep {
             self.state.open.iter().copied().collect()
         } else {
-            self.hopeful.jobs.iter().copied().collect()
+            self.hopeful.jobs.union(&self.hopeful.others).copied().collect()
         };
         let mut waiting = Vec::new();
         for id in candidates {
@@ -85,6 +94,10 @@
             }
         }
         waiting.sort_by_key(|step| step.rank);
+        if sweep {
+            let others = waiting.iter().filter(|step| step.rank.hope == Hope::Worthless);
+            self.hopeful.others = others.map(|step| step.key.job).take(OTHERS).collect();
+        }
         waiting
     }
 
