Give all queues equal shares of the askers while most room is free

The set-up of the tests of the shares now takes most of the room, as their stories say; their expectations are as they were. A test of the free site is new.

--- a/src/cell/machine/askers.rs
+++ b/src/cell/machine/askers.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use super::Machine;
+use super::field::Fields;
 use super::rank::Hope;
 use super::waiting::Waiting;
 use crate::cell::job::StepKey;
@@ -23,6 +24,9 @@
 /// with a half, 0.99 and 0.36 with equal shares.
 const NEXT_PRIORITY: f64 = 1.0 / 3.0;
 
+/// Part of the processors that is free from which all queues are entitled to the same.
+const MOSTLY_FREE: f64 = 0.5;
+
 /// A question that has to wait until the other queues have had their share.
 pub(super) struct Put {
     step: StepKey,
@@ -35,8 +39,14 @@
 /// Queues with steps to ask about are entitled to shares of the instances, each priority to three times
 /// as much as the next one below. What a queue does not use goes to the others, in the order of rank,
 /// within the same round.
+///
+/// While most of the room is free, all queues are entitled to the same, also for jobs that come too
+/// late. Guards against tasks that stand still beside free workers at the end of a busy day: what
+/// waits then waits for a question alone, and gangs that find no room asked theirs again and again.
 pub(super) struct Askers {
     queues: Vec<Share>,
+    /// Whether most of the room is free.
+    mostly_free: bool,
     /// Instances that have nothing to ask.
     idle: usize,
     /// Questions that wait for what the others leave.
@@ -60,6 +70,11 @@
         self.idle > self.put_back.len()
     }
 
+    /// Whether a step that can still be on time goes before all that come too late.
+    pub(super) const fn prefers_on_time(&self) -> bool {
+        !self.mostly_free
+    }
+
     /// Notes that a step has its turn now.
     pub(super) fn turn(&mut self, queue: &Queue) {
         if let Some(share) = self.share(queue) {
@@ -107,9 +122,11 @@
 
 impl Machine {
     /// How the instances are dealt out among the queues of `waiting`.
-    pub(super) fn askers(&self, waiting: &[Waiting]) -> Askers {
+    pub(super) fn askers(&self, waiting: &[Waiting], fields: &Fields) -> Askers {
+        let mostly_free = fields.free_share() > MOSTLY_FREE;
         let mut queues: Vec<Share> = Vec::new();
-        for step in waiting.iter().filter(|step| self.may_ask(step)) {
+        let hopeful = |step: &&Waiting| mostly_free || step.rank.hope == Hope::OnTime;
+        for step in waiting.iter().filter(hopeful).filter(|step| self.may_ask(step)) {
             share_of(&mut queues, &step.queue).wanting += 1;
         }
         for question in self.questions.values() {
@@ -119,16 +136,15 @@
             }
         }
         let fresh = self.askers.values().filter(|asker| asker.is_fresh(self.now)).count();
-        deal(&mut queues, fresh);
+        deal(&mut queues, fresh, if mostly_free { 1.0 } else { NEXT_PRIORITY });
         let idle = self.askers.values().filter(|asker| asker.is_idle(self.now)).count();
-        Askers { queues, idle, put_back: Vec::new() }
+        Askers { queues, mostly_free, idle, put_back: Vec::new() }
     }
 
-    /// Whether a step that can still be on time may have something to ask.
+    /// Whether a step may have something to ask.
     fn may_ask(&self, step: &Waiting) -> bool {
         let tickets = self.tickets.get(&step.key);
         step.queue.advice.is_some()
-            && step.rank.hope == Hope::OnTime
             && tickets.is_none_or(|tickets| !tickets.is_asking() && tickets.is_due(self.now))
     }
 
@@ -151,12 +167,12 @@
     &mut queues[at]
 }
 
-/// Deals `count` instances out.
-fn deal(queues: &mut [Share], count: usize) {
+/// Deals `count` instances out; each priority gets `next` times as much as the one above.
+fn deal(queues: &mut [Share], count: usize, next: f64) {
     let levels: BTreeSet<u32> = queues.iter().map(|share| share.queue.priority).collect();
     let weight = |share: &Share| {
         let above = levels.range(..share.queue.priority).count();
-        NEXT_PRIORITY.powi(i32::try_from(above).unwrap_or(i32::MAX))
+        next.powi(i32::try_from(above).unwrap_or(i32::MAX))
     };
     let all: f64 = queues.iter().map(weight).sum();
     for share in queues.iter_mut() {
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -38,6 +38,13 @@
         self.all.len()
     }
 
+    /// Part of their processors that is free, 0 to 1.
+    pub(super) fn free_share(&self) -> f64 {
+        let free: u64 = self.all.iter().map(|field| field.room.cpu_millis).sum();
+        let all: u64 = self.all.iter().map(|field| field.listed.capacity.cpu_millis).sum();
+        free as f64 / all.max(1) as f64
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = &Field> {
         self.all.iter()
     }
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -47,10 +47,10 @@
         let mut fields = self.fields(&waiting);
         self.tell_backlog(&waiting, &fields, whole);
         let mut spare = (fields.len() as f64 * RESERVED_SHARE) as usize;
-        let mut askers = self.askers(&waiting);
+        let mut askers = self.askers(&waiting, &fields);
         for step in &waiting {
             // Jobs that come too late anyway ask after all that can be on time.
-            if step.rank.hope != Hope::OnTime {
+            if step.rank.hope != Hope::OnTime && askers.prefers_on_time() {
                 self.ask_put_back(&mut askers);
             }
             if let Some(advice) = &step.queue.advice {
--- a/tests/logic/cell/askers.rs
+++ b/tests/logic/cell/askers.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use oriolefork::cell::job::{Job, Step};
+use oriolefork::cell::job::{End, Job, Run, Step};
 use oriolefork::cell::machine::{Call, Message};
 use oriolefork::cell::queue::{Advice, Queue, Table};
 
@@ -17,10 +17,13 @@
 /// Instances that can ask: three quarters of them are the upper queue's share.
 const ASKERS: u16 = 12;
 
-/// A cell with two queues, one of a lower priority, both subject to the policy service. The lower
-/// one's jobs should end within `lower_target_ms` beyond their work.
+const WORKERS: u32 = 60;
+
+/// A cell with most of its room taken and two queues, one of a lower priority, both subject to the
+/// policy service. The lower one's jobs should end within `lower_target_ms` beyond their work.
 fn begin(lower_target_ms: u64) -> Story {
-    let mut story = Story::begin(60);
+    let mut story = Story::begin(WORKERS as usize);
+    story.running(999, Step { spread: 1, ..model::step(WORKERS, cores(5)) });
     let table = model::table();
     let upper = Queue { advice: Some(TERMS), ..Queue::clone(&table.queues[0]) };
     let lower = Queue {
@@ -71,6 +74,22 @@
     assert_eq!(asked(&mut story), (9, 3));
 }
 
+/// Most of the room is free all the same, as at the end of a busy day. What waits then waits for a
+/// question alone: the queues have equal shares, and the lower one's late jobs have theirs.
+#[test]
+fn askers_have_equal_shares_beside_free_room() {
+    let mut story = begin(0);
+    let done = |number: u32, run: &Run| (u64::from(number + 1), *run, End::Done);
+    let runs: Vec<Run> = story.machine.runs.keys().copied().collect();
+    for (worker, run) in runs.iter().enumerate() {
+        let name = story.machine.runs[run].worker[1..].parse().expect("a number");
+        story.report(name, &[], &[done(worker as u32, run)]);
+    }
+    submit(&mut story, LOWER, 101..121, &model::step(1, cores(1)));
+    submit(&mut story, QUEUE, 1..21, &model::step(1, cores(1)));
+    assert_eq!(asked(&mut story), (6, 6));
+}
+
 /// The queue below has one job only. What it leaves of its share asks for the queue above at once.
 #[test]
 fn askers_unused_share_is_not_idle() {
