Give what asks and what is learnt from ends modules of their own

The state of an instance that asks is machine/asker.rs, what an end says of worker and queue machine/judgement.rs; a question that waits is a postponement.

--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -105,7 +105,7 @@
         askers.turn(&step.queue);
         let Some(asker) = self.idle_asker() else { return };
         let admitted = askers.admits(&step.queue);
-        if !admitted && !askers.may_put_back() {
+        if !admitted && !askers.may_postpone() {
             return;
         }
         let question = self.question(step, advice, fields);
@@ -113,7 +113,7 @@
             askers.take(&step.queue);
             self.ask(asker, step.key, question, advice);
         } else if !question.is_empty() {
-            askers.put_back(step.key, question, *advice);
+            askers.postpone(step.key, question, *advice);
         } else if let Some(tickets) = self.tickets.get_mut(&step.key) {
             tickets.rest(now.after(ADVICE_REST));
         }
--- /dev/null
+++ b/src/cell/machine/asker.rs
@@ -0,0 +1,40 @@
+//! An instance that can ask the policy service.
+
+use crate::cell::timings::{ASKER_MOST_RESTS, ASKER_REST, PRESENCE};
+use crate::clock::Instant;
+
+/// An instance that can ask the policy service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Asker {
+    pub(super) seen: Instant,
+    pub(super) question: Option<u64>,
+    pub(super) strength: u32,
+    /// Questions in a row that it got no answer to.
+    pub(super) failures: u32,
+    pub(super) rests_until: Instant,
+}
+
+impl Asker {
+    pub(super) const fn new(strength: u32, now: Instant) -> Self {
+        Self { seen: now, question: None, strength, failures: 0, rests_until: now }
+    }
+
+    /// Takes in how its question came out.
+    ///
+    /// Guards against an instance that has just gone, or that alone cannot reach the policy service:
+    /// its questions fail at once, which would make it the first that is free again, and the steps
+    /// asked about through it would wait while others could ask.
+    pub(super) fn note_outcome(&mut self, answered: bool, now: Instant) {
+        self.question = None;
+        self.failures = if answered { 0 } else { self.failures + 1 };
+        self.rests_until = now.after(ASKER_REST * self.failures.min(ASKER_MOST_RESTS));
+    }
+
+    pub(super) fn is_idle(&self, now: Instant) -> bool {
+        self.question.is_none() && self.is_fresh(now) && now >= self.rests_until
+    }
+
+    pub(super) fn is_fresh(&self, now: Instant) -> bool {
+        now.since(self.seen) < PRESENCE
+    }
+}
--- a/src/cell/machine/askers.rs
+++ b/src/cell/machine/askers.rs
@@ -28,7 +28,7 @@
 const MOSTLY_FREE: f64 = 0.5;
 
 /// A question that has to wait until the other queues have had their share.
-pub(super) struct Put {
+pub(super) struct Postponement {
     step: StepKey,
     workers: Vec<WorkerId>,
     advice: Advice,
@@ -50,7 +50,7 @@
     /// Instances that have nothing to ask.
     idle: usize,
     /// Questions that wait for what the others leave.
-    put_back: Vec<Put>,
+    postponed: Vec<Postponement>,
 }
 
 /// What one queue has and needs.
@@ -65,9 +65,9 @@
 }
 
 impl Askers {
-    /// Whether one more question may be put back: never more than instances could ask.
-    pub(super) const fn may_put_back(&self) -> bool {
-        self.idle > self.put_back.len()
+    /// Whether one more question may be postponed: never more than instances could ask.
+    pub(super) const fn may_postpone(&self) -> bool {
+        self.idle > self.postponed.len()
     }
 
     /// Whether a step that can still be on time goes before all that come too late.
@@ -99,9 +99,9 @@
         }
     }
 
-    /// Puts a question back.
-    pub(super) fn put_back(&mut self, step: StepKey, workers: Vec<WorkerId>, advice: Advice) {
-        self.put_back.push(Put { step, workers, advice });
+    /// Keeps a question until the others have had their turn.
+    pub(super) fn postpone(&mut self, step: StepKey, workers: Vec<WorkerId>, advice: Advice) {
+        self.postponed.push(Postponement { step, workers, advice });
     }
 
     fn share(&mut self, queue: &Queue) -> Option<&mut Share> {
@@ -138,7 +138,7 @@
         let fresh = self.askers.values().filter(|asker| asker.is_fresh(self.now)).count();
         deal(&mut queues, fresh, if mostly_free { 1.0 } else { NEXT_PRIORITY });
         let idle = self.askers.values().filter(|asker| asker.is_idle(self.now)).count();
-        Askers { queues, mostly_free, idle, put_back: Vec::new() }
+        Askers { queues, mostly_free, idle, postponed: Vec::new() }
     }
 
     /// Whether a step may have something to ask.
@@ -148,11 +148,11 @@
             && tickets.is_none_or(|tickets| !tickets.is_asking() && tickets.is_due(self.now))
     }
 
-    /// Asks the questions that were put back, as far as instances are left.
-    pub(super) fn ask_put_back(&mut self, askers: &mut Askers) {
-        for put in std::mem::take(&mut askers.put_back) {
+    /// Asks the questions that were postponed, as far as instances are left.
+    pub(super) fn ask_postponed(&mut self, askers: &mut Askers) {
+        for question in std::mem::take(&mut askers.postponed) {
             let Some(asker) = self.idle_asker() else { return };
-            self.ask(asker, put.step, put.workers, &put.advice);
+            self.ask(asker, question.step, question.workers, &question.advice);
             askers.idle = askers.idle.saturating_sub(1);
         }
     }
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -5,11 +5,13 @@
 //! callers, final phases, and the leave that a worker gets to forget an end.
 
 mod advice;
+mod asker;
 mod askers;
 mod backlog;
 mod calls;
 mod commit;
 mod field;
+mod judgement;
 mod live;
 mod looks;
 mod message;
@@ -31,6 +33,7 @@
 pub use live::{Live, Stage};
 pub use message::{Answer, Call, CallId, Effect, Message};
 
+use self::asker::Asker;
 use self::backlog::Backlog;
 use self::waiting::Hopeful;
 use super::Epoch;
@@ -40,7 +43,7 @@
 use super::record::{Record, WorkerId};
 use super::state::State;
 use super::ticket::Tickets;
-use super::timings::{ASKER_MOST_RESTS, ASKER_REST, PRESENCE, Timings};
+use super::timings::Timings;
 use super::worker::Worker;
 use crate::clock::{Instant, Unix};
 use crate::resource::Amount;
@@ -60,17 +63,6 @@
 /// tries: in each step it took 30 % of the deciding at 350 workers (sampled in the replay bench).
 const LAPSE_REST: Duration = Duration::from_millis(100);
 
-/// An instance that can ask the policy service.
-#[derive(Clone, Copy, Debug)]
-struct Asker {
-    seen: Instant,
-    question: Option<u64>,
-    strength: u32,
-    /// Questions in a row that it got no answer to.
-    failures: u32,
-    rests_until: Instant,
-}
-
 /// The owner of a cell.
 pub struct Machine {
     /// Its epoch.
@@ -371,39 +363,6 @@
         failures < attempts.max(1)
     }
 
-    /// Learns from an end about the worker and the queue.
-    fn judge(&mut self, run: &Run, live: &Live, end: End) {
-        let step = run.task.step;
-        // Lasting tasks may fail at any time; that says nothing of their worker.
-        if self.model(&step).is_some_and(|model| model.lasting) {
-            return;
-        }
-        let Some(worker) = self.workers.get_mut(&live.worker) else { return };
-        match end {
-            End::Done => {
-                worker.note_success();
-                self.learn(run, live);
-            }
-            End::Failed => {
-                let quarantined = worker.note_failure(step.job, self.now);
-                self.failed_on.entry(step).or_default().insert(live.worker.clone());
-                if quarantined {
-                    log::warn!("event=worker.quarantined worker={} reason=failures", live.worker);
-                }
-            }
-            _ => {}
-        }
-    }
-
-    fn learn(&mut self, run: &Run, live: &Live) {
-        /// Weight of one run in the mean.
-        const WEIGHT: f64 = 0.05;
-        let Some(entry) = self.state.jobs.get(&run.task.step.job) else { return };
-        let took = self.now.since(live.since).as_millis() as f64;
-        let mean = self.run_times.entry(entry.job.queue.clone()).or_insert(took);
-        *mean += (took - *mean) * WEIGHT;
-    }
-
     /// Stops all tries of a job.
     fn stop_job(&mut self, job: Id) {
         let runs: Vec<Run> = self.runs_of_job(job).copied().collect();
@@ -431,28 +390,3 @@
         kept.remove(&step);
     }
 }
-
-impl Asker {
-    const fn new(strength: u32, now: Instant) -> Self {
-        Self { seen: now, question: None, strength, failures: 0, rests_until: now }
-    }
-
-    /// Takes in how its question came out.
-    ///
-    /// Guards against an instance that has just gone, or that alone cannot reach the policy service:
-    /// its questions fail at once, which would make it the first that is free again, and the steps
-    /// asked about through it would wait while others could ask.
-    fn note_outcome(&mut self, answered: bool, now: Instant) {
-        self.question = None;
-        self.failures = if answered { 0 } else { self.failures + 1 };
-        self.rests_until = now.after(ASKER_REST * self.failures.min(ASKER_MOST_RESTS));
-    }
-
-    fn is_idle(&self, now: Instant) -> bool {
-        self.question.is_none() && self.is_fresh(now) && now >= self.rests_until
-    }
-
-    fn is_fresh(&self, now: Instant) -> bool {
-        now.since(self.seen) < PRESENCE
-    }
-}
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -51,14 +51,14 @@
         for step in &waiting {
             // Jobs that come too late anyway ask after all that can be on time.
             if step.rank.hope != Hope::OnTime && askers.prefers_on_time() {
-                self.ask_put_back(&mut askers);
+                self.ask_postponed(&mut askers);
             }
             if let Some(advice) = &step.queue.advice {
                 self.seek_advice(step, advice, &fields, &mut askers);
             }
             self.place_step(step, &mut fields, &mut spare);
         }
-        self.ask_put_back(&mut askers);
+        self.ask_postponed(&mut askers);
     }
 
     fn place_step(&mut self, step: &Waiting, fields: &mut Fields, spare: &mut usize) {
