Name workers that reset orders so, and say where a bound comes from

In the way: tests called such workers deaf, and the share of free processors from which the askers are dealt out evenly stood without its ground.

--- a/src/cell/machine/askers.rs
+++ b/src/cell/machine/askers.rs
@@ -24,7 +24,9 @@
 /// with a half, 0.99 and 0.36 with equal shares.
 const NEXT_PRIORITY: f64 = 1.0 / 3.0;
 
-/// Part of the processors that is free from which all queues are entitled to the same.
+/// Part of the processors that is free from which all queues are entitled to the same: with less, what
+/// waits may wait for room. Of 40 small jobs beside gangs that find none, 12 of those on time and all
+/// that were late had no question within 3 s without it (in the story of the standstill); now all have.
 const MOSTLY_FREE: f64 = 0.5;
 
 /// A question that has to wait until the other queues have had their share.
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -16,7 +16,7 @@
     zombies: false,
     worker_ms: 0,
     outages: false,
-    deaf: 0,
+    resetting: 0,
 };
 
 fn seeds() -> u64 {
@@ -60,9 +60,9 @@
 #[test_case(Faults { takeover_ms: 2_500, zombies: true, ..CALM }; "owners_beside_successors")]
 #[test_case(Faults { worker_ms: 700, ..CALM }; "workers_cut_and_crashed")]
 #[test_case(Faults { outages: true, ..CALM }; "store_down")]
-#[test_case(Faults { deaf: 2, late: 0.06, ..CALM }; "workers_that_reset_orders")]
+#[test_case(Faults { resetting: 2, late: 0.06, ..CALM }; "workers_that_reset_orders")]
 #[test_case(
-    Faults { deaf: 2, late: 0.06, takeover_ms: 2_500, zombies: true, ..CALM };
+    Faults { resetting: 2, late: 0.06, takeover_ms: 2_500, zombies: true, ..CALM };
     "workers_that_reset_orders_of_every_owner"
 )]
 #[test_case(
@@ -73,7 +73,7 @@
         zombies: true,
         worker_ms: 1_000,
         outages: true,
-        deaf: 0,
+        resetting: 0,
     };
     "everything_at_once"
 )]
@@ -85,7 +85,7 @@
         zombies: true,
         worker_ms: 1_000,
         outages: true,
-        deaf: 2,
+        resetting: 2,
     };
     "everything_at_once_and_reset_orders"
 )]
--- a/tests/logic/cell/unanswered.rs
+++ b/tests/logic/cell/unanswered.rs
@@ -33,26 +33,26 @@
     story.starts().remove(0)
 }
 
-/// Lets time pass in which worker `deaf` answers looks and resets all orders; returns the orders to
+/// Lets time pass in which the worker `resetting` answers looks and resets orders; returns the orders to
 /// start that went elsewhere.
-fn pass_deaf(story: &mut Story, deaf: usize, millis: u64) -> Vec<(usize, Start)> {
+fn pass_resetting(story: &mut Story, resetting: usize, millis: u64) -> Vec<(usize, Start)> {
     let end = story.now + millis;
     let mut elsewhere = Vec::new();
     while story.now < end {
         story.pass(LOOK_MS);
         story.store_all();
         for start in story.starts() {
-            if start.0 == deaf {
+            if start.0 == resetting {
                 story.started(&start, Err(reset()));
             } else {
                 elsewhere.push(start);
             }
         }
         for run in story.stops() {
-            let worker = format!("w{deaf}").into();
+            let worker = format!("w{resetting}").into();
             story.tell(Message::Stopped { worker, run, outcome: Err(reset()) });
         }
-        story.report(deaf, &[], &[]);
+        story.report(resetting, &[], &[]);
     }
     elsewhere
 }
@@ -67,11 +67,15 @@
 #[test]
 fn start_unanswered_moves_once_its_lease_is_over() {
     let mut story = Story::begin(2);
-    let (deaf, first) = ordered(&mut story, 1);
-    story.started(&(deaf, first.clone()), Err(reset()));
+    let (resetting, first) = ordered(&mut story, 1);
+    story.started(&(resetting, first.clone()), Err(reset()));
     let lease = LEASE.as_millis() as u64;
-    assert_eq!(runs(&pass_deaf(&mut story, deaf, lease - 500)), [], "it may still begin there");
-    let moved = pass_deaf(&mut story, deaf, 1_500);
+    assert_eq!(
+        runs(&pass_resetting(&mut story, resetting, lease - 500)),
+        [],
+        "it may still begin there"
+    );
+    let moved = pass_resetting(&mut story, resetting, 1_500);
     assert_eq!(moved.len(), 1, "the order's lease is over");
     assert_eq!(moved[0].1.run.task, first.run.task);
     assert!(moved[0].1.run.number > first.run.number);
@@ -82,12 +86,12 @@
 #[test]
 fn start_unanswered_that_begins_stays_there() {
     let mut story = Story::begin(2);
-    let (deaf, first) = ordered(&mut story, 1);
-    story.started(&(deaf, first.clone()), Err(reset()));
-    pass_deaf(&mut story, deaf, 4_000);
+    let (resetting, first) = ordered(&mut story, 1);
+    story.started(&(resetting, first.clone()), Err(reset()));
+    pass_resetting(&mut story, resetting, 4_000);
     let until = story.now + (LEASE + LEASE_MARGIN * 2).as_millis() as u64;
     while story.now < until {
-        story.report(deaf, &[first.run], &[]);
+        story.report(resetting, &[first.run], &[]);
         story.pass(LOOK_MS);
         story.store_all();
         assert_eq!(runs(&story.starts()), [], "it runs there");
@@ -100,11 +104,11 @@
 #[test]
 fn start_unanswered_keeps_new_tasks_away() {
     let mut story = Story::begin(2);
-    let (deaf, first) = ordered(&mut story, 1);
-    story.started(&(deaf, first), Err(reset()));
-    pass_deaf(&mut story, deaf, 500);
+    let (resetting, first) = ordered(&mut story, 1);
+    story.started(&(resetting, first), Err(reset()));
+    pass_resetting(&mut story, resetting, 500);
     story.ask(2, Call::Submit(model::job(2, model::step(1, cores(1)))));
-    let starts = pass_deaf(&mut story, deaf, 200);
+    let starts = pass_resetting(&mut story, resetting, 200);
     assert_eq!(starts.len(), 1, "the other worker takes it");
     assert_eq!(starts[0].1.run.task.step.job, id(2));
 }
--- a/tests/logic/cell/upstream.rs
+++ b/tests/logic/cell/upstream.rs
@@ -20,7 +20,7 @@
     /// Whether messages reach it.
     pub reachable: bool,
     /// Whether it resets orders and answers looks alone.
-    pub deaf: bool,
+    pub resetting: bool,
     pub runs: BTreeMap<Run, Amount>,
     offset_ms: u64,
     fence: Epoch,
@@ -37,7 +37,7 @@
         Self {
             capacity,
             reachable: true,
-            deaf: false,
+            resetting: false,
             runs: BTreeMap::new(),
             offset_ms,
             fence: Epoch(0),
--- a/tests/logic/cell/world/check.rs
+++ b/tests/logic/cell/world/check.rs
@@ -57,7 +57,7 @@
         assert_eq!(start.payload.payload, watched.job.payload);
         if let Some(cancelled) = watched.cancelled_at {
             // A stop overtakes an order that is held up on its way, but for a worker that resets it.
-            let in_time = if upstream.deaf {
+            let in_time = if upstream.resetting {
                 sent < cancelled + CANCEL_SEEN_MS
             } else {
                 now < cancelled + CANCEL_MS
--- a/tests/logic/cell/world/mod.rs
+++ b/tests/logic/cell/world/mod.rs
@@ -46,7 +46,7 @@
     /// Whether the store answers nobody at times.
     pub outages: bool,
     /// Workers that reset all orders, to the end, and answer looks; held up orders reach them.
-    pub deaf: usize,
+    pub resetting: usize,
 }
 
 enum Order {
@@ -114,7 +114,7 @@
         for number in 0..workers {
             let offset = rng.random_range(0..1_000_000);
             let mut upstream = Upstream::new(model::cores(16), offset);
-            upstream.deaf = number < faults.deaf;
+            upstream.resetting = number < faults.resetting;
             upstreams.insert(name(number, 0), upstream);
         }
         let mut world = Self {
--- a/tests/logic/cell/world/orders.rs
+++ b/tests/logic/cell/world/orders.rs
@@ -54,7 +54,7 @@
             }
             return;
         }
-        if upstream.deaf && answered && !matches!(order, Order::Look(_)) {
+        if upstream.resetting && answered && !matches!(order, Order::Look(_)) {
             let reset = || Err(Fault::Unknown("connection reset".to_owned()));
             let message = reply(worker, order, sent, Ok(Default::default()), reset());
             return self.schedule(2, Event::Owner { owner, message });
