Tell in the replay which share of the largest jobs is served

Callers saw that of the largest backups far fewer were served than of all. No figure of the replay told that: it had one worth for all jobs and waits by queue.

--- a/benches/cell/main.rs
+++ b/benches/cell/main.rs
@@ -3,7 +3,9 @@
 //!
 //! `cargo bench --bench cell` prints a line for each site and mix: share of the worth earned, waiting,
 //! packing, starts a second, and the owner's processor time for each second replayed. Name one site
-//! (`cargo bench --bench cell -- grown`) to replay only those whose label holds that word.
+//! (`cargo bench --bench cell -- grown 7`) to replay only those whose label holds that word, and a seed
+//! to draw other jobs. `served` tells, for each kind, which share of its jobs ended in time or late, and
+//! of the tenth of them with the most work; `askers`, how many instances were busy asking on average.
 
 mod mix;
 mod replay;
@@ -15,12 +17,13 @@
 use mix::{Day, SITES};
 use replay::Replay;
 
-const SEED: u64 = 1;
-
 fn main() {
-    let wanted = std::env::args().skip(1).find(|argument| !argument.starts_with('-'));
+    let mut words = std::env::args().skip(1).filter(|argument| !argument.starts_with('-'));
+    let wanted = words.next();
+    let seed = words.next().map_or(1, |seed| seed.parse().expect("a seed is a number"));
     println!(
-        "{:<20} {:<13} {:>6} {:>7} {:>21} {:>21} {:>21} {:>7} {:>8} {:>8} {:>8} {:>8}",
+        "{:<20} {:<13} {:>6} {:>7} {:>21} {:>21} {:>21} {:>10} {:>10} {:>10} {:>7} {:>7} \
+         {:>8} {:>8} {:>8} {:>8}",
         "site",
         "day",
         "worth",
@@ -28,6 +31,10 @@
         "waiting ms p50/p99 0",
         "1",
         "2",
+        "served 0",
+        "1",
+        "2",
+        "askers",
         "jobs",
         "starts/s",
         "cpu ms/s",
@@ -39,7 +46,7 @@
             continue;
         }
         for day in [Day::Calm, Day::Burst, Day::Loss, Day::Flood] {
-            println!("{}", Replay::new(site, day, SEED).run());
+            println!("{}", Replay::new(site, day, seed).run());
         }
     }
 }
--- a/benches/cell/replay.rs
+++ b/benches/cell/replay.rs
@@ -56,6 +56,10 @@
 struct Job {
     kind: usize,
     at: u64,
+    /// Core-milliseconds of work.
+    size: f64,
+    /// What it earned, as a share of its worth.
+    earned: f64,
     /// Time within which it earns all.
     objective: f64,
     begun: bool,
@@ -92,6 +96,10 @@
     earned: f64,
     owed: f64,
     waiting: [Histogram<u64>; 3],
+    /// Shares earned of each kind.
+    shares: [Share; 3],
+    /// Time of the policy service's answers, in milliseconds.
+    asked_ms: u64,
     packed: f64,
     samples: u32,
     starts: u64,
@@ -100,6 +108,25 @@
     jobs: usize,
 }
 
+/// Shares of the jobs of one kind that earned something; late ones count in full.
+#[derive(Clone, Copy, Default)]
+struct Share {
+    all: f64,
+    /// Of the tenth with the most work.
+    largest: f64,
+}
+
+impl Share {
+    fn of(mut jobs: Vec<&Job>) -> Self {
+        jobs.sort_by(|one, other| other.size.total_cmp(&one.size));
+        let served = |jobs: &[&Job]| {
+            let served = jobs.iter().filter(|job| job.earned > 0.0).count();
+            served as f64 / jobs.len().max(1) as f64
+        };
+        Self { all: served(&jobs), largest: served(&jobs[..jobs.len().div_ceil(10)]) }
+    }
+}
+
 impl<'a> Replay<'a> {
     pub fn new(site: &'a Site, day: Day, seed: u64) -> Self {
         let (now, unix) = (Instant::from_millis(0), Unix::from_millis(UNIX_START));
@@ -111,6 +138,8 @@
             earned: 0.0,
             owed: 0.0,
             waiting: [histogram(), histogram(), histogram()],
+            shares: [Share::default(); 3],
+            asked_ms: 0,
             packed: 0.0,
             samples: 0,
             starts: 0,
@@ -175,6 +204,9 @@
         for job in self.jobs.values() {
             self.outcome.owed += self.site.kinds[job.kind].worth;
         }
+        for (kind, share) in self.outcome.shares.iter_mut().enumerate() {
+            *share = Share::of(self.jobs.values().filter(|job| job.kind == kind).collect());
+        }
         self.outcome.jobs = self.jobs.len();
         self.outcome.to_string()
     }
@@ -253,13 +285,16 @@
         let id: Id = format!("{:016x}", self.ids * 0x9e37_79b9).parse().expect("sixteen digits");
         let job = model.draw(id, kind, &mut self.rng);
         let mut chain = 0.0;
-        for number in 0..job.steps.len() {
+        let mut size = 0.0;
+        for (number, step) in job.steps.iter().enumerate() {
             let work = around(model.work_ms, 0.5, &mut self.rng);
+            size += work * f64::from(step.count) * step.demand.cpu_millis as f64 / 1_000.0;
             chain += work + model.advice.0 + 30.0 * model.advice.1;
             self.work.insert(StepKey { job: id, occurrence: 0, step: number as u32 }, work);
         }
         let objective = chain * model.stretch + model.target_ms as f64;
-        let known = Job { kind, at: self.now, objective, begun: false, ended: false };
+        let (begun, ended) = (false, false);
+        let known = Job { kind, at: self.now, size, earned: 0.0, objective, begun, ended };
         self.jobs.insert(id, known);
         self.tell(Message::Call { id: self.ids, call: Call::Submit(job) });
     }
@@ -348,6 +383,7 @@
         let took = (decide + each * question.workers.len() as f64) as u64;
         let from = self.askers.get(&question.asker).copied().unwrap_or(0).max(self.now + PEER_MS);
         self.askers.insert(question.asker, from + took);
+        self.outcome.asked_ms += took;
         let may = |worker: &&WorkerId| {
             let name = format!("{} {worker}", question.step);
             (xxhash_rust::xxh3::xxh3_64(name.as_bytes()) % 1_000) as f64 / 1_000.0 < good
@@ -370,10 +406,11 @@
             let took = (now - job.at) as f64;
             let Kind { worth, late, .. } = self.site.kinds[job.kind];
             if took <= job.objective {
-                self.outcome.earned += worth;
+                job.earned = 1.0;
             } else if took <= 3.0 * job.objective {
-                self.outcome.earned += late;
+                job.earned = late / worth;
             }
+            self.outcome.earned += worth * job.earned;
         }
     }
 
@@ -433,6 +470,10 @@
             let (half, most) = (waiting.value_at_quantile(0.5), waiting.value_at_quantile(0.99));
             write!(f, " {half:>10}/{most:>10}")?;
         }
+        for Share { all, largest } in self.shares {
+            write!(f, " {all:>5.2}/{largest:>4.2}")?;
+        }
+        write!(f, " {:>7.1}", self.asked_ms as f64 / LENGTH_MS as f64)?;
         write!(f, " {:>7} {:>8.1}", self.jobs, self.starts as f64 * 1_000.0 / TRAFFIC_MS as f64)?;
         write!(f, " {:>8.1}", self.busy.as_secs_f64() * 1_000.0 / seconds)?;
         let (p99, longest) = (self.steps.value_at_quantile(0.99), self.steps.max());
