Tell once a second what waiting gangs lack, by width

The log told that gangs wait and how much room is free in all, not what each lacks: an answer of the policy service, enough eligible workers, room on them, or tickets that still hold.

Change: a line a second for the gangs on time and one for the late ones, with count and mean width by what they lack, and a line each for the four widest. Logic unchanged.

--- a/src/cell/machine/backlog.rs
+++ b/src/cell/machine/backlog.rs
@@ -1,9 +1,11 @@
 //! What waits and what it waits for, told in the log once a second.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::Machine;
 use super::field::Fields;
+use super::lack::{Lack, Readiness};
 use super::rank::Hope;
 use super::waiting::Waiting;
 use crate::clock::Instant;
@@ -11,6 +13,9 @@
 /// Rest between two lines.
 const REST: Duration = Duration::from_secs(1);
 
+/// Gangs that get a line of their own, the widest first: a wide one needs most at once.
+const DETAILED: usize = 4;
+
 /// What the next line needs beside the present state.
 #[derive(Debug)]
 pub(super) struct Backlog {
@@ -51,6 +56,40 @@
              workers={} rounds={rounds}",
             fields.len()
         );
+        self.tell_gangs(waiting, fields, Hope::OnTime);
+        self.tell_gangs(waiting, fields, Hope::Late);
+    }
+
+    /// Tells what the gangs of that hope lack and how wide they are, and of the widest how far each
+    /// is: one that waits for room is told apart from one whose tickets expired beside it.
+    fn tell_gangs(&self, waiting: &[Waiting], fields: &Fields, hope: Hope) {
+        let gangs = waiting.iter().filter(|step| step.model().gang && step.rank.hope == hope);
+        let mut gangs: Vec<(&Waiting, Readiness)> =
+            gangs.map(|step| (step, self.readiness(step, fields))).collect();
+        if gangs.is_empty() {
+            return;
+        }
+        let lacks = [Lack::Answer, Lack::Workers, Lack::Room, Lack::Tickets, Lack::Nothing];
+        let counts = lacks.map(|lack| {
+            let tasks = gangs.iter().filter(|(_, gang)| gang.lacks == lack);
+            let tasks: Vec<usize> = tasks.map(|(_, gang)| gang.tasks).collect();
+            let mean = tasks.iter().sum::<usize>() / tasks.len().max(1);
+            format!("lacks_{lack}={} tasks_{lack}={mean}", tasks.len())
+        });
+        log::info!("event=gangs.waiting hope={hope:?} gangs={} {}", gangs.len(), counts.join(" "));
+        gangs.sort_by_key(|(_, gang)| Reverse(gang.tasks));
+        for (step, gang) in gangs.iter().take(DETAILED) {
+            log::info!(
+                "event=gang.waiting step={} hope={hope:?} tasks={} eligible={} fits={} \
+                 fits_ticketed={} lacks={}",
+                step.key,
+                gang.tasks,
+                gang.eligible,
+                gang.fits,
+                gang.ticketed,
+                gang.lacks
+            );
+        }
     }
 
     /// Whether the step needs the policy service's word and nobody has asked for it.
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -12,6 +12,7 @@
 mod commit;
 mod field;
 mod judgement;
+mod lack;
 mod live;
 mod looks;
 mod message;
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -79,7 +79,7 @@
     }
 
     /// Fields that the step's rules leave, ticket included.
-    fn allowed(&self, step: &Waiting, fields: &Fields) -> Vec<usize> {
+    pub(super) fn allowed(&self, step: &Waiting, fields: &Fields) -> Vec<usize> {
         let model = step.model();
         let places: Vec<usize> = match step.queue.advice {
             Some(_) => self.ticketed(&step.key, fields),
@@ -100,7 +100,7 @@
     }
 
     /// Fields that may run the step, whether a ticket holds or would have to be renewed.
-    fn eligible(&self, step: &Waiting, fields: &Fields) -> Vec<usize> {
+    pub(super) fn eligible(&self, step: &Waiting, fields: &Fields) -> Vec<usize> {
         let suits = |at: &usize| fields.get(*at).suits(&step.queue.service, step.model());
         if step.queue.advice.is_none() {
             return (0..fields.len()).filter(suits).collect();
