Show by a test that the largest gangs are seldom served

What callers see: of the largest backups less than half as many are served as of all.

The bound is the users' own: half.

--- a/benches/cell/replay.rs
+++ b/benches/cell/replay.rs
@@ -19,8 +19,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::mix::{Day, Kind, SERVICE, Site, around};
-use crate::upstream::Upstream;
+use super::mix::{Day, Kind, SERVICE, Site, around};
+use super::upstream::Upstream;
 
 /// Length of a replay, time in which jobs come, and the trouble within it, in milliseconds.
 const LENGTH_MS: u64 = 40_000;
@@ -91,13 +91,13 @@
 }
 
 /// Figures of one replay.
-struct Outcome {
+pub struct Outcome {
     label: String,
     earned: f64,
     owed: f64,
     waiting: [Histogram<u64>; 3],
     /// Shares earned of each kind.
-    shares: [Share; 3],
+    pub shares: [Share; 3],
     /// Time of the policy service's answers, in milliseconds.
     asked_ms: u64,
     packed: f64,
@@ -109,11 +109,11 @@
 }
 
 /// Shares of the jobs of one kind that earned something; late ones count in full.
-#[derive(Clone, Copy, Default)]
-struct Share {
-    all: f64,
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+    pub all: f64,
     /// Of the tenth with the most work.
-    largest: f64,
+    pub largest: f64,
 }
 
 impl Share {
@@ -182,7 +182,7 @@
     }
 
     /// Plays the day to its end.
-    pub fn run(mut self) -> String {
+    pub fn run(mut self) -> Outcome {
         let mut tick = 0;
         while self.now < LENGTH_MS {
             let next = self.events.first_key_value().map_or(LENGTH_MS, |((at, _), _)| *at);
@@ -208,7 +208,7 @@
             *share = Share::of(self.jobs.values().filter(|job| job.kind == kind).collect());
         }
         self.outcome.jobs = self.jobs.len();
-        self.outcome.to_string()
+        self.outcome
     }
 
     fn schedule(&mut self, delay: u64, event: Event) {
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -6,10 +6,17 @@
 mod lease;
 mod looks;
 mod machine;
+#[path = "../../../benches/cell/mix.rs"]
+#[allow(dead_code)]
+mod mix;
 mod model;
 mod patience;
 mod place;
 mod preempt;
+#[path = "../../../benches/cell/replay.rs"]
+#[allow(dead_code)]
+mod replay;
+mod sizes;
 mod standstill;
 mod state;
 mod store;
--- /dev/null
+++ b/tests/logic/cell/sizes.rs
@@ -0,0 +1,24 @@
+//! What a job's size does to its chance, on a whole site.
+
+use test_case::test_case;
+
+use super::mix::{Day, SITES};
+use super::replay::Replay;
+
+/// Kind of the jobs that are gangs, among those of a site.
+const GANGS: usize = 1;
+
+/// Label of the site whose gangs are wide: 20 tasks on average, of 18 cores each, up to 120.
+const WIDE: &str = "waitaki grown 350";
+
+/// Callers see that of the largest backups less than half as many are served as of all. For some
+/// seconds more jobs come than the site has room for; narrow gangs find their place, wide ones wait,
+/// come too late and are then passed over, while a third of the room stands empty.
+#[test_case(Day::Burst, 2; "in_a_burst")]
+#[test_case(Day::Flood, 1; "in_a_flood")]
+#[test_case(Day::Flood, 4; "in_another_flood")]
+fn largest_gangs_served(day: Day, seed: u64) {
+    let site = SITES.iter().find(|site| site.label == WIDE).expect("a site");
+    let share = Replay::new(site, day, seed).run().shares[GANGS];
+    assert!(share.largest >= share.all / 2.0, "{share:?}");
+}
