--- a/tests/logic/cell/sizes.rs
+++ b/tests/logic/cell/sizes.rs
@@ -17,6 +17,9 @@
 #[test_case(Day::Burst, 2; "in_a_burst")]
 #[test_case(Day::Flood, 1; "in_a_flood")]
 #[test_case(Day::Flood, 4; "in_another_flood")]
+#[test_case(Day::Burst, 11; "in_another_burst")]
+#[test_case(Day::Burst, 18; "in_a_third_burst")]
+#[test_case(Day::Loss, 8; "while_workers_are_lost")]
 fn largest_gangs_served(day: Day, seed: u64) {
     let site = SITES.iter().find(|site| site.label == WIDE).expect("a site");
     let share = Replay::new(site, day, seed).run().shares[GANGS];
