Let a gang's room and tickets meet

What callers saw: of the largest backups less than half as many were served as of all, beside a third of the room free.

Cause: a gang needs answers of the policy service, tickets that hold and room for all its tasks in one moment, and each came in pieces that did not grow with its width. It was asked about a hundred workers at a time, a second each, while tickets hold 1.5 s, so that a wide gang never held tickets for all its tasks; room was kept for gangs whose tickets had expired, and not for those that held some; and tickets were renewed for room that others took meanwhile. Three in four questions about gangs were in vain, nine in ten of the widest, and held 22 of 29 instances.

Change: all questions that a gang needs go out at once, for three times its tasks. A gang whose tickets hold has their workers to itself until it fits. As many gangs are asked about at a time as 70 % of the processors hold, for each priority, in the order of rank; a wide one is not overtaken while it can be on time. One that tried in vain lets those behind it have a turn.

Why it holds: the tickets of one set of questions expire together, and on 50 eligible workers room for dozens of tasks comes free in the 1.4 s for which they hold.

--- a/benches/cell/replay.rs
+++ b/benches/cell/replay.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant as Wall};
 
 use hdrhistogram::Histogram;
@@ -42,6 +43,9 @@
 /// Workers in a rack.
 const RACK: usize = 12;
 
+/// Time of the replay under way, for log lines.
+pub static NOW_MS: AtomicU64 = AtomicU64::new(0);
+
 enum Event {
     Arrival(usize),
     Told(Message),
@@ -187,6 +191,7 @@
         while self.now < LENGTH_MS {
             let next = self.events.first_key_value().map_or(LENGTH_MS, |((at, _), _)| *at);
             self.now = next.min(tick);
+            NOW_MS.store(self.now, Ordering::Relaxed);
             if tick <= self.now {
                 tick = self.now + TICK_MS;
                 self.sample();
--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -7,12 +7,14 @@
 
 use super::askers::Askers;
 use super::field::{Field, Fields};
+use super::reservation::Budget;
 use super::waiting::Waiting;
 use super::{Effect, Machine};
 use crate::cell::job::StepKey;
 use crate::cell::link::Allowed;
 use crate::cell::queue::Advice;
 use crate::cell::record::WorkerId;
+use crate::cell::ticket::Tickets;
 use crate::cell::timings::{ADVICE_REST, ADVICE_SLACK, ADVICE_WORKERS};
 use crate::clock::Instant;
 
@@ -22,19 +24,20 @@
 /// Times the tasks to place that the workers asked about should have room for, eligible ones alone.
 const MARGIN: f64 = 1.5;
 
-/// The same for gangs.
+/// The same for gangs, where each worker counts with a task at least. Wide: others are placed on some of
+/// them while the question is under way.
 const GANG_MARGIN: f64 = 3.0;
 
+/// Times the workers expected to suffice that a question about a gang names: most of its time is not for
+/// the names, and a second one would take that time again.
+const AMPLE: f64 = 2.0;
+
 /// Share of eligible workers that is assumed before the first answer; the lowest that was seen.
 const UNKNOWN_SHARE: f64 = 0.25;
 
 /// Share below which no more names are thought to help: a question names a hundred at most.
 const LEAST_SHARE: f64 = 0.05;
 
-/// Part of a gang that must find room for its tickets to be renewed: room that comes free meanwhile
-/// takes the rest.
-const NEARLY_A_GANG: f64 = 0.7;
-
 /// Part of other steps' tasks, and number of tasks, from which a question is worth its time.
 const WORTH_ASKING: f64 = 0.25;
 const WORTH_ASKING_TASKS: f64 = 8.0;
@@ -96,19 +99,27 @@
         advice: &Advice,
         fields: &Fields,
         askers: &mut Askers,
+        budget: &mut Budget,
     ) {
         let now = self.now;
+        let gang = step.model().gang;
         let tickets = self.tickets.entry(step.key).or_default();
-        if tickets.is_asking() || !tickets.is_due(now) {
+        if tickets.is_asking() && !gang || !tickets.is_due(now) {
             return;
         }
         askers.turn(&step.queue);
+        if gang && budget.is_spent(step) && !self.is_under_way(step) {
+            return;
+        }
         let Some(asker) = self.idle_asker() else { return };
         let admitted = askers.admits(&step.queue);
         if !admitted && !askers.may_postpone() {
             return;
         }
         let question = self.question(step, advice, fields);
+        if gang && !question.is_empty() && !self.is_under_way(step) && !budget.take(step) {
+            return;
+        }
         if !question.is_empty() && admitted {
             askers.take(&step.queue);
             self.ask(asker, step.key, question, advice);
@@ -126,54 +137,74 @@
     /// new jobs waited for their first answer beside room that came free.
     fn question(&self, step: &Waiting, advice: &Advice, fields: &Fields) -> Vec<WorkerId> {
         let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
-        let model = step.model();
+        if step.model().gang {
+            return self.gang_question(step, fields, tickets);
+        }
         let wanted = step.pending.len() as f64;
         let (asked, eligible) = tickets.tally();
-        let expected = advice.decide_ms + advice.each_ms * eligible as f64;
+        let expected = advice.time_ms(eligible);
         let soon = self.now.after(Duration::from_millis(expected.max(0.0) as u64));
         let mut room = 0.0;
         let mut lapsing = Candidates::default();
         for (worker, until) in tickets.eligible() {
             let Some(at) = fields.find(worker) else { continue };
-            let field = fields.get(at);
             let slots = self.reachable_slots(at, step, fields);
             room += slots;
             if until <= soon && slots > 0.0 {
-                lapsing.add(field, slots);
+                lapsing.add(fields.get(at), slots);
             }
         }
         if room - lapsing.slots >= wanted {
             return Vec::new();
         }
-        let enough = if model.gang {
-            wanted * NEARLY_A_GANG
-        } else {
-            (wanted * WORTH_ASKING).min(WORTH_ASKING_TASKS)
-        };
-        // Further workers come first while those known have too little room. Guards against a gang
-        // that nearly fits on the few it knows of, renews their tickets and waits beside an idle site.
         if room < wanted && asked < self.workers.len() {
-            let further = self.further(step, fields, wanted - room);
+            let further = self.further(step, fields, (wanted - room) * MARGIN);
             if !further.is_empty() {
                 return further;
             }
         }
-        if room >= enough {
+        if room >= (wanted * WORTH_ASKING).min(WORTH_ASKING_TASKS) {
             return lapsing.choose(wanted * MARGIN);
         }
-        // While most instances have nothing to ask, tickets may as well be kept for the moment when
-        // enough room comes free.
-        if model.gang && self.are_askers_idle() {
-            return lapsing.choose(wanted * GANG_MARGIN);
-        }
         Vec::new()
     }
 
-    /// Whether most instances have no question to ask.
-    fn are_askers_idle(&self) -> bool {
-        let fresh = self.askers.values().filter(|asker| asker.is_fresh(self.now)).count();
-        let idle = self.askers.values().filter(|asker| asker.is_idle(self.now)).count();
-        idle * 2 > fresh
+    /// Workers to ask about for a gang: further ones until those known are good for several times
+    /// its tasks, also beside a question under way, so that all tickets hold at the same time; then
+    /// those known, once no ticket holds any more.
+    ///
+    /// Guards against a wide gang that is asked about bit by bit: a question takes as long as a
+    /// ticket holds, so that it never had tickets for all its tasks at once.
+    fn gang_question(&self, step: &Waiting, fields: &Fields, tickets: &Tickets) -> Vec<WorkerId> {
+        // Those behind it have their turn first. Guards against a gang that never fits and has its
+        // tickets renewed as long as it waits, while narrow ones find nobody to ask for them.
+        if !tickets.is_asking() && tickets.expired_within(ADVICE_REST, self.now) {
+            return Vec::new();
+        }
+        let wanted = step.pending.len() as f64 * GANG_MARGIN;
+        let prospects = |at: usize| self.reachable_slots(at, step, fields).max(1.0);
+        let mut known = Candidates::default();
+        for at in tickets.eligible().filter_map(|(worker, _)| fields.find(worker)) {
+            known.add(fields.get(at), prospects(at));
+        }
+        let awaited = tickets.awaited().filter_map(|worker| fields.find(worker));
+        let expected = known.slots + awaited.map(prospects).sum::<f64>() * self.share(step);
+        if expected < wanted {
+            let further = self.further(step, fields, (wanted - expected) * AMPLE);
+            if !further.is_empty() {
+                return further;
+            }
+        }
+        if self.is_under_way(step) {
+            return Vec::new();
+        }
+        known.choose(wanted)
+    }
+
+    /// Share of the workers that may be expected to be eligible for a step.
+    fn share(&self, step: &Waiting) -> f64 {
+        let share = self.shares.get(&step.queue.name).copied().unwrap_or(UNKNOWN_SHARE);
+        share.max(LEAST_SHARE)
     }
 
     /// Workers that nobody has asked about for the step, those with the most room first, until
@@ -188,18 +219,17 @@
                 continue;
             }
             let slots = self.reachable_slots(at, step, fields);
-            // A gang waits until enough workers have room at once, so that all must be known in the
-            // end: many in one question, since most of a question's time is not for the names.
-            if slots > 0.0 || model.gang && field.suits(service, model) {
+            // Room for a gang's tasks comes free on all its workers while they are kept for it.
+            if model.gang && field.suits(service, model) {
+                unasked.add(field, slots.max(1.0));
+            } else if slots > 0.0 {
                 unasked.add(field, slots);
             }
         }
         if model.same_rack || model.data_rack.is_some() {
             return unasked.choose(f64::INFINITY);
         }
-        let share = self.shares.get(&step.queue.name).copied().unwrap_or(UNKNOWN_SHARE);
-        let margin = if model.gang { GANG_MARGIN } else { MARGIN };
-        unasked.choose(wanted * margin / share.max(LEAST_SHARE))
+        unasked.choose(wanted / self.share(step))
     }
 
     /// An instance that can ask now.
@@ -216,7 +246,7 @@
         advice: &Advice,
     ) {
         self.last_question += 1;
-        let expected = advice.decide_ms + advice.each_ms * workers.len() as f64;
+        let expected = advice.time_ms(workers.len());
         let question = Question {
             number: self.last_question,
             asker,
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -1,6 +1,5 @@
 //! Workers as one round of placement sees them.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -41,8 +40,7 @@
     /// Part of their processors that is free, 0 to 1.
     pub(super) fn free_share(&self) -> f64 {
         let free: u64 = self.all.iter().map(|field| field.room.cpu_millis).sum();
-        let all: u64 = self.all.iter().map(|field| field.listed.capacity.cpu_millis).sum();
-        free as f64 / all.max(1) as f64
+        free as f64 / self.cpu_millis().max(1) as f64
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = &Field> {
@@ -66,35 +64,9 @@
         places.iter().map(|&at| self.all[at].listed.rack.clone()).collect()
     }
 
-    /// Keeps workers for `wanted` tasks of a gang that does not fit yet, those of `places` with the
-    /// most room; `spare` more may be kept in this round.
-    ///
-    /// A worker counts with the tasks that fit there now, at least one: keeping one for each task
-    /// left most of the room on them idle.
-    pub(super) fn reserve(
-        &mut self,
-        wanted: usize,
-        service: &str,
-        step: &Step,
-        places: &[usize],
-        spare: &mut usize,
-    ) {
-        let mut open: Vec<usize> =
-            places.iter().copied().filter(|&at| !self.all[at].reserved).collect();
-        open.sort_by_key(|&at| Reverse(self.all[at].room.cpu_millis));
-        let mut slots = 0.0;
-        let enough = open.iter().position(|&at| {
-            slots += self.all[at].slots(service, step).max(1.0);
-            slots >= wanted as f64
-        });
-        let Some(last) = enough else { return };
-        if last >= *spare {
-            return;
-        }
-        for at in open.into_iter().take(last + 1) {
-            self.all[at].reserved = true;
-        }
-        *spare -= last + 1;
+    /// Processors of all, in thousandths of a core.
+    pub(super) fn cpu_millis(&self) -> u64 {
+        self.all.iter().map(|field| field.listed.capacity.cpu_millis).sum()
     }
 }
 
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -20,6 +20,7 @@
 mod place;
 mod preemption;
 mod rank;
+mod reservation;
 mod roster;
 mod waiting;
 
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -18,9 +18,6 @@
 /// Longest rest between two rounds while nothing changes: tickets expire and jobs become due.
 const ROUND_LIMIT: Duration = Duration::from_millis(60);
 
-/// Share of the workers that may be kept free for gangs that do not fit yet.
-const RESERVED_SHARE: f64 = 0.34;
-
 /// Cost of a worker on which the task's step has failed before, in units of a whole worker's room.
 const FAILED_BEFORE: f64 = 4.0;
 
@@ -46,7 +43,7 @@
         self.look_for_yielding();
         let mut fields = self.fields(&waiting);
         self.tell_backlog(&waiting, &fields, whole);
-        let mut spare = (fields.len() as f64 * RESERVED_SHARE) as usize;
+        let mut budget = self.budget(&waiting, &fields);
         let mut askers = self.askers(&waiting, &fields);
         for step in &waiting {
             // Jobs that come too late anyway ask after all that can be on time.
@@ -54,14 +51,14 @@
                 self.ask_postponed(&mut askers);
             }
             if let Some(advice) = &step.queue.advice {
-                self.seek_advice(step, advice, &fields, &mut askers);
+                self.seek_advice(step, advice, &fields, &mut askers, &mut budget);
             }
-            self.place_step(step, &mut fields, &mut spare);
+            self.place_step(step, &mut fields);
         }
         self.ask_postponed(&mut askers);
     }
 
-    fn place_step(&mut self, step: &Waiting, fields: &mut Fields, spare: &mut usize) {
+    fn place_step(&mut self, step: &Waiting, fields: &mut Fields) {
         let allowed = self.allowed(step, fields);
         let plan = self.plan(step, &allowed, fields);
         let left = step.pending.len() - plan.len();
@@ -71,10 +68,8 @@
         if left > 0 {
             self.make_room(step, left, &allowed, fields);
         }
-        if plan.is_empty() && step.model().gang && step.rank.hope == Hope::OnTime {
-            let eligible = self.eligible(step, fields);
-            let (wanted, service) = (step.pending.len(), &step.queue.service);
-            fields.reserve(wanted, service, step.model(), &eligible, spare);
+        if plan.is_empty() && step.model().gang {
+            self.reserve(step, &allowed, fields);
         }
     }
 
--- a/src/cell/machine/waiting.rs
+++ b/src/cell/machine/waiting.rs
@@ -33,6 +33,11 @@
     pub(super) fn model(&self) -> &Step {
         &self.job.steps[self.key.step as usize]
     }
+
+    /// Processors that its tasks need, in thousandths of a core.
+    pub(super) fn cpu_millis(&self) -> u64 {
+        self.model().room().cpu_millis.saturating_mul(self.pending.len() as u64)
+    }
 }
 
 /// Jobs that each round looks at, among all that are open.
--- a/src/cell/ticket.rs
+++ b/src/cell/ticket.rs
@@ -76,6 +76,11 @@
         !self.asked.is_empty()
     }
 
+    /// Workers that a question under way is the first to name.
+    pub fn awaited(&self) -> impl Iterator<Item = &WorkerId> {
+        self.asked.iter().filter(|worker| !self.allows(worker))
+    }
+
     /// The ticket for a worker, while it holds.
     pub fn valid(&self, worker: &str, now: Instant) -> Option<&str> {
         let ticket = self.eligible.get(worker)?;
@@ -94,6 +99,11 @@
         self.eligible.iter().map(|(worker, ticket)| (worker, ticket.until))
     }
 
+    /// Whether tickets were given out and the last expired no longer than `span` ago.
+    pub fn expired_within(&self, span: Duration, now: Instant) -> bool {
+        !self.eligible.is_empty() && now >= self.last_until && now < self.last_until.after(span)
+    }
+
     /// Whether it is time to think about a question again.
     pub fn is_due(&self, now: Instant) -> bool {
         now >= self.rests_until
--- a/tests/logic/cell/standstill.rs
+++ b/tests/logic/cell/standstill.rs
@@ -136,3 +136,25 @@
     assert_eq!(site.waiting(1_000..1_000 + GANGS), GANGS as usize, "no gang fits");
     assert_eq!(site.waiting(5_000..5_000 + JOBS), 0, "small tasks that stand still");
 }
+
+/// A gang comes that never fits: a little runs on every worker. It waits at the head of its queue, asks
+/// about all workers again and again, and the narrow gangs behind it, for which there is room, wait for
+/// as long as it does.
+#[test_case(60_000; "on_time")]
+#[test_case(0; "worthless")]
+fn narrow_gangs_are_placed_beside_one_that_never_fits(target_ms: u64) {
+    let mut site = Site::begin(target_ms);
+    site.occupy();
+    for number in 0..3 {
+        let gang = Step { gang: true, estimate_ms: 1, ..model::step(WORKERS as u32, cores(8)) };
+        site.submit(1_000 + number, WIDE.0, gang);
+    }
+    site.run(100);
+    for number in 0..5 {
+        let gang = Step { gang: true, estimate_ms: 1, ..model::step(3, cores(2)) };
+        site.submit(5_000 + number, WIDE.0, gang);
+    }
+    site.run(2 * BOUND_MS);
+    assert_eq!(site.waiting(1_000..1_003), 3, "no wide gang fits");
+    assert_eq!(site.waiting(5_000..5_005), 0, "narrow gangs that stand still");
+}
