--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -24,8 +24,8 @@
 /// Times the tasks to place that the workers asked about should have room for, eligible ones alone.
 const MARGIN: f64 = 1.5;
 
-/// The same for gangs, where each worker counts with a task at least. Wide: others are placed on some of
-/// them while the question is under way.
+/// The same for gangs, where each worker counts with a task at least: others are placed on many of them
+/// while the question is under way.
 const GANG_MARGIN: f64 = 3.0;
 
 /// Times the workers expected to suffice that a question about a gang names: most of its time is not for
--- a/src/cell/machine/reservation.rs
+++ b/src/cell/machine/reservation.rs
@@ -28,12 +28,15 @@
 /// tasks that fit there, at least one: some come free sooner than others.
 const MARGIN: f64 = 3.0;
 
-/// Processors of gangs that may be asked about beside those that are, in thousandths of a core.
+/// How many gangs may be asked about or hold tickets at a time, by the processors that they need, in
+/// thousandths of a core.
 ///
 /// Each priority has its own: an urgent gang doesn't wait for the answers of less urgent ones.
 #[derive(Clone, Debug)]
 pub(super) struct Budget {
+    /// What each priority has.
     whole: u64,
+    /// What is taken of it, by priority.
     taken: BTreeMap<u32, u64>,
 }
 
