--- a/src/cell/election/follow.rs
+++ b/src/cell/election/follow.rs
@@ -13,21 +13,37 @@
 /// Rest between two looks of an instance that is about to end.
 const FOLLOW_REST: Duration = Duration::from_millis(50);
 
+/// Refusals in a row from which an owner counts as gone that takes no calls: a second.
+const MOST_REFUSALS: u32 = 20;
+
+/// Time that an instance may take from its claim to the begin of its work: a journal of some megabytes
+/// over a link of 10 Mbit/s.
+const PREPARE_LIMIT: Duration = Duration::from_secs(4);
+
 impl Election {
     /// Follows the known owner while it answers; returns why the instance should act.
     pub(super) async fn follow(&mut self) -> Motive {
+        let mut refusals = 0;
         loop {
             let Some(owner) = self.node.owner(self.cell) else { return Motive::Unknown };
             if owner == self.node.me {
                 return Motive::Unknown;
             }
             let watched = self.watch(owner, !self.unheard).await;
-            self.unheard = watched.is_err();
+            self.unheard = watched.as_ref().is_err_and(|error| !error.is_busy());
             match watched {
                 Ok(watched) => {
+                    refusals = 0;
                     if let Some(motive) = self.learn(owner, watched) {
                         return motive;
                     }
+                    self.keep_up().await;
+                }
+                // Guards against an owner that is taken for gone because it has too much to do.
+                Err(error) if error.is_busy() && refusals < MOST_REFUSALS => {
+                    refusals += 1;
+                    self.node.borders.clock.sleep(FOLLOW_REST).await;
+                    continue;
                 }
                 Err(error) => {
                     log::info!("event=owner.unanswered cell={} owner={owner} {error}", self.cell);
--- a/src/peer/error.rs
+++ b/src/peer/error.rs
@@ -107,3 +107,17 @@
     /// What went wrong, for people.
     pub cause: String,
 }
+
+impl Error {
+    /// Whether the peer answered that it takes no call at present, and took none.
+    ///
+    /// ```
+    /// use oriolefork::peer::{Error, Step};
+    /// let peer = ([127, 0, 0, 1], 7_540).into();
+    /// let cause = "refused stream".to_owned();
+    /// assert!(Error { step: Step::Receive, peer, sent: false, cause }.is_busy());
+    /// ```
+    pub fn is_busy(&self) -> bool {
+        self.step == Step::Receive && !self.sent
+    }
+}
--- a/tests/process/peer.rs
+++ b/tests/process/peer.rs
@@ -324,7 +324,9 @@
         }
         assert_eq!(server.service.held.get(), 2);
         let error = client.call::<_, u64>(server.addr, "double", &1_u64, GENEROUS).await;
-        assert!(!error.unwrap_err().sent);
+        let error = error.unwrap_err();
+        assert!(!error.sent);
+        assert!(error.is_busy(), "{error}");
         assert_eq!(server.service.methods.borrow().len(), 2);
         server.service.gate.trigger();
         while client.call::<_, u64>(server.addr, "double", &1_u64, GENEROUS).await != Ok(2) {
