--- a/benches/cell/replay.rs
+++ b/benches/cell/replay.rs
@@ -257,7 +257,7 @@
             Event::Finish(worker, run) => self.finish(&worker, run),
             Event::Present => {
                 for peer in self.askers.keys().copied().collect::<Vec<_>>() {
-                    self.tell(Message::Present { peer, strength: 1 });
+                    self.tell(Message::Present { peer, strength: 1, domain: "hall".into() });
                 }
                 self.schedule(200, Event::Present);
             }
--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::motive::Motive;
+use super::search::Found;
 use super::{Election, READ_RETRY};
 use crate::cell::Epoch;
 use crate::cell::link::Rejected;
@@ -15,40 +16,77 @@
 use crate::codec;
 use crate::telemetry::names;
 
+/// Looks for the instance whose claim came first, and the rest before each.
+const WINNER_LOOKS: u32 = 5;
+const WINNER_REST: Duration = Duration::from_millis(100);
+
 /// Time for telling another instance of a new owner.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Election {
-    /// Claims the cell and owns it, if no other instance is faster.
+    /// Claims the cell, whose last epoch is `known`, and owns it if no other instance is faster.
     ///
     /// The claim goes wherever the journal ends: a busy owner that hands its cell over goes on
     /// writing, so that a claim at the end that was read would come too late again and again.
-    pub(super) async fn claim(&mut self, motive: Motive) {
-        let epoch = self.reading.state.epoch.next();
+    ///
+    /// And it goes out before the journal is read. Guards against a herd: on a site of a hundred
+    /// instances all that wanted the cell read megabytes at once, and the one that claimed it could read
+    /// neither the list of workers nor write for a second and a half.
+    pub(super) async fn claim(&mut self, motive: Motive, known: Epoch) {
+        let epoch = known.next();
         let Ok(bytes) = codec::encode(&self.claim_batch(epoch)) else { return };
         log::info!("event=owner.claim cell={} epoch={epoch} motive={motive:?}", self.cell);
         let first = self.node.first_sequence();
         let journal = self.node.borders.journal.clone();
-        let claimed = journal.append(self.cell, epoch, first, bytes, APPEND_TIMEOUT).await;
-        match &claimed {
-            Ok(_) => names::CELL_CLAIMS.increment(&[("outcome", "written")]),
+        match journal.append(self.cell, epoch, first, bytes, APPEND_TIMEOUT).await {
+            Ok(_) => {
+                names::CELL_CLAIMS.increment(&[("outcome", "written")]);
+                self.prepare(epoch).await;
+            }
             Err(Rejected::Fenced) => {
                 names::CELL_CLAIMS.increment(&[("outcome", "lost")]);
                 log::info!("event=owner.claim_lost cell={} epoch={epoch}", self.cell);
+                self.find_winner(known).await;
             }
             // It may be in the journal all the same; only reading it tells.
             Err(rejected) => {
                 names::CELL_CLAIMS.increment(&[("outcome", "unknown")]);
                 log::warn!("event=owner.claim_unknown cell={} epoch={epoch} {rejected}", self.cell);
                 self.node.borders.clock.sleep(READ_RETRY).await;
+                if self.read().await {
+                    self.own_or_follow(epoch).await;
+                }
             }
         }
-        while !self.read().await {
-            if claimed.is_err() || self.node.stop.is_triggered() {
-                return;
-            }
-            self.node.borders.clock.sleep(READ_RETRY).await;
+    }
+
+    /// Reads the journal up to the claim of `epoch`, while others wait for this instance, and owns the
+    /// cell unless a later claim has come.
+    async fn prepare(&mut self, epoch: Epoch) {
+        let node = self.node.clone();
+        node.note_epoch(self.cell, epoch);
+        node.begin_preparing(self.cell);
+        self.announce(epoch);
+        self.publish(epoch);
+        let begun = node.borders.clock.now();
+        let from = self.reading.next;
+        let found = self.read_unless_owned(epoch).await;
+        let took_ms = node.borders.clock.now().since(begun).as_millis();
+        let (cell, records) = (self.cell, self.reading.next.saturating_sub(from));
+        log::info!(
+            "event=journal.read cell={cell} epoch={epoch} records={records} took_ms={took_ms}"
+        );
+        match found {
+            Found::Journal => self.own_or_follow(epoch).await,
+            Found::Owner => {}
+            Found::Nothing => node.borders.clock.sleep(READ_RETRY).await,
         }
+        node.end_preparing(self.cell);
+    }
+
+    /// Owns the cell if the journal's last claim is this instance's of `epoch`; else follows the one
+    /// that made it.
+    async fn own_or_follow(&mut self, epoch: Epoch) {
         let owner = self.reading.state.owner;
         let mine = owner.is_some_and(|owner| {
             owner.peer == self.node.me && owner.incarnation == self.node.incarnation
@@ -61,6 +99,34 @@
         }
     }
 
+    /// Follows the instance whose claim came first, once it shows.
+    ///
+    /// If it does not, it has gone right after its claim; then the journal tells its epoch.
+    async fn find_winner(&mut self, before: Epoch) {
+        for _ in 0..WINNER_LOOKS {
+            self.node.borders.clock.sleep(WINNER_REST).await;
+            if self.node.epoch(self.cell) > before {
+                return;
+            }
+            if let Ok(Some(sign)) = self.sign().await
+                && sign.epoch > before
+                && sign.peer != self.node.me
+            {
+                return self.follow_sign(sign);
+            }
+        }
+        if let Found::Journal = self.read_unless_owned(before).await {
+            let owner = self.reading.state.owner.map(|owner| owner.peer);
+            self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
+        }
+    }
+
+    /// Latest epoch that this instance has heard of.
+    pub(super) fn known_epoch(&self) -> Epoch {
+        let followed = self.followed.map_or(Epoch(0), |sign| sign.epoch);
+        self.reading.state.epoch.max(self.node.epoch(self.cell)).max(followed)
+    }
+
     /// Tells the instances that followed the owner before.
     fn announce(&self, epoch: Epoch) {
         let announcement = Announcement { cell: self.cell, epoch, owner: self.node.me };
@@ -89,17 +155,14 @@
         let (now, unix) = (node.borders.clock.now(), node.borders.clock.unix());
         let mut machine =
             Machine::new(state, node.first_sequence(), next, node.table(), node.timings, now, unix);
-        let (peer, strength) = (node.me, node.strength);
-        machine.handle(Message::Present { peer, strength }, now, unix);
+        let (peer, strength, domain) = (node.me, node.strength, node.domain.clone());
+        machine.handle(Message::Present { peer, strength, domain }, now, unix);
         let (noted, cell) = (node.clone(), self.cell);
         let health = Box::new(move |health| noted.note_health(cell, health));
         let (owner, handle) =
             Owner::new(self.cell, node.cells, node.me, machine, node.borders.clone(), health);
         log::info!("event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks}", self.cell);
-        node.note_epoch(self.cell, epoch);
         node.set_owning(self.cell, Some(handle));
-        self.announce(epoch);
-        self.publish(epoch);
         let why = owner.run().await;
         log::warn!("event=owner.end cell={} epoch={epoch} {why}", self.cell);
         node.set_owning(self.cell, None);
--- a/src/cell/election/consider.rs
+++ b/src/cell/election/consider.rs
@@ -14,22 +14,13 @@
 const SILENT_OWNER: Duration = Duration::from_millis(250);
 
 impl Election {
-    /// Reads the journal and takes the cell over, where that is called for.
+    /// Takes the cell over, where that is called for.
     pub(super) async fn consider(&mut self, motive: Motive) {
-        let before = self.reading.state.epoch.max(self.node.epoch(self.cell));
-        if !self.may_claim(motive).await {
+        if self.known_epoch() == Epoch(0) && !self.learns_epoch(motive).await {
             return;
         }
-        match self.read_unless_owned(before).await {
-            Found::Journal => {}
-            Found::Owner => return,
-            Found::Nothing => {
-                // Without the store nobody can take over; the owner may come back.
-                self.node.borders.clock.sleep(READ_RETRY).await;
-                return;
-            }
-        }
-        if self.follows_other(motive, before) {
+        let known = self.known_epoch();
+        if !self.may_claim(motive).await {
             return;
         }
         let goes_on = match motive {
@@ -37,8 +28,28 @@
             Motive::Silent(_) => self.is_owner_writing().await,
             Motive::Unknown | Motive::Gone(_) => false,
         };
-        if !goes_on && !self.node.stop.is_triggered() {
-            self.claim(motive).await;
+        // Whoever made an epoch known meanwhile is to be followed, not replaced.
+        if !goes_on && self.known_epoch() == known && !self.node.stop.is_triggered() {
+            self.claim(motive, known).await;
+        }
+    }
+
+    /// Learns the last epoch from the owner's sign or, without one, from the journal; `false` if there
+    /// is an owner to follow or the store does not answer.
+    async fn learns_epoch(&mut self, motive: Motive) -> bool {
+        if let Ok(sign @ Some(_)) = self.sign().await
+            && self.follows_sign(sign, motive)
+        {
+            return false;
+        }
+        match self.read_unless_owned(Epoch(0)).await {
+            Found::Journal => !self.follows_other(motive, Epoch(0)),
+            Found::Owner => false,
+            Found::Nothing => {
+                // Without the store nobody can take over; the owner may come back.
+                self.node.borders.clock.sleep(READ_RETRY).await;
+                false
+            }
         }
     }
 
@@ -72,12 +83,23 @@
         watched.is_ok_and(|watched| watched.owns && watched.offer == Offer::Kept)
     }
 
-    /// Whether an owner that does not answer still writes to the journal.
+    /// Whether an owner that does not answer still writes to the journal, or nobody can tell.
     ///
     /// Guards against taking a cell from an owner that only this instance cannot reach.
-    async fn is_owner_writing(&mut self) -> bool {
-        let seen = self.reading.next;
+    async fn is_owner_writing(&self) -> bool {
+        let Some(seen) = self.journal_end(self.seen_end).await else { return true };
         self.node.borders.clock.sleep(SILENT_OWNER).await;
-        self.read().await && self.reading.next > seen
+        self.journal_end(seen).await.is_none_or(|end| end > seen)
+    }
+
+    /// Offset at which the next append goes, asked for with few of the records: those from `near` on.
+    async fn journal_end(&self, near: u64) -> Option<u64> {
+        match self.node.borders.journal.read(self.cell, near).await {
+            Ok(page) => Some(page.end),
+            Err(cause) => {
+                log::warn!("event=journal.unread cell={} cause={:?}", self.cell, cause.to_string());
+                None
+            }
+        }
     }
 }
--- a/src/cell/election/follow.rs
+++ b/src/cell/election/follow.rs
@@ -5,7 +5,7 @@
 
 use super::Election;
 use super::motive::Motive;
-use super::turn::{LOWEST_RANK, UNRANKED};
+use super::turn::LOWEST_RANK;
 use crate::cell::peer::{Offer, WATCH, Watch, Watched};
 use crate::cell::timings::{PROBE_TIMEOUT, WATCH_TIMEOUT};
 use crate::peer;
@@ -64,7 +64,8 @@
         patient: bool,
     ) -> Result<Watched, peer::Error> {
         let (version, strength) = (self.node.table().version, self.node.strength);
-        let watch = Watch { cell: self.cell, from: self.node.me, version, strength, patient };
+        let (cell, from, domain) = (self.cell, self.node.me, self.node.domain.clone());
+        let watch = Watch { cell, from, domain, version, strength, patient };
         let timeout = if patient { WATCH_TIMEOUT } else { PROBE_TIMEOUT };
         self.node.borders.peers.call(owner, WATCH, &watch, timeout).await
     }
@@ -79,14 +80,19 @@
                 self.node.set_owner(self.cell, elsewhere);
                 return None;
             }
-            return Some(Motive::Unknown);
+            return self.await_begin(owner, watched.owner);
+        }
+        self.preparing_since = None;
+        self.seen_end = watched.end;
+        if self.last_owner.replace(owner) != Some(owner) {
+            self.rest_from_reading();
         }
         if !watched.present.is_empty() {
             self.peers.clone_from(&watched.present);
         }
         let mut followers = watched.present.iter().filter(|peer| **peer != owner);
         let place = followers.position(|peer| *peer == self.node.me);
-        self.rank = place.map_or(UNRANKED, |place| (place as u32).min(LOWEST_RANK));
+        self.rank = place.map(|place| (place as u32).min(LOWEST_RANK));
         // An owner that answers is in contact, also while the store keeps it from serving: callers
         // are passed on to it and keep their connections, since they fare no better elsewhere.
         self.node.note_contact(self.cell);
@@ -100,6 +106,22 @@
         }
     }
 
+    /// Waits for an instance that has claimed the cell and reads its journal, within bounds.
+    fn await_begin(&mut self, peer: SocketAddr, owner: Option<SocketAddr>) -> Option<Motive> {
+        if owner != Some(peer) {
+            self.preparing_since = None;
+            return Some(Motive::Unknown);
+        }
+        let now = self.node.borders.clock.now();
+        let since = *self.preparing_since.get_or_insert(now);
+        if now.since(since) > PREPARE_LIMIT {
+            self.preparing_since = None;
+            return Some(Motive::Gone(peer));
+        }
+        self.node.note_contact(self.cell);
+        None
+    }
+
     /// Passes on what is known of the owner, without taking over.
     pub(super) async fn follow_quietly(&mut self) {
         match self.node.owner(self.cell) {
@@ -110,9 +132,8 @@
             }
             _ => {
                 let sign = self.sign().await.unwrap_or_default();
-                if !self.follows_sign(sign, Motive::Unknown) && self.read().await {
-                    let owner = self.reading.state.owner.map(|owner| owner.peer);
-                    self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
+                if let Some(sign) = sign.filter(|sign| sign.peer != self.node.me) {
+                    self.follow_sign(sign);
                 }
             }
         }
--- /dev/null
+++ b/src/cell/election/heir.rs
@@ -0,0 +1,55 @@
+//! Instances that take over first keep up with the journal.
+//!
+//! The pattern that this answers: an owner is lost on a site of a hundred instances, whose journal has
+//! grown to megabytes. Whoever takes over needs all of it, and callers wait for as long as that takes.
+//! The first in the order of succession therefore have it already, and read a short tail.
+
+use std::time::Duration;
+
+use super::Election;
+use crate::cell::reading::Reading;
+
+/// Instances that keep up with the journal, the first in the order of succession.
+const HEIRS: u32 = 3;
+
+/// Place from which an instance gives up what it has read: places change a little now and then.
+const NO_HEIR: u32 = HEIRS * 2;
+
+/// Rest between two readings of what has been added.
+const REST: Duration = Duration::from_millis(500);
+
+/// Time after a change of owner in which the whole journal is left to the new owner, and what each place
+/// adds to it, so that heirs read it one after the other.
+const FIRST_REST: Duration = Duration::from_secs(3);
+const EACH_REST: Duration = Duration::from_millis(700);
+
+/// Longest time in which an heir reads and does not watch the owner.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+impl Election {
+    /// Reads what has been added to the journal, if it is time to and this instance is an heir.
+    pub(super) async fn keep_up(&mut self) {
+        let Some(rank) = self.rank else { return };
+        if rank >= NO_HEIR {
+            self.reading = Reading::default();
+        }
+        if rank >= HEIRS || self.node.borders.clock.now() < self.next_keep_up {
+            return;
+        }
+        // What has been read before the timeout stays.
+        let _ = monoio::time::timeout(TIMEOUT, self.read()).await;
+        let retention = self.node.timings.status_retention;
+        self.reading.state.forget(self.node.borders.clock.unix(), retention);
+        self.next_keep_up = self.node.borders.clock.now().after(REST);
+    }
+
+    /// Leaves the store to a new owner for a while.
+    pub(super) fn rest_from_reading(&mut self) {
+        let rest = if self.reading.begun {
+            REST
+        } else {
+            FIRST_REST + self.rank.map_or(Duration::ZERO, |rank| EACH_REST * rank)
+        };
+        self.next_keep_up = self.node.borders.clock.now().after(rest);
+    }
+}
--- a/src/cell/election/journal.rs
+++ b/src/cell/election/journal.rs
@@ -1,6 +1,7 @@
 //! Reading the journal, up to its end.
 
 use super::Election;
+use crate::cell::link::Unread;
 
 impl Election {
     /// Reads the journal to its end; `false` when the store does not answer.
@@ -23,11 +24,11 @@
                         return true;
                     }
                 }
-                Err(cause) => {
-                    // What was to come next may have been dropped; begin with the saved state.
+                Err(Unread::Dropped) => {
                     self.reading.begun = false;
-                    return self.unread(&cause);
+                    return self.unread(&Unread::Dropped.to_string());
                 }
+                Err(Unread::Failed(cause)) => return self.unread(&cause),
             }
         }
     }
--- a/src/cell/election/mod.rs
+++ b/src/cell/election/mod.rs
@@ -11,10 +11,12 @@
 //! | `turn.rs` | who tries first |
 //! | `sign.rs`, `journal.rs` | what the store says of the owner |
 //! | `claim.rs` | the claim, and the begin of an owner |
+//! | `heir.rs` | who keeps up with the journal while another instance owns the cell |
 
 mod claim;
 mod consider;
 mod follow;
+mod heir;
 mod journal;
 mod motive;
 mod search;
@@ -31,6 +33,7 @@
 use super::link::Sign;
 use super::node::Node;
 use super::reading::Reading;
+use crate::clock::Instant;
 
 /// Rest after the store could not be read.
 const READ_RETRY: Duration = Duration::from_millis(200);
@@ -39,21 +42,40 @@
     node: Rc<Node>,
     cell: Id,
     reading: Reading,
-    rank: u32,
+    /// Place in the order of succession, as the owner told it last.
+    rank: Option<u32>,
     /// Instances that followed the owner when it last answered.
     peers: Vec<SocketAddr>,
     /// The sign that this instance went by last.
     followed: Option<Sign>,
     /// Whether the owner did not answer when it was last asked.
     unheard: bool,
+    /// When an heir reads on in the journal.
+    next_keep_up: Instant,
+    /// Since when the instance that claimed the cell has been reading its journal.
+    preparing_since: Option<Instant>,
+    /// The owner that answered last.
+    last_owner: Option<SocketAddr>,
+    /// End of the journal, as the owner told it last.
+    seen_end: u64,
 }
 
 /// Follows or owns the cell until the instance leaves.
 pub async fn run(node: Rc<Node>, cell: Id) {
-    let (reading, peers) = (Reading::default(), Vec::new());
-    let (followed, unheard) = (None, false);
-    let mut election =
-        Election { node, cell, reading, rank: turn::UNRANKED, peers, followed, unheard };
+    let next_keep_up = node.borders.clock.now();
+    let mut election = Election {
+        node,
+        cell,
+        reading: Reading::default(),
+        rank: None,
+        peers: Vec::new(),
+        followed: None,
+        unheard: false,
+        next_keep_up,
+        preparing_since: None,
+        last_owner: None,
+        seen_end: 0,
+    };
     let mut motive = Motive::Unknown;
     while !election.node.has_left() {
         if election.node.stop.is_triggered() {
--- a/src/cell/election/turn.rs
+++ b/src/cell/election/turn.rs
@@ -1,12 +1,15 @@
 //! The order in which instances try to take a cell over.
 
+use std::time::Duration;
+
 use super::motive::Motive;
 use super::{Election, READ_RETRY};
 use crate::cell::link::Sign;
 use crate::cell::timings::{RANK_DELAY, STORE_QUICK};
 
-/// Rank of an instance that no owner has told its place.
-pub(super) const UNRANKED: u32 = 3;
+/// Time over which instances of one rank that have just begun are spread, in milliseconds: a claim and
+/// its sign take 15.
+const SPREAD_MS: u64 = 80;
 
 /// Bounds the rank, so that the last instance of many does not wait for long.
 pub(super) const LOWEST_RANK: u32 = 8;
@@ -20,26 +23,31 @@
             self.node.borders.clock.sleep(READ_RETRY).await;
             return false;
         }
-        let mut rank = self.rank;
-        if motive == Motive::Unknown && !self.reading.begun {
-            let sign = self.sign().await.unwrap_or_default();
-            if self.follows_sign(sign, motive) {
-                return false;
-            }
-            rank = self.first_rank(sign);
-            if rank == 0 {
-                return true;
-            }
-        }
         let known = self.node.epoch(self.cell);
-        for _ in 0..rank {
+        for _ in 0..self.place().await {
             self.node.borders.clock.sleep(RANK_DELAY).await;
             if self.node.epoch(self.cell) > known {
                 return false;
             }
         }
-        let sign = self.sign().await.unwrap_or_default();
-        !self.follows_sign(sign, motive)
+        match self.sign().await {
+            Ok(sign) => !self.follows_sign(sign, motive),
+            Err(()) => {
+                // Without the store nobody can take over; the owner may come back.
+                self.node.borders.clock.sleep(READ_RETRY).await;
+                false
+            }
+        }
+    }
+
+    /// Place of this instance in the order of those that try.
+    async fn place(&self) -> u32 {
+        if let Some(rank) = self.rank {
+            return rank;
+        }
+        let spread = Duration::from_millis(self.node.incarnation % SPREAD_MS);
+        self.node.borders.clock.sleep(spread).await;
+        self.first_rank(self.followed)
     }
 
     /// Whether the store answers this instance in its usual time.
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -217,6 +217,17 @@
     pub end: u64,
 }
 
+/// Why a journal was not read.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Unread {
+    /// The records asked for are no longer kept; reading begins again with the saved state.
+    #[display("records have been dropped")]
+    Dropped,
+    /// The store did not answer; what has been read so far holds.
+    #[display("{_0}")]
+    Failed(String),
+}
+
 /// Where reading a journal begins.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Base {
@@ -256,7 +267,7 @@
     ) -> LocalBoxFuture<'a, Result<u64, Rejected>>;
 
     /// Reads records from `from` on.
-    fn read(&self, cell: Id, from: u64) -> LocalBoxFuture<'_, Result<Page, String>>;
+    fn read(&self, cell: Id, from: u64) -> LocalBoxFuture<'_, Result<Page, Unread>>;
 
     /// Reads the last saved state.
     fn base(&self, cell: Id) -> LocalBoxFuture<'_, Result<Base, String>>;
--- a/src/cell/machine/asker.rs
+++ b/src/cell/machine/asker.rs
@@ -1,22 +1,26 @@
 //! An instance that can ask the policy service.
 
+use std::rc::Rc;
+
 use crate::cell::timings::{ASKER_MOST_RESTS, ASKER_REST, PRESENCE};
 use crate::clock::Instant;
 
 /// An instance that can ask the policy service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Asker {
     pub(super) seen: Instant,
     pub(super) question: Option<u64>,
     pub(super) strength: u32,
+    /// Its failure domain.
+    pub(super) domain: Rc<str>,
     /// Questions in a row that it got no answer to.
     pub(super) failures: u32,
     pub(super) rests_until: Instant,
 }
 
 impl Asker {
-    pub(super) const fn new(strength: u32, now: Instant) -> Self {
-        Self { seen: now, question: None, strength, failures: 0, rests_until: now }
+    pub(super) const fn new(strength: u32, domain: Rc<str>, now: Instant) -> Self {
+        Self { seen: now, question: None, strength, domain, failures: 0, rests_until: now }
     }
 
     /// Takes in how its question came out.
--- a/src/cell/machine/commit.rs
+++ b/src/cell/machine/commit.rs
@@ -101,6 +101,11 @@
         self.written
     }
 
+    /// Offset after the last batch that is known to be stored.
+    pub(super) const fn end(&self) -> u64 {
+        self.end
+    }
+
     fn push(&mut self, record: Record) {
         let bytes = size(&record);
         let closed = usize::from(self.closed);
--- a/src/cell/machine/message.rs
+++ b/src/cell/machine/message.rs
@@ -111,6 +111,8 @@
         peer: SocketAddr,
         /// Processor that it may use, in thousandths of a core.
         strength: u32,
+        /// Its failure domain.
+        domain: Rc<str>,
     },
 }
 
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -175,8 +175,9 @@
             Message::Roster(roster) => self.roster(roster),
             Message::Table(table) => self.configure(table),
             Message::SaveDue => self.save_due = true,
-            Message::Present { peer, strength } => {
-                self.askers.entry(peer).or_insert_with(|| Asker::new(strength, now)).seen = now;
+            Message::Present { peer, strength, domain } => {
+                let new = || Asker::new(strength, domain, now);
+                self.askers.entry(peer).or_insert_with(new).seen = now;
             }
         }
     }
@@ -218,14 +219,25 @@
         }
     }
 
-    /// Instances that were heard of lately, the strongest first: the owner does most of the work,
-    /// and instances differ fourfold.
+    /// Instances that were heard of lately, in the order of succession: the strongest first, since the
+    /// owner does most of the work and instances differ fourfold, and those of equal strength by turns
+    /// from each failure domain, so that a cut of one leaves most of the first ones.
     pub fn present(&self, now: Instant) -> Vec<SocketAddr> {
         let fresh = self.askers.iter().filter(|(_, asker)| asker.is_fresh(now));
-        let mut ranked: Vec<(Reverse<u32>, SocketAddr)> =
-            fresh.map(|(peer, asker)| (Reverse(asker.strength), *peer)).collect();
+        let mut counts: BTreeMap<(u32, &str), u32> = BTreeMap::new();
+        let mut ranked: Vec<(Reverse<u32>, u32, SocketAddr)> = Vec::new();
+        for (peer, asker) in fresh {
+            let turn = counts.entry((asker.strength, &asker.domain)).or_insert(0);
+            ranked.push((Reverse(asker.strength), *turn, *peer));
+            *turn += 1;
+        }
         ranked.sort_unstable();
-        ranked.into_iter().map(|(_, peer)| peer).collect()
+        ranked.into_iter().map(|(.., peer)| peer).collect()
+    }
+
+    /// Offset after the last batch that is known to be stored.
+    pub const fn journal_end(&self) -> u64 {
+        self.commit.end()
     }
 
     /// Whether an instance is there that is much stronger than `strength`.
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -18,6 +18,9 @@
 use crate::codec;
 use crate::peer::{Code, Handler, Refusal, decode};
 
+/// Time for which a call waits at an instance that is about to own its cell.
+const CALL_HOLD: Duration = Duration::from_millis(600);
+
 impl Node {
     async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
         match method {
@@ -48,6 +51,7 @@
     }
 
     async fn take_call(&self, envelope: Envelope) -> Reply {
+        self.await_begin(envelope.cell, CALL_HOLD).await;
         let Some(owning) = self.owning(envelope.cell) else {
             return Reply::Elsewhere(self.owner(envelope.cell));
         };
@@ -63,25 +67,28 @@
     /// takes the other's silence for long.
     async fn watched(&self, watch: &Watch) -> Watched {
         if let Some(owning) = self.owning(watch.cell) {
-            let (peer, strength) = (watch.from, watch.strength);
-            owning.send(Message::Present { peer, strength });
+            let (peer, strength, domain) = (watch.from, watch.strength, watch.domain.clone());
+            owning.send(Message::Present { peer, strength, domain });
             if watch.patient {
                 let _ = monoio::time::timeout(WATCH_HOLD, self.until_relief(watch.cell)).await;
             }
+        } else if watch.patient {
+            self.await_begin(watch.cell, WATCH_HOLD).await;
         }
         let table = self.table();
         let newer = (table.version > watch.version).then(|| (*table).clone());
         let strength = self.strength;
-        let look =
-            move |machine: &Machine, now| (machine.offer(strength, now), machine.present(now));
+        let look = move |machine: &Machine, now| {
+            (machine.offer(strength, now), machine.present(now), machine.journal_end())
+        };
         let seen = match self.owning(watch.cell) {
             Some(owning) => owning.inspect(look).await,
             None => None,
         };
         let owns = seen.is_some();
-        let (offer, present) = seen.unwrap_or_default();
+        let (offer, present, end) = seen.unwrap_or_default();
         let offer = if self.stop.is_triggered() { Offer::Open } else { offer };
-        Watched { owns, owner: self.owner(watch.cell), offer, present, table: newer }
+        Watched { owns, owner: self.owner(watch.cell), end, offer, present, table: newer }
     }
 }
 
--- a/src/cell/node/mod.rs
+++ b/src/cell/node/mod.rs
@@ -25,6 +25,19 @@
 use super::{Id, election};
 use crate::shutdown::Shutdown;
 
+/// What tells one process from others.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Address at which other instances reach it.
+    pub me: SocketAddr,
+    /// Drawn at the start of the process.
+    pub incarnation: u64,
+    /// Processor that the process may use, in thousandths of a core.
+    pub strength: u32,
+    /// Its failure domain.
+    pub domain: Rc<str>,
+}
+
 /// One instance.
 pub struct Node {
     /// Address at which other instances reach it.
@@ -33,6 +46,8 @@
     pub incarnation: u64,
     /// Processor that the process may use, in thousandths of a core.
     pub strength: u32,
+    /// Its failure domain.
+    pub domain: Rc<str>,
     /// Cells of the site.
     pub cells: u32,
     /// Spans that the site sets.
@@ -51,19 +66,19 @@
 impl Node {
     /// Builds an instance that knows nothing yet.
     pub fn new(
-        me: SocketAddr,
-        incarnation: u64,
-        strength: u32,
+        identity: Identity,
         cells: u32,
         timings: Timings,
         borders: Rc<Borders>,
         stop: Shutdown,
     ) -> Rc<Self> {
         let views = (0..cells.max(1)).map(|cell| (Id(cell), View::default())).collect();
+        let Identity { me, incarnation, strength, domain } = identity;
         Rc::new(Self {
             me,
             incarnation,
             strength,
+            domain,
             cells: cells.max(1),
             timings,
             borders,
--- a/src/cell/node/view.rs
+++ b/src/cell/node/view.rs
@@ -1,6 +1,7 @@
 //! What an instance knows of each cell.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::Node;
 use crate::cell::owner::Handle;
@@ -21,6 +22,8 @@
     pub(super) served: Option<Instant>,
     /// Raised while this instance owns the cell and the store keeps it waiting.
     pub(super) alarm: Shutdown,
+    /// While this instance has claimed the cell and reads its journal; raised when that ends.
+    preparing: Option<Shutdown>,
 }
 
 impl Node {
@@ -49,6 +52,35 @@
             view.owner = owning.as_ref().map(|_| self.me);
             view.owning = owning;
         }
+        self.end_preparing(cell);
+    }
+
+    /// Notes that this instance has claimed the cell and is about to own it.
+    pub(in crate::cell) fn begin_preparing(&self, cell: Id) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.owner = Some(self.me);
+            view.preparing = Some(Shutdown::new());
+        }
+        self.note_contact(cell);
+    }
+
+    /// Notes that this instance owns the cell, or will not.
+    pub(in crate::cell) fn end_preparing(&self, cell: Id) {
+        let mut views = self.views.borrow_mut();
+        let Some(view) = views.get_mut(&cell) else { return };
+        let Some(preparing) = view.preparing.take() else { return };
+        preparing.trigger();
+        if view.owning.is_none() && view.owner == Some(self.me) {
+            view.owner = None;
+        }
+    }
+
+    /// Waits, for `limit` at most, while this instance is about to own the cell.
+    pub(super) async fn await_begin(&self, cell: Id, limit: Duration) {
+        let preparing = self.views.borrow().get(&cell).and_then(|view| view.preparing.clone());
+        if let Some(preparing) = preparing {
+            let _ = monoio::time::timeout(limit, preparing.wait()).await;
+        }
     }
 
     /// Notes that an owner was heard of that reaches the store.
--- a/src/cell/peer.rs
+++ b/src/cell/peer.rs
@@ -1,6 +1,7 @@
 //! What instances say to one another about cells.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +49,8 @@
     pub cell: Id,
     /// Address at which the follower is reached.
     pub from: SocketAddr,
+    /// Failure domain of the follower.
+    pub domain: Rc<str>,
     /// Version of the configuration that it has.
     pub version: u64,
     /// Processor that the follower may use, in thousandths of a core.
@@ -84,8 +87,10 @@
 pub struct Watched {
     /// Whether the instance owns the cell.
     pub owns: bool,
-    /// The instance that does, where it knows.
+    /// The instance that does, where it knows; itself while it prepares to.
     pub owner: Option<SocketAddr>,
+    /// End of the journal, as the owner knows it.
+    pub end: u64,
     /// Whether the owner wants another instance to take over.
     pub offer: Offer,
     /// Instances that follow the owner, in the order in which they would take over.
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -21,6 +21,7 @@
 mod state;
 mod store;
 mod story;
+mod succession;
 mod ticket;
 mod unanswered;
 mod upstream;
--- a/tests/logic/cell/story.rs
+++ b/tests/logic/cell/story.rs
@@ -185,7 +185,7 @@
     /// An instance is there to ask.
     pub fn present(&mut self, number: u16) {
         let peer = ([127, 0, 0, 1], number).into();
-        self.tell(Message::Present { peer, strength: 1 });
+        self.tell(Message::Present { peer, strength: 1, domain: "hall".into() });
     }
 
     /// The policy service allows every worker asked about.
--- /dev/null
+++ b/tests/logic/cell/succession.rs
@@ -0,0 +1,53 @@
+//! Who takes over from an owner, and in which order.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use oriolefork::cell::machine::Message;
+use oriolefork::clock::Instant;
+use test_case::test_case;
+
+use super::story::Story;
+
+/// Failure domains of a large site, and the instances in each.
+const DOMAINS: u8 = 5;
+
+fn peer(domain: u8, number: u8) -> SocketAddr {
+    SocketAddr::from(([10, domain, 0, number], 7_160))
+}
+
+/// A cut of one failure domain takes the owner and all that would follow it: their addresses stand next
+/// to each other, and instances elsewhere begin with megabytes of journal.
+#[test_case(3; "with_few_strong_ones")]
+#[test_case(20; "with_many_strong_ones")]
+fn succession_begins_in_different_domains(strong: u8) {
+    let mut story = Story::begin(1);
+    for domain in 0..DOMAINS {
+        for number in 0..20 {
+            let strength = if number < strong { 500 } else { 120 };
+            let (peer, domain) = (peer(domain, number), format!("hall-{domain}").into());
+            story.tell(Message::Present { peer, strength, domain });
+        }
+    }
+    let order = story.machine.present(Instant::from_millis(story.now));
+    let domain = |peer: &SocketAddr| match peer.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets()[1],
+        std::net::IpAddr::V6(_) => unreachable!("all have version 4"),
+    };
+    let first: BTreeSet<u8> = order.iter().take(DOMAINS.into()).map(domain).collect();
+    assert_eq!(first.len(), usize::from(DOMAINS), "{order:?}");
+}
+
+/// A weak instance owns the cell, and small machines choke on the owner's work, while strong ones stand
+/// by: those of the most processor come first, whatever their failure domain.
+#[test]
+fn succession_begins_with_the_strongest() {
+    let mut story = Story::begin(1);
+    let names = ["hall-0", "hall-0", "hall-1"];
+    for (number, (strength, domain)) in [120, 500, 500].into_iter().zip(names).enumerate() {
+        let peer = peer(0, number as u8);
+        story.tell(Message::Present { peer, strength, domain: domain.into() });
+    }
+    let order = story.machine.present(Instant::from_millis(story.now));
+    assert_eq!(order, [peer(0, 1), peer(0, 2), peer(0, 0)]);
+}
