Count the policy service's answer into whether a gang can be on time

A gang counted as on time while its run alone would fit, so that the first in rank were asked about a second before they turned late, in vain, and those behind them that could have been on time waited for their first question.

Change: as long as nobody has asked about a gang, the time of a question about as many workers as one may name counts into its end.

Why it holds: what is passed over for questions is late either way.

--- a/src/cell/machine/rank.rs
+++ b/src/cell/machine/rank.rs
@@ -3,6 +3,7 @@
 use super::Machine;
 use crate::cell::job::{Job, Step, StepKey};
 use crate::cell::queue::Queue;
+use crate::cell::timings::ADVICE_WORKERS;
 
 /// Times its objective after which a job earns nothing any more.
 const WORTHLESS_AFTER: f64 = 3.0;
@@ -35,7 +36,8 @@
     pub(super) fn rank(&self, job: &Job, queue: &Queue, key: &StepKey, accepted: u64) -> Rank {
         let begin = job.due(key.occurrence).map_or(accepted, crate::clock::Unix::as_millis);
         let objective = self.objective(job, queue);
-        let left = self.chain_from(job, key.step as usize, queue) * HOPE;
+        let left =
+            self.chain_from(job, key.step as usize, queue) * HOPE + self.asking_ms(job, key, queue);
         let end = (self.unix.as_millis().saturating_sub(begin)) as f64 + left;
         let hope = if end <= objective {
             Hope::OnTime
@@ -47,6 +49,19 @@
         Rank { hope, priority: queue.priority, deadline: begin + objective as u64 }
     }
 
+    /// Time that the policy service takes before a gang can begin that nobody has asked about.
+    ///
+    /// Guards against questions in vain: in a flood each gang was asked about when it was just on time, and
+    /// was late when its answer came, while others behind it that could be on time were not asked about.
+    fn asking_ms(&self, job: &Job, key: &StepKey, queue: &Queue) -> f64 {
+        let unasked = self.tickets.get(key).is_none_or(|tickets| tickets.tally().0 == 0);
+        let gang = job.steps[key.step as usize].gang;
+        queue
+            .advice
+            .filter(|_| gang && unasked)
+            .map_or(0.0, |advice| advice.time_ms(ADVICE_WORKERS))
+    }
+
     /// Time that a step of a job may still be held up, in milliseconds; negative once it is late.
     pub(super) fn slack_ms(&self, job: &Job, queue: &Queue, key: &StepKey, accepted: u64) -> f64 {
         let begin = job.due(key.occurrence).map_or(accepted, crate::clock::Unix::as_millis);
