Grant leases within the site's bound

What callers saw: on the large site, whose workers kill what they run 6 s after the last renewal, a lost worker's tasks were started elsewhere 2 s later than they could be.

Cause: an owner granted, and counted on, leases of 8 s everywhere; a worker shortens a longer one to its bound (maxHoldMs).

Why it holds: a worker never keeps more than its bound, so that the owner's count of what it may hold is still an upper one.

--- a/src/cell/lease.rs
+++ b/src/cell/lease.rs
@@ -16,20 +16,41 @@
 ///
 /// A lease ends at a time on the worker's own clock. That makes a renewal that is held up on its way
 /// harmless: it never lasts longer than was meant when it was sent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Lease {
+    length: Duration,
     reading: Option<Reading>,
     granted_ms: u64,
 }
 
+impl Default for Lease {
+    fn default() -> Self {
+        Self::new(LEASE)
+    }
+}
+
 impl Lease {
+    /// Grants leases of that length; workers shorten what is longer than their site's bound.
+    ///
+    /// ```
+    /// use oriolefork::cell::lease::Lease;
+    /// use oriolefork::clock::Instant;
+    /// use std::time::Duration;
+    /// let mut lease = Lease::new(Duration::from_secs(6));
+    /// lease.read(1_000, Instant::from_millis(0));
+    /// assert_eq!(lease.grant(Instant::from_millis(0)), Some(7_000));
+    /// ```
+    pub const fn new(length: Duration) -> Self {
+        Self { length, reading: None, granted_ms: 0 }
+    }
+
     /// Takes the clock out of an answer that arrived at `received`.
     ///
     /// The first reading also bounds what earlier owners granted: no grant reaches further than a
     /// whole lease from now, and the worker refuses their orders from here on.
     pub fn read(&mut self, worker_ms: u64, received: Instant) {
         if self.reading.is_none() {
-            self.granted_ms = worker_ms + millis(LEASE);
+            self.granted_ms = worker_ms + millis(self.length);
         }
         self.reading = Some(Reading { worker_ms, received });
     }
@@ -44,7 +65,7 @@
         let reading = self.reading?;
         // A lower bound of the worker's clock: it may run slow by the drift.
         let passed = millis(now.since(reading.received)) as f64 * (1.0 - CLOCK_DRIFT);
-        let until = reading.worker_ms + passed as u64 + millis(LEASE);
+        let until = reading.worker_ms + passed as u64 + millis(self.length);
         self.granted_ms = self.granted_ms.max(until);
         Some(until)
     }
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -8,7 +8,7 @@
 use crate::cell::link::{Ended, Fault, Look, Report, Running};
 use crate::cell::record::WorkerId;
 use crate::cell::timings::{
-    AUTHORITY, CLOCK_DRIFT, LEASE, LEASE_MARGIN, LOOK_RETRY, LOOK_TIMEOUT, LOOK_WAIT,
+    AUTHORITY, CLOCK_DRIFT, LEASE_MARGIN, LOOK_RETRY, LOOK_TIMEOUT, LOOK_WAIT,
 };
 use crate::cell::worker::Worker;
 use crate::clock::Instant;
@@ -200,8 +200,8 @@
 
     /// Gives up what runs on workers whose leases have surely run out.
     pub(super) fn give_up_lapsed(&mut self) {
-        let unfenced_end =
-            self.claimed.after(AUTHORITY + LEASE.mul_f64(1.0 + 2.0 * CLOCK_DRIFT) + LEASE_MARGIN);
+        let lease = self.timings.lease.mul_f64(1.0 + 2.0 * CLOCK_DRIFT);
+        let unfenced_end = self.claimed.after(AUTHORITY + lease + LEASE_MARGIN);
         let now = self.now;
         let lapsed = |worker: &&Worker| {
             let end = if worker.fenced { worker.lease.lapse() } else { Some(unfenced_end) };
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -51,7 +51,7 @@
             crate::logging::value(&listed.labels.join(",")),
             listed.draining
         );
-        self.workers.insert(id.clone(), Worker::new(id, listed, self.now));
+        self.workers.insert(id.clone(), Worker::new(id, listed, self.timings.lease, self.now));
         true
     }
 
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -10,11 +10,17 @@
     pub status_retention: Duration,
     /// Time that the process has to end after it was told to stop.
     pub stop_grace: Duration,
+    /// Lease granted with each look at a worker.
+    pub lease: Duration,
 }
 
 impl Default for Timings {
     fn default() -> Self {
-        Self { status_retention: Duration::from_secs(120), stop_grace: Duration::from_secs(6) }
+        Self {
+            status_retention: Duration::from_secs(120),
+            stop_grace: Duration::from_secs(6),
+            lease: LEASE,
+        }
     }
 }
 
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -75,13 +75,13 @@
 }
 
 impl Worker {
-    /// A worker that the list names and that has not been called yet.
-    pub fn new(id: WorkerId, listed: Rc<Listed>, now: Instant) -> Self {
+    /// A worker that the list names and that has not been called yet; `lease` is granted with each look.
+    pub fn new(id: WorkerId, listed: Rc<Listed>, lease: Duration, now: Instant) -> Self {
         Self {
             id,
             listed,
             missing_since: None,
-            lease: Lease::default(),
+            lease: Lease::new(lease),
             fenced: false,
             recorded: 0,
             told: 0,
