Let an owner renew leases for four seconds without the store, not ten

Cause: a worker drains and leaves at 28.1 s while its cell changes hands at 27.5, 28.7 and 31.4 s. The last owner never reaches that worker and waits until all that former owners may have granted is over: 10 s of renewing without the store, a lease of 8 s and its margins, 18.6 s in all, 0.1 s too long.

Change: four seconds of renewing. The leases themselves last for eight more, so that what runs still outlasts a store that is away for ten seconds; the sites' outages last 4 to 6 s, or 9 with luck against us. A successor waits 12.6 s.

Not taken: to count a worker as gone that announced its end, is off the list and refuses connections. A cut may refuse connections too, and the list drops a cut worker after three heartbeats, so that it might still run.

Why it holds: the successor's wait is computed from the same figure as the owner's leave to grant.

--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -28,9 +28,10 @@
 /// failure domain that the sites see; a shorter one throws away a third of the work running.
 pub const LEASE: Duration = Duration::from_secs(8);
 
-/// How long an owner goes on granting leases after its last write to the journal. A successor that
-/// cannot reach a worker waits this long and a lease before it counts the worker's tasks as lost.
-pub const AUTHORITY: Duration = Duration::from_secs(10);
+/// How long an owner goes on granting leases after its last write to the journal. With a lease on top,
+/// what runs outlasts a store that is away for ten seconds. A successor that cannot reach a worker waits
+/// as long before it counts the worker's tasks as lost.
+pub const AUTHORITY: Duration = Duration::from_secs(4);
 
 /// Share by which a worker's steady clock may run slow.
 pub const CLOCK_DRIFT: f64 = 0.02;
--- /dev/null
+++ b/tests/logic/cell/left_behind.rs
@@ -0,0 +1,67 @@
+//! What earlier owners left on workers that no later one reaches.
+
+use oriolefork::cell::Epoch;
+use oriolefork::cell::job::{Run, Step, StepKey, TaskKey};
+use oriolefork::cell::record::{Batch, Record};
+use oriolefork::cell::state::State;
+use oriolefork::cell::timings::{AUTHORITY, LEASE};
+use oriolefork::clock::Unix;
+
+use super::model::{self, cores, id};
+use super::story::{Story, UNIX};
+
+/// Time within which a job has to go on beside free workers once its site is calm, in milliseconds.
+const GOES_ON_MS: u64 = 14_000;
+
+/// A gang of two, one of them on a worker that left while its cell changed hands.
+fn left_behind() -> (State, [Run; 2]) {
+    let job = model::job(1, Step { gang: true, ..model::step(2, cores(1)) });
+    let step = StepKey { job: id(1), occurrence: 0, step: 0 };
+    let runs = [0, 1].map(|index| Run { task: TaskKey { step, index }, number: 1 });
+    let placed = |worker: &str, run| Record::Placed { worker: worker.into(), runs: vec![run] };
+    let accepted = Record::Accepted { at: Unix::from_millis(UNIX), job };
+    let records = vec![accepted, placed("w0", runs[0]), placed("gone", runs[1])];
+    let mut state = State::default();
+    state.apply_batch(model::claim(Epoch(1), Unix::from_millis(UNIX)));
+    state.apply_batch(Batch { epoch: Epoch(1), at: Unix::from_millis(UNIX), records });
+    state.apply_batch(model::claim(Epoch(2), Unix::from_millis(UNIX)));
+    (state, runs)
+}
+
+/// Callers see a job stand still for 22 s beside free workers. Its gang has a member on a worker that
+/// drains and leaves while the cell changes hands; the last owner never reaches that worker, and waits
+/// until all that former owners could grant is over.
+#[test]
+fn gang_goes_on_without_a_worker_that_left() {
+    let (state, runs) = left_behind();
+    let mut story = Story::take_over(state, 3);
+    let mut started = None;
+    while started.is_none() && story.now < 2 * GOES_ON_MS {
+        story.pass(100);
+        story.store_all();
+        for worker in 0..3 {
+            story.report(worker, &[], &[]);
+        }
+        started =
+            story.starts().into_iter().map(|(_, start)| start.run).find(|run| *run != runs[1]);
+    }
+    assert!(started.is_some_and(|run| run.number > 1), "{started:?}");
+    assert!(story.now <= GOES_ON_MS, "after {} ms", story.now);
+}
+
+/// The same worker is only cut off, and the former owner, which is cut off from the store with it, goes on
+/// renewing its lease. Were the task given up at once, it would run twice.
+#[test]
+fn gang_waits_while_the_former_owner_may_grant() {
+    let (state, _) = left_behind();
+    let mut story = Story::take_over(state, 3);
+    let until = (AUTHORITY + LEASE).as_millis() as u64;
+    while story.now < until {
+        story.pass(100);
+        story.store_all();
+        for worker in 0..3 {
+            story.report(worker, &[], &[]);
+        }
+        assert!(story.starts().is_empty(), "after {} ms", story.now);
+    }
+}
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -4,6 +4,7 @@
 mod askers;
 mod histories;
 mod lease;
+mod left_behind;
 mod looks;
 mod machine;
 #[path = "../../../benches/cell/mix.rs"]
