Let the strong and the prepared take over first, and leave a served cell alone

Change: the turn begins once the store has answered. An owner whose connection broke is asked once more before a claim. A new owner may be silent for 1.5 s after its claim.

Why it holds: all of this decides only when a claim is made; the store's order of claims decides who owns.

--- a/src/cell/election/consider.rs
+++ b/src/cell/election/consider.rs
@@ -13,6 +13,9 @@
 /// Time in which an owner that nobody reaches must write something to count as alive.
 const SILENT_OWNER: Duration = Duration::from_millis(250);
 
+/// Time for which an instance may be silent after it has claimed the cell.
+const SILENT_PREPARING: Duration = Duration::from_millis(1_500);
+
 impl Election {
     /// Takes the cell over, where that is called for.
     pub(super) async fn consider(&mut self, motive: Motive) {
@@ -25,8 +28,9 @@
         }
         let goes_on = match motive {
             Motive::Offered(owner) | Motive::Struggling(owner) => self.is_recovered(owner).await,
-            Motive::Silent(_) => self.is_owner_writing().await,
-            Motive::Unknown | Motive::Gone(_) => false,
+            Motive::Silent(_) => self.is_preparing() || self.is_owner_writing().await,
+            Motive::Gone(owner) => self.is_back(owner).await,
+            Motive::Unknown => false,
         };
         // Whoever made an epoch known meanwhile is to be followed, not replaced.
         if !goes_on && self.known_epoch() == known && !self.node.stop.is_triggered() {
@@ -83,6 +87,22 @@
         watched.is_ok_and(|watched| watched.owns && watched.offer == Offer::Kept)
     }
 
+    /// Whether an owner whose connection broke answers again.
+    ///
+    /// Guards against instances that were cut off, whose connections were reset: they were the first
+    /// to claim when the cut was over, from an owner that served all others.
+    async fn is_back(&self, owner: SocketAddr) -> bool {
+        self.watch(owner, false).await.is_ok_and(|watched| watched.owns)
+    }
+
+    /// Whether the silent instance has claimed the cell a moment ago: it reads the journal, and neither
+    /// writes nor always answers in time while it does.
+    fn is_preparing(&self) -> bool {
+        let now = self.node.borders.clock.now();
+        let claimed = self.node.epoch_since(self.cell);
+        claimed.is_some_and(|claimed| now.since(claimed) < SILENT_PREPARING)
+    }
+
     /// Whether an owner that does not answer still writes to the journal, or nobody can tell.
     ///
     /// Guards against taking a cell from an owner that only this instance cannot reach.
--- a/src/cell/election/follow.rs
+++ b/src/cell/election/follow.rs
@@ -84,6 +84,7 @@
         }
         self.preparing_since = None;
         self.seen_end = watched.end;
+        self.owner_strength = watched.strength;
         if self.last_owner.replace(owner) != Some(owner) {
             self.rest_from_reading();
         }
--- a/src/cell/election/heir.rs
+++ b/src/cell/election/heir.rs
@@ -23,8 +23,9 @@
 const FIRST_REST: Duration = Duration::from_secs(3);
 const EACH_REST: Duration = Duration::from_millis(700);
 
-/// Longest time in which an heir reads and does not watch the owner.
-const TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time in which an heir reads and does not watch the owner: for a tail, and for all of it.
+const TAIL_TIMEOUT: Duration = Duration::from_millis(200);
+const WHOLE_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Election {
     /// Reads what has been added to the journal, if it is time to and this instance is an heir.
@@ -37,7 +38,8 @@
             return;
         }
         // What has been read before the timeout stays.
-        let _ = monoio::time::timeout(TIMEOUT, self.read()).await;
+        let timeout = if self.reading.begun { TAIL_TIMEOUT } else { WHOLE_TIMEOUT };
+        let _ = monoio::time::timeout(timeout, self.read()).await;
         let retention = self.node.timings.status_retention;
         self.reading.state.forget(self.node.borders.clock.unix(), retention);
         self.next_keep_up = self.node.borders.clock.now().after(REST);
--- a/src/cell/election/mod.rs
+++ b/src/cell/election/mod.rs
@@ -56,6 +56,8 @@
     preparing_since: Option<Instant>,
     /// The owner that answered last.
     last_owner: Option<SocketAddr>,
+    /// Processor that it may use, in thousandths of a core.
+    owner_strength: u32,
     /// End of the journal, as the owner told it last.
     seen_end: u64,
 }
@@ -74,6 +76,7 @@
         next_keep_up,
         preparing_since: None,
         last_owner: None,
+        owner_strength: 0,
         seen_end: 0,
     };
     let mut motive = Motive::Unknown;
--- a/src/cell/election/turn.rs
+++ b/src/cell/election/turn.rs
@@ -4,13 +4,20 @@
 
 use super::motive::Motive;
 use super::{Election, READ_RETRY};
-use crate::cell::link::Sign;
 use crate::cell::timings::{RANK_DELAY, STORE_QUICK};
 
 /// Time over which instances of one rank that have just begun are spread, in milliseconds: a claim and
 /// its sign take 15.
 const SPREAD_MS: u64 = 80;
 
+/// Places by which an instance half as strong as the last owner comes later, and the most of them: a
+/// second.
+const HANDICAP: u32 = 6;
+const MOST_HANDICAP: u32 = 25;
+
+/// Places by which an instance comes later that has not kept up with the journal.
+const COLD_HANDICAP: u32 = 3;
+
 /// Bounds the rank, so that the last instance of many does not wait for long.
 pub(super) const LOWEST_RANK: u32 = 8;
 
@@ -23,13 +30,24 @@
             self.node.borders.clock.sleep(READ_RETRY).await;
             return false;
         }
+        // The store comes first: when it is back after an outage all find out at once, and the wait for
+        // their turns begins.
+        if !self.is_unowned(motive).await {
+            return false;
+        }
         let known = self.node.epoch(self.cell);
-        for _ in 0..self.place().await {
+        let place = self.place().await;
+        for _ in 0..place {
             self.node.borders.clock.sleep(RANK_DELAY).await;
             if self.node.epoch(self.cell) > known {
                 return false;
             }
         }
+        place == 0 || self.is_unowned(motive).await
+    }
+
+    /// Whether the store answers and names no owner to follow instead.
+    async fn is_unowned(&mut self, motive: Motive) -> bool {
         match self.sign().await {
             Ok(sign) => !self.follows_sign(sign, motive),
             Err(()) => {
@@ -43,11 +61,17 @@
     /// Place of this instance in the order of those that try.
     async fn place(&self) -> u32 {
         if let Some(rank) = self.rank {
-            return rank;
+            let cold = if self.reading.begun { 0 } else { COLD_HANDICAP };
+            return rank + cold + handicap(self.node.strength, self.owner_strength);
         }
         let spread = Duration::from_millis(self.node.incarnation % SPREAD_MS);
         self.node.borders.clock.sleep(spread).await;
-        self.first_rank(self.followed)
+        // All come at once after a loss of power, and the strongest should win; those as strong as the
+        // last owner need not wait for each other.
+        match self.followed {
+            Some(sign) if sign.strength > 0 => handicap(self.node.strength, sign.strength),
+            _ => self.node.weakness(LOWEST_RANK),
+        }
     }
 
     /// Whether the store answers this instance in its usual time.
@@ -56,16 +80,13 @@
         let sign = self.sign().await;
         sign.is_ok() && self.node.borders.clock.now().since(asked) <= STORE_QUICK
     }
+}
 
-    /// Place in the order in which instances that have just begun take over.
-    ///
-    /// All come at once, and the strongest should win; where one owned the cell before, those that
-    /// are as strong need not wait for each other. Buys 0.16 s after each loss of all instances of a
-    /// quarter of a core (from the begin of a process to its claim, 0.29 s before).
-    fn first_rank(&self, sign: Option<Sign>) -> u32 {
-        match sign {
-            Some(sign) if sign.strength > 0 && self.node.strength >= sign.strength => 0,
-            _ => self.node.weakness(LOWEST_RANK),
-        }
-    }
+/// Places that an instance of `strength` stands behind those as strong as the last owner.
+///
+/// Guards against a weak one that is there first: it reads a long journal for two seconds on a thin link,
+/// while strong ones that would be through sooner begin a moment later.
+fn handicap(strength: u32, owner: u32) -> u32 {
+    let lacking = owner.saturating_sub(strength);
+    (HANDICAP * lacking / strength.max(1)).min(MOST_HANDICAP)
 }
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -88,7 +88,8 @@
         let owns = seen.is_some();
         let (offer, present, end) = seen.unwrap_or_default();
         let offer = if self.stop.is_triggered() { Offer::Open } else { offer };
-        Watched { owns, owner: self.owner(watch.cell), end, offer, present, table: newer }
+        let owner = self.owner(watch.cell);
+        Watched { owns, owner, strength, end, offer, present, table: newer }
     }
 }
 
--- a/src/cell/node/view.rs
+++ b/src/cell/node/view.rs
@@ -15,6 +15,8 @@
     pub(super) owner: Option<SocketAddr>,
     /// Latest epoch whose owner was heard of.
     pub(super) epoch: Epoch,
+    /// When that epoch was first heard of.
+    epoch_since: Option<Instant>,
     pub(super) owning: Option<Handle>,
     /// When the owner was last heard of.
     pub(super) contact: Option<Instant>,
@@ -106,9 +108,17 @@
         self.views.borrow().get(&cell).map_or(Epoch(0), |view| view.epoch)
     }
 
+    /// When the latest epoch was first heard of.
+    pub(in crate::cell) fn epoch_since(&self, cell: Id) -> Option<Instant> {
+        self.views.borrow().get(&cell).and_then(|view| view.epoch_since)
+    }
+
     pub(in crate::cell) fn note_epoch(&self, cell: Id, epoch: Epoch) {
-        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
-            view.epoch = view.epoch.max(epoch);
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell)
+            && epoch > view.epoch
+        {
+            view.epoch = epoch;
+            view.epoch_since = Some(self.borders.clock.now());
         }
     }
 }
--- a/src/cell/peer.rs
+++ b/src/cell/peer.rs
@@ -89,6 +89,8 @@
     pub owns: bool,
     /// The instance that does, where it knows; itself while it prepares to.
     pub owner: Option<SocketAddr>,
+    /// Processor that the instance may use, in thousandths of a core.
+    pub strength: u32,
     /// End of the journal, as the owner knows it.
     pub end: u64,
     /// Whether the owner wants another instance to take over.
