Make an owner known whose claim got no answer, and mend three waits beside it

Changes: a claim that turns out to be written makes itself known as well. An instance that prepares counts as back when its connection broke; one that has prepared for four seconds is replaced all the same, which is now a motive of its own (Stalled), since a second look finds it preparing still.

--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -54,6 +54,9 @@
                 log::warn!("event=owner.claim_unknown cell={} epoch={epoch} {rejected}", self.cell);
                 self.node.borders.clock.sleep(READ_RETRY).await;
                 if self.read().await {
+                    if self.holds(epoch) {
+                        self.make_known(epoch);
+                    }
                     self.own_or_follow(epoch).await;
                 }
             }
@@ -64,10 +67,8 @@
     /// cell unless a later claim has come.
     async fn prepare(&mut self, epoch: Epoch) {
         let node = self.node.clone();
-        node.note_epoch(self.cell, epoch);
         node.begin_preparing(self.cell);
-        self.announce(epoch);
-        self.publish(epoch);
+        self.make_known(epoch);
         let begun = node.borders.clock.now();
         let from = self.reading.next;
         let found = self.read_unless_owned(epoch).await;
@@ -87,18 +88,34 @@
     /// Owns the cell if the journal's last claim is this instance's of `epoch`; else follows the one
     /// that made it.
     async fn own_or_follow(&mut self, epoch: Epoch) {
-        let owner = self.reading.state.owner;
-        let mine = owner.is_some_and(|owner| {
-            owner.peer == self.node.me && owner.incarnation == self.node.incarnation
-        });
-        if mine && self.reading.state.epoch == epoch {
+        if self.holds(epoch) {
             self.own().await;
         } else {
-            let owner = owner.map(|owner| owner.peer);
-            self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
+            self.follow_last_claim();
         }
     }
 
+    /// Whether the journal's last claim is this instance's of `epoch`.
+    fn holds(&self, epoch: Epoch) -> bool {
+        let mine = self.reading.state.owner.is_some_and(|owner| {
+            owner.peer == self.node.me && owner.incarnation == self.node.incarnation
+        });
+        mine && self.reading.state.epoch == epoch
+    }
+
+    /// Follows the instance that made the journal's last claim.
+    fn follow_last_claim(&self) {
+        let owner = self.reading.state.owner.map(|owner| owner.peer);
+        self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
+    }
+
+    /// Lets other instances find this one, which has claimed the cell.
+    fn make_known(&self, epoch: Epoch) {
+        self.node.note_epoch(self.cell, epoch);
+        self.announce(epoch);
+        self.publish(epoch);
+    }
+
     /// Follows the instance whose claim came first, once it shows.
     ///
     /// If it does not, it has gone right after its claim; then the journal tells its epoch.
@@ -116,8 +133,7 @@
             }
         }
         if let Found::Journal = self.read_unless_owned(before).await {
-            let owner = self.reading.state.owner.map(|owner| owner.peer);
-            self.node.set_owner(self.cell, owner.filter(|owner| *owner != self.node.me));
+            self.follow_last_claim();
         }
     }
 
--- a/src/cell/election/consider.rs
+++ b/src/cell/election/consider.rs
@@ -30,7 +30,7 @@
             Motive::Offered(owner) | Motive::Struggling(owner) => self.is_recovered(owner).await,
             Motive::Silent(_) => self.is_preparing() || self.is_owner_writing().await,
             Motive::Gone(owner) => self.is_back(owner).await,
-            Motive::Unknown => false,
+            Motive::Unknown | Motive::Stalled(_) => false,
         };
         // Whoever made an epoch known meanwhile is to be followed, not replaced.
         if !goes_on && self.known_epoch() == known && !self.node.stop.is_triggered() {
@@ -87,12 +87,13 @@
         watched.is_ok_and(|watched| watched.owns && watched.offer == Offer::Kept)
     }
 
-    /// Whether an owner whose connection broke answers again.
+    /// Whether an owner whose connection broke answers again, or is about to begin.
     ///
     /// Guards against instances that were cut off, whose connections were reset: they were the first
     /// to claim when the cut was over, from an owner that served all others.
     async fn is_back(&self, owner: SocketAddr) -> bool {
-        self.watch(owner, false).await.is_ok_and(|watched| watched.owns)
+        let watched = self.watch(owner, false).await;
+        watched.is_ok_and(|watched| watched.owns || watched.owner == Some(owner))
     }
 
     /// Whether the silent instance has claimed the cell a moment ago: it reads the journal, and neither
--- a/src/cell/election/follow.rs
+++ b/src/cell/election/follow.rs
@@ -34,10 +34,13 @@
             match watched {
                 Ok(watched) => {
                     refusals = 0;
+                    let owns = watched.owns;
                     if let Some(motive) = self.learn(owner, watched) {
                         return motive;
                     }
-                    self.keep_up().await;
+                    if owns {
+                        self.keep_up().await;
+                    }
                 }
                 // Guards against an owner that is taken for gone because it has too much to do.
                 Err(error) if error.is_busy() && refusals < MOST_REFUSALS => {
@@ -117,7 +120,7 @@
         let since = *self.preparing_since.get_or_insert(now);
         if now.since(since) > PREPARE_LIMIT {
             self.preparing_since = None;
-            return Some(Motive::Gone(peer));
+            return Some(Motive::Stalled(peer));
         }
         self.node.note_contact(self.cell);
         None
--- a/src/cell/election/motive.rs
+++ b/src/cell/election/motive.rs
@@ -15,6 +15,8 @@
     Gone(SocketAddr),
     /// The owner does not answer.
     Silent(SocketAddr),
+    /// It claimed the cell a while ago and has not come to own it.
+    Stalled(SocketAddr),
 }
 
 impl Motive {
@@ -25,7 +27,8 @@
             Self::Offered(peer)
             | Self::Struggling(peer)
             | Self::Gone(peer)
-            | Self::Silent(peer) => Some(peer),
+            | Self::Silent(peer)
+            | Self::Stalled(peer) => Some(peer),
         }
     }
 }
