Tell how long a worker had been silent, and what began there last, when it is gone

The log could not tell a worker that crashed from one that left, nor the task that crashed it from those beside it: all ended as lost. worker.gone now says since when the worker had been silent, how long its youngest try had been placed by then, and whether it was leaving; worker.changed says what the worker has and what is reserved. No decision changes.

--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -1,6 +1,7 @@
 //! Looks at workers: they renew leases and tell what runs and what has ended.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::commit::Deferred;
 use super::{Effect, Live, Machine, Stage};
@@ -64,22 +65,24 @@
                     self.dirty = true;
                 }
                 worker.missed = 0;
+                worker.silent_since = None;
                 worker.fenced = true;
                 worker.lease.read(report.clock_ms, now);
                 worker.next_look = now;
                 self.take_report(id, sent, report);
             }
-            Err(fault) => self.missed_look(id, &fault),
+            Err(fault) => self.missed_look(id, sent, &fault),
         }
     }
 
-    fn missed_look(&mut self, id: &str, fault: &Fault) {
+    fn missed_look(&mut self, id: &str, sent: Instant, fault: &Fault) {
         let now = self.now;
         match fault {
             Fault::Fenced => self.step_down(id),
             Fault::OtherLife => self.bury(id, "another_life"),
             _ => {
                 let Some(worker) = self.workers.get_mut(id) else { return };
+                worker.silent_since.get_or_insert_with(|| silent_since(worker.fenced, sent, now));
                 worker.missed += 1;
                 worker.next_look = now.after(LOOK_RETRY);
                 if worker.missed == 1 {
@@ -190,7 +193,7 @@
     /// Takes a life of a worker for gone, and all that ran on it for lost.
     pub(super) fn bury(&mut self, id: &str, reason: &str) {
         let Some(worker) = self.workers.remove(id) else { return };
-        log::warn!("event=worker.gone worker={id} reason={reason} tasks={}", worker.runs.len());
+        self.tell_gone(&worker, reason);
         self.dead.insert(id.into());
         self.forget_tickets(id);
         for run in worker.runs {
@@ -198,6 +201,24 @@
         }
     }
 
+    /// Tells how long a worker had been silent, and how long its youngest try had been placed there by
+    /// then: a task that crashes its worker is told apart from those beside it.
+    fn tell_gone(&self, worker: &Worker, reason: &str) {
+        let placed = worker.runs.iter().filter_map(|run| self.runs.get(run)).map(|live| live.since);
+        let silent = worker.silent_since.map(|since| self.now.since(since));
+        let youngest =
+            worker.silent_since.zip(placed.max()).map(|(silent, placed)| silent.since(placed));
+        log::warn!(
+            "event=worker.gone worker={} reason={reason} tasks={} draining={} silent_ms={} \
+             youngest_ms={}",
+            worker.id,
+            worker.runs.len(),
+            worker.listed.draining,
+            shown(silent),
+            shown(youngest)
+        );
+    }
+
     /// Gives up what runs on workers whose leases have surely run out.
     pub(super) fn give_up_lapsed(&mut self) {
         let lease = self.timings.lease.mul_f64(1.0 + 2.0 * CLOCK_DRIFT);
@@ -257,12 +278,23 @@
     !live.begun && clock_ms > live.ordered_until_ms
 }
 
+/// Milliseconds for a log line, where the span is known.
+fn shown(span: Option<Duration>) -> String {
+    span.map_or_else(|| "unknown".to_owned(), |span| span.as_millis().to_string())
+}
+
+/// When a worker stopped answering, by its first look without an answer: where the connection broke, as
+/// it broke, and where nothing came back, when the look was sent.
+fn silent_since(fenced: bool, sent: Instant, now: Instant) -> Instant {
+    let timeout = if fenced { LOOK_WAIT + LOOK_TIMEOUT } else { LOOK_TIMEOUT };
+    if now.since(sent) < timeout { now } else { sent }
+}
+
 fn look(worker: &mut Worker, epoch: crate::cell::Epoch, may_grant: bool, now: Instant) -> Look {
     // A look that gets no answer may still extend the lease when it arrives; while a worker does
     // not answer, nothing is granted, so that the end of its lease stays known.
     let grants = may_grant && worker.missed == 0 && worker.fenced;
     let until_ms = if grants { worker.lease.grant(now) } else { None };
-    let wait =
-        if worker.fenced && worker.missed == 0 { LOOK_WAIT } else { std::time::Duration::ZERO };
+    let wait = if worker.fenced && worker.missed == 0 { LOOK_WAIT } else { Duration::ZERO };
     Look { epoch, recorded: worker.recorded, until_ms, wait }
 }
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -38,7 +38,12 @@
         }
         if let Some(worker) = self.workers.get_mut(&id) {
             if worker.missing_since.take().is_some() || worker.listed != listed {
-                log::info!("event=worker.changed worker={id} draining={}", listed.draining);
+                log::info!(
+                    "event=worker.changed worker={id} draining={} capacity={:?} used={:?}",
+                    listed.draining,
+                    listed.capacity.to_string(),
+                    worker.used.to_string()
+                );
                 self.dirty = true;
             }
             worker.listed = listed;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -64,6 +64,8 @@
     pub next_look: Instant,
     /// Looks in a row without an answer.
     pub missed: u32,
+    /// When it stopped answering looks, as early as the first unanswered look shows.
+    pub silent_since: Option<Instant>,
     /// Jobs whose tasks failed here since the last one that went well.
     pub failures: BTreeSet<super::job::Id>,
     /// Tasks on it that may be stopped for more urgent ones, as of the last look for such.
@@ -90,6 +92,7 @@
             looking: None,
             next_look: now,
             missed: 0,
+            silent_since: None,
             failures: BTreeSet::new(),
             yielding: Vec::new(),
             silence: Silence::default(),
