Reproduce a task that crashes each worker that starts it

Fails on the present code: a task under which eight workers crash one after the other is started eight times, as is a gang with such a member, and two suspects are started again beside each other. The two guards beside them (a job that only ran beside the crash, and a worker that announced its leave) pass already and hold the mend to account.

--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod askers;
+mod crash;
 mod histories;
 mod lease;
 mod left_behind;
