Give up a task under which workers crash as it begins

Cause: a try that ends with its worker is `lost`, and that says nothing against the task. Class: an outcome taken for the fault of the place alone, though what was put there may be the cause; the same holds for tries that end as failed, which have counted against both from the start.

Change: a try ends as crashed_at_start where its worker fell silent within half a second of it, as crashed where it was there longer or nobody knows, and as lost where the worker announced that it would leave, or may only be out of reach. A suspected task begins on a worker where no other job's task is beginning, the emptiest first, and none follows until it has settled, so that the next crash tells the cause from what was beside it. A task that lasts is suspected only by crashes at its start that come one after the other.

The guard on the settled task now cancels the crashing job before the crash in place of after it: afterwards that job held the only worker first, as it should.

Why it holds: the rule lets a task go on for two starts after three crashes; two crashes at the start, or four of unknown time, are fewer.

--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -286,6 +286,10 @@
     Void,
     /// Its worker is gone, and the try with it.
     Lost,
+    /// Its worker crashed while it was there.
+    Crashed,
+    /// Its worker crashed as it began, so that it may be the cause.
+    CrashedAtStart,
 }
 
 /// What callers are told of a job.
@@ -305,6 +309,11 @@
 }
 
 impl End {
+    /// Whether its worker told of it, so that the try surely began.
+    pub const fn is_told(self) -> bool {
+        !matches!(self, Self::Void | Self::Lost | Self::Crashed | Self::CrashedAtStart)
+    }
+
     /// Its name in metrics.
     pub const fn name(self) -> &'static str {
         match self {
@@ -316,6 +325,8 @@
             Self::Alone => "alone",
             Self::Void => "void",
             Self::Lost => "lost",
+            Self::Crashed => "crashed",
+            Self::CrashedAtStart => "crashed_at_start",
         }
     }
 }
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::Machine;
+use super::crash::Starting;
 use super::waiting::Waiting;
 use crate::cell::job::{Run, Step};
 use crate::cell::link::Listed;
@@ -23,6 +24,8 @@
     pub(super) serves: bool,
     /// Whether tasks there live on what others leave unused.
     pub(super) fills: bool,
+    /// What begins there, where a task is about that may crash its worker.
+    pub(super) starting: Starting,
 }
 
 /// All of them, by place and by name.
@@ -79,6 +82,11 @@
         !(step.fills && self.serves || step.serves() && self.fills)
     }
 
+    /// Whether the step's tasks may begin beside those that begin there.
+    pub(super) fn admits(&self, step: &Waiting) -> bool {
+        self.starting.admits(step.key.job, step.suspect)
+    }
+
     /// Tasks of the step that fit there now.
     pub(super) fn slots(&self, service: &str, step: &Step) -> f64 {
         self.slots_in(&self.room, service, step)
@@ -112,6 +120,7 @@
     pub(super) fn fields(&self, waiting: &[Waiting]) -> Fields {
         let shares = |step: &Waiting| step.model().fills || step.model().serves();
         let sharing = waiting.iter().any(shares);
+        let suspecting = waiting.iter().any(|step| step.suspect) || !self.suspects.is_empty();
         let open = self.workers.values().filter(|worker| worker.is_open(self.now));
         let all: Vec<Field> = open
             .map(|worker| Field {
@@ -123,6 +132,7 @@
                 serves: sharing && worker.runs.iter().any(|run| self.runs_as(run, Step::serves)),
                 fills: sharing
                     && worker.runs.iter().any(|run| self.runs_as(run, |step| step.fills)),
+                starting: if suspecting { self.starting(worker) } else { Starting::default() },
             })
             .collect();
         let places = all.iter().enumerate().map(|(at, field)| (field.id.clone(), at)).collect();
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -196,8 +196,10 @@
         self.tell_gone(&worker, reason);
         self.dead.insert(id.into());
         self.forget_tickets(id);
-        for run in worker.runs {
-            self.end_run(run, End::Lost, String::new());
+        for run in &worker.runs {
+            let Some(live) = self.runs.get(run) else { continue };
+            let end = self.end_with(&worker, live);
+            self.end_run(*run, end, String::new());
         }
     }
 
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -10,6 +10,7 @@
 mod backlog;
 mod calls;
 mod commit;
+mod crash;
 mod field;
 mod judgement;
 mod lack;
@@ -96,6 +97,8 @@
     hopeful: Hopeful,
     backlog: Backlog,
     failed_on: BTreeMap<StepKey, BTreeSet<WorkerId>>,
+    /// Tries of tasks under which a worker has crashed before.
+    suspects: BTreeSet<Run>,
     /// When a step may next look for tasks to stop.
     preempted: BTreeMap<StepKey, Instant>,
     askers: BTreeMap<SocketAddr, Asker>,
@@ -144,6 +147,7 @@
             hopeful: Hopeful::new(now),
             backlog: Backlog::new(now),
             failed_on: BTreeMap::new(),
+            suspects: BTreeSet::new(),
             preempted: BTreeMap::new(),
             askers: BTreeMap::new(),
             questions: BTreeMap::new(),
@@ -260,6 +264,9 @@
             self.state.live.iter().map(|(run, worker)| (*run, worker.clone())).collect();
         for (run, worker) in live {
             let demand = self.demand(&run);
+            if self.is_suspect(&run) {
+                self.suspects.insert(run);
+            }
             self.runs.insert(run, Live::new(worker, demand, Stage::Inherited, self.now));
         }
         let ended = |phase: Phase| phase.is_final();
@@ -311,6 +318,7 @@
     /// Records the end of a try and gives its room back.
     fn end_run(&mut self, run: Run, end: End, saved: String) {
         let Some(live) = self.runs.remove(&run) else { return };
+        self.suspects.remove(&run);
         if let Some(worker) = self.workers.get_mut(&live.worker) {
             worker.release(&run, &live.demand);
         }
@@ -351,10 +359,12 @@
         if model.gang {
             self.break_gang(&run);
         }
-        if end != End::Failed || self.may_try_again(&run) {
-            return;
-        }
-        log::warn!("event=job.failed job={} task={run} reason=attempts", key.job);
+        let reason = match end {
+            End::Failed if !self.may_try_again(&run) => "attempts",
+            End::Crashed | End::CrashedAtStart if self.is_given_up(&run) => "crashes",
+            _ => return,
+        };
+        log::warn!("event=job.failed job={} task={run} reason={reason}", key.job);
         self.record(Record::Failed { job: key.job });
         self.settle(key.job);
         self.stop_job(key.job);
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -80,7 +80,9 @@
             Some(_) => self.ticketed(&step.key, fields),
             None => (0..fields.len()).collect(),
         };
-        let fits = |field: &Field| field.suits(&step.queue.service, model) && field.is_quiet(model);
+        let fits = |field: &Field| {
+            field.suits(&step.queue.service, model) && field.is_quiet(model) && field.admits(step)
+        };
         let mut allowed: Vec<usize> =
             places.into_iter().filter(|&at| fits(fields.get(at))).collect();
         if let Some(rack) = &model.data_rack
@@ -161,6 +163,8 @@
                     let failed_cost = if before { FAILED_BEFORE } else { 0.0 };
                     let unanswering_cost = if field.unanswering { UNANSWERING } else { 0.0 };
                     let left = leftover(room, &demand, &field.listed.capacity);
+                    // A crash takes with it what runs beside the task.
+                    let left = if step.suspect { -left } else { left };
                     (left + failed_cost + unanswering_cost, at)
                 })
                 .min_by(|one, other| one.0.total_cmp(&other.0));
@@ -198,12 +202,16 @@
             field.room = field.room.saturating_sub(&demand);
             field.serves |= step.model().serves();
             field.fills |= step.model().fills;
+            field.starting.add(step.key.job, step.suspect);
             let run = Run { task: TaskKey { step: step.key, index }, number };
             if let Some(worker) = self.workers.get_mut(&field.id) {
                 worker.reserve(run, &demand);
             }
             let live = Live::new(field.id.clone(), demand, Stage::Recording, self.now);
             self.runs.insert(run, live);
+            if step.suspect {
+                self.suspects.insert(run);
+            }
             by_worker.entry(field.id.clone()).or_default().push(run);
             all.push(run);
         }
--- a/src/cell/machine/waiting.rs
+++ b/src/cell/machine/waiting.rs
@@ -27,6 +27,8 @@
     pub(super) queue: Rc<Queue>,
     pub(super) rank: Rank,
     pub(super) pending: Vec<u32>,
+    /// Whether a worker has crashed under one of these tasks before.
+    pub(super) suspect: bool,
 }
 
 impl Waiting {
@@ -125,7 +127,9 @@
                     self.rank(&entry.job, queue, &key, accepted)
                 };
                 let (job, queue) = (entry.job.clone(), queue.clone());
-                waiting.push(Waiting { key, job, queue, rank, pending });
+                let is_suspect = |index: &u32| step.tasks[*index as usize].suspicion.is_any();
+                let suspect = pending.iter().any(is_suspect);
+                waiting.push(Waiting { key, job, queue, rank, pending, suspect });
             }
         }
     }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -34,6 +34,7 @@
 pub mod record;
 pub mod silence;
 pub mod state;
+pub mod suspicion;
 pub mod ticket;
 pub mod timings;
 pub mod worker;
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -13,6 +13,7 @@
 use super::Epoch;
 use super::job::{End, Id, Job, Phase, Run, StepKey, TaskKey};
 use super::record::{Batch, Record, WorkerId};
+use super::suspicion::Suspicion;
 use crate::clock::Unix;
 
 /// The instance that owns the cell, as its claim says.
@@ -85,6 +86,8 @@
     pub live: u32,
     /// Tries that ended as failed.
     pub failures: u32,
+    /// What speaks for it being what crashes its workers.
+    pub suspicion: Suspicion,
     /// Latest progress that another try can go on from; empty for none.
     pub saved: String,
 }
@@ -305,10 +308,11 @@
         let Some(entry) = self.jobs.get_mut(&key.job) else { return };
         let Some(model) = entry.job.steps.get(key.step as usize) else { return };
         let (is_gang, lasting) = (model.gang, model.lasting);
-        entry.started |= !matches!(end, End::Void | End::Lost);
+        entry.started |= end.is_told();
         let Some(step) = entry.step(&key) else { return };
         let Some(task) = step.tasks.get_mut(run.task.index as usize) else { return };
         task.live = task.live.saturating_sub(1);
+        task.suspicion.note(end, lasting);
         if !saved.is_empty() && !is_gang {
             task.saved = saved;
         } else if !saved.is_empty() {
--- /dev/null
+++ b/src/cell/suspicion.rs
@@ -0,0 +1,53 @@
+//! How much speaks for a task being what crashes the workers that start it.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::job::End;
+
+/// What a crash adds that came as the task began there.
+const AT_START: u32 = 2;
+
+/// What a crash adds that came later: others that ran there are as suspect.
+const LATER: u32 = 1;
+
+/// From how much on the task is given up: after two crashes at its start, or up to four others. Each
+/// further one takes all that runs on one more worker with it.
+const PROVEN: u32 = 4;
+
+/// What speaks for a task being what crashes the workers that start it.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspicion(u32);
+
+impl Suspicion {
+    /// Notes how a try of the task ended. A task that lasts outlives many workers: what counts is only
+    /// that they crash at its start, time after time.
+    ///
+    /// ```
+    /// use oriolefork::cell::job::End;
+    /// use oriolefork::cell::suspicion::Suspicion;
+    /// let mut suspicion = Suspicion::default();
+    /// suspicion.note(End::CrashedAtStart, false);
+    /// assert!(suspicion.is_any() && !suspicion.is_proven());
+    /// suspicion.note(End::CrashedAtStart, false);
+    /// assert!(suspicion.is_proven());
+    /// ```
+    pub fn note(&mut self, end: End, lasting: bool) {
+        match end {
+            End::CrashedAtStart => self.0 = self.0.saturating_add(AT_START),
+            End::Crashed | End::Done | End::Failed if lasting => self.0 = 0,
+            End::Crashed => self.0 = self.0.saturating_add(LATER),
+            _ => {}
+        }
+    }
+
+    /// Whether anything speaks for it.
+    pub const fn is_any(self) -> bool {
+        self.0 > 0
+    }
+
+    /// Whether the task is to be given up.
+    pub const fn is_proven(self) -> bool {
+        self.0 >= PROVEN
+    }
+}
--- a/tests/logic/cell/crash.rs
+++ b/tests/logic/cell/crash.rs
@@ -134,8 +134,8 @@
         submit(&mut story, 10 + next as u64, 1, 1);
         let starts = take_starts(&mut story);
         assert_eq!(starts.len(), 1);
-        crash(&mut story, &starts, next);
         story.ask(20 + next as u64, Call::Cancel(id(10 + next as u64)));
+        crash(&mut story, &starts, next);
     }
     assert_ne!(story.phase(1), Some(Answer::Phase(Phase::Failed)));
 }
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -17,6 +17,7 @@
     worker_ms: 0,
     outages: false,
     resetting: 0,
+    crashers: false,
 };
 
 fn seeds() -> u64 {
@@ -39,7 +40,7 @@
 fn play(seed: u64, faults: Faults) -> World {
     let mut world = World::new(seed, 12, faults);
     for number in 0..60 {
-        world.submit(shape(seed * 1_000 + number), number % 11 == 10);
+        world.submit(shape(seed * 1_000 + number), number % 11 == 10, number % 13 == 12);
         world.run(150);
         if number == 30 && faults.takeover_ms > 0 {
             world.take_over();
@@ -74,6 +75,7 @@
         worker_ms: 1_000,
         outages: true,
         resetting: 0,
+        crashers: false,
     };
     "everything_at_once"
 )]
@@ -86,9 +88,11 @@
         worker_ms: 1_000,
         outages: true,
         resetting: 2,
+        crashers: false,
     };
     "everything_at_once_and_reset_orders"
 )]
+#[test_case(Faults { crashers: true, ..CALM }; "tasks_that_crash_workers")]
 fn history_keeps_promises(faults: Faults) {
     for seed in 1..=seeds() {
         let world = play(seed, faults);
--- a/tests/logic/cell/world/check.rs
+++ b/tests/logic/cell/world/check.rs
@@ -14,13 +14,18 @@
 /// Time after it in which orders may still leave.
 const CANCEL_SEEN_MS: u64 = 100;
 
+/// Crashes under one task after which it may be started twice more, and no third time.
+const MOST_CRASHES: u32 = 3;
+const FURTHER_STARTS: u32 = 3;
+
 impl World {
     /// Checks that every accepted job came to its end, and that nothing is left anywhere.
     pub fn check_end(&mut self) {
         let owner = self.owners.last().expect("an owner");
         for (id, watched) in self.jobs.iter().filter(|(_, watched)| watched.accepted) {
             let phase = owner.machine.state.jobs.get(id).map(|entry| entry.phase());
-            let expected = match (watched.cancel_asked, watched.fails) {
+            let ends_badly = watched.fails || watched.crashes;
+            let expected = match (watched.cancel_asked, ends_badly) {
                 (true, _) => phase.is_some_and(Phase::is_final),
                 (false, true) => phase == Some(Phase::Failed),
                 (false, false) => phase == Some(Phase::Completed),
@@ -76,6 +81,15 @@
                 state.step(&key)
             );
         }
+        if let Some((crashes, further)) = self.crashes.get_mut(&run.task)
+            && *crashes >= MOST_CRASHES
+        {
+            *further += 1;
+            assert!(
+                *further < FURTHER_STARTS,
+                "{now}: {run} starts again and again after {crashes} crashes"
+            );
+        }
         let failures = self.failures.get(&run.task).map_or(0, BTreeSet::len);
         assert!(
             failures < model::ATTEMPTS as usize,
--- a/tests/logic/cell/world/faults.rs
+++ b/tests/logic/cell/world/faults.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use oriolefork::cell::job::Run;
 use oriolefork::cell::link::Roster;
 use oriolefork::cell::machine::{Machine, Message};
 use oriolefork::cell::record::Batch;
@@ -21,6 +22,9 @@
 /// Mean time between two saves of the whole state, by all that take themselves for owners.
 const SAVE_REST_MS: u64 = 1_500;
 
+/// Time from a crash to the worker's next life.
+const RESTART_MS: std::ops::Range<u64> = 500..4_000;
+
 impl World {
     pub(super) fn draw_faults(&mut self) {
         let every = |span: u64| if span == 0 { 0.0 } else { STEP_MS as f64 / span as f64 };
@@ -45,19 +49,45 @@
         let number = self.rng.random_range(0..self.lives.len());
         let life = self.lives[&number];
         let current = name(number, life);
+        if self.down.contains(&current) {
+            return;
+        }
         if self.rng.random_bool(0.3) {
             // It crashes and comes back as another life at the same address.
             self.workers.remove(&current);
-            self.lives.insert(number, life + 1);
-            let offset = self.rng.random_range(0..1_000_000);
-            let upstream = Upstream::new(model::cores(16), offset);
-            self.workers.insert(name(number, life + 1), upstream);
-            self.tell_roster();
+            self.restart(number);
         } else if let Some(upstream) = self.workers.get_mut(&current) {
             upstream.reachable = !upstream.reachable;
         }
     }
 
+    /// Another life of a worker begins.
+    pub(super) fn restart(&mut self, number: usize) {
+        let life = self.lives[&number];
+        self.down.remove(&name(number, life));
+        self.lives.insert(number, life + 1);
+        let offset = self.rng.random_range(0..1_000_000);
+        let upstream = Upstream::new(model::cores(16), offset);
+        self.workers.insert(name(number, life + 1), upstream);
+        self.tell_roster();
+    }
+
+    /// A worker crashes under a task that it has just started, and is back seconds later.
+    pub(super) fn crash(&mut self, worker: String, run: Run) {
+        let runs =
+            self.workers.get(&worker).is_some_and(|upstream| upstream.runs.contains_key(&run));
+        if !runs {
+            return;
+        }
+        self.crashes.entry(run.task).or_default().0 += 1;
+        self.workers.remove(&worker);
+        let number = (0..self.lives.len()).find(|at| name(*at, self.lives[at]) == worker);
+        let number = number.expect("a worker's present life");
+        self.down.insert(worker);
+        let delay = self.rng.random_range(RESTART_MS);
+        self.schedule(delay, Event::Restart { number });
+    }
+
     pub(super) fn tell_roster(&mut self) {
         let present = self.lives.iter().map(|(number, life)| {
             let listed = model::listed(*number, model::cores(16));
--- a/tests/logic/cell/world/mod.rs
+++ b/tests/logic/cell/world/mod.rs
@@ -47,6 +47,8 @@
     pub outages: bool,
     /// Workers that reset all orders, to the end, and answer looks; held up orders reach them.
     pub resetting: usize,
+    /// Whether some jobs have a task that crashes each worker that starts it.
+    pub crashers: bool,
 }
 
 enum Order {
@@ -61,6 +63,8 @@
     Owner { owner: usize, message: Message },
     Finish { worker: String, run: Run },
     Alone { worker: String, run: Run },
+    Crash { worker: String, run: Run },
+    Restart { number: usize },
 }
 
 struct Owner {
@@ -76,6 +80,8 @@
     cancel_asked: bool,
     cancelled_at: Option<u64>,
     fails: bool,
+    /// Whether its first task crashes each worker that starts it.
+    crashes: bool,
 }
 
 pub struct World {
@@ -93,6 +99,8 @@
     saved: Option<Base>,
     workers: BTreeMap<String, Upstream>,
     lives: BTreeMap<usize, u32>,
+    /// Workers that have crashed and are not back yet.
+    down: BTreeSet<String>,
     events: BTreeMap<(u64, u64), Event>,
     serial: u64,
     jobs: BTreeMap<Id, Watched>,
@@ -102,6 +110,8 @@
     done: BTreeMap<TaskKey, u64>,
     /// Tries that ended as failed, as far as that is in the journal.
     failures: BTreeMap<TaskKey, BTreeSet<u32>>,
+    /// Crashes by task, and its starts after the third one.
+    crashes: BTreeMap<TaskKey, (u32, u32)>,
     pub starts: u64,
     pub takeovers: u64,
 }
@@ -131,6 +141,7 @@
             saved: None,
             workers: upstreams,
             lives,
+            down: BTreeSet::new(),
             events: BTreeMap::new(),
             serial: 0,
             jobs: BTreeMap::new(),
@@ -139,6 +150,7 @@
             done_noted: BTreeSet::new(),
             done: BTreeMap::new(),
             failures: BTreeMap::new(),
+            crashes: BTreeMap::new(),
             starts: 0,
             takeovers: 0,
         };
@@ -171,7 +183,7 @@
         }
     }
 
-    pub fn submit(&mut self, job: Job, fails: bool) {
+    pub fn submit(&mut self, job: Job, fails: bool, crashes: bool) {
         let id = job.id;
         let watched = Watched {
             job: job.clone(),
@@ -179,6 +191,7 @@
             cancel_asked: false,
             cancelled_at: None,
             fails,
+            crashes: crashes && self.faults.crashers,
         };
         self.jobs.insert(id, watched);
         self.ask(id, Call::Submit(job));
@@ -284,6 +297,8 @@
             }
             Event::Finish { worker, run } => self.finish(&worker, run),
             Event::Alone { worker, run } => self.alone(&worker, run),
+            Event::Crash { worker, run } => self.crash(worker, run),
+            Event::Restart { number } => self.restart(number),
         }
     }
 
--- a/tests/logic/cell/world/orders.rs
+++ b/tests/logic/cell/world/orders.rs
@@ -10,6 +10,9 @@
 use super::{Event, Order, World};
 use crate::cell::upstream::Upstream;
 
+/// Time from the start of a task that crashes its worker to the crash.
+const CRASH_MS: u64 = 10;
+
 impl World {
     pub(super) fn order(&mut self, owner: usize, worker: String, order: Order, delay: u64) {
         let sent = self.now;
@@ -40,6 +43,14 @@
         sent: u64,
         answered: bool,
     ) {
+        if self.down.contains(worker) {
+            if answered {
+                let refused = || Fault::NotSent("connection refused".to_owned());
+                let message = reply(worker, order, sent, Err(refused()), Err(refused()));
+                self.schedule(2, Event::Owner { owner, message });
+            }
+            return;
+        }
         let Some(upstream) = self.workers.get_mut(worker) else {
             if answered {
                 let message =
@@ -95,6 +106,9 @@
     pub(super) fn begin(&mut self, worker: &str, start: &Start) {
         let run = start.run;
         let model = &start.payload.steps[run.task.step.step as usize];
+        if self.jobs[&run.task.step.job].crashes && run.task.index == 0 {
+            return self.schedule(CRASH_MS, Event::Crash { worker: worker.to_owned(), run });
+        }
         let took = self.rng.random_range(50..800);
         if !model.gang {
             return self.schedule(took, Event::Finish { worker: worker.to_owned(), run });
