Stop the rest of a gang whose owner died before it could

A worker that ends the members of its gang by itself (`alone`, `broken`) hides this.

Change: what a new owner inherits of a gang's try that lacks members is stopped.

Why it holds: members of one try are placed in one batch or not started at all, and end as done together, so that an incomplete try can only wait.

--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -269,13 +269,12 @@
             }
             self.runs.insert(run, Live::new(worker, demand, Stage::Inherited, self.now));
         }
-        let ended = |phase: Phase| phase.is_final();
         let unwanted: Vec<Run> = self
             .runs
             .keys()
             .filter(|run| {
-                let entry = self.state.jobs.get(&run.task.step.job);
-                entry.is_none_or(|entry| ended(entry.phase()))
+                let phase = self.phase_of(run.task.step.job);
+                phase.is_none_or(Phase::is_final) || self.is_torn(run)
             })
             .copied()
             .collect();
@@ -286,6 +285,17 @@
         }
     }
 
+    /// Whether a try of a gang lacks members, which can only wait for each other.
+    ///
+    /// Guards against an owner that died between the end of one member and its orders to stop the
+    /// others: they ran on for as long as their leases were renewed.
+    fn is_torn(&self, run: &Run) -> bool {
+        let key = run.task.step;
+        let Some(model) = self.model(&key) else { return false };
+        let members = self.runs_of_step(key).filter(|(member, _)| member.number == run.number);
+        model.gang && members.count() < model.count as usize
+    }
+
     fn demand(&self, run: &Run) -> Amount {
         self.model(&run.task.step).map_or(Amount::ZERO, Step::room)
     }
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -93,6 +93,10 @@
     "everything_at_once_and_reset_orders"
 )]
 #[test_case(Faults { crashers: true, ..CALM }; "tasks_that_crash_workers")]
+#[test_case(
+    Faults { crashers: true, takeover_ms: 2_500, worker_ms: 1_000, late: 0.04, ..CALM };
+    "tasks_that_crash_workers_of_owners_killed"
+)]
 fn history_keeps_promises(faults: Faults) {
     for seed in 1..=seeds() {
         let world = play(seed, faults);
--- a/tests/logic/cell/left_behind.rs
+++ b/tests/logic/cell/left_behind.rs
@@ -1,7 +1,8 @@
 //! What earlier owners left on workers that no later one reaches.
 
 use oriolefork::cell::Epoch;
-use oriolefork::cell::job::{Run, Step, StepKey, TaskKey};
+use oriolefork::cell::job::{End, Run, Step, StepKey, TaskKey};
+use oriolefork::cell::machine::Message;
 use oriolefork::cell::record::{Batch, Record};
 use oriolefork::cell::state::State;
 use oriolefork::cell::timings::{AUTHORITY, LEASE};
@@ -14,13 +15,13 @@
 const GOES_ON_MS: u64 = 14_000;
 
 /// A gang of two, one of them on a worker that left while its cell changed hands.
-fn left_behind() -> (State, [Run; 2]) {
+fn left_behind(first: &str) -> (State, [Run; 2]) {
     let job = model::job(1, Step { gang: true, ..model::step(2, cores(1)) });
     let step = StepKey { job: id(1), occurrence: 0, step: 0 };
     let runs = [0, 1].map(|index| Run { task: TaskKey { step, index }, number: 1 });
     let placed = |worker: &str, run| Record::Placed { worker: worker.into(), runs: vec![run] };
     let accepted = Record::Accepted { at: Unix::from_millis(UNIX), job };
-    let records = vec![accepted, placed("w0", runs[0]), placed("gone", runs[1])];
+    let records = vec![accepted, placed(first, runs[0]), placed("gone", runs[1])];
     let mut state = State::default();
     state.apply_batch(model::claim(Epoch(1), Unix::from_millis(UNIX)));
     state.apply_batch(Batch { epoch: Epoch(1), at: Unix::from_millis(UNIX), records });
@@ -33,7 +34,7 @@
 /// until all that former owners could grant is over.
 #[test]
 fn gang_goes_on_without_a_worker_that_left() {
-    let (state, runs) = left_behind();
+    let (state, runs) = left_behind("w0");
     let mut story = Story::take_over(state, 3);
     let mut started = None;
     while started.is_none() && story.now < 2 * GOES_ON_MS {
@@ -49,11 +50,29 @@
     assert!(story.now <= GOES_ON_MS, "after {} ms", story.now);
 }
 
+/// Guards against the rest of a gang that runs on for as long as its lease is renewed: its owner died between
+/// the end of one member and the orders to stop the others.
+#[test]
+fn gang_without_a_member_is_stopped_by_the_next_owner() {
+    let (mut state, runs) = left_behind("w3");
+    let ended =
+        Record::Ended { run: runs[1], worker: "gone".into(), end: End::Lost, saved: String::new() };
+    let batch = |epoch, records| Batch { epoch, at: Unix::from_millis(UNIX), records };
+    state.apply_batch(batch(Epoch(2), vec![ended]));
+    state.apply_batch(model::claim(Epoch(3), Unix::from_millis(UNIX)));
+    let mut story = Story::take_over(state, 3);
+    story.tell(Message::Roster(model::roster(4, cores(8))));
+    story.pass(10);
+    story.report(3, &runs[..1], &[]);
+    story.pass(10);
+    assert_eq!(story.stops(), runs[..1]);
+}
+
 /// The same worker is only cut off, and the former owner, which is cut off from the store with it, goes on
 /// renewing its lease. Were the task given up at once, it would run twice.
 #[test]
 fn gang_waits_while_the_former_owner_may_grant() {
-    let (state, _) = left_behind();
+    let (state, _) = left_behind("w0");
     let mut story = Story::take_over(state, 3);
     let until = (AUTHORITY + LEASE).as_millis() as u64;
     while story.now < until {
