Reproduce orders that bring a worker over its shrunken room

A placement whose order waits for the store goes out after the room for it is gone, and so does the repeat of an order that had no answer.

--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -18,6 +18,7 @@
 #[path = "../../../benches/cell/replay.rs"]
 #[allow(dead_code)]
 mod replay;
+mod shrink;
 mod sizes;
 mod standstill;
 mod state;
