Keep orders back from a worker whose room has shrunk

Cause: room was looked at when a task was placed, not when its order left. An order that waits for the store, for a ticket or for its own repeat left for a worker that by then had less. Class: a check that holds for longer than what it checked; leases, tickets and the epoch are looked at as an order leaves already.

Change: an order leaves only while all that is reserved on its worker fits what the worker says it has. A task whose order never left goes elsewhere; one whose order had no answer is stopped there. Nobody is preempted on such a worker: the room that comes free is not there.

The test of the unanswered order now waits for one more step of the owner before it looks for the stops: they leave in the step after they are decided.

--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -28,7 +28,7 @@
 
     fn send_start(&mut self, run: Run) {
         let Some(start) = self.start_order(run) else {
-            // Its ticket has expired, or the worker is gone; nothing was sent.
+            // Its ticket has expired, its worker is gone or has no room any more; nothing was sent.
             return self.give_up_start(run);
         };
         let Some(live) = self.runs.get_mut(&run) else { return };
@@ -44,6 +44,9 @@
         let (epoch, now, may_grant) = (self.epoch, self.now, self.may_grant());
         let live = self.runs.get(&run)?;
         let worker = self.workers.get_mut(&live.worker)?;
+        if worker.is_overcommitted() {
+            return None;
+        }
         let key = run.task.step;
         let entry = self.state.jobs.get(&key.job)?;
         let model = entry.job.steps.get(key.step as usize)?;
--- a/src/cell/machine/preemption.rs
+++ b/src/cell/machine/preemption.rs
@@ -113,6 +113,8 @@
     ) -> impl Iterator<Item = &'a Yielding> + use<'a> {
         let priority = step.queue.priority;
         let worker = self.workers.get(&fields.get(at).id);
+        // Room that comes free where more is reserved than there is takes nothing in.
+        let worker = worker.filter(|worker| !worker.is_overcommitted());
         let yielding = worker.map(|worker| worker.yielding.iter());
         yielding.into_iter().flatten().filter(move |yielding| {
             let live = self.runs.get(&yielding.victim.run);
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -122,6 +122,11 @@
         self.listed.capacity.saturating_sub(&self.used)
     }
 
+    /// Whether more is reserved than it has, since its room has shrunk.
+    pub fn is_overcommitted(&self) -> bool {
+        !self.used.fits(&self.listed.capacity)
+    }
+
     /// Reserves room for a try.
     pub fn reserve(&mut self, run: Run, demand: &Amount) {
         if self.runs.insert(run) {
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -18,6 +18,7 @@
     outages: false,
     resetting: 0,
     crashers: false,
+    resize_ms: 0,
 };
 
 fn seeds() -> u64 {
@@ -76,6 +77,7 @@
         outages: true,
         resetting: 0,
         crashers: false,
+        resize_ms: 0,
     };
     "everything_at_once"
 )]
@@ -89,6 +91,7 @@
         outages: true,
         resetting: 2,
         crashers: false,
+        resize_ms: 0,
     };
     "everything_at_once_and_reset_orders"
 )]
@@ -97,6 +100,11 @@
     Faults { crashers: true, takeover_ms: 2_500, worker_ms: 1_000, late: 0.04, ..CALM };
     "tasks_that_crash_workers_of_owners_killed"
 )]
+#[test_case(Faults { resize_ms: 400, outages: true, ..CALM }; "workers_that_shrink")]
+#[test_case(
+    Faults { resize_ms: 400, outages: true, takeover_ms: 2_500, worker_ms: 1_000, ..CALM };
+    "workers_that_shrink_of_owners_killed"
+)]
 fn history_keeps_promises(faults: Faults) {
     for seed in 1..=seeds() {
         let world = play(seed, faults);
--- a/tests/logic/cell/shrink.rs
+++ b/tests/logic/cell/shrink.rs
@@ -53,6 +53,7 @@
     }
     story.pass(50);
     assert_eq!(ordered(&story.starts()), 0, "nothing is sent again");
+    story.pass(10);
     assert_eq!(story.stops().len(), 4);
 }
 
--- a/tests/logic/cell/upstream.rs
+++ b/tests/logic/cell/upstream.rs
@@ -14,6 +14,10 @@
 /// Longest lease that is granted, in milliseconds.
 const LEASE_CAP_MS: u64 = 10_000;
 
+/// Time for which the room before still counts once a worker has shrunk: a machine's contact with the
+/// platform and one heartbeat.
+const SHRUNK_MS: u64 = 4_500;
+
 /// One life of a worker.
 pub struct Upstream {
     pub capacity: Amount,
@@ -30,6 +34,8 @@
     forgotten: u64,
     /// Highest try of each task that ended or was stopped here.
     over: BTreeMap<TaskKey, u32>,
+    /// What it had before it shrank, and until when that still counts.
+    shrunk: Vec<(Amount, u64)>,
 }
 
 impl Upstream {
@@ -46,6 +52,7 @@
             last_number: 0,
             forgotten: 0,
             over: BTreeMap::new(),
+            shrunk: Vec::new(),
         }
     }
 
@@ -53,6 +60,18 @@
         self.offset_ms + (now as f64 * SLOW) as u64
     }
 
+    pub fn resize(&mut self, capacity: Amount, now: u64) {
+        self.shrunk.retain(|(_, until)| *until > now);
+        self.shrunk.push((self.capacity, now + SHRUNK_MS));
+        self.capacity = capacity;
+    }
+
+    /// What a start may bring it to: the largest of what it has and had lately.
+    pub fn granted(&self, now: u64) -> Amount {
+        let lately = self.shrunk.iter().filter(|(_, until)| *until > now).map(|(room, _)| *room);
+        lately.fold(self.capacity, |most, room| if most.fits(&room) { room } else { most })
+    }
+
     pub fn used(&self) -> Amount {
         self.runs.values().fold(Amount::ZERO, |sum, demand| Amount {
             cpu_millis: sum.cpu_millis + demand.cpu_millis,
--- a/tests/logic/cell/world/mod.rs
+++ b/tests/logic/cell/world/mod.rs
@@ -49,6 +49,8 @@
     pub resetting: usize,
     /// Whether some jobs have a task that crashes each worker that starts it.
     pub crashers: bool,
+    /// Milliseconds between two changes of what a worker has; zero for none.
+    pub resize_ms: u64,
 }
 
 enum Order {
