Tell in the log when a worker's present life began

The log could not tell that a worker has started again under the name that it had. worker.listed and worker.changed now carry the time at which its present life began, where the worker tells it. No decision changes.

--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -35,6 +35,8 @@
     pub draining: bool,
     /// Time that is left at least, while it drains, in milliseconds.
     pub remaining_ms: Option<u64>,
+    /// When this life of it began, on its wall clock in milliseconds, where it says so.
+    pub born: Option<u64>,
 }
 
 /// One look at a worker, which renews the lease of all that runs there.
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -39,7 +39,8 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             if worker.missing_since.take().is_some() || worker.listed != listed {
                 log::info!(
-                    "event=worker.changed worker={id} draining={} capacity={:?} used={:?}",
+                    "event=worker.changed worker={id} born={:?} draining={} capacity={:?} used={:?}",
+                    listed.born,
                     listed.draining,
                     listed.capacity.to_string(),
                     worker.used.to_string()
@@ -50,7 +51,8 @@
             return false;
         }
         log::info!(
-            "event=worker.listed worker={id} address={} domain={} labels={} draining={}",
+            "event=worker.listed worker={id} born={:?} address={} domain={} labels={} draining={}",
+            listed.born,
             listed.address,
             crate::logging::value(&listed.domain),
             crate::logging::value(&listed.labels.join(",")),
--- a/tests/logic/cell/model.rs
+++ b/tests/logic/cell/model.rs
@@ -69,6 +69,7 @@
         capacity,
         draining: false,
         remaining_ms: None,
+        born: None,
     }
 }
 
