--- a/tests/logic/cell/left_behind.rs
+++ b/tests/logic/cell/left_behind.rs
@@ -1,19 +1,25 @@
 //! What earlier owners left on workers that no later one reaches.
 
+use std::rc::Rc;
+
 use oriolefork::cell::Epoch;
 use oriolefork::cell::job::{End, Run, Step, StepKey, TaskKey};
-use oriolefork::cell::machine::Message;
+use oriolefork::cell::link::{Report, Roster};
+use oriolefork::cell::machine::{Call, Message};
 use oriolefork::cell::record::{Batch, Record};
 use oriolefork::cell::state::State;
 use oriolefork::cell::timings::{AUTHORITY, LEASE};
-use oriolefork::clock::Unix;
+use oriolefork::clock::{Instant, Unix};
 
 use super::model::{self, cores, id};
-use super::story::{Story, UNIX};
+use super::story::{Story, UNIX, WORKER_CLOCK};
 
 /// Time within which a job has to go on beside free workers once its site is calm, in milliseconds.
 const GOES_ON_MS: u64 = 14_000;
 
+/// The same once a worker has answered in another life, in milliseconds.
+const NEXT_LIFE_MS: u64 = 1_000;
+
 /// A gang of two, one of them on a worker that left while its cell changed hands.
 fn left_behind(first: &str) -> (State, [Run; 2]) {
     let job = model::job(1, Step { gang: true, ..model::step(2, cores(1)) });
@@ -68,6 +74,45 @@
     assert_eq!(story.stops(), runs[..1]);
 }
 
+/// Guards against waiting for leases of a life that is over: its worker answers in its next one, under the
+/// name that it had.
+#[test]
+fn gang_goes_on_once_the_next_life_of_its_worker_answers() {
+    let (state, _) = left_behind("w0@1");
+    let mut story = Story::take_over(state, 3);
+    let present = ["gone@2", "w0@2"].map(|name| (name.into(), Rc::new(model::listed(5, cores(8)))));
+    story.tell(Message::Roster(Roster { present: present.into(), ..Roster::default() }));
+    while story.starts().is_empty() {
+        assert!(story.now < NEXT_LIFE_MS, "it still waits");
+        for worker in ["gone@2", "w0@2"] {
+            let report = Report { clock_ms: WORKER_CLOCK + story.now, ..Report::default() };
+            let sent = Instant::from_millis(story.now);
+            let outcome = Ok(report);
+            story.tell(Message::Looked { worker: worker.into(), sent, outcome });
+        }
+        story.pass(100);
+        story.store_all();
+    }
+}
+
+/// Guards against a worker that left the list and goes on getting tasks, since the list names it without
+/// its life.
+#[test]
+fn worker_that_is_gone_from_the_list_gets_nothing_new() {
+    let mut story = Story::begin(0);
+    let listed = Rc::new(model::listed(5, cores(8)));
+    let present = vec![("w5@1".into(), listed)];
+    story.tell(Message::Roster(Roster { present, ..Roster::default() }));
+    let report = Report { clock_ms: WORKER_CLOCK, ..Report::default() };
+    let sent = Instant::from_millis(story.now);
+    story.tell(Message::Looked { worker: "w5@1".into(), sent, outcome: Ok(report) });
+    story.tell(Message::Roster(Roster { gone: vec!["w5".into()], ..Roster::default() }));
+    story.ask(1, Call::Submit(model::job(1, model::step(1, cores(1)))));
+    story.store_all();
+    story.pass(100);
+    assert_eq!(story.starts().len(), 0);
+}
+
 /// The same worker is only cut off, and the former owner, which is cut off from the store with it, goes on
 /// renewing its lease. Were the task given up at once, it would run twice.
 #[test]
