Suspect a task of a crash only if it is known to have begun there

The trace: its worker crashed under one of its tasks; the next worker was cut off as the order left, and crashed behind the cut; the third likewise. Two of these were held against the task as crashes at its start, though nobody knows whether it had begun there.

Change: a crash counts in full only against tasks whose worker has said that they began, and half where that may have been said to an earlier owner or the order may have arrived as the worker fell silent. What was ordered to a silent worker is lost, without blame.

Jobs with a task that crashes its workers must still fail.

--- a/src/cell/machine/crash.rs
+++ b/src/cell/machine/crash.rs
@@ -62,10 +62,12 @@
             End::Void
         } else if worker.listed.draining {
             End::Lost
-        } else if live.began_just_before(worker.silent_since) {
-            End::CrashedAtStart
         } else {
-            End::Crashed
+            match (live.has_begun(), live.came_just_before(worker.silent_since)) {
+                (Some(true), true) => End::CrashedAtStart,
+                (Some(false), false) => End::Lost,
+                _ => End::Crashed,
+            }
         }
     }
 
@@ -89,9 +91,14 @@
         matches!(self.stage, Stage::Recording | Stage::Starting { .. }) && self.tries == 0
     }
 
-    /// Whether its worker fell silent as it began.
-    fn began_just_before(&self, silent_since: Option<Instant>) -> bool {
-        let began = self.tries > 0 || self.begun;
-        began && silent_since.is_some_and(|silent| self.since.after(STARTUP) >= silent)
+    /// Whether its worker has said that it began; `None` where that may have been said to an earlier
+    /// owner.
+    fn has_begun(&self) -> Option<bool> {
+        (self.stage != Stage::Inherited).then_some(self.begun)
+    }
+
+    /// Whether its worker fell silent as it began, or was to begin.
+    fn came_just_before(&self, silent_since: Option<Instant>) -> bool {
+        silent_since.is_some_and(|silent| self.since.after(STARTUP) >= silent)
     }
 }
--- a/tests/logic/cell/world/check.rs
+++ b/tests/logic/cell/world/check.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use oriolefork::cell::job::{Phase, StepKey, TaskKey};
+use oriolefork::cell::job::{Id, Phase, StepKey, TaskKey};
 use oriolefork::cell::link::Start;
 
 use super::World;
@@ -18,6 +18,9 @@
 const MOST_CRASHES: u32 = 3;
 const FURTHER_STARTS: u32 = 3;
 
+/// Workers that must have crashed under a task before it may be given up.
+const GIVEN_UP_AFTER: u32 = 2;
+
 impl World {
     /// Checks that every accepted job came to its end, and that nothing is left anywhere.
     pub fn check_end(&mut self) {
@@ -28,6 +31,7 @@
             let expected = match (watched.cancel_asked, ends_badly) {
                 (true, _) => phase.is_some_and(Phase::is_final),
                 (false, true) => phase == Some(Phase::Failed),
+                (false, false) if phase == Some(Phase::Failed) => self.may_be_given_up(*id),
                 (false, false) => phase == Some(Phase::Completed),
             };
             let tries: Vec<_> =
@@ -44,6 +48,12 @@
         }
     }
 
+    /// Whether workers have crashed under a task of the job often enough for it to be given up.
+    fn may_be_given_up(&self, job: Id) -> bool {
+        let of_job = |task: &TaskKey| task.step.job == job;
+        self.crashed_under.iter().any(|(task, crashes)| of_job(task) && *crashes >= GIVEN_UP_AFTER)
+    }
+
     /// The promises that hold at every start, of an order that left its owner at `sent`.
     pub(super) fn check_start(&mut self, worker: &str, start: &Start, sent: u64) {
         self.starts += 1;
--- a/tests/logic/cell/world/mod.rs
+++ b/tests/logic/cell/world/mod.rs
@@ -114,6 +114,8 @@
     failures: BTreeMap<TaskKey, BTreeSet<u32>>,
     /// Crashes by task, and its starts after the third one.
     crashes: BTreeMap<TaskKey, (u32, u32)>,
+    /// Workers that crashed while a task was there, by task.
+    crashed_under: BTreeMap<TaskKey, u32>,
     pub starts: u64,
     pub takeovers: u64,
 }
@@ -153,6 +155,7 @@
             done: BTreeMap::new(),
             failures: BTreeMap::new(),
             crashes: BTreeMap::new(),
+            crashed_under: BTreeMap::new(),
             starts: 0,
             takeovers: 0,
         };
