Know each life of a worker apart, and let each connection lead to one

Cause: workers start again under the name that they had, and a name was all that told one life from the next. The new life counts its ends from one, and the owner passed over all up to the last number of the former life, and told the worker to forget them unread. A try that was then neither listed as running nor as ended counted as lost and was run again, until as many ends had come as before; a step whose tasks end so over and over stands still (LOST). The same holds for the lease, whose end lay on the former clock, and for orders on their way, which the next life would have carried out. Class: state that belongs to one incarnation, kept under a name that outlives it.

Change: a worker's name within the product is that of one life, its entry in the list and its start. An answer to an order does not tell which life gave it, and a report must not reach the next life with the former one's count of ends; so each connection begins with an empty look that tells the life, carries only what is meant for that life, and ends with it. Once a worker answers in another life, what earlier owners left in its former ones is over (12.6 s before). An entry that lacks its life, where others tell theirs, names no worker.

The same class elsewhere: instances have an incarnation of their own since the start, and the store fences owners by epoch.

--- a/benches/cell/replay.rs
+++ b/benches/cell/replay.rs
@@ -450,7 +450,6 @@
                 capacity: worker.capacity,
                 draining: false,
                 remaining_ms: None,
-                born: None,
             };
             (id.clone(), Rc::new(listed))
         };
--- /dev/null
+++ b/src/cell/life.rs
@@ -0,0 +1,47 @@
+//! Names of the lives of workers.
+//!
+//! A worker may start again under the name under which it stands in the platform's list; it then knows
+//! nothing of before and counts anew. What is placed on a worker, and what is known of it, is bound to one
+//! life, whose name therefore holds its start.
+
+use super::record::WorkerId;
+
+/// Stands between the two parts of a life's name.
+const SEPARATOR: char = '@';
+
+/// One life of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Life<'a> {
+    /// Name under which the worker stands in the list.
+    pub entry: &'a str,
+    /// When this life began, on the worker's wall clock in milliseconds; `None` where workers have
+    /// another name in each life.
+    pub born: Option<u64>,
+}
+
+impl<'a> Life<'a> {
+    /// The life of that name.
+    ///
+    /// ```
+    /// use oriolefork::cell::life::Life;
+    /// let life = Life { entry: "i-7f3a", born: Some(1_700_000_000_000) };
+    /// assert_eq!(Life::of(&life.name()), life);
+    /// assert_eq!(Life::of("i-7f3a"), Life { entry: "i-7f3a", born: None });
+    /// ```
+    pub fn of(name: &'a str) -> Self {
+        let parts = name.rsplit_once(SEPARATOR);
+        let told = parts.and_then(|(entry, born)| Some((entry, born.parse().ok()?)));
+        match told {
+            Some((entry, born)) => Self { entry, born: Some(born) },
+            None => Self { entry: name, born: None },
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> WorkerId {
+        match self.born {
+            Some(born) => format!("{}{SEPARATOR}{born}", self.entry).into(),
+            None => self.entry.into(),
+        }
+    }
+}
--- a/src/cell/link.rs
+++ b/src/cell/link.rs
@@ -35,8 +35,6 @@
     pub draining: bool,
     /// Time that is left at least, while it drains, in milliseconds.
     pub remaining_ms: Option<u64>,
-    /// When this life of it began, on its wall clock in milliseconds, where it says so.
-    pub born: Option<u64>,
 }
 
 /// One look at a worker, which renews the lease of all that runs there.
@@ -301,8 +299,8 @@
 pub struct Roster {
     /// Workers that appeared or changed.
     pub present: Vec<(WorkerId, Rc<Listed>)>,
-    /// Workers that are gone from the list.
-    pub gone: Vec<WorkerId>,
+    /// Names, as in the list, of workers that are gone from it.
+    pub gone: Vec<Rc<str>>,
     /// Whether `present` is the whole list.
     pub whole: bool,
 }
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -6,6 +6,7 @@
 use super::commit::Deferred;
 use super::{Effect, Live, Machine, Stage};
 use crate::cell::job::{End, Run};
+use crate::cell::life::Life;
 use crate::cell::link::{Ended, Fault, Look, Report, Running};
 use crate::cell::record::WorkerId;
 use crate::cell::timings::{
@@ -60,6 +61,7 @@
         worker.looking = None;
         match outcome {
             Ok(report) => {
+                let first = !worker.fenced;
                 if worker.missed > 0 || !worker.fenced {
                     log::info!("event=worker.reached worker={id} missed={}", worker.missed);
                     self.dirty = true;
@@ -69,6 +71,9 @@
                 worker.fenced = true;
                 worker.lease.read(report.clock_ms, now);
                 worker.next_look = now;
+                if first {
+                    self.end_former_lives(id);
+                }
                 self.take_report(id, sent, report);
             }
             Err(fault) => self.missed_look(id, sent, &fault),
@@ -221,6 +226,22 @@
         );
     }
 
+    /// Ends what an earlier owner left in former lives of a worker that has answered in another one.
+    fn end_former_lives(&mut self, id: &str) {
+        let life = Life::of(id);
+        if life.born.is_none() {
+            return;
+        }
+        let former = |live: &Live| {
+            Life::of(&live.worker).entry == life.entry && !self.workers.contains_key(&live.worker)
+        };
+        let over = self.runs.iter().filter(|(_, live)| former(live)).map(|(run, _)| *run);
+        let over: Vec<Run> = over.collect();
+        for run in over {
+            self.end_run(run, End::Crashed, String::new());
+        }
+    }
+
     /// Gives up what runs on workers whose leases have surely run out.
     pub(super) fn give_up_lapsed(&mut self) {
         let lease = self.timings.lease.mul_f64(1.0 + 2.0 * CLOCK_DRIFT);
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::Machine;
+use crate::cell::life::Life;
 use crate::cell::link::{Listed, Roster};
 use crate::cell::queue::Table;
 use crate::cell::record::WorkerId;
@@ -25,9 +26,11 @@
         if any_new {
             self.reserve_inherited();
         }
-        for id in roster.gone {
-            self.miss(&id);
-            self.dead.remove(&id);
+        for entry in roster.gone {
+            let lives = self.workers.keys().filter(|id| Life::of(id).entry == &*entry);
+            let lives: Vec<WorkerId> = lives.cloned().collect();
+            lives.iter().for_each(|id| self.miss(id));
+            self.dead.retain(|id| Life::of(id).entry != &*entry);
         }
     }
 
@@ -39,8 +42,7 @@
         if let Some(worker) = self.workers.get_mut(&id) {
             if worker.missing_since.take().is_some() || worker.listed != listed {
                 log::info!(
-                    "event=worker.changed worker={id} born={:?} draining={} capacity={:?} used={:?}",
-                    listed.born,
+                    "event=worker.changed worker={id} draining={} capacity={:?} used={:?}",
                     listed.draining,
                     listed.capacity.to_string(),
                     worker.used.to_string()
@@ -51,8 +53,7 @@
             return false;
         }
         log::info!(
-            "event=worker.listed worker={id} born={:?} address={} domain={} labels={} draining={}",
-            listed.born,
+            "event=worker.listed worker={id} address={} domain={} labels={} draining={}",
             listed.address,
             crate::logging::value(&listed.domain),
             crate::logging::value(&listed.labels.join(",")),
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -22,6 +22,7 @@
 pub mod front;
 pub mod job;
 pub mod lease;
+pub mod life;
 pub mod link;
 pub mod machine;
 pub mod node;
--- a/src/cell/record.rs
+++ b/src/cell/record.rs
@@ -9,7 +9,7 @@
 use super::job::{End, Id, Job, Run};
 use crate::clock::Unix;
 
-/// Name of a worker: one life of it, as the platform's list names it.
+/// Name of one life of a worker, see [`super::life`].
 pub type WorkerId = Rc<str>;
 
 /// What one append carries.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -48,16 +48,41 @@
     pub async fn send(
         &self,
         peer: SocketAddr,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        self.deliver(peer, None, request, timeout).await
+    }
+
+    /// Sends `request` as [`Client::send`] does, on a connection whose other end has been made sure of.
+    ///
+    /// # Errors
+    /// Likewise; [`Step::Greet`] where the peer was not found to be the one that is wanted.
+    pub async fn send_to(
+        &self,
+        peer: SocketAddr,
+        greeting: Greeting<'_>,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        self.deliver(peer, Some(greeting), request, timeout).await
+    }
+
+    async fn deliver(
+        &self,
+        peer: SocketAddr,
+        greeting: Option<Greeting<'_>>,
         mut request: Request,
         timeout: Duration,
     ) -> Result<Response, Error> {
         let deadline = Instant::now() + timeout;
         prepare(&mut request, peer);
+        let identity = greeting.as_ref().map(|greeting| greeting.identity);
         let pool = self.pools.of(peer);
         let Some(_permit) = before(deadline, pool.permits().take()).await else {
             return Err(unsent(Step::Timeout, peer, "no free connection in time"));
         };
-        if let Some(connection) = pool.take(self.pools.max_rest()) {
+        if let Some(connection) = pool.take(self.pools.max_rest(), identity) {
             let result = self.exchange(&pool, connection, peer, &request, deadline).await;
             match result {
                 // The peer closed the resting connection and the system took nothing for it.
@@ -65,11 +90,38 @@
                 result => return result,
             }
         }
-        let connection = open(peer, deadline).await?;
+        let mut connection = open(peer, deadline).await?;
         pool.note_opened(peer);
+        if let Some(greeting) = greeting {
+            self.greet(&mut connection, peer, greeting, deadline).await?;
+        }
         self.exchange(&pool, connection, peer, &request, deadline).await
     }
 
+    /// Makes sure of the peer on a new connection, before the request.
+    async fn greet(
+        &self,
+        connection: &mut Connection,
+        peer: SocketAddr,
+        greeting: Greeting<'_>,
+        deadline: Instant,
+    ) -> Result<(), Error> {
+        let Greeting { identity, mut request, accept } = greeting;
+        prepare(&mut request, peer);
+        connection.begin();
+        let answer = match before(deadline, converse(connection, &request, &self.limits)).await {
+            Some(Ok(answer)) => answer,
+            Some(Err(failure)) => return Err(unsent(Step::Greet, peer, failure.cause)),
+            None => return Err(unsent(Step::Timeout, peer, "no answer to the greeting in time")),
+        };
+        accept(&answer.response).map_err(|cause| unsent(Step::Greet, peer, cause))?;
+        if !answer.reusable {
+            return Err(unsent(Step::Greet, peer, "the peer closes after the greeting"));
+        }
+        connection.identify(identity);
+        Ok(())
+    }
+
     async fn exchange(
         &self,
         pool: &Pool,
@@ -98,6 +150,19 @@
     }
 }
 
+/// What is asked on each new connection before it carries a request.
+///
+/// Guards against a request that reaches the successor of the process that it is meant for, at the same
+/// address: a connection leads to one process as long as it lives, so that asking once is enough.
+pub struct Greeting<'a> {
+    /// Who is wanted. Connections on which somebody else was found are not used.
+    pub identity: &'a str,
+    /// What to ask.
+    pub request: Request,
+    /// Says from the answer why the peer is not the one that is wanted.
+    pub accept: &'a dyn Fn(&Response) -> Result<(), String>,
+}
+
 /// What went wrong on one connection, before peer and progress are known.
 struct Failure {
     step: Step,
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -10,6 +10,9 @@
     /// Opening a connection.
     #[display("connect")]
     Connect,
+    /// Making sure of a peer's identity on a new connection.
+    #[display("greet")]
+    Greet,
     /// Writing the request.
     #[display("send")]
     Send,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -21,7 +21,7 @@
 mod pools;
 mod server;
 
-pub use client::Client;
+pub use client::{Client, Greeting};
 pub use error::{Error, Step};
 pub use server::Server;
 
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -41,6 +41,8 @@
     rested: Instant,
     /// Whether it has not carried an answer yet.
     fresh: bool,
+    /// Who has been found at its other end, where that was asked.
+    identity: Option<Rc<str>>,
 }
 
 /// An answer, and whether the connection may carry another request.
@@ -66,6 +68,7 @@
             written,
             rested: Instant::now(),
             fresh: true,
+            identity: None,
         }
     }
 
@@ -79,6 +82,11 @@
         self.fresh
     }
 
+    /// Notes who has been found at its other end.
+    pub(super) fn identify(&mut self, identity: &str) {
+        self.identity = Some(identity.into());
+    }
+
     /// Forgets the bytes of the request before.
     pub(super) fn begin(&mut self) {
         self.written.set(0);
@@ -181,10 +189,12 @@
         &self.permits
     }
 
-    /// Takes the connection that was used last, when it is young and quiet.
-    pub(super) fn take(&self, max_rest: Duration) -> Option<Connection> {
+    /// Takes the connection to a peer of that identity that was used last, when it is young and quiet.
+    pub(super) fn take(&self, max_rest: Duration, identity: Option<&str>) -> Option<Connection> {
         let mut resting = self.resting.borrow_mut();
-        while let Some(mut connection) = resting.pop() {
+        let suits = |connection: &Connection| connection.identity.as_deref() == identity;
+        while let Some(at) = resting.iter().rposition(suits) {
+            let mut connection = resting.remove(at);
             if connection.rested.elapsed() < max_rest && connection.is_quiet() {
                 return Some(connection);
             }
--- a/tests/logic/cell/left_behind.rs
+++ b/tests/logic/cell/left_behind.rs
@@ -5,7 +5,7 @@
 use oriolefork::cell::Epoch;
 use oriolefork::cell::job::{End, Run, Step, StepKey, TaskKey};
 use oriolefork::cell::link::{Report, Roster};
-use oriolefork::cell::machine::{Call, Message};
+use oriolefork::cell::machine::{Call, Effect, Message};
 use oriolefork::cell::record::{Batch, Record};
 use oriolefork::cell::state::State;
 use oriolefork::cell::timings::{AUTHORITY, LEASE};
@@ -82,7 +82,7 @@
     let mut story = Story::take_over(state, 3);
     let present = ["gone@2", "w0@2"].map(|name| (name.into(), Rc::new(model::listed(5, cores(8)))));
     story.tell(Message::Roster(Roster { present: present.into(), ..Roster::default() }));
-    while story.starts().is_empty() {
+    while !story.effects.iter().any(|effect| matches!(effect, Effect::Start { .. })) {
         assert!(story.now < NEXT_LIFE_MS, "it still waits");
         for worker in ["gone@2", "w0@2"] {
             let report = Report { clock_ms: WORKER_CLOCK + story.now, ..Report::default() };
--- a/tests/logic/cell/model.rs
+++ b/tests/logic/cell/model.rs
@@ -69,7 +69,6 @@
         capacity,
         draining: false,
         remaining_ms: None,
-        born: None,
     }
 }
 
--- a/tests/logic/cell/world/mod.rs
+++ b/tests/logic/cell/world/mod.rs
@@ -366,6 +366,8 @@
     }
 }
 
+/// Name of a worker's life: every other worker starts again under the name that it had.
 fn name(number: usize, life: u32) -> String {
-    format!("w{number}-{life}")
+    let separator = if number.is_multiple_of(2) { '-' } else { '@' };
+    format!("w{number}{separator}{life}")
 }
