Let tasks begin together that settled before their worker crashed

Found by reading: a task has something against it after any crash of its worker, and began apart from all others from then on. Where a third of the workers crash at once, some hundred tasks would have begun one by one, each on a worker that took nothing else for half a second.

Change: a task begins apart only after a crash at its start, or two others.

--- a/src/cell/machine/crash.rs
+++ b/src/cell/machine/crash.rs
@@ -51,9 +51,9 @@
         starting
     }
 
-    /// Whether a worker has crashed under the task before.
+    /// Whether the task may be what crashes its workers.
     pub(super) fn is_suspect(&self, run: &Run) -> bool {
-        self.state.task(&run.task).is_some_and(|task| task.suspicion.is_any())
+        self.state.task(&run.task).is_some_and(|task| task.suspicion.is_strong())
     }
 
     /// How a try ends whose worker's life is over.
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -97,7 +97,7 @@
     hopeful: Hopeful,
     backlog: Backlog,
     failed_on: BTreeMap<StepKey, BTreeSet<WorkerId>>,
-    /// Tries of tasks under which a worker has crashed before.
+    /// Tries of tasks that may be what crashes their workers.
     suspects: BTreeSet<Run>,
     /// When a step may next look for tasks to stop.
     preempted: BTreeMap<StepKey, Instant>,
--- a/src/cell/machine/waiting.rs
+++ b/src/cell/machine/waiting.rs
@@ -27,7 +27,7 @@
     pub(super) queue: Rc<Queue>,
     pub(super) rank: Rank,
     pub(super) pending: Vec<u32>,
-    /// Whether a worker has crashed under one of these tasks before.
+    /// Whether one of these tasks may be what crashes its workers.
     pub(super) suspect: bool,
 }
 
@@ -127,7 +127,7 @@
                     self.rank(&entry.job, queue, &key, accepted)
                 };
                 let (job, queue) = (entry.job.clone(), queue.clone());
-                let is_suspect = |index: &u32| step.tasks[*index as usize].suspicion.is_any();
+                let is_suspect = |index: &u32| step.tasks[*index as usize].suspicion.is_strong();
                 let suspect = pending.iter().any(is_suspect);
                 waiting.push(Waiting { key, job, queue, rank, pending, suspect });
             }
--- a/src/cell/suspicion.rs
+++ b/src/cell/suspicion.rs
@@ -28,7 +28,7 @@
     /// use oriolefork::cell::suspicion::Suspicion;
     /// let mut suspicion = Suspicion::default();
     /// suspicion.note(End::CrashedAtStart, false);
-    /// assert!(suspicion.is_any() && !suspicion.is_proven());
+    /// assert!(suspicion.is_strong() && !suspicion.is_proven());
     /// suspicion.note(End::CrashedAtStart, false);
     /// assert!(suspicion.is_proven());
     /// ```
@@ -41,9 +41,10 @@
         }
     }
 
-    /// Whether anything speaks for it.
-    pub const fn is_any(self) -> bool {
-        self.0 > 0
+    /// Whether enough speaks for it that the task begins apart from others: a crash at its start, or two
+    /// others. One alone is what any task meets that was on the worker.
+    pub const fn is_strong(self) -> bool {
+        self.0 >= AT_START
     }
 
     /// Whether the task is to be given up.
--- a/tests/logic/cell/crash.rs
+++ b/tests/logic/cell/crash.rs
@@ -175,3 +175,18 @@
     }
     assert_ne!(story.phase(1), Some(Answer::Phase(Phase::Failed)));
 }
+
+/// Guards against a crowd of workers that crash at once and leave their tasks to begin one by one.
+#[test]
+fn crash_under_settled_tasks_lets_them_begin_together() {
+    let mut story = Story::begin(1);
+    for number in 1..=4 {
+        submit(&mut story, number, 1, 1);
+    }
+    let settled = take_starts(&mut story);
+    assert_eq!(settled.len(), 4);
+    story.pass(SETTLED_MS);
+    story.report(0, &runs(&settled), &[]);
+    crash(&mut story, &settled[..1], 1);
+    assert_eq!(take_starts(&mut story).len(), 4);
+}
