Place nothing in a life of a worker once the list names its next one

Found by reading: a former life stayed open for tasks until a look at it was refused, for up to 2.2 s where its end shows as silence; each task placed there meanwhile was held up as long. And lives that are over stayed on record for as long as their entry did, one more with each start of the worker.

Change: when the list names a life that is not known, the worker's other lives count as off the list, and what is known of those that are over goes.

Test: worker_listed_in_its_next_life_gets_nothing_in_the_former fails before. A list that lags and names the former life once more does no harm: that life is refused at the next look, and the present one is back with its next heartbeat.

--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -27,10 +27,7 @@
             self.reserve_inherited();
         }
         for entry in roster.gone {
-            let lives = self.workers.keys().filter(|id| Life::of(id).entry == &*entry);
-            let lives: Vec<WorkerId> = lives.cloned().collect();
-            lives.iter().for_each(|id| self.miss(id));
-            self.dead.retain(|id| Life::of(id).entry != &*entry);
+            self.miss_lives(&entry);
         }
     }
 
@@ -59,6 +56,9 @@
             crate::logging::value(&listed.labels.join(",")),
             listed.draining
         );
+        if Life::of(&id).born.is_some() {
+            self.miss_lives(Life::of(&id).entry);
+        }
         self.workers.insert(id.clone(), Worker::new(id, listed, self.timings.lease, self.now));
         true
     }
@@ -72,6 +72,14 @@
         }
     }
 
+    /// The list no longer names any life of a worker that is known here.
+    fn miss_lives(&mut self, entry: &str) {
+        let lives = self.workers.keys().filter(|id| Life::of(id).entry == entry);
+        let lives: Vec<WorkerId> = lives.cloned().collect();
+        lives.iter().for_each(|id| self.miss(id));
+        self.dead.retain(|id| Life::of(id).entry != entry);
+    }
+
     /// Absence from the list says little: entries lapse while the store is away. What runs there
     /// counts until its lease has surely run out.
     fn miss(&mut self, id: &str) {
--- a/tests/logic/cell/left_behind.rs
+++ b/tests/logic/cell/left_behind.rs
@@ -113,6 +113,27 @@
     assert_eq!(story.starts().len(), 0);
 }
 
+/// Guards against tasks that are placed in a life that is over, since its worker stands in the list again.
+#[test]
+fn worker_listed_in_its_next_life_gets_nothing_in_the_former() {
+    let mut story = Story::begin(0);
+    let listed = Rc::new(model::listed(5, cores(8)));
+    for life in ["w5@1", "w5@2"] {
+        let present = vec![(life.into(), listed.clone())];
+        story.tell(Message::Roster(Roster { present, ..Roster::default() }));
+        if life == "w5@1" {
+            let report = Report { clock_ms: WORKER_CLOCK, ..Report::default() };
+            let sent = Instant::from_millis(story.now);
+            story.tell(Message::Looked { worker: life.into(), sent, outcome: Ok(report) });
+        }
+    }
+    story.ask(1, Call::Submit(model::job(1, model::step(1, cores(1)))));
+    story.store_all();
+    story.pass(100);
+    let ordered = story.effects.iter().any(|effect| matches!(effect, Effect::Start { .. }));
+    assert!(!ordered, "the former life gets it");
+}
+
 /// The same worker is only cut off, and the former owner, which is cut off from the store with it, goes on
 /// renewing its lease. Were the task given up at once, it would run twice.
 #[test]
