Look up the lives of a worker by name, and split the owner's machine

Found by reading: each first answer of a worker went through all tries, and each newly listed life through all workers, comparing names; on a site of 350 workers with 4,000 tries that is 1.4 million names at a change of owner, from whose second the whole site waits.

Ends of tries, what an owner inherits, and what is lost with a worker stand in files of their own; moved only.

--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -11,11 +11,14 @@
 mod calls;
 mod commit;
 mod crash;
+mod end;
 mod field;
+mod inheritance;
 mod judgement;
 mod lack;
 mod live;
 mod looks;
+mod loss;
 mod message;
 mod orders;
 mod place;
@@ -40,17 +43,16 @@
 use self::backlog::Backlog;
 use self::waiting::Hopeful;
 use super::Epoch;
-use super::job::{End, Id, Job, Phase, Run, Step, StepKey};
+use super::job::{Id, Job, Phase, Run, Step, StepKey};
 use super::peer::Offer;
 use super::queue::Table;
-use super::record::{Record, WorkerId};
+use super::record::WorkerId;
 use super::state::State;
 use super::ticket::Tickets;
 use super::timings::Timings;
 use super::worker::Worker;
 use crate::clock::{Instant, Unix};
 use crate::resource::Amount;
-use crate::telemetry::names;
 
 /// Times the owner's processor from which another instance should own the cell: a change of owner
 /// costs about 50 ms of placements.
@@ -258,44 +260,6 @@
         self.unix = unix;
     }
 
-    /// Takes over the tries that the journal says may run.
-    fn inherit(&mut self) {
-        let live: Vec<(Run, WorkerId)> =
-            self.state.live.iter().map(|(run, worker)| (*run, worker.clone())).collect();
-        for (run, worker) in live {
-            let demand = self.demand(&run);
-            if self.is_suspect(&run) {
-                self.suspects.insert(run);
-            }
-            self.runs.insert(run, Live::new(worker, demand, Stage::Inherited, self.now));
-        }
-        let unwanted: Vec<Run> = self
-            .runs
-            .keys()
-            .filter(|run| {
-                let phase = self.phase_of(run.task.step.job);
-                phase.is_none_or(Phase::is_final) || self.is_torn(run)
-            })
-            .copied()
-            .collect();
-        for run in unwanted {
-            if let Some(live) = self.runs.get_mut(&run) {
-                live.unwanted = true;
-            }
-        }
-    }
-
-    /// Whether a try of a gang lacks members, which can only wait for each other.
-    ///
-    /// Guards against an owner that died between the end of one member and its orders to stop the
-    /// others: they ran on for as long as their leases were renewed.
-    fn is_torn(&self, run: &Run) -> bool {
-        let key = run.task.step;
-        let Some(model) = self.model(&key) else { return false };
-        let members = self.runs_of_step(key).filter(|(member, _)| member.number == run.number);
-        model.gang && members.count() < model.count as usize
-    }
-
     fn demand(&self, run: &Run) -> Amount {
         self.model(&run.task.step).map_or(Amount::ZERO, Step::room)
     }
@@ -325,95 +289,9 @@
         self.runs.range(Run::first(step)..).take_while(move |(run, _)| run.task.step == step)
     }
 
-    /// Records the end of a try and gives its room back.
-    fn end_run(&mut self, run: Run, end: End, saved: String) {
-        let Some(live) = self.runs.remove(&run) else { return };
-        self.suspects.remove(&run);
-        if let Some(worker) = self.workers.get_mut(&live.worker) {
-            worker.release(&run, &live.demand);
-        }
-        self.dirty = true;
-        self.hopeful.add(run.task.step.job);
-        let took_ms = self.now.since(live.since).as_millis();
-        log::info!(
-            "event=task.ended task={run} worker={} end={end} took_ms={took_ms}",
-            live.worker
-        );
-        names::CELL_TRIES.increment(&[("end", end.name())]);
-        let job = run.task.step.job;
-        let was_final = self.phase_of(job).is_none_or(Phase::is_final);
-        self.judge(&run, &live, end);
-        self.record(Record::Ended { run, worker: live.worker, end, saved });
-        if was_final {
-            return;
-        }
-        if self.phase_of(job).is_some_and(Phase::is_final) {
-            self.settle(job);
-        } else {
-            self.after_end(run, end);
-        }
-    }
-
     fn phase_of(&self, job: Id) -> Option<Phase> {
         self.state.jobs.get(&job).map(super::state::Entry::phase)
     }
-
-    /// Draws the conclusions from an end that does not close its job.
-    fn after_end(&mut self, run: Run, end: End) {
-        let key = run.task.step;
-        let Some(entry) = self.state.jobs.get(&key.job) else { return };
-        let Some(model) = entry.job.steps.get(key.step as usize) else { return };
-        if end == End::Done && !model.lasting {
-            return;
-        }
-        if model.gang {
-            self.break_gang(&run);
-        }
-        let reason = match end {
-            End::Failed if !self.may_try_again(&run) => "attempts",
-            End::Crashed | End::CrashedAtStart if self.is_given_up(&run) => "crashes",
-            _ => return,
-        };
-        log::warn!("event=job.failed job={} task={run} reason={reason}", key.job);
-        self.record(Record::Failed { job: key.job });
-        self.settle(key.job);
-        self.stop_job(key.job);
-    }
-
-    fn may_try_again(&self, run: &Run) -> bool {
-        let key = run.task.step;
-        let Some(entry) = self.state.jobs.get(&key.job) else { return false };
-        let Some(model) = entry.job.steps.get(key.step as usize) else { return false };
-        if model.lasting {
-            return true;
-        }
-        let attempts = self.table.queue(&entry.job.queue).map_or(u32::MAX, |queue| queue.attempts);
-        let Some(step) = self.state.step(&key) else { return false };
-        let failures = if model.gang {
-            u32::try_from(step.failed_tries.len()).unwrap_or(u32::MAX)
-        } else {
-            step.tasks[run.task.index as usize].failures
-        };
-        failures < attempts.max(1)
-    }
-
-    /// Stops all tries of a job.
-    fn stop_job(&mut self, job: Id) {
-        let runs: Vec<Run> = self.runs_of_job(job).copied().collect();
-        for run in runs {
-            self.stop_run(run);
-        }
-        self.dirty = true;
-    }
-
-    /// The members of a gang only work together: when one is gone, the others only take up room.
-    fn break_gang(&mut self, gone: &Run) {
-        let runs = self.runs_of_step(gone.task.step).map(|(run, _)| *run);
-        let members: Vec<Run> = runs.filter(|run| run.number == gone.number).collect();
-        for member in members {
-            self.stop_run(member);
-        }
-    }
 }
 
 /// Drops what is kept of a job's steps.
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -1,6 +1,7 @@
 //! The list of workers and the configuration, as they change.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 use std::rc::Rc;
 
 use super::Machine;
@@ -74,8 +75,8 @@
 
     /// The list no longer names any life of a worker that is known here.
     fn miss_lives(&mut self, entry: &str) {
-        let lives = self.workers.keys().filter(|id| Life::of(id).entry == entry);
-        let lives: Vec<WorkerId> = lives.cloned().collect();
+        let lives: Vec<WorkerId> =
+            lives_of(&self.workers, entry).map(|(id, _)| id.clone()).collect();
         lives.iter().for_each(|id| self.miss(id));
         self.dead.retain(|id| Life::of(id).entry != entry);
     }
@@ -121,3 +122,14 @@
         self.tickets.values_mut().for_each(|tickets| tickets.forget(worker));
     }
 }
+
+/// Workers by name, as far as they are lives of the one that the list names `entry`.
+pub(super) fn lives_of<'a>(
+    workers: &'a BTreeMap<WorkerId, Worker>,
+    entry: &'a str,
+) -> impl Iterator<Item = (&'a WorkerId, &'a Worker)> {
+    workers
+        .range::<str, _>((Bound::Included(entry), Bound::Unbounded))
+        .take_while(move |(id, _)| id.starts_with(entry))
+        .filter(move |(id, _)| Life::of(id).entry == entry)
+}
