Set apart only the task that is suspected, not its whole step

Found by reading: once a worker had crashed under one member of a gang, the gang waited until no other job's task had begun on any of its workers within half a second. With two starts a second on each worker a gang on twenty of them would wait for minutes.

Change: only the suspected task needs a worker to itself while it begins, and only it goes to the emptiest one; the others begin beside whatever is not suspected.

Test: crash_under_one_member_sets_that_one_apart, not placed before.

--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -82,9 +82,9 @@
         !(step.fills && self.serves || step.serves() && self.fills)
     }
 
-    /// Whether the step's tasks may begin beside those that begin there.
-    pub(super) fn admits(&self, step: &Waiting) -> bool {
-        self.starting.admits(step.key.job, step.suspect)
+    /// Whether a task of the step may begin beside those that begin there.
+    pub(super) fn admits(&self, step: &Waiting, index: u32) -> bool {
+        self.starting.admits(step.key.job, step.suspects.contains(&index))
     }
 
     /// Tasks of the step that fit there now.
@@ -120,7 +120,8 @@
     pub(super) fn fields(&self, waiting: &[Waiting]) -> Fields {
         let shares = |step: &Waiting| step.model().fills || step.model().serves();
         let sharing = waiting.iter().any(shares);
-        let suspecting = waiting.iter().any(|step| step.suspect) || !self.suspects.is_empty();
+        let suspecting =
+            waiting.iter().any(|step| !step.suspects.is_empty()) || !self.suspects.is_empty();
         let open = self.workers.values().filter(|worker| worker.is_open(self.now));
         let all: Vec<Field> = open
             .map(|worker| Field {
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -80,9 +80,7 @@
             Some(_) => self.ticketed(&step.key, fields),
             None => (0..fields.len()).collect(),
         };
-        let fits = |field: &Field| {
-            field.suits(&step.queue.service, model) && field.is_quiet(model) && field.admits(step)
-        };
+        let fits = |field: &Field| field.suits(&step.queue.service, model) && field.is_quiet(model);
         let mut allowed: Vec<usize> =
             places.into_iter().filter(|&at| fits(fields.get(at))).collect();
         if let Some(rack) = &model.data_rack
@@ -155,7 +153,9 @@
                 .iter()
                 .filter(|(at, room)| {
                     let taken = counts.get(*at).copied().unwrap_or(0);
-                    demand.fits(room) && (model.spread == 0 || taken < model.spread)
+                    demand.fits(room)
+                        && (model.spread == 0 || taken < model.spread)
+                        && fields.get(**at).admits(step, index)
                 })
                 .map(|(&at, room)| {
                     let field = fields.get(at);
@@ -164,7 +164,7 @@
                     let unanswering_cost = if field.unanswering { UNANSWERING } else { 0.0 };
                     let left = leftover(room, &demand, &field.listed.capacity);
                     // A crash takes with it what runs beside the task.
-                    let left = if step.suspect { -left } else { left };
+                    let left = if step.suspects.contains(&index) { -left } else { left };
                     (left + failed_cost + unanswering_cost, at)
                 })
                 .min_by(|one, other| one.0.total_cmp(&other.0));
@@ -202,14 +202,15 @@
             field.room = field.room.saturating_sub(&demand);
             field.serves |= step.model().serves();
             field.fills |= step.model().fills;
-            field.starting.add(step.key.job, step.suspect);
+            let suspect = step.suspects.contains(&index);
+            field.starting.add(step.key.job, suspect);
             let run = Run { task: TaskKey { step: step.key, index }, number };
             if let Some(worker) = self.workers.get_mut(&field.id) {
                 worker.reserve(run, &demand);
             }
             let live = Live::new(field.id.clone(), demand, Stage::Recording, self.now);
             self.runs.insert(run, live);
-            if step.suspect {
+            if suspect {
                 self.suspects.insert(run);
             }
             by_worker.entry(field.id.clone()).or_default().push(run);
--- a/src/cell/machine/waiting.rs
+++ b/src/cell/machine/waiting.rs
@@ -27,8 +27,8 @@
     pub(super) queue: Rc<Queue>,
     pub(super) rank: Rank,
     pub(super) pending: Vec<u32>,
-    /// Whether one of these tasks may be what crashes its workers.
-    pub(super) suspect: bool,
+    /// Those of them that may be what crashes their workers.
+    pub(super) suspects: BTreeSet<u32>,
 }
 
 impl Waiting {
@@ -128,8 +128,8 @@
                 };
                 let (job, queue) = (entry.job.clone(), queue.clone());
                 let is_suspect = |index: &u32| step.tasks[*index as usize].suspicion.is_strong();
-                let suspect = pending.iter().any(is_suspect);
-                waiting.push(Waiting { key, job, queue, rank, pending, suspect });
+                let suspects = pending.iter().copied().filter(is_suspect).collect();
+                waiting.push(Waiting { key, job, queue, rank, pending, suspects });
             }
         }
     }
--- a/tests/logic/cell/crash.rs
+++ b/tests/logic/cell/crash.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use oriolefork::cell::job::{Phase, Run};
+use oriolefork::cell::job::{Phase, Run, Step};
 use oriolefork::cell::link::{Fault, Roster, Start};
 use oriolefork::cell::machine::{Answer, Call, Message};
 use oriolefork::clock::Instant;
@@ -190,3 +190,33 @@
     crash(&mut story, &settled[..1], 1);
     assert_eq!(take_starts(&mut story).len(), 4);
 }
+
+/// Guards against a wide gang that waits until nothing begins on all its workers at once, for one member
+/// under which a worker has crashed.
+#[test]
+fn crash_under_one_member_sets_that_one_apart() {
+    let mut story = Story::begin(2);
+    let step = Step { gang: true, ..model::step(2, cores(5)) };
+    story.ask(1, Call::Submit(model::job(1, step)));
+    let starts = take_starts(&mut story);
+    assert_eq!(starts.len(), 2);
+    let (crashing, other) = (starts[0].0, starts[1].0);
+    story.pass(CRASH_MS);
+    go_silent(&mut story, crashing);
+    story.pass(RESTART_MS);
+    submit(&mut story, 2, 1, 1);
+    let beside = take_starts(&mut story);
+    assert_eq!(beside.iter().map(|start| start.0).collect::<Vec<_>>(), [other]);
+    come_back(&mut story, crashing, 2);
+    let outcome = Ok(WORKER_CLOCK + story.now);
+    for run in story.stops() {
+        story.tell(Message::Stopped {
+            worker: format!("w{other}").into(),
+            run,
+            outcome: outcome.clone(),
+        });
+    }
+    story.pass(2);
+    story.report(other, &runs(&beside), &[]);
+    assert_eq!(take_starts(&mut story).len(), 2, "the other member begins beside the other job");
+}
