Let a first look be what a connection begins with

Found by reading: where workers tell their lives, a new owner called each worker twice before it knew what runs there, all workers at once, in the second for which the whole site waits.

Change: a look that grants nothing and lets nothing be forgotten asks what a new connection is asked anyway, and its answer is taken from there.

Test: first_look_is_one_call, two before.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -93,7 +93,12 @@
         let mut connection = open(peer, deadline).await?;
         pool.note_opened(peer);
         if let Some(greeting) = greeting {
-            self.greet(&mut connection, peer, greeting, deadline).await?;
+            let suffices = greeting.suffices;
+            let response = self.greet(&mut connection, peer, greeting, deadline).await?;
+            if suffices {
+                self.keep(&pool, connection);
+                return Ok(response);
+            }
         }
         self.exchange(&pool, connection, peer, &request, deadline).await
     }
@@ -105,8 +110,8 @@
         peer: SocketAddr,
         greeting: Greeting<'_>,
         deadline: Instant,
-    ) -> Result<(), Error> {
-        let Greeting { identity, mut request, accept } = greeting;
+    ) -> Result<Response, Error> {
+        let Greeting { identity, mut request, accept, .. } = greeting;
         prepare(&mut request, peer);
         connection.begin();
         let answer = match before(deadline, converse(connection, &request, &self.limits)).await {
@@ -119,7 +124,13 @@
             return Err(unsent(Step::Greet, peer, "the peer closes after the greeting"));
         }
         connection.identify(identity);
-        Ok(())
+        Ok(answer.response)
+    }
+
+    /// Keeps a connection whose answer was read whole for the next request.
+    fn keep(&self, pool: &Pool, connection: Connection) {
+        pool.put(connection);
+        self.pools.keep_swept();
     }
 
     async fn exchange(
@@ -136,8 +147,7 @@
         match outcome {
             Some(Ok(answer)) => {
                 if answer.reusable {
-                    pool.put(connection);
-                    self.pools.keep_swept();
+                    self.keep(pool, connection);
                 }
                 Ok(answer.response)
             }
@@ -161,6 +171,8 @@
     pub request: Request,
     /// Says from the answer why the peer is not the one that is wanted.
     pub accept: &'a dyn Fn(&Response) -> Result<(), String>,
+    /// Whether the request asks nothing else, so that on a new connection this answer will do.
+    pub suffices: bool,
 }
 
 /// What went wrong on one connection, before peer and progress are known.
