Rely on what the list said of a worker's room for as long as old room counts

Found by reading: while the store answers nobody, a worker cannot say that its room has shrunk, and what was placed before and what comes at the store's return went out by the room before, at the moment of the return, up to a heartbeat ahead of the worker's word. After an outage of five seconds the room before no longer counts. Class: as with the orders that waited, a check that holds for longer than what it checked.

The few workers that are not known yet cost nothing, since the others' heartbeats come within a second and a half.

--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -9,6 +9,7 @@
 use crate::cell::job::{Run, Step};
 use crate::cell::link::Listed;
 use crate::cell::record::WorkerId;
+use crate::cell::worker::Worker;
 use crate::resource::Amount;
 
 /// A worker that may take tasks in this round.
@@ -122,7 +123,11 @@
         let sharing = waiting.iter().any(shares);
         let suspecting =
             waiting.iter().any(|step| !step.suspects.is_empty()) || !self.suspects.is_empty();
-        let open = self.workers.values().filter(|worker| worker.is_open(self.now));
+        let known_for = self.timings.room_known_for;
+        let is_open = |worker: &&Worker| {
+            worker.is_open(self.now) && worker.is_room_known(known_for, self.now)
+        };
+        let open = self.workers.values().filter(is_open);
         let all: Vec<Field> = open
             .map(|worker| Field {
                 id: worker.id.clone(),
--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -19,13 +19,21 @@
             .collect();
         for (run, stage) in due {
             match stage {
-                Stage::Starting { out: false } => self.send_start(run),
+                Stage::Starting { out: false } if self.is_room_known(run) => self.send_start(run),
                 Stage::Stopping { out: false, taken: None } => self.send_stop(run),
                 _ => {}
             }
         }
     }
 
+    /// Whether the room of a try's worker is known; until then its order waits.
+    fn is_room_known(&self, run: Run) -> bool {
+        let live = self.runs.get(&run);
+        let worker = live.and_then(|live| self.workers.get(&live.worker));
+        let known_for = self.timings.room_known_for;
+        worker.is_none_or(|worker| worker.is_room_known(known_for, self.now))
+    }
+
     fn send_start(&mut self, run: Run) {
         let Some(start) = self.start_order(run) else {
             // Its ticket has expired, its worker is gone or has no room any more; nothing was sent.
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -47,7 +47,9 @@
                 );
                 self.dirty = true;
             }
+            self.dirty |= !worker.is_room_known(self.timings.room_known_for, self.now);
             worker.listed = listed;
+            worker.listed_at = self.now;
             return false;
         }
         log::info!(
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -12,6 +12,9 @@
     pub stop_grace: Duration,
     /// Lease granted with each look at a worker.
     pub lease: Duration,
+    /// How long what the list last said of a worker's room is relied on; `None` where the list tells
+    /// each change at once.
+    pub room_known_for: Option<Duration>,
 }
 
 impl Default for Timings {
@@ -20,6 +23,7 @@
             status_retention: Duration::from_secs(120),
             stop_grace: Duration::from_secs(6),
             lease: LEASE,
+            room_known_for: None,
         }
     }
 }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -44,6 +44,8 @@
     pub id: WorkerId,
     /// What the list says of it.
     pub listed: Rc<Listed>,
+    /// When the list last told of it.
+    pub listed_at: Instant,
     /// Since when the list has not named it.
     pub missing_since: Option<Instant>,
     /// Its clock and lease.
@@ -82,6 +84,7 @@
         Self {
             id,
             listed,
+            listed_at: now,
             missing_since: None,
             lease: Lease::new(lease),
             fenced: false,
@@ -122,6 +125,14 @@
         self.listed.capacity.saturating_sub(&self.used)
     }
 
+    /// Whether what the list said of its room is no older than `known_for`.
+    ///
+    /// Guards against room that shrinks while the list cannot be read: what waited until then would go out
+    /// by the room before, all at once.
+    pub fn is_room_known(&self, known_for: Option<Duration>, now: Instant) -> bool {
+        known_for.is_none_or(|known_for| now.since(self.listed_at) <= known_for)
+    }
+
     /// Whether more is reserved than it has, since its room has shrunk.
     pub fn is_overcommitted(&self) -> bool {
         !self.used.fits(&self.listed.capacity)
--- a/tests/logic/cell/shrink.rs
+++ b/tests/logic/cell/shrink.rs
@@ -1,9 +1,11 @@
 //! Workers whose room shrinks and grows again while they run.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use oriolefork::cell::link::{Fault, Roster, Start};
 use oriolefork::cell::machine::{Call, Message};
+use oriolefork::cell::timings::Timings;
 use oriolefork::resource::Amount;
 
 use super::model::{self, cores};
@@ -57,6 +59,28 @@
     assert_eq!(story.stops().len(), 4);
 }
 
+/// Guards against what waited for the store going out by the room that a worker had before the store was
+/// away, for longer than such room counts.
+#[test]
+fn shrink_that_the_list_cannot_tell_is_waited_for() {
+    const KNOWN: Duration = Duration::from_secs(3);
+    let timings = Timings { room_known_for: Some(KNOWN), ..Timings::default() };
+    let mut story = Story::begin_with(timings, 1);
+    story.ask(1, Call::Submit(model::job(1, model::step(4, cores(2)))));
+    for _ in 0..50 {
+        story.pass(100);
+        story.report(0, &[], &[]);
+    }
+    story.ask(2, Call::Submit(model::job(2, model::step(1, cores(1)))));
+    story.store_all();
+    story.pass(10);
+    assert_eq!(ordered(&story.starts()), 0, "its room may have shrunk");
+    resize(&mut story, cores(3));
+    story.pass(50);
+    story.store_all();
+    assert_eq!(ordered(&story.starts()), 2_000);
+}
+
 /// Guards against room that stays unused after it has grown again.
 #[test]
 fn shrink_that_is_over_lets_tasks_go_on() {
--- a/tests/logic/cell/story.rs
+++ b/tests/logic/cell/story.rs
@@ -1,5 +1,6 @@
 //! An owner's machine whose store, workers and askers a test plays by hand.
 
+use oriolefork::cell::Epoch;
 use oriolefork::cell::job::{End, Run, Step};
 use oriolefork::cell::link::{Allowed, Ended, Fault, Rejected, Report, Running, Start};
 use oriolefork::cell::machine::{Answer, Call, Effect, Machine, Message, Question};
@@ -29,6 +30,14 @@
         Self::with(model::machine(Instant::from_millis(0), Unix::from_millis(UNIX)), workers)
     }
 
+    /// Begins likewise, on a site whose timings are `timings`.
+    pub fn begin_with(timings: Timings, workers: usize) -> Self {
+        let (now, unix) = (Instant::from_millis(0), Unix::from_millis(UNIX));
+        let mut state = State::default();
+        state.apply_batch(model::claim(Epoch(1), unix));
+        Self::with(Machine::new(state, 0, 1, model::table(), timings, now, unix), workers)
+    }
+
     /// Begins with an owner that has read `state`.
     pub fn take_over(state: State, workers: usize) -> Self {
         let (now, unix) = (Instant::from_millis(0), Unix::from_millis(UNIX));
