Tell what an owner's time goes to

Now the owner measures how long each duty holds its one thread, in its own steps and in the tasks that it spawns, and tells once a second the sum, the longest piece and the number (owner.duties), and as metrics.

--- a/benches/cell/mix.rs
+++ b/benches/cell/mix.rs
@@ -155,7 +155,23 @@
     Kind { per_second: 24.0, ..GROWN[2] },
 ];
 
-pub const SITES: [Site; 4] = [
+/// As many jobs as come to the site of 1,000 workers, on three times the workers and four times the
+/// instances, all of which the owner looks after.
+const WIDE: [Kind; 3] = [
+    Kind { per_second: 70.0, cores: 16.0, gib: 32.0, advice: (26.0, 0.364, 0.7), ..GROWN[0] },
+    Kind { per_second: 5.0, work_ms: 6_200.0, gib: 52.0, advice: (780.0, 11.18, 0.25), ..GROWN[1] },
+    Kind {
+        per_second: 10.0,
+        width: 19.0,
+        work_ms: 2_700.0,
+        cores: 11.0,
+        gib: 23.0,
+        advice: (182.0, 2.6, 0.45),
+        ..GROWN[2]
+    },
+];
+
+pub const SITES: [Site; 5] = [
     Site { label: "waitaki 48", workers: 48, cores: 64, gib: 128, instances: 9, kinds: WAITAKI },
     Site { label: "lakeshore 48", workers: 48, cores: 16, gib: 64, instances: 8, kinds: LAKESHORE },
     Site {
@@ -167,6 +183,7 @@
         kinds: GROWN,
     },
     Site { label: "large 1000", workers: 1_000, cores: 64, gib: 128, instances: 80, kinds: LARGE },
+    Site { label: "wide 3000", workers: 3_000, cores: 64, gib: 256, instances: 298, kinds: WIDE },
 ];
 
 impl Site {
--- /dev/null
+++ b/src/cell/duty.rs
@@ -0,0 +1,196 @@
+//! What an owner spends its time on, told in the log once a second and as metrics.
+//!
+//! All of an instance's tasks share one thread, so that a duty which takes long holds up all others.
+//! The time of each duty, and the longest that it kept the thread at a time, tell which one that is.
+
+use std::cell::RefCell;
+use std::fmt::{self, Display, Formatter};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use monoio::time::Instant;
+
+use crate::clock;
+use crate::telemetry::names;
+
+/// Rest between two lines.
+const REST: Duration = Duration::from_secs(1);
+
+/// Something that takes an owner's time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Duty {
+    /// Calls of callers, in and out.
+    Call,
+    /// Other instances that follow the owner.
+    Watch,
+    /// Sending looks to workers and reading their answers.
+    Look,
+    /// Taking in what workers report.
+    Report,
+    /// Sending orders to workers and taking in their answers.
+    Order,
+    /// The list of workers and the configuration.
+    List,
+    /// Questions to the policy service.
+    Advice,
+    /// Writing the journal and what waits for it.
+    Append,
+    /// Leases that run out, and what is forgotten.
+    Upkeep,
+    /// Rounds of placement.
+    Placement,
+}
+
+impl Duty {
+    const ALL: [Self; 10] = [
+        Self::Call,
+        Self::Watch,
+        Self::Look,
+        Self::Report,
+        Self::Order,
+        Self::List,
+        Self::Advice,
+        Self::Append,
+        Self::Upkeep,
+        Self::Placement,
+    ];
+
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Call => "call",
+            Self::Watch => "watch",
+            Self::Look => "look",
+            Self::Report => "report",
+            Self::Order => "order",
+            Self::List => "list",
+            Self::Advice => "advice",
+            Self::Append => "append",
+            Self::Upkeep => "upkeep",
+            Self::Placement => "placement",
+        }
+    }
+}
+
+/// Time of one duty since the last line.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spent {
+    times: u32,
+    whole: Duration,
+    longest: Duration,
+}
+
+impl Display for Spent {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let (whole, longest) = (self.whole.as_secs_f64(), self.longest.as_secs_f64());
+        write!(f, "{:.1}/{:.1}/{}", whole * 1e3, longest * 1e3, self.times)
+    }
+}
+
+/// Time of all duties.
+#[derive(Debug)]
+pub struct Ledger {
+    spent: RefCell<[Spent; Duty::ALL.len()]>,
+}
+
+impl Ledger {
+    /// Nothing spent yet.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self { spent: RefCell::default() })
+    }
+
+    /// Pieces of work that were counted for `duty` since the last line.
+    pub fn times(&self, duty: Duty) -> u32 {
+        self.spent.borrow()[duty as usize].times
+    }
+
+    /// Adds what one piece of work took.
+    fn add(&self, duty: Duty, took: Duration) {
+        let spent = &mut self.spent.borrow_mut()[duty as usize];
+        spent.times += 1;
+        spent.whole += took;
+        spent.longest = spent.longest.max(took);
+    }
+
+    /// Measures the time that `work` keeps the thread, each time that it goes on.
+    pub fn measure<'a, T>(
+        self: &Rc<Self>,
+        duty: Duty,
+        work: LocalBoxFuture<'a, T>,
+    ) -> Measured<'a, T> {
+        Measured { duty, ledger: self.clone(), work }
+    }
+
+    /// Begins to measure duties that follow one another.
+    pub fn lap(self: &Rc<Self>) -> Lap {
+        Lap { ledger: self.clone(), since: Instant::now() }
+    }
+
+    /// Tells the log, once a second, as long as `goes_on` says so.
+    pub async fn tell(self: Rc<Self>, cell: super::Id, goes_on: impl Fn() -> bool) {
+        let mut since = Instant::now();
+        let mut processor_before = clock::processor_time();
+        while goes_on() {
+            monoio::time::sleep(REST).await;
+            let spent = self.spent.take();
+            let duties = Duty::ALL.iter().zip(spent);
+            let words: Vec<String> =
+                duties.clone().map(|(duty, spent)| format!("{}={spent}", duty.name())).collect();
+            for (duty, spent) in duties {
+                let micros = u64::try_from(spent.whole.as_micros()).unwrap_or(u64::MAX);
+                names::CELL_DUTY.add(micros, &[("duty", duty.name())]);
+                names::CELL_DUTY_LONGEST.set(spent.longest.as_secs_f64(), &[("duty", duty.name())]);
+            }
+            let span_ms = since.elapsed().as_millis();
+            since = Instant::now();
+            let processor = clock::processor_time();
+            let processor_ms = processor.saturating_sub(processor_before).as_millis();
+            processor_before = processor;
+            log::info!(
+                "event=owner.duties cell={cell} span_ms={span_ms} processor_ms={processor_ms} {}",
+                words.join(" ")
+            );
+        }
+    }
+}
+
+/// Measures duties that follow one another on the thread.
+#[derive(Debug)]
+pub struct Lap {
+    ledger: Rc<Ledger>,
+    since: Instant,
+}
+
+impl Lap {
+    /// Begins anew, so that what went before counts for nothing.
+    pub fn restart(&mut self) {
+        self.since = Instant::now();
+    }
+
+    /// Counts the time since the last call for `duty`.
+    pub fn end(&mut self, duty: Duty) {
+        let now = Instant::now();
+        self.ledger.add(duty, now - self.since);
+        self.since = now;
+    }
+}
+
+/// Work whose time on the thread is counted.
+pub struct Measured<'a, T> {
+    duty: Duty,
+    ledger: Rc<Ledger>,
+    work: LocalBoxFuture<'a, T>,
+}
+
+impl<T> Future for Measured<'_, T> {
+    type Output = T;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<T> {
+        let begun = Instant::now();
+        let polled = self.work.as_mut().poll(context);
+        self.ledger.add(self.duty, begun.elapsed());
+        polled
+    }
+}
--- a/src/cell/machine/message.rs
+++ b/src/cell/machine/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::advice::Question;
+use crate::cell::duty::Duty;
 use crate::cell::job::{Id, Job, Phase, Run};
 use crate::cell::link::{Allowed, Base, Fault, Look, Rejected, Report, Roster, Start};
 use crate::cell::queue::Table;
@@ -116,6 +117,34 @@
     },
 }
 
+impl Message {
+    /// What taking it in counts for.
+    pub const fn duty(&self) -> Duty {
+        match self {
+            Self::Call { .. } => Duty::Call,
+            Self::Appended { .. } | Self::SaveDue => Duty::Append,
+            Self::Looked { .. } => Duty::Report,
+            Self::Started { .. } | Self::Stopped { .. } => Duty::Order,
+            Self::Advised { .. } => Duty::Advice,
+            Self::Roster(_) | Self::Table(_) => Duty::List,
+            Self::Present { .. } => Duty::Watch,
+        }
+    }
+}
+
+impl Effect {
+    /// What carrying it out counts for.
+    pub const fn duty(&self) -> Duty {
+        match self {
+            Self::Append { .. } | Self::Save(_) | Self::StepDown { .. } => Duty::Append,
+            Self::Look { .. } => Duty::Look,
+            Self::Start { .. } | Self::Stop { .. } => Duty::Order,
+            Self::Advise(_) => Duty::Advice,
+            Self::Reply { .. } => Duty::Call,
+        }
+    }
+}
+
 /// What the machine wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -43,6 +43,7 @@
 use self::backlog::Backlog;
 use self::waiting::Hopeful;
 use super::Epoch;
+use super::duty::Duty;
 use super::job::{Id, Job, Phase, Run, Step, StepKey};
 use super::peer::Offer;
 use super::queue::Table;
@@ -190,10 +191,23 @@
 
     /// Does what is due and returns all effects since the last call.
     pub fn step(&mut self, now: Instant, unix: Unix) -> Vec<Effect> {
+        self.step_by_duty(now, unix, &mut |_| {})
+    }
+
+    /// Does what is due as [`Machine::step`] does, and calls `done` after each duty.
+    pub fn step_by_duty(
+        &mut self,
+        now: Instant,
+        unix: Unix,
+        done: &mut dyn FnMut(Duty),
+    ) -> Vec<Effect> {
         self.advance(now, unix);
         self.review_admission();
+        done(Duty::Call);
         self.send_orders();
+        done(Duty::Order);
         self.look_around();
+        done(Duty::Look);
         if self.now >= self.next_lapse {
             self.next_lapse = now.after(LAPSE_REST);
             self.give_up_lapsed();
@@ -203,10 +217,13 @@
             self.forget();
         }
         self.drop_unlisted();
+        done(Duty::Upkeep);
         if self.now >= self.next_place && (self.dirty || self.now >= self.place_by) {
             self.place();
+            done(Duty::Placement);
         }
         self.flush();
+        done(Duty::Append);
         std::mem::take(&mut self.effects)
     }
 
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -15,9 +15,11 @@
 //! | `link.rs` | borders to workers, policy service, journal and lists |
 //! | `preempt.rs` | which running tasks make room for more urgent ones |
 //! | `patience.rs` | how long a call waits for an owner |
+//! | `duty.rs` | what an owner spends its time on |
 //! | `owner.rs`, `election/`, `front.rs`, `node/`, `reading.rs`, `contact.rs` | the tasks of an instance |
 
 mod contact;
+pub mod duty;
 pub mod election;
 pub mod front;
 pub mod job;
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use super::Node;
+use crate::cell::duty::Duty;
 use crate::cell::link::Allowed;
 use crate::cell::machine::{Machine, Message};
 use crate::cell::peer::{
@@ -101,7 +102,9 @@
         body: Bytes,
     ) -> LocalBoxFuture<'_, Result<Bytes, Refusal>> {
         let method = method.to_owned();
-        async move { self.answer(&method, &body).await }.boxed_local()
+        let duty = if method == CALL { Duty::Call } else { Duty::Watch };
+        let answer = async move { self.answer(&method, &body).await }.boxed_local();
+        self.borders.duties.measure(duty, answer).boxed_local()
     }
 }
 
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -6,10 +6,12 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use local_sync::mpsc::unbounded::{Rx, Tx, channel};
 use local_sync::oneshot;
 
 use super::contact::Contact;
+use super::duty::{Duty, Lap, Ledger};
 use super::job::Run;
 use super::link::{Advisor, Base, Fault, Journal, Listed, Lists, Look, Roster, Start, Workers};
 use super::machine::{Answer, Call, CallId, Effect, Health, Machine, Message, Question};
@@ -37,6 +39,8 @@
     pub peers: Rc<peer::Client>,
     /// Time, which also passes while the instance is suspended.
     pub clock: Rc<dyn Clock>,
+    /// What the instance spends its time on while it owns a cell.
+    pub duties: Rc<Ledger>,
 }
 
 /// A look at the machine, run by the task that owns it.
@@ -49,6 +53,17 @@
     End,
 }
 
+impl Input {
+    /// What taking it in counts for.
+    const fn duty(&self) -> Duty {
+        match self {
+            Self::Message(message) => message.duty(),
+            Self::Call { .. } | Self::End => Duty::Call,
+            Self::Inspect(_) => Duty::Watch,
+        }
+    }
+}
+
 /// Way to talk to the task.
 #[derive(Clone)]
 pub struct Handle {
@@ -101,6 +116,7 @@
     last_call: CallId,
     saves: u64,
     ended: Rc<Cell<bool>>,
+    duties: Rc<Ledger>,
     /// Told at each step how the store takes what is decided.
     health: Box<dyn Fn(Health)>,
 }
@@ -122,13 +138,14 @@
             cells,
             me,
             machine,
-            borders,
             inputs,
             handle: handle.clone(),
             waiting: BTreeMap::new(),
             last_call: 0,
             saves: 0,
             ended: Rc::new(Cell::new(false)),
+            duties: borders.duties.clone(),
+            borders,
             health,
         };
         (owner, handle)
@@ -138,38 +155,44 @@
     pub async fn run(mut self) -> String {
         self.follow_roster();
         self.remind_to_save();
+        self.tell_duties();
         let why = self.serve().await;
         self.ended.set(true);
         why
     }
 
     async fn serve(&mut self) -> String {
+        let mut lap = self.duties.lap();
         loop {
             let input = monoio::time::timeout(TICK, self.inputs.recv()).await;
+            lap.restart();
             if let Ok(Some(input)) = input
-                && self.take(input)
+                && self.take(input, &mut lap)
             {
                 return "told to end".to_owned();
             }
             for _ in 0..MESSAGES_A_STEP {
                 let Ok(input) = self.inputs.try_recv() else { break };
-                if self.take(input) {
+                if self.take(input, &mut lap) {
                     return "told to end".to_owned();
                 }
             }
             let (now, unix) = (self.borders.clock.now(), self.borders.clock.unix());
             (self.health)(self.machine.store_health(now));
-            for effect in self.machine.step(now, unix) {
+            for effect in self.machine.step_by_duty(now, unix, &mut |duty| lap.end(duty)) {
+                let duty = effect.duty();
                 if let Some(why) = self.carry_out(effect) {
                     return why;
                 }
+                lap.end(duty);
             }
         }
     }
 
     /// Takes in one message; `true` when the task is to end.
-    fn take(&mut self, input: Input) -> bool {
+    fn take(&mut self, input: Input, lap: &mut Lap) -> bool {
         let (now, unix) = (self.borders.clock.now(), self.borders.clock.unix());
+        let duty = input.duty();
         match input {
             Input::Message(message) => self.machine.handle(message, now, unix),
             Input::Call { call, reply } => {
@@ -181,6 +204,7 @@
             Input::Inspect(look) => look(&self.machine, now),
             Input::End => return true,
         }
+        lap.end(duty);
         false
     }
 
@@ -208,8 +232,8 @@
         let (cell, epoch) = (self.cell, self.machine.epoch);
         monoio::spawn(async move {
             let sent = borders.clock.now();
-            let outcome =
-                borders.journal.append(cell, epoch, sequence, batch, APPEND_TIMEOUT).await;
+            let append = borders.journal.append(cell, epoch, sequence, batch, APPEND_TIMEOUT);
+            let outcome = borders.duties.measure(Duty::Append, append).await;
             handle.send(Message::Appended { sequence, sent, outcome });
         });
     }
@@ -219,7 +243,8 @@
         monoio::spawn(async move {
             let sent = borders.clock.now();
             let timeout = look.wait + LOOK_TIMEOUT;
-            let outcome = borders.workers.look(peer, &worker, &look, timeout).await;
+            let look = borders.workers.look(peer, &worker, &look, timeout);
+            let outcome = borders.duties.measure(Duty::Look, look).await;
             handle.send(Message::Looked { worker, sent, outcome });
         });
     }
@@ -227,7 +252,8 @@
     fn start(&self, worker: WorkerId, peer: SocketAddr, start: Start) {
         let (borders, handle) = (self.borders.clone(), self.handle.clone());
         monoio::spawn(async move {
-            let outcome = borders.workers.start(peer, &worker, &start, ORDER_TIMEOUT).await;
+            let order = borders.workers.start(peer, &worker, &start, ORDER_TIMEOUT);
+            let outcome = borders.duties.measure(Duty::Order, order).await;
             handle.send(Message::Started { worker, run: start.run, outcome });
         });
     }
@@ -236,8 +262,8 @@
         let (borders, handle) = (self.borders.clone(), self.handle.clone());
         let epoch: Epoch = self.machine.epoch;
         monoio::spawn(async move {
-            let outcome: Result<u64, Fault> =
-                borders.workers.stop(peer, &worker, run, epoch, ORDER_TIMEOUT).await;
+            let order = borders.workers.stop(peer, &worker, run, epoch, ORDER_TIMEOUT);
+            let outcome: Result<u64, Fault> = borders.duties.measure(Duty::Order, order).await;
             handle.send(Message::Stopped { worker, run, outcome });
         });
     }
@@ -246,7 +272,8 @@
         let (borders, handle, me) = (self.borders.clone(), self.handle.clone(), self.me);
         monoio::spawn(async move {
             let number = question.number;
-            let allowed = ask(&borders, me, question).await;
+            let asked = ask(&borders, me, question).boxed_local();
+            let allowed = borders.duties.measure(Duty::Advice, asked).await;
             if let Err(cause) = &allowed {
                 log::info!("event=advice.no_answer question={number} cause={cause:?}");
             }
@@ -267,6 +294,11 @@
         });
     }
 
+    fn tell_duties(&self) {
+        let ended = self.ended.clone();
+        monoio::spawn(self.duties.clone().tell(self.cell, move || !ended.get()));
+    }
+
     fn save(&mut self, base: Base) {
         self.saves += 1;
         let (borders, cell, epoch) = (self.borders.clone(), self.cell, self.machine.epoch);
@@ -291,7 +323,7 @@
         monoio::spawn(async move {
             let mut list = Contact::new("roster");
             while !ended.get() {
-                match borders.lists.roster().await {
+                match borders.duties.measure(Duty::List, borders.lists.roster()).await {
                     Ok(roster) => {
                         list.answered();
                         handle.send(Message::Roster(share(roster, cell, cells)));
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -160,6 +160,12 @@
     Unix(millis(since_epoch))
 }
 
+/// Processor time that the process has used; zero where the system does not tell.
+pub fn processor_time() -> Duration {
+    let used = nix::time::clock_gettime(nix::time::ClockId::CLOCK_PROCESS_CPUTIME_ID);
+    used.map_or(Duration::ZERO, Duration::from)
+}
+
 fn since_boot() -> Duration {
     // Linux has had this clock since 2.6.39; a failure would mean a broken build.
     let now = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -65,6 +65,10 @@
         "Claims of a cell by this instance, by outcome.";
     CELL_APPEND: Histogram = "oriolefork_cell_append_seconds",
         "Time until a batch of the cell's journal was stored, repeats included.";
+    CELL_DUTY: Counter = "oriolefork_cell_duty_microseconds_total",
+        "Time that the owner of a cell spent on each duty, as its thread was held by it.";
+    CELL_DUTY_LONGEST: Gauge = "oriolefork_cell_duty_longest_seconds",
+        "Longest time in the last second for which a duty held the owner's thread.";
     RUNNER_CALL: Histogram = "oriolefork_runner_call_seconds",
         "Time of one call to a runner.";
 }
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod askers;
 mod crash;
+mod duty;
 mod histories;
 mod lease;
 mod left_behind;
