Go through what has changed, not through all workers and tries

Callers saw: at 298 instances and 3,000 workers jobs wait seconds for their first start, their calls get no answer, and the site turns them away.

Each step besides went over all workers (looks due, entries off the list) and all tries (orders due), a thousand times a second, and ten times a second over all tries for those on workers never listed.

Change: workers and tries note which of them may have changed (Tracked). A round's fields are kept and renewed for these alone, and for those whose rest ends by itself; their order by room is kept nearly sorted, and a question stops at the workers that suffice. Looks and orders stand in agendas by their time. Tries of earlier owners on workers that no list has named are kept by themselves.

Why it holds: the work of a round grows with what changed and what waits. Nothing looks at the size of a site. What a change needs is noted by whoever gets hold of an entry to change it, so that no place can forget to.

--- a/src/cell/machine/advice.rs
+++ b/src/cell/machine/advice.rs
@@ -78,16 +78,38 @@
     /// The fewest of them with room for `wanted` tasks, those with the most room first.
     fn choose(mut self, wanted: f64) -> Vec<WorkerId> {
         self.workers.sort_by_key(|(field, _)| Reverse(field.room.cpu_millis));
-        let mut chosen = Vec::new();
-        let mut slots = 0.0;
+        let mut chosen = Choice::new(wanted);
         for (field, here) in self.workers {
-            if chosen.len() >= ADVICE_WORKERS || slots >= wanted && chosen.len() >= FEW_WORKERS {
+            if chosen.is_enough() {
                 break;
             }
-            slots += here;
-            chosen.push(field.id.clone());
+            chosen.add(field, here);
         }
-        chosen
+        chosen.workers
+    }
+}
+
+/// Workers that a question names, as few as suffice for the tasks that it is about.
+struct Choice {
+    workers: Vec<WorkerId>,
+    /// Tasks that they have room for together.
+    slots: f64,
+    wanted: f64,
+}
+
+impl Choice {
+    const fn new(wanted: f64) -> Self {
+        Self { workers: Vec::new(), slots: 0.0, wanted }
+    }
+
+    fn is_enough(&self) -> bool {
+        let suffices = self.slots >= self.wanted && self.workers.len() >= FEW_WORKERS;
+        suffices || self.workers.len() >= ADVICE_WORKERS
+    }
+
+    fn add(&mut self, field: &Field, slots: f64) {
+        self.slots += slots;
+        self.workers.push(field.id.clone());
     }
 }
 
@@ -97,7 +119,7 @@
         &mut self,
         step: &Waiting,
         advice: &Advice,
-        fields: &Fields,
+        fields: &mut Fields,
         askers: &mut Askers,
         budget: &mut Budget,
     ) {
@@ -116,6 +138,7 @@
         if !admitted && !askers.may_postpone() {
             return;
         }
+        fields.sort();
         let question = self.question(step, advice, fields);
         if gang && !question.is_empty() && !self.is_under_way(step) && !budget.take(step) {
             return;
@@ -213,23 +236,29 @@
         let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
         let model = step.model();
         let service = &step.queue.service;
-        let mut unasked = Candidates::default();
-        for (at, field) in fields.iter().enumerate() {
+        let wanted = if model.same_rack || model.data_rack.is_some() {
+            f64::INFINITY
+        } else {
+            wanted / self.share(step)
+        };
+        let mut chosen = Choice::new(wanted);
+        for at in fields.by_room() {
+            if chosen.is_enough() {
+                break;
+            }
+            let field = fields.get(at);
             if !tickets.is_unasked(&field.id) {
                 continue;
             }
             let slots = self.reachable_slots(at, step, fields);
             // Room for a gang's tasks comes free on all its workers while they are kept for it.
             if model.gang && field.suits(service, model) {
-                unasked.add(field, slots.max(1.0));
+                chosen.add(field, slots.max(1.0));
             } else if slots > 0.0 {
-                unasked.add(field, slots);
+                chosen.add(field, slots);
             }
         }
-        if model.same_rack || model.data_rack.is_some() {
-            return unasked.choose(f64::INFINITY);
-        }
-        unasked.choose(wanted / self.share(step))
+        chosen.workers
     }
 
     /// An instance that can ask now.
--- a/src/cell/machine/backlog.rs
+++ b/src/cell/machine/backlog.rs
@@ -54,7 +54,7 @@
             "event=steps.waiting on_time={on_time} late={late} worthless={worthless} gangs={gangs} \
              unasked={unasked} askers={fresh} idle_askers={idle} free_cores={free} cores={cores} \
              workers={} rounds={rounds}",
-            fields.len()
+            fields.count()
         );
         self.tell_gangs(waiting, fields, Hope::OnTime);
         self.tell_gangs(waiting, fields, Hope::Late);
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -1,5 +1,9 @@
-//! Workers as one round of placement sees them.
+//! Workers as rounds of placement see them.
+//!
+//! They are kept from round to round, and each round goes through those alone that have changed: with
+//! three thousand workers, looking at each for each step that waits took all of the owner's time.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
@@ -9,18 +13,26 @@
 use crate::cell::job::{Run, Step};
 use crate::cell::link::Listed;
 use crate::cell::record::WorkerId;
-use crate::cell::worker::Worker;
+use crate::cell::worker::{Worker, Yielding};
+use crate::clock::Instant;
 use crate::resource::Amount;
 
-/// A worker that may take tasks in this round.
+/// A worker as a round sees it.
+#[derive(Debug)]
 pub(super) struct Field {
     pub(super) id: WorkerId,
     pub(super) listed: Rc<Listed>,
     pub(super) room: Amount,
+    /// Whether it may take tasks.
+    open: bool,
+    /// Until when what the list said of its room is relied on; `None` for always.
+    known_until: Option<Instant>,
     /// Kept for a gang of a higher rank.
     pub(super) reserved: bool,
     /// Whether its worker has left the latest orders without an answer.
     pub(super) unanswering: bool,
+    /// Tasks there that may be stopped for more urgent ones.
+    pub(super) yielding: Rc<[Yielding]>,
     /// Whether tasks there serve users of their own and must answer in time.
     pub(super) serves: bool,
     /// Whether tasks there live on what others leave unused.
@@ -29,39 +41,73 @@
     pub(super) starting: Starting,
 }
 
-/// All of them, by place and by name.
+/// What rounds look at beside the room of workers; few sites have tasks for which it matters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Concerns {
+    /// A waiting step serves users of its own or fills gaps.
+    sharing: bool,
+    /// A task is about that may crash its worker.
+    suspecting: bool,
+}
+
+/// All of them, by place and by name. Places are those of the names in their order.
+#[derive(Debug, Default)]
 pub(super) struct Fields {
     all: Vec<Field>,
     places: HashMap<WorkerId, usize>,
+    /// Places, those with the most room first, as of the last call of [`Fields::sort`].
+    by_room: Vec<usize>,
+    is_sorted: bool,
+    /// Places that are reserved.
+    reserved: Vec<usize>,
+    /// Workers that have changed since the last round.
+    changed: BTreeSet<WorkerId>,
+    /// Workers that will be seen otherwise after a while without a change of their own.
+    unsteady: BTreeSet<WorkerId>,
+    concerns: Concerns,
+    /// Time of the round.
+    now: Instant,
 }
 
 impl Fields {
-    /// How many there are.
-    pub(super) const fn len(&self) -> usize {
-        self.all.len()
+    /// Notes that a worker has changed, came or went.
+    pub(super) fn note_changed(&mut self, id: WorkerId) {
+        self.changed.insert(id);
+    }
+
+    /// How many may take tasks now.
+    pub(super) fn count(&self) -> usize {
+        self.iter().count()
+    }
+
+    /// Places of those that may take tasks now.
+    pub(super) fn open(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.all.len()).filter(|&at| self.is_open(at))
     }
 
     /// Part of their processors that is free, 0 to 1.
     pub(super) fn free_share(&self) -> f64 {
-        let free: u64 = self.all.iter().map(|field| field.room.cpu_millis).sum();
+        let free: u64 = self.iter().map(|field| field.room.cpu_millis).sum();
         free as f64 / self.cpu_millis().max(1) as f64
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = &Field> {
-        self.all.iter()
+        self.open().map(|at| &self.all[at])
     }
 
     pub(super) fn get(&self, at: usize) -> &Field {
         &self.all[at]
     }
 
+    /// A field that may be changed for the rest of the round.
     pub(super) fn get_mut(&mut self, at: usize) -> &mut Field {
+        self.is_sorted = false;
         &mut self.all[at]
     }
 
-    /// Place of the worker of that name.
+    /// Place of the worker of that name, if it may take tasks now.
     pub(super) fn find(&self, id: &WorkerId) -> Option<usize> {
-        self.places.get(id).copied()
+        self.places.get(id).copied().filter(|&at| self.is_open(at))
     }
 
     pub(super) fn racks(&self, places: &[usize]) -> BTreeSet<Option<String>> {
@@ -70,7 +116,46 @@
 
     /// Processors of all, in thousandths of a core.
     pub(super) fn cpu_millis(&self) -> u64 {
-        self.all.iter().map(|field| field.listed.capacity.cpu_millis).sum()
+        self.iter().map(|field| field.listed.capacity.cpu_millis).sum()
+    }
+
+    /// Keeps a worker for a gang for the rest of the round.
+    pub(super) fn reserve(&mut self, at: usize) {
+        self.all[at].reserved = true;
+        self.reserved.push(at);
+    }
+
+    /// How many are kept for gangs.
+    pub(super) const fn reserved(&self) -> usize {
+        self.reserved.len()
+    }
+
+    /// Brings the order by room up to date. It is nearly in order from the last time.
+    pub(super) fn sort(&mut self) {
+        if self.is_sorted {
+            return;
+        }
+        let all = &self.all;
+        self.by_room.sort_by_key(|&at| (Reverse(all[at].room.cpu_millis), at));
+        self.is_sorted = true;
+    }
+
+    /// Those that may take tasks now, with the most room first, as of the last call of
+    /// [`Fields::sort`].
+    pub(super) fn by_room(&self) -> impl Iterator<Item = usize> + '_ {
+        self.by_room.iter().copied().filter(|&at| self.is_open(at))
+    }
+
+    fn is_open(&self, at: usize) -> bool {
+        let field = &self.all[at];
+        field.open && field.known_until.is_none_or(|until| self.now <= until)
+    }
+
+    /// Lets go of what was kept in the round.
+    pub(super) fn end_round(&mut self) {
+        for at in std::mem::take(&mut self.reserved) {
+            self.all[at].reserved = false;
+        }
     }
 }
 
@@ -116,36 +201,84 @@
 }
 
 impl Machine {
-    /// Workers that may take tasks now. What runs on each matters only where one of the `waiting`
-    /// steps serves users of its own or fills gaps; few sites have such steps.
-    pub(super) fn fields(&self, waiting: &[Waiting]) -> Fields {
+    /// Brings the fields up to date for a round in which `waiting` steps are placed. What runs on each
+    /// worker matters only where one of them serves users of its own or fills gaps.
+    pub(super) fn refresh_fields(&self, fields: &mut Fields, waiting: &[Waiting]) {
+        fields.now = self.now;
         let shares = |step: &Waiting| step.model().fills || step.model().serves();
         let sharing = waiting.iter().any(shares);
         let suspecting =
             waiting.iter().any(|step| !step.suspects.is_empty()) || !self.suspects.is_empty();
-        let known_for = self.timings.room_known_for;
-        let is_open = |worker: &&Worker| {
-            worker.is_open(self.now) && worker.is_room_known(known_for, self.now)
+        let concerns = Concerns { sharing, suspecting };
+        // What begins on a worker changes with time alone.
+        let all = suspecting || concerns != fields.concerns;
+        fields.concerns = concerns;
+        let changed = std::mem::take(&mut fields.changed);
+        if changed.iter().any(|id| fields.places.contains_key(id) != self.workers.contains_key(id))
+        {
+            return self.rebuild_fields(fields);
+        }
+        let stale: Vec<WorkerId> = if all {
+            self.workers.keys().cloned().collect()
+        } else {
+            changed.union(&fields.unsteady).cloned().collect()
         };
-        let open = self.workers.values().filter(is_open);
-        let all: Vec<Field> = open
-            .map(|worker| Field {
-                id: worker.id.clone(),
-                listed: worker.listed.clone(),
-                room: worker.room(),
-                reserved: false,
-                unanswering: worker.silence.is_remembered(self.now),
-                serves: sharing && worker.runs.iter().any(|run| self.runs_as(run, Step::serves)),
-                fills: sharing
-                    && worker.runs.iter().any(|run| self.runs_as(run, |step| step.fills)),
-                starting: if suspecting { self.starting(worker) } else { Starting::default() },
-            })
-            .collect();
-        let places = all.iter().enumerate().map(|(at, field)| (field.id.clone(), at)).collect();
-        Fields { all, places }
-    }
-
-    fn runs_as(&self, run: &Run, is: impl Fn(&Step) -> bool) -> bool {
+        for id in &stale {
+            if let Some((worker, &at)) = self.workers.get(id).zip(fields.places.get(id)) {
+                fields.all[at] = self.field(worker, concerns);
+                self.note_unsteady(worker, fields);
+            }
+        }
+        fields.is_sorted &= stale.is_empty();
+    }
+
+    fn rebuild_fields(&self, fields: &mut Fields) {
+        fields.unsteady.clear();
+        fields.all =
+            self.workers.values().map(|worker| self.field(worker, fields.concerns)).collect();
+        let places = self.workers.keys().cloned().enumerate();
+        fields.places = places.map(|(at, id)| (id, at)).collect();
+        fields.by_room = (0..fields.all.len()).collect();
+        fields.is_sorted = false;
+        for worker in self.workers.values() {
+            self.note_unsteady(worker, fields);
+        }
+    }
+
+    /// Notes whether a worker will be seen otherwise without a change of its own: a rest that ends.
+    fn note_unsteady(&self, worker: &Worker, fields: &mut Fields) {
+        if worker.is_steady(self.now) {
+            fields.unsteady.remove(&worker.id);
+        } else {
+            fields.unsteady.insert(worker.id.clone());
+        }
+    }
+
+    fn field(&self, worker: &Worker, concerns: Concerns) -> Field {
+        let Concerns { sharing, suspecting } = concerns;
+        let runs_any = |is: fn(&Step) -> bool| worker.runs.iter().any(|run| self.runs_as(run, is));
+        let known_for = self.timings.room_known_for;
+        Field {
+            id: worker.id.clone(),
+            listed: worker.listed.clone(),
+            room: worker.room(),
+            open: worker.is_open(self.now),
+            known_until: known_for.map(|known_for| worker.listed_at.after(known_for)),
+            reserved: false,
+            unanswering: worker.silence.is_remembered(self.now),
+            // Room that comes free where more is reserved than there is takes nothing in.
+            yielding: if worker.is_overcommitted() {
+                Rc::default()
+            } else {
+                worker.yielding.clone()
+            },
+            serves: sharing && runs_any(Step::serves),
+            fills: sharing && runs_any(|step| step.fills),
+            starting: if suspecting { self.starting(worker) } else { Starting::default() },
+        }
+    }
+
+    fn runs_as(&self, run: &Run, is: fn(&Step) -> bool) -> bool {
         self.model(&run.task.step).is_some_and(is)
     }
 }
--- a/src/cell/machine/inheritance.rs
+++ b/src/cell/machine/inheritance.rs
@@ -15,6 +15,7 @@
                 self.suspects.insert(run);
             }
             self.runs.insert(run, Live::new(worker, demand, Stage::Inherited, self.now));
+            self.unlisted.insert(run);
         }
         let unwanted: Vec<Run> = self
             .runs
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -14,32 +14,39 @@
 impl Machine {
     /// Sends the looks that are due.
     pub(super) fn look_around(&mut self) {
+        self.note_changed_workers();
         let now = self.now;
-        let may_grant = self.may_grant();
-        let epoch = self.epoch;
-        let table = self.table.clone();
-        for worker in self.workers.values_mut() {
-            // An entry of a service that no configuration names may be another program's. What an
-            // earlier owner started there is looked after all the same.
-            if worker.runs.is_empty()
-                && !worker.fenced
-                && !table.has_service(&worker.listed.service)
-            {
-                continue;
-            }
-            // An answer that never comes: the adapter's own timeout has been overslept, or the
-            // message of its end got lost with the task.
-            let overdue = LOOK_WAIT + LOOK_TIMEOUT * 2;
-            if worker.looking.is_some_and(|sent| now.since(sent) < overdue)
-                || now < worker.next_look
-            {
-                continue;
-            }
+        let (epoch, may_grant) = (self.epoch, self.may_grant());
+        for id in self.looks.due(now) {
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
             worker.looking = Some(now);
             let look = look(worker, epoch, may_grant, now);
-            let (worker, peer) = (worker.id.clone(), worker.address());
-            self.effects.push(Effect::Look { worker, peer, look });
+            let peer = worker.address();
+            self.effects.push(Effect::Look { worker: id, peer, look });
+        }
+    }
+
+    /// Brings what is kept of workers apart from them up to date with those that have changed.
+    pub(super) fn note_changed_workers(&mut self) {
+        for id in self.workers.take_changed() {
+            let at = self.workers.get(&id).and_then(|worker| self.next_look(worker));
+            self.looks.set(&id, at);
+            self.fields.note_changed(id);
+        }
+    }
+
+    /// When a worker is to be looked at; `None` for never, as things are.
+    fn next_look(&self, worker: &Worker) -> Option<Instant> {
+        // An entry of a service that no configuration names may be another program's. What an
+        // earlier owner started there is looked after all the same.
+        let is_ours = self.table.has_service(&worker.listed.service);
+        if worker.runs.is_empty() && !worker.fenced && !is_ours {
+            return None;
         }
+        // An answer that never comes: the adapter's own timeout has been overslept, or the message of
+        // its end got lost with the task.
+        let overdue = worker.looking.map(|sent| sent.after(LOOK_WAIT + LOOK_TIMEOUT * 2));
+        Some(worker.next_look.max(overdue.unwrap_or_default()))
     }
 
     /// Whether this owner may still extend leases.
--- a/src/cell/machine/loss.rs
+++ b/src/cell/machine/loss.rs
@@ -44,12 +44,11 @@
 
     /// Ends what earlier owners left in lives of workers that have answered in another one since.
     fn end_former_lives(&mut self) {
-        let former = |live: &Live| {
-            !self.workers.contains_key(&live.worker) && self.answers_in_another_life(&live.worker)
-        };
-        let over = self.runs.iter().filter(|(_, live)| former(live)).map(|(run, _)| *run);
-        let over: Vec<Run> = over.collect();
+        let former = |live: &Live| self.answers_in_another_life(&live.worker);
+        let runs = self.unlisted.iter().copied();
+        let over: Vec<Run> = runs.filter(|run| self.runs.get(run).is_some_and(former)).collect();
         for run in over {
+            self.unlisted.remove(&run);
             self.end_run(run, End::Crashed, String::new());
         }
     }
@@ -97,14 +96,7 @@
 
     /// Tries on workers that no list has named since this owner began.
     fn lapse_unlisted(&mut self) {
-        let unlisted = |worker: &WorkerId| !self.workers.contains_key(worker);
-        let runs: Vec<Run> = self
-            .runs
-            .iter()
-            .filter(|(_, live)| unlisted(&live.worker))
-            .map(|(run, _)| *run)
-            .collect();
-        for run in runs {
+        for run in std::mem::take(&mut self.unlisted) {
             self.end_run(run, End::Lost, String::new());
         }
     }
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -5,6 +5,7 @@
 //! callers, final phases, and the leave that a worker gets to forget an end.
 
 mod advice;
+mod agenda;
 mod asker;
 mod askers;
 mod backlog;
@@ -26,6 +27,7 @@
 mod rank;
 mod reservation;
 mod roster;
+mod tracked;
 mod waiting;
 
 use std::cmp::Reverse;
@@ -38,9 +40,12 @@
 pub use commit::{Commit, Health};
 pub use live::{Live, Stage};
 pub use message::{Answer, Call, CallId, Effect, Message};
+pub use tracked::Tracked;
 
+use self::agenda::Agenda;
 use self::asker::Asker;
 use self::backlog::Backlog;
+use self::field::Fields;
 use self::waiting::Hopeful;
 use super::Epoch;
 use super::duty::Duty;
@@ -65,8 +70,7 @@
 /// Rest between two looks for ended jobs to forget.
 const FORGET_REST: Duration = Duration::from_secs(1);
 
-/// Rest between two looks for leases that have run out. They take 8 s, and a look goes through all
-/// tries: in each step it took 30 % of the deciding at 350 workers (sampled in the replay bench).
+/// Rest between two looks for leases that have run out, which take seconds.
 const LAPSE_REST: Duration = Duration::from_millis(100);
 
 /// The owner of a cell.
@@ -80,9 +84,9 @@
     /// The configuration in force.
     pub table: Rc<Table>,
     /// Workers by name.
-    pub workers: BTreeMap<WorkerId, Worker>,
+    pub workers: Tracked<WorkerId, Worker>,
     /// Tries that are not known to be over.
-    pub runs: BTreeMap<Run, Live>,
+    pub runs: Tracked<Run, Live>,
     /// What the policy service said of steps.
     pub tickets: BTreeMap<StepKey, Tickets>,
     /// Mean run time of a task by queue, in milliseconds.
@@ -104,6 +108,14 @@
     suspects: BTreeSet<Run>,
     /// When a step may next look for tasks to stop.
     preempted: BTreeMap<StepKey, Instant>,
+    /// When each worker is to be looked at.
+    looks: Agenda<WorkerId>,
+    /// When the next order of each try is to be sent.
+    orders: Agenda<Run>,
+    /// Workers as rounds of placement see them.
+    fields: Fields,
+    /// Tries of earlier owners on workers that no list has named yet.
+    unlisted: BTreeSet<Run>,
     askers: BTreeMap<SocketAddr, Asker>,
     questions: BTreeMap<u64, Question>,
     last_question: u64,
@@ -135,8 +147,8 @@
             timings,
             state,
             table,
-            workers: BTreeMap::new(),
-            runs: BTreeMap::new(),
+            workers: Tracked::default(),
+            runs: Tracked::default(),
             tickets: BTreeMap::new(),
             run_times: BTreeMap::new(),
             shares: BTreeMap::new(),
@@ -152,6 +164,10 @@
             failed_on: BTreeMap::new(),
             suspects: BTreeSet::new(),
             preempted: BTreeMap::new(),
+            looks: Agenda::default(),
+            orders: Agenda::default(),
+            fields: Fields::default(),
+            unlisted: BTreeSet::new(),
             askers: BTreeMap::new(),
             questions: BTreeMap::new(),
             last_question: 0,
@@ -211,12 +227,12 @@
         if self.now >= self.next_lapse {
             self.next_lapse = now.after(LAPSE_REST);
             self.give_up_lapsed();
+            self.drop_unlisted();
         }
         if self.now >= self.next_forget {
             self.next_forget = now.after(FORGET_REST);
             self.forget();
         }
-        self.drop_unlisted();
         done(Duty::Upkeep);
         if self.now >= self.next_place && (self.dirty || self.now >= self.place_by) {
             self.place();
--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -10,14 +10,9 @@
 impl Machine {
     /// Sends the orders that are due.
     pub(super) fn send_orders(&mut self) {
-        let now = self.now;
-        let due: Vec<(Run, Stage)> = self
-            .runs
-            .iter()
-            .filter(|(_, live)| live.next_try <= now && live.stage.is_ordering())
-            .map(|(run, live)| (*run, live.stage))
-            .collect();
-        for (run, stage) in due {
+        self.note_changed_runs();
+        for run in self.orders.due(self.now) {
+            let Some(stage) = self.runs.get(&run).map(|live| live.stage) else { continue };
             match stage {
                 Stage::Starting { out: false } if self.is_room_known(run) => self.send_start(run),
                 Stage::Stopping { out: false, taken: None } => self.send_stop(run),
@@ -26,6 +21,13 @@
         }
     }
 
+    fn note_changed_runs(&mut self) {
+        for run in self.runs.take_changed() {
+            let live = self.runs.get(&run).filter(|live| live.stage.is_ordering());
+            self.orders.set(&run, live.map(|live| live.next_try));
+        }
+    }
+
     /// Whether the room of a try's worker is known; until then its order waits.
     fn is_room_known(&self, run: Run) -> bool {
         let live = self.runs.get(&run);
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -41,19 +41,27 @@
             return;
         }
         self.look_for_yielding();
-        let mut fields = self.fields(&waiting);
-        self.tell_backlog(&waiting, &fields, whole);
-        let mut budget = self.budget(&waiting, &fields);
-        let mut askers = self.askers(&waiting, &fields);
-        for step in &waiting {
+        self.note_changed_workers();
+        let mut fields = std::mem::take(&mut self.fields);
+        self.refresh_fields(&mut fields, &waiting);
+        self.place_steps(&waiting, &mut fields, whole);
+        fields.end_round();
+        self.fields = fields;
+    }
+
+    fn place_steps(&mut self, waiting: &[Waiting], fields: &mut Fields, whole: bool) {
+        self.tell_backlog(waiting, fields, whole);
+        let mut budget = self.budget(waiting, fields);
+        let mut askers = self.askers(waiting, fields);
+        for step in waiting {
             // Jobs that come too late anyway ask after all that can be on time.
             if step.rank.hope != Hope::OnTime && askers.prefers_on_time() {
                 self.ask_postponed(&mut askers);
             }
             if let Some(advice) = &step.queue.advice {
-                self.seek_advice(step, advice, &fields, &mut askers, &mut budget);
+                self.seek_advice(step, advice, fields, &mut askers, &mut budget);
             }
-            self.place_step(step, &mut fields);
+            self.place_step(step, fields);
         }
         self.ask_postponed(&mut askers);
     }
@@ -78,7 +86,7 @@
         let model = step.model();
         let places: Vec<usize> = match step.queue.advice {
             Some(_) => self.ticketed(&step.key, fields),
-            None => (0..fields.len()).collect(),
+            None => fields.open().collect(),
         };
         let fits = |field: &Field| field.suits(&step.queue.service, model) && field.is_quiet(model);
         let mut allowed: Vec<usize> =
@@ -98,7 +106,7 @@
     pub(super) fn eligible(&self, step: &Waiting, fields: &Fields) -> Vec<usize> {
         let suits = |at: &usize| fields.get(*at).suits(&step.queue.service, step.model());
         if step.queue.advice.is_none() {
-            return (0..fields.len()).filter(suits).collect();
+            return fields.open().filter(suits).collect();
         }
         let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
         let places = tickets.eligible().filter_map(|(worker, _)| fields.find(worker));
--- a/src/cell/machine/preemption.rs
+++ b/src/cell/machine/preemption.rs
@@ -109,14 +109,10 @@
         &'a self,
         at: usize,
         step: &Waiting,
-        fields: &Fields,
+        fields: &'a Fields,
     ) -> impl Iterator<Item = &'a Yielding> + use<'a> {
         let priority = step.queue.priority;
-        let worker = self.workers.get(&fields.get(at).id);
-        // Room that comes free where more is reserved than there is takes nothing in.
-        let worker = worker.filter(|worker| !worker.is_overcommitted());
-        let yielding = worker.map(|worker| worker.yielding.iter());
-        yielding.into_iter().flatten().filter(move |yielding| {
+        fields.get(at).yielding.iter().filter(move |yielding| {
             let live = self.runs.get(&yielding.victim.run);
             yielding.priority > priority && live.is_some_and(|live| !live.unwanted)
         })
@@ -133,14 +129,21 @@
         }
         self.next_yielding = self.now.after(LOOK_REST);
         let mut found: BTreeMap<WorkerId, Vec<Yielding>> = BTreeMap::new();
-        for (run, live) in &self.runs {
+        for (run, live) in self.runs.iter() {
             if let Some(priority) = self.yields(run, live) {
                 let victim = Victim { run: *run, demand: live.demand };
                 found.entry(live.worker.clone()).or_default().push(Yielding { priority, victim });
             }
         }
-        for worker in self.workers.values_mut() {
-            worker.yielding = found.remove(&worker.id).unwrap_or_default();
+        let before = self.workers.values().filter(|worker| !worker.yielding.is_empty());
+        let before: Vec<WorkerId> = before.map(|worker| worker.id.clone()).collect();
+        for id in before {
+            found.entry(id).or_default();
+        }
+        for (id, yielding) in found {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.yielding = yielding.into();
+            }
         }
     }
 
--- a/src/cell/machine/reservation.rs
+++ b/src/cell/machine/reservation.rs
@@ -98,8 +98,8 @@
         if step.rank.hope == Hope::Worthless {
             return;
         }
-        let spare = (fields.len() as f64 * KEPT_SHARE) as usize;
-        let spare = spare.saturating_sub(fields.iter().filter(|field| field.reserved).count());
+        let spare = (fields.count() as f64 * KEPT_SHARE) as usize;
+        let spare = spare.saturating_sub(fields.reserved());
         let mut open: Vec<usize> = allowed.to_vec();
         open.retain(|&at| !fields.get(at).reserved);
         open.sort_by_key(|&at| Reverse(fields.get(at).room.cpu_millis));
@@ -114,7 +114,7 @@
             kept.push(at);
         }
         if slots >= wanted && kept.len() <= spare {
-            kept.into_iter().for_each(|at| fields.get_mut(at).reserved = true);
+            kept.into_iter().for_each(|at| fields.reserve(at));
         }
     }
 }
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -68,9 +68,13 @@
 
     /// Reserves room for the tries that an earlier owner placed, on workers that are new here.
     fn reserve_inherited(&mut self) {
-        for (run, live) in &self.runs {
-            if let Some(worker) = self.workers.get_mut(&live.worker) {
-                worker.reserve(*run, &live.demand);
+        for run in std::mem::take(&mut self.unlisted) {
+            let Some(live) = self.runs.get(&run) else { continue };
+            match self.workers.get_mut(&live.worker) {
+                Some(worker) => worker.reserve(run, &live.demand),
+                None => {
+                    self.unlisted.insert(run);
+                }
             }
         }
     }
@@ -98,6 +102,7 @@
         if table.version > self.table.version {
             log::info!("event=config.in_force version={}", table.version);
             self.table = table;
+            self.workers.change_all();
             self.dirty = true;
         }
     }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -71,7 +71,7 @@
     /// Jobs whose tasks failed here since the last one that went well.
     pub failures: BTreeSet<super::job::Id>,
     /// Tasks on it that may be stopped for more urgent ones, as of the last look for such.
-    pub yielding: Vec<Yielding>,
+    pub yielding: Rc<[Yielding]>,
     /// Orders that it left without an answer.
     pub silence: Silence,
     /// Until when it gets no new work because of failures.
@@ -97,7 +97,7 @@
             missed: 0,
             silent_since: None,
             failures: BTreeSet::new(),
-            yielding: Vec::new(),
+            yielding: Rc::default(),
             silence: Silence::default(),
             quarantined_until: None,
         }
@@ -120,6 +120,11 @@
             && !self.silence.is_resting(now)
     }
 
+    /// Whether time alone changes nothing about whether new work may go there.
+    pub fn is_steady(&self, now: Instant) -> bool {
+        self.quarantined_until.is_none_or(|until| now >= until) && !self.silence.is_remembered(now)
+    }
+
     /// Room that nothing is reserved for.
     pub fn room(&self) -> Amount {
         self.listed.capacity.saturating_sub(&self.used)
--- a/tests/logic/cell/looks.rs
+++ b/tests/logic/cell/looks.rs
@@ -1,7 +1,10 @@
 //! What a report says of tries that it does not list.
 
-use oriolefork::cell::link::Report;
-use oriolefork::cell::machine::Message;
+use std::rc::Rc;
+
+use oriolefork::cell::link::{Listed, Report, Roster};
+use oriolefork::cell::machine::{Effect, Message};
+use oriolefork::cell::queue::{Service, Table};
 use oriolefork::clock::Instant;
 
 use super::model::{self, cores};
@@ -77,3 +80,42 @@
     report(&mut story, starts[0].0, sent, true);
     assert!(story.starts().is_empty(), "its end may be on the next page");
 }
+
+/// Only workers that are due are gone through; one whose service is configured after it was listed has no
+/// other sign that it is due from then on, and would get no work for as long as its owner lives.
+#[test]
+fn look_at_workers_of_a_service_that_is_new() {
+    let mut story = Story::begin(1);
+    let listed = Listed { service: "archive".to_owned(), ..model::listed(7, cores(8)) };
+    let present = vec![("w7".into(), Rc::new(listed))];
+    story.tell(Message::Roster(Roster { present, gone: Vec::new(), whole: false }));
+    story.pass(100);
+    let looked_at = |story: &Story| {
+        let is_seven =
+            |effect: &&Effect| matches!(effect, Effect::Look { worker, .. } if **worker == *"w7");
+        story.effects.iter().any(|effect| is_seven(&effect))
+    };
+    assert!(!looked_at(&story), "no configuration names its service");
+    let mut table: Table = (*model::table()).clone();
+    table.version += 1;
+    table.services.push(Service { name: "archive".to_owned(), guards: false });
+    story.tell(Message::Table(Rc::new(table)));
+    story.pass(100);
+    assert!(looked_at(&story));
+}
+
+/// Likewise a worker that was told of while its look got lost on the way, with no answer at all.
+#[test]
+fn look_again_after_one_that_never_ends() {
+    let mut story = Story::begin(1);
+    story.report(0, &[], &[]);
+    story.pass(20);
+    let looks = |story: &Story| {
+        story.effects.iter().filter(|effect| matches!(effect, Effect::Look { .. })).count()
+    };
+    let before = looks(&story);
+    story.pass(2_000);
+    assert_eq!(looks(&story), before, "the last one is out");
+    story.pass(2_000);
+    assert_eq!(looks(&story), before + 1);
+}
