Tell followers the order of succession only when it is another one

Callers saw: as before, 298 instances and 3,000 workers: their calls get no answer, since the owner has no time left.

Cause: each of 298 instances is answered five times a second with the list of all, ranked anew for each answer: 90 to 150 ms of the owner's second (owner.duties, with nothing else to do), and 1.9 MB a second on its link. It grows with the square of the instances.

Change: the order is ranked ten times a second, with a digest. A watch names the digest that its instance has from this owner, and the answer carries the list only where it differs. Whether a stronger instance stands by is worked out there too.

Why it holds: an instance that has no list from this owner names zero and is told.

--- a/src/cell/election/follow.rs
+++ b/src/cell/election/follow.rs
@@ -68,7 +68,9 @@
     ) -> Result<Watched, peer::Error> {
         let (version, strength) = (self.node.table().version, self.node.strength);
         let (cell, from, domain) = (self.cell, self.node.me, self.node.domain.clone());
-        let watch = Watch { cell, from, domain, version, strength, patient };
+        let told_by_it = self.last_owner == Some(owner);
+        let succession = if told_by_it { self.succession } else { 0 };
+        let watch = Watch { cell, from, domain, version, strength, patient, succession };
         let timeout = if patient { WATCH_TIMEOUT } else { PROBE_TIMEOUT };
         self.node.borders.peers.call(owner, WATCH, &watch, timeout).await
     }
@@ -91,12 +93,10 @@
         if self.last_owner.replace(owner) != Some(owner) {
             self.rest_from_reading();
         }
-        if !watched.present.is_empty() {
-            self.peers.clone_from(&watched.present);
+        if let Some(present) = watched.present {
+            self.take_succession(owner, present);
+            self.succession = watched.succession;
         }
-        let mut followers = watched.present.iter().filter(|peer| **peer != owner);
-        let place = followers.position(|peer| *peer == self.node.me);
-        self.rank = place.map(|place| (place as u32).min(LOWEST_RANK));
         // An owner that answers is in contact, also while the store keeps it from serving: callers
         // are passed on to it and keep their connections, since they fare no better elsewhere.
         self.node.note_contact(self.cell);
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Takes in the order in which instances would take over from `owner`.
+    fn take_succession(&mut self, owner: SocketAddr, order: Vec<SocketAddr>) {
+        let mut followers = order.iter().filter(|peer| **peer != owner);
+        let place = followers.position(|peer| *peer == self.node.me);
+        self.rank = place.map(|place| (place as u32).min(LOWEST_RANK));
+        if !order.is_empty() {
+            self.peers = order;
+        }
+    }
+
     /// Waits for an instance that has claimed the cell and reads its journal, within bounds.
     fn await_begin(&mut self, peer: SocketAddr, owner: Option<SocketAddr>) -> Option<Motive> {
         if owner != Some(peer) {
--- a/src/cell/election/mod.rs
+++ b/src/cell/election/mod.rs
@@ -46,6 +46,8 @@
     rank: Option<u32>,
     /// Instances that followed the owner when it last answered.
     peers: Vec<SocketAddr>,
+    /// Digest of the order of succession that the present owner told last; zero for none.
+    succession: u64,
     /// The sign that this instance went by last.
     followed: Option<Sign>,
     /// Whether the owner did not answer when it was last asked.
@@ -71,6 +73,7 @@
         reading: Reading::default(),
         rank: None,
         peers: Vec::new(),
+        succession: 0,
         followed: None,
         unheard: false,
         next_keep_up,
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -27,10 +27,10 @@
 mod rank;
 mod reservation;
 mod roster;
+mod succession;
 mod tracked;
 mod waiting;
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,6 +40,7 @@
 pub use commit::{Commit, Health};
 pub use live::{Live, Stage};
 pub use message::{Answer, Call, CallId, Effect, Message};
+pub use succession::Succession;
 pub use tracked::Tracked;
 
 use self::agenda::Agenda;
@@ -117,6 +118,7 @@
     /// Tries of earlier owners on workers that no list has named yet.
     unlisted: BTreeSet<Run>,
     askers: BTreeMap<SocketAddr, Asker>,
+    succession: Succession,
     questions: BTreeMap<u64, Question>,
     last_question: u64,
     effects: Vec<Effect>,
@@ -169,6 +171,7 @@
             fields: Fields::default(),
             unlisted: BTreeSet::new(),
             askers: BTreeMap::new(),
+            succession: Succession::default(),
             questions: BTreeMap::new(),
             last_question: 0,
             effects: Vec::new(),
@@ -220,6 +223,8 @@
         self.advance(now, unix);
         self.review_admission();
         done(Duty::Call);
+        self.rank_instances();
+        done(Duty::Watch);
         self.send_orders();
         done(Duty::Order);
         self.look_around();
@@ -258,22 +263,6 @@
         }
     }
 
-    /// Instances that were heard of lately, in the order of succession: the strongest first, since the
-    /// owner does most of the work and instances differ fourfold, and those of equal strength by turns
-    /// from each failure domain, so that a cut of one leaves most of the first ones.
-    pub fn present(&self, now: Instant) -> Vec<SocketAddr> {
-        let fresh = self.askers.iter().filter(|(_, asker)| asker.is_fresh(now));
-        let mut counts: BTreeMap<(u32, &str), u32> = BTreeMap::new();
-        let mut ranked: Vec<(Reverse<u32>, u32, SocketAddr)> = Vec::new();
-        for (peer, asker) in fresh {
-            let turn = counts.entry((asker.strength, &asker.domain)).or_insert(0);
-            ranked.push((Reverse(asker.strength), *turn, *peer));
-            *turn += 1;
-        }
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(.., peer)| peer).collect()
-    }
-
     /// Offset after the last batch that is known to be stored.
     pub const fn journal_end(&self) -> u64 {
         self.commit.end()
@@ -282,10 +271,7 @@
     /// Whether an instance is there that is much stronger than `strength`.
     fn is_outclassed(&self, strength: u32, now: Instant) -> bool {
         let settled = now.since(self.claimed) > SETTLED_AFTER;
-        let stronger = |asker: &Asker| {
-            asker.is_fresh(now) && f64::from(asker.strength) > f64::from(strength) * MUCH_STRONGER
-        };
-        settled && self.askers.values().any(stronger)
+        settled && f64::from(self.succession.strongest) > f64::from(strength) * MUCH_STRONGER
     }
 
     fn advance(&mut self, now: Instant, unix: Unix) {
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -80,17 +80,21 @@
         let newer = (table.version > watch.version).then(|| (*table).clone());
         let strength = self.strength;
         let look = move |machine: &Machine, now| {
-            (machine.offer(strength, now), machine.present(now), machine.journal_end())
+            let succession = machine.succession();
+            let (order, digest) = (succession.order.clone(), succession.digest);
+            (machine.offer(strength, now), order, digest, machine.journal_end())
         };
         let seen = match self.owning(watch.cell) {
             Some(owning) => owning.inspect(look).await,
             None => None,
         };
         let owns = seen.is_some();
-        let (offer, present, end) = seen.unwrap_or_default();
+        let (offer, order, succession, end) = seen.unwrap_or_default();
+        let is_told = succession != 0 && succession == watch.succession;
+        let present = (!is_told).then(|| order.to_vec());
         let offer = if self.stop.is_triggered() { Offer::Open } else { offer };
         let owner = self.owner(watch.cell);
-        Watched { owns, owner, strength, end, offer, present, table: newer }
+        Watched { owns, owner, strength, end, offer, present, succession, table: newer }
     }
 }
 
--- a/src/cell/peer.rs
+++ b/src/cell/peer.rs
@@ -57,6 +57,8 @@
     pub strength: u32,
     /// Whether the owner may hold its answer back while all is well.
     pub patient: bool,
+    /// Digest of the order of succession that the follower was told last; zero for none.
+    pub succession: u64,
 }
 
 /// Whether an owner wants to be relieved.
@@ -95,8 +97,11 @@
     pub end: u64,
     /// Whether the owner wants another instance to take over.
     pub offer: Offer,
-    /// Instances that follow the owner, in the order in which they would take over.
-    pub present: Vec<SocketAddr>,
+    /// Instances that follow the owner, in the order in which they would take over, where the
+    /// follower was told of another order last.
+    pub present: Option<Vec<SocketAddr>>,
+    /// Digest of that order; zero while there is none.
+    pub succession: u64,
     /// The owner's configuration, when it is newer.
     pub table: Option<Table>,
 }
--- a/tests/logic/cell/succession.rs
+++ b/tests/logic/cell/succession.rs
@@ -51,3 +51,28 @@
     let order = story.machine.present(Instant::from_millis(story.now));
     assert_eq!(order, [peer(0, 1), peer(0, 2), peer(0, 0)]);
 }
+
+/// On a site of hundreds of instances each was told of all others several times a second, and the owner
+/// had no time left to place anything: an instance that knows the order is told it by a digest.
+#[test]
+fn succession_keeps_its_digest_until_it_changes() {
+    let mut story = Story::begin(1);
+    let present = |story: &mut Story, number: u8| {
+        let peer = peer(0, number);
+        story.tell(Message::Present { peer, strength: 500, domain: "hall".into() });
+    };
+    (0..3).for_each(|number| present(&mut story, number));
+    story.pass(200);
+    let all = story.machine.succession().clone();
+    assert_eq!(all.order.len(), 3);
+    (0..3).for_each(|number| present(&mut story, number));
+    story.pass(200);
+    assert_eq!(story.machine.succession().digest, all.digest);
+    for _ in 0..10 {
+        (0..2).for_each(|number| present(&mut story, number));
+        story.pass(200);
+    }
+    let left = story.machine.succession();
+    assert_eq!(left.order.len(), 2);
+    assert_ne!(left.digest, all.digest);
+}
