Take in up to 1,024 messages a step, not 64

Cause: a step took in 64 messages and then placed. With a round of 8 to 10 ms that is 6,000 messages a second at most, while 8,000 to 9,000 come (looks, watches, orders, answers of the policy service): they pile up without end. The answer to an append waits behind them, so that the owner takes the store for slow and offers its cell; watches are answered too late.

Why it holds: a step's fixed costs, a round above all, are shared by all messages that have come by then.

--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -22,8 +22,9 @@
 use crate::clock::{Clock, Instant};
 use crate::peer;
 
-/// Most messages taken in between two looks at what is due.
-const MESSAGES_A_STEP: usize = 64;
+/// Most messages taken in between two looks at what is due: as many as come in a tenth of a second where
+/// a site is at its busiest, so that a round of placement never comes after each few of them.
+const MESSAGES_A_STEP: usize = 1_024;
 
 /// Ways to the outside that every instance has.
 pub struct Borders {
