Keep an owner that is too busy to answer

Cause, from owner.unanswered and owner.claim: an instance whose probe of the owner's connection gets no answer for 0.2 s drops the connection ("broken pipe"), takes the owner for gone, asks once more for 0.15 s and claims. A new owner begins with first looks at all workers at once, and holds its thread for longer than that. So it is replaced by one that does the same.

Change: an owner that cannot be reached, or whose machine refuses connections, is replaced as before. A step sends 512 looks at most.

Tests: owner_that_is_silent_and_writes_is_kept fails on the code before (it claims at once), owner_that_is_silent_and_writes_nothing_is_replaced passes on both.

Why it holds: what a claim is to mend is that nobody works; writing shows work. A suspended process costs 0.25 s more until it is replaced.

--- a/src/cell/election/consider.rs
+++ b/src/cell/election/consider.rs
@@ -9,6 +9,7 @@
 use crate::cell::Epoch;
 use crate::cell::peer::Offer;
 use crate::cell::timings::APPEND_RETRY;
+use crate::peer;
 
 /// Time in which an owner that nobody reaches must write something to count as alive.
 const SILENT_OWNER: Duration = Duration::from_millis(250);
@@ -16,6 +17,16 @@
 /// Time for which an instance may be silent after it has claimed the cell.
 const SILENT_PREPARING: Duration = Duration::from_millis(1_500);
 
+/// What an owner does whose connection broke.
+enum Probe {
+    /// It answers, or is about to begin.
+    Answers,
+    /// Its machine takes connections, and it does not answer.
+    Silent,
+    /// Nobody is there.
+    Gone,
+}
+
 impl Election {
     /// Takes the cell over, where that is called for.
     pub(super) async fn consider(&mut self, motive: Motive) {
@@ -28,10 +39,17 @@
         }
         let goes_on = match motive {
             Motive::Offered(owner) | Motive::Struggling(owner) => self.is_recovered(owner).await,
-            Motive::Silent(_) => self.is_preparing() || self.is_owner_writing().await,
-            Motive::Gone(owner) => self.is_back(owner).await,
+            Motive::Silent(_) => self.is_busy().await,
+            Motive::Gone(owner) => match self.probe(owner).await {
+                Probe::Answers => true,
+                Probe::Silent => self.is_busy().await,
+                Probe::Gone => false,
+            },
             Motive::Unknown | Motive::Stalled(_) => false,
         };
+        if goes_on {
+            self.unheard = false;
+        }
         // Whoever made an epoch known meanwhile is to be followed, not replaced.
         if !goes_on && self.known_epoch() == known && !self.node.stop.is_triggered() {
             self.claim(motive, known).await;
@@ -87,13 +105,25 @@
         watched.is_ok_and(|watched| watched.owns && watched.offer == Offer::Kept)
     }
 
-    /// Whether an owner whose connection broke answers again, or is about to begin.
+    /// Asks an owner whose connection broke once more.
     ///
     /// Guards against instances that were cut off, whose connections were reset: they were the first
     /// to claim when the cut was over, from an owner that served all others.
-    async fn is_back(&self, owner: SocketAddr) -> bool {
-        let watched = self.watch(owner, false).await;
-        watched.is_ok_and(|watched| watched.owns || watched.owner == Some(owner))
+    async fn probe(&self, owner: SocketAddr) -> Probe {
+        match self.watch(owner, false).await {
+            Ok(watched) if watched.owns || watched.owner == Some(owner) => Probe::Answers,
+            Err(error) if error.sent && error.step == peer::Step::Timeout => Probe::Silent,
+            _ => Probe::Gone,
+        }
+    }
+
+    /// Whether an owner that does not answer is at work all the same.
+    ///
+    /// Guards against a busy owner that is replaced by one that begins with the same work and more: each
+    /// in turn answered nobody in its first second and was replaced in the next, for as long as the
+    /// site had work, and what had been accepted was never run.
+    async fn is_busy(&self) -> bool {
+        self.is_preparing() || self.is_owner_writing().await
     }
 
     /// Whether the silent instance has claimed the cell a moment ago: it reads the journal, and neither
--- a/src/cell/machine/agenda.rs
+++ b/src/cell/machine/agenda.rs
@@ -38,9 +38,9 @@
         }
     }
 
-    /// Keys that are due at `now`, in their order.
-    pub(super) fn due(&self, now: Instant) -> Vec<K> {
-        let due = self.queue.iter().take_while(|(at, _)| *at <= now);
+    /// Keys that are due at `now`, the first `limit` of them, in the order of keys.
+    pub(super) fn due(&self, now: Instant, limit: usize) -> Vec<K> {
+        let due = self.queue.iter().take_while(|(at, _)| *at <= now).take(limit);
         let mut due: Vec<K> = due.map(|(_, key)| key.clone()).collect();
         due.sort_unstable();
         due
--- a/src/cell/machine/looks.rs
+++ b/src/cell/machine/looks.rs
@@ -11,13 +11,19 @@
 use crate::cell::worker::Worker;
 use crate::clock::Instant;
 
+/// Most looks that one step sends.
+///
+/// Guards against a new owner that keeps its thread for most of a second with the first looks at
+/// thousands of workers: the instances that follow it took it for dead, one after the other.
+const LOOKS_A_STEP: usize = 512;
+
 impl Machine {
     /// Sends the looks that are due.
     pub(super) fn look_around(&mut self) {
         self.note_changed_workers();
         let now = self.now;
         let (epoch, may_grant) = (self.epoch, self.may_grant());
-        for id in self.looks.due(now) {
+        for id in self.looks.due(now, LOOKS_A_STEP) {
             let Some(worker) = self.workers.get_mut(&id) else { continue };
             worker.looking = Some(now);
             let look = look(worker, epoch, may_grant, now);
--- a/src/cell/machine/orders.rs
+++ b/src/cell/machine/orders.rs
@@ -11,7 +11,7 @@
     /// Sends the orders that are due.
     pub(super) fn send_orders(&mut self) {
         self.note_changed_runs();
-        for run in self.orders.due(self.now) {
+        for run in self.orders.due(self.now, usize::MAX) {
             let Some(stage) = self.runs.get(&run).map(|live| live.stage) else { continue };
             match stage {
                 Stage::Starting { out: false } if self.is_room_known(run) => self.send_start(run),
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod controller;
 mod dev;
+mod election;
 mod harness;
 mod http;
 mod http_client;
