Let a round of placement be followed by a rest as long

Callers saw: while more than a hundred steps wait at 3,000 workers, their calls get no answer in time.

Cause: rounds follow one another with 8 ms between their begins. Where a round takes longer than that, placement takes all of the thread that is not taken by messages, and reports and calls wait for it.

Change: the owner tells the machine how long a round took, and the next one begins no earlier than as much after its end.

Why it holds: what rounds take is at most half, whatever waits; a round later places more at once.

--- a/src/cell/duty.rs
+++ b/src/cell/duty.rs
@@ -169,11 +169,13 @@
         self.since = Instant::now();
     }
 
-    /// Counts the time since the last call for `duty`.
-    pub fn end(&mut self, duty: Duty) {
+    /// Counts the time since the last call for `duty`, and returns it.
+    pub fn end(&mut self, duty: Duty) -> Duration {
         let now = Instant::now();
-        self.ledger.add(duty, now - self.since);
+        let took = now - self.since;
+        self.ledger.add(duty, took);
         self.since = now;
+        took
     }
 }
 
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -49,6 +49,14 @@
         self.fields = fields;
     }
 
+    /// Leaves the thread to other duties for as long as a round `took`.
+    ///
+    /// Guards against rounds that follow one another while much waits: reports and calls are taken in
+    /// only between them, and workers and instances wait for the owner.
+    pub fn rest_from_placement(&mut self, took: Duration) {
+        self.next_place = self.next_place.max(self.now.after(took * 2));
+    }
+
     fn place_steps(&mut self, waiting: &[Waiting], fields: &mut Fields, whole: bool) {
         self.tell_backlog(waiting, fields, whole);
         let mut budget = self.budget(waiting, fields);
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
@@ -180,7 +181,15 @@
             }
             let (now, unix) = (self.borders.clock.now(), self.borders.clock.unix());
             (self.health)(self.machine.store_health(now));
-            for effect in self.machine.step_by_duty(now, unix, &mut |duty| lap.end(duty)) {
+            let mut round = Duration::ZERO;
+            let effects = self.machine.step_by_duty(now, unix, &mut |duty| {
+                let took = lap.end(duty);
+                if duty == Duty::Placement {
+                    round = took;
+                }
+            });
+            self.machine.rest_from_placement(round);
+            for effect in effects {
                 let duty = effect.duty();
                 if let Some(why) = self.carry_out(effect) {
                     return why;
