Keep totals of the workers that may take tasks

Cause: what remained of a round's cost went over all workers: how many are open, how much they have and have free, some of it anew for each gang that waits, and whether what the list said of each still counts.

Change: the totals are kept as fields are replaced. A field says itself whether it is open; the moments at which that changes by time alone, the end of a rest and the age of the list's word, stand in an agenda.

Why it holds: what is counted changes only where a field is replaced.

--- a/src/cell/machine/backlog.rs
+++ b/src/cell/machine/backlog.rs
@@ -48,8 +48,7 @@
         let unasked = waiting.iter().filter(|step| self.needs_first_question(step)).count();
         let fresh = self.askers.values().filter(|asker| asker.is_fresh(self.now)).count();
         let idle = self.askers.values().filter(|asker| asker.is_idle(self.now)).count();
-        let free: u64 = fields.iter().map(|field| field.room.cpu_millis / 1_000).sum();
-        let cores: u64 = fields.iter().map(|field| field.listed.capacity.cpu_millis / 1_000).sum();
+        let (free, cores) = (fields.free_cpu_millis() / 1_000, fields.cpu_millis() / 1_000);
         log::info!(
             "event=steps.waiting on_time={on_time} late={late} worthless={worthless} gangs={gangs} \
              unasked={unasked} askers={fresh} idle_askers={idle} free_cores={free} cores={cores} \
--- a/src/cell/machine/field.rs
+++ b/src/cell/machine/field.rs
@@ -6,8 +6,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::Machine;
+use super::agenda::Agenda;
 use super::crash::Starting;
 use super::waiting::Waiting;
 use crate::cell::job::{Run, Step};
@@ -17,16 +19,19 @@
 use crate::clock::Instant;
 use crate::resource::Amount;
 
+/// Least span that the clock tells.
+const MOMENT: Duration = Duration::from_millis(1);
+
 /// A worker as a round sees it.
 #[derive(Debug)]
 pub(super) struct Field {
     pub(super) id: WorkerId,
     pub(super) listed: Rc<Listed>,
     pub(super) room: Amount,
+    /// Processors free at the begin of the round, in thousandths of a core.
+    free_cpu_millis: u64,
     /// Whether it may take tasks.
     open: bool,
-    /// Until when what the list said of its room is relied on; `None` for always.
-    known_until: Option<Instant>,
     /// Kept for a gang of a higher rank.
     pub(super) reserved: bool,
     /// Whether its worker has left the latest orders without an answer.
@@ -62,11 +67,19 @@
     reserved: Vec<usize>,
     /// Workers that have changed since the last round.
     changed: BTreeSet<WorkerId>,
-    /// Workers that will be seen otherwise after a while without a change of their own.
-    unsteady: BTreeSet<WorkerId>,
+    /// When workers will be seen otherwise without a change of their own.
+    renewals: Agenda<WorkerId>,
     concerns: Concerns,
-    /// Time of the round.
-    now: Instant,
+    open: Totals,
+}
+
+/// What all that may take tasks have together.
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    count: usize,
+    /// Processors, in thousandths of a core, and how many of them nothing is reserved on.
+    cpu_millis: u64,
+    free_cpu_millis: u64,
 }
 
 impl Fields {
@@ -76,23 +89,28 @@
     }
 
     /// How many may take tasks now.
-    pub(super) fn count(&self) -> usize {
-        self.iter().count()
+    pub(super) const fn count(&self) -> usize {
+        self.open.count
     }
 
     /// Places of those that may take tasks now.
     pub(super) fn open(&self) -> impl Iterator<Item = usize> + '_ {
-        (0..self.all.len()).filter(|&at| self.is_open(at))
+        (0..self.all.len()).filter(|&at| self.all[at].open)
     }
 
-    /// Part of their processors that is free, 0 to 1.
+    /// Part of their processors that is free, 0 to 1, as of the begin of the round.
     pub(super) fn free_share(&self) -> f64 {
-        let free: u64 = self.iter().map(|field| field.room.cpu_millis).sum();
-        free as f64 / self.cpu_millis().max(1) as f64
+        self.open.free_cpu_millis as f64 / self.open.cpu_millis.max(1) as f64
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = &Field> {
-        self.open().map(|at| &self.all[at])
+    /// Processors that are free, as of the begin of the round, in thousandths of a core.
+    pub(super) const fn free_cpu_millis(&self) -> u64 {
+        self.open.free_cpu_millis
+    }
+
+    /// Processors of all, in thousandths of a core.
+    pub(super) const fn cpu_millis(&self) -> u64 {
+        self.open.cpu_millis
     }
 
     pub(super) fn get(&self, at: usize) -> &Field {
@@ -107,18 +125,13 @@
 
     /// Place of the worker of that name, if it may take tasks now.
     pub(super) fn find(&self, id: &WorkerId) -> Option<usize> {
-        self.places.get(id).copied().filter(|&at| self.is_open(at))
+        self.places.get(id).copied().filter(|&at| self.all[at].open)
     }
 
     pub(super) fn racks(&self, places: &[usize]) -> BTreeSet<Option<String>> {
         places.iter().map(|&at| self.all[at].listed.rack.clone()).collect()
     }
 
-    /// Processors of all, in thousandths of a core.
-    pub(super) fn cpu_millis(&self) -> u64 {
-        self.iter().map(|field| field.listed.capacity.cpu_millis).sum()
-    }
-
     /// Keeps a worker for a gang for the rest of the round.
     pub(super) fn reserve(&mut self, at: usize) {
         self.all[at].reserved = true;
@@ -143,12 +156,14 @@
     /// Those that may take tasks now, with the most room first, as of the last call of
     /// [`Fields::sort`].
     pub(super) fn by_room(&self) -> impl Iterator<Item = usize> + '_ {
-        self.by_room.iter().copied().filter(|&at| self.is_open(at))
+        self.by_room.iter().copied().filter(|&at| self.all[at].open)
     }
 
-    fn is_open(&self, at: usize) -> bool {
-        let field = &self.all[at];
-        field.open && field.known_until.is_none_or(|until| self.now <= until)
+    /// Replaces a field, and what it adds to the totals.
+    fn replace(&mut self, at: usize, field: Field) {
+        let before = std::mem::replace(&mut self.all[at], field);
+        self.open.remove(&before);
+        self.open.add(&self.all[at]);
     }
 
     /// Lets go of what was kept in the round.
@@ -159,6 +174,24 @@
     }
 }
 
+impl Totals {
+    fn add(&mut self, field: &Field) {
+        if field.open {
+            self.count += 1;
+            self.cpu_millis += field.listed.capacity.cpu_millis;
+            self.free_cpu_millis += field.free_cpu_millis;
+        }
+    }
+
+    fn remove(&mut self, field: &Field) {
+        if field.open {
+            self.count -= 1;
+            self.cpu_millis -= field.listed.capacity.cpu_millis;
+            self.free_cpu_millis -= field.free_cpu_millis;
+        }
+    }
+}
+
 impl Field {
     /// Whether the step's tasks and those that run there leave each other in peace.
     ///
@@ -204,7 +237,6 @@
     /// Brings the fields up to date for a round in which `waiting` steps are placed. What runs on each
     /// worker matters only where one of them serves users of its own or fills gaps.
     pub(super) fn refresh_fields(&self, fields: &mut Fields, waiting: &[Waiting]) {
-        fields.now = self.now;
         let shares = |step: &Waiting| step.model().fills || step.model().serves();
         let sharing = waiting.iter().any(shares);
         let suspecting =
@@ -218,52 +250,54 @@
         {
             return self.rebuild_fields(fields);
         }
-        let stale: Vec<WorkerId> = if all {
-            self.workers.keys().cloned().collect()
-        } else {
-            changed.union(&fields.unsteady).cloned().collect()
-        };
+        let mut stale = changed;
+        stale.extend(fields.renewals.due(self.now, usize::MAX));
+        if all {
+            stale.extend(self.workers.keys().cloned());
+        }
         for id in &stale {
             if let Some((worker, &at)) = self.workers.get(id).zip(fields.places.get(id)) {
-                fields.all[at] = self.field(worker, concerns);
-                self.note_unsteady(worker, fields);
+                fields.replace(at, self.field(worker, concerns));
+                fields.renewals.set(id, self.next_renewal(worker));
             }
         }
         fields.is_sorted &= stale.is_empty();
     }
 
     fn rebuild_fields(&self, fields: &mut Fields) {
-        fields.unsteady.clear();
-        fields.all =
-            self.workers.values().map(|worker| self.field(worker, fields.concerns)).collect();
+        let all = self.workers.values().map(|worker| self.field(worker, fields.concerns));
+        fields.all = all.collect();
         let places = self.workers.keys().cloned().enumerate();
         fields.places = places.map(|(at, id)| (id, at)).collect();
         fields.by_room = (0..fields.all.len()).collect();
         fields.is_sorted = false;
+        fields.open = Totals::default();
+        fields.all.iter().for_each(|field| fields.open.add(field));
+        fields.renewals = Agenda::default();
         for worker in self.workers.values() {
-            self.note_unsteady(worker, fields);
+            fields.renewals.set(&worker.id, self.next_renewal(worker));
         }
     }
 
-    /// Notes whether a worker will be seen otherwise without a change of its own: a rest that ends.
-    fn note_unsteady(&self, worker: &Worker, fields: &mut Fields) {
-        if worker.is_steady(self.now) {
-            fields.unsteady.remove(&worker.id);
-        } else {
-            fields.unsteady.insert(worker.id.clone());
-        }
+    /// When a worker will be seen otherwise without a change of its own.
+    fn next_renewal(&self, worker: &Worker) -> Option<Instant> {
+        let rest = worker.next_end_of_rest(self.now);
+        let known = worker.room_known_until(self.timings.room_known_for);
+        let lapse = known.map(|until| until.after(MOMENT)).filter(|lapse| *lapse > self.now);
+        rest.into_iter().chain(lapse).min()
     }
 
     fn field(&self, worker: &Worker, concerns: Concerns) -> Field {
         let Concerns { sharing, suspecting } = concerns;
         let runs_any = |is: fn(&Step) -> bool| worker.runs.iter().any(|run| self.runs_as(run, is));
         let known_for = self.timings.room_known_for;
+        let room = worker.room();
         Field {
             id: worker.id.clone(),
             listed: worker.listed.clone(),
-            room: worker.room(),
-            open: worker.is_open(self.now),
-            known_until: known_for.map(|known_for| worker.listed_at.after(known_for)),
+            room,
+            free_cpu_millis: room.cpu_millis,
+            open: worker.is_open(self.now) && worker.is_room_known(known_for, self.now),
             reserved: false,
             unanswering: worker.silence.is_remembered(self.now),
             // Room that comes free where more is reserved than there is takes nothing in.
--- a/src/cell/silence.rs
+++ b/src/cell/silence.rs
@@ -60,6 +60,11 @@
         self.rests_until.is_some_and(|until| now < until.after(MEMORY))
     }
 
+    /// When its rest is over, and when that is forgotten.
+    pub fn ends(&self) -> impl Iterator<Item = Instant> {
+        self.rests_until.into_iter().flat_map(|until| [until, until.after(MEMORY)])
+    }
+
     /// Times in a row.
     pub const fn times(&self) -> u32 {
         self.times
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -120,9 +120,10 @@
             && !self.silence.is_resting(now)
     }
 
-    /// Whether time alone changes nothing about whether new work may go there.
-    pub fn is_steady(&self, now: Instant) -> bool {
-        self.quarantined_until.is_none_or(|until| now >= until) && !self.silence.is_remembered(now)
+    /// The next moment after `now` at which a rest of it, or what is remembered of one, is over.
+    pub fn next_end_of_rest(&self, now: Instant) -> Option<Instant> {
+        let ends = self.quarantined_until.into_iter().chain(self.silence.ends());
+        ends.filter(|end| *end > now).min()
     }
 
     /// Room that nothing is reserved for.
@@ -135,7 +136,12 @@
     /// Guards against room that shrinks while the list cannot be read: what waited until then would go out
     /// by the room before, all at once.
     pub fn is_room_known(&self, known_for: Option<Duration>, now: Instant) -> bool {
-        known_for.is_none_or(|known_for| now.since(self.listed_at) <= known_for)
+        self.room_known_until(known_for).is_none_or(|until| now <= until)
+    }
+
+    /// Last moment at which its room counts as known; `None` for no end.
+    pub fn room_known_until(&self, known_for: Option<Duration>) -> Option<Instant> {
+        known_for.map(|known_for| self.listed_at.after(known_for))
     }
 
     /// Whether more is reserved than it has, since its room has shrunk.
