Write log lines together

Cause: an owner writes some 3,000 lines a second, each with a look whether the pipe is ready and a call to write it. A line besides went through its text letter by letter. Measuring duties read the clock at each piece of spawned work and each message.

What does not fit a full pipe is counted as before. Text without control characters is copied whole. Duties of spawned work are measured at each sixteenth piece, those of messages where the duty changes, and the messages of a step share one time.

Why it holds: no line waits for another.

--- a/src/cell/duty.rs
+++ b/src/cell/duty.rs
@@ -3,7 +3,7 @@
 //! All of an instance's tasks share one thread, so that a duty which takes long holds up all others.
 //! The time of each duty, and the longest that it kept the thread at a time, tell which one that is.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::fmt::{self, Display, Formatter};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -19,6 +19,9 @@
 /// Rest between two lines.
 const REST: Duration = Duration::from_secs(1);
 
+/// One piece of work in so many is measured where pieces are short and many, and counts for all.
+const SAMPLE: u32 = 16;
+
 /// Something that takes an owner's time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Duty {
@@ -93,12 +96,14 @@
 #[derive(Debug)]
 pub struct Ledger {
     spent: RefCell<[Spent; Duty::ALL.len()]>,
+    /// Pieces of work that [`Ledger::measure`] has come by.
+    pieces: Cell<u32>,
 }
 
 impl Ledger {
     /// Nothing spent yet.
     pub fn new() -> Rc<Self> {
-        Rc::new(Self { spent: RefCell::default() })
+        Rc::new(Self { spent: RefCell::default(), pieces: Cell::new(0) })
     }
 
     /// Pieces of work that were counted for `duty` since the last line.
@@ -108,13 +113,25 @@
 
     /// Adds what one piece of work took.
     fn add(&self, duty: Duty, took: Duration) {
+        self.add_sample(duty, took, 1);
+    }
+
+    /// Adds `pieces` of work, one of which took that long.
+    fn add_sample(&self, duty: Duty, took: Duration, pieces: u32) {
         let spent = &mut self.spent.borrow_mut()[duty as usize];
-        spent.times += 1;
-        spent.whole += took;
+        spent.times += pieces;
+        spent.whole += took * pieces;
         spent.longest = spent.longest.max(took);
     }
 
-    /// Measures the time that `work` keeps the thread, each time that it goes on.
+    /// Whether the next piece of work stands for those before it.
+    fn is_sample(&self) -> bool {
+        let pieces = self.pieces.get().wrapping_add(1);
+        self.pieces.set(pieces);
+        pieces.is_multiple_of(SAMPLE)
+    }
+
+    /// Measures the time that `work` keeps the thread, at some of the times that it goes on.
     pub fn measure<'a, T>(
         self: &Rc<Self>,
         duty: Duty,
@@ -190,9 +207,12 @@
     type Output = T;
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<T> {
+        if !self.ledger.is_sample() {
+            return self.work.as_mut().poll(context);
+        }
         let begun = Instant::now();
         let polled = self.work.as_mut().poll(context);
-        self.ledger.add(self.duty, begun.elapsed());
+        self.ledger.add_sample(self.duty, begun.elapsed(), SAMPLE);
         polled
     }
 }
--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -13,8 +13,8 @@
 use crate::cell::reading::Reading;
 use crate::cell::record::{Batch, Record};
 use crate::cell::timings::APPEND_TIMEOUT;
-use crate::codec;
 use crate::telemetry::names;
+use crate::{codec, logging};
 
 /// Looks for the instance whose claim came first, and the rest before each.
 const WINNER_LOOKS: u32 = 5;
@@ -178,9 +178,11 @@
         let (owner, handle) =
             Owner::new(self.cell, node.cells, node.me, machine, node.borders.clone(), health);
         log::info!("event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks}", self.cell);
+        logging::flush();
         node.set_owning(self.cell, Some(handle));
         let why = owner.run().await;
         log::warn!("event=owner.end cell={} epoch={epoch} {why}", self.cell);
+        logging::flush();
         node.set_owning(self.cell, None);
     }
 }
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -20,7 +20,7 @@
 use super::record::WorkerId;
 use super::timings::{APPEND_TIMEOUT, LOOK_TIMEOUT, ORDER_TIMEOUT, ROSTER_REST, SAVE_REST, TICK};
 use super::{Epoch, Id};
-use crate::clock::{Clock, Instant};
+use crate::clock::{Clock, Instant, Unix};
 use crate::peer;
 
 /// Most messages taken in between two looks at what is due: as many as come in a tenth of a second where
@@ -166,19 +166,11 @@
     async fn serve(&mut self) -> String {
         let mut lap = self.duties.lap();
         loop {
-            let input = monoio::time::timeout(TICK, self.inputs.recv()).await;
+            let first = monoio::time::timeout(TICK, self.inputs.recv()).await.ok().flatten();
             lap.restart();
-            if let Ok(Some(input)) = input
-                && self.take(input, &mut lap)
-            {
+            if self.take_all(first, &mut lap) {
                 return "told to end".to_owned();
             }
-            for _ in 0..MESSAGES_A_STEP {
-                let Ok(input) = self.inputs.try_recv() else { break };
-                if self.take(input, &mut lap) {
-                    return "told to end".to_owned();
-                }
-            }
             let (now, unix) = (self.borders.clock.now(), self.borders.clock.unix());
             (self.health)(self.machine.store_health(now));
             let mut round = Duration::ZERO;
@@ -199,10 +191,30 @@
         }
     }
 
-    /// Takes in one message; `true` when the task is to end.
-    fn take(&mut self, input: Input, lap: &mut Lap) -> bool {
+    /// Takes in what has come, `first` first; `true` when the task is to end.
+    fn take_all(&mut self, first: Option<Input>, lap: &mut Lap) -> bool {
+        // All of it had come by now, since nothing else runs meanwhile.
         let (now, unix) = (self.borders.clock.now(), self.borders.clock.unix());
-        let duty = input.duty();
+        let mut next = first;
+        let mut duty = None;
+        for _ in 0..MESSAGES_A_STEP {
+            let Some(input) = next.take().or_else(|| self.inputs.try_recv().ok()) else { break };
+            let before = duty.replace(input.duty());
+            if let Some(before) = before.filter(|before| *before != input.duty()) {
+                lap.end(before);
+            }
+            if self.take(input, now, unix) {
+                return true;
+            }
+        }
+        if let Some(duty) = duty {
+            lap.end(duty);
+        }
+        false
+    }
+
+    /// Takes in one message; `true` when the task is to end.
+    fn take(&mut self, input: Input, now: Instant, unix: Unix) -> bool {
         match input {
             Input::Message(message) => self.machine.handle(message, now, unix),
             Input::Call { call, reply } => {
@@ -214,7 +226,6 @@
             Input::Inspect(look) => look(&self.machine, now),
             Input::End => return true,
         }
-        lap.end(duty);
         false
     }
 
--- a/src/logging/line.rs
+++ b/src/logging/line.rs
@@ -39,6 +39,9 @@
 /// Guards against a call site that forgot [`value`]: a line break in the message would let text
 /// from outside forge a whole line.
 fn write_single_line(f: &mut fmt::Formatter<'_>, message: &str) -> fmt::Result {
+    if !message.chars().any(char::is_control) {
+        return f.write_str(message);
+    }
     message.chars().try_for_each(|character| {
         if character.is_control() {
             write!(f, "{}", character.escape_default())
--- a/src/logging/sink.rs
+++ b/src/logging/sink.rs
@@ -1,6 +1,6 @@
 //! Where log lines go, within bounds and without waiting.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, Write};
 use std::os::fd::{AsRawFd, RawFd};
 use std::time::{Duration, Instant};
@@ -24,8 +24,62 @@
 /// Part of these kept for warnings and errors.
 const RESERVED_FOR_WARNINGS: u32 = 1_000;
 
+/// Bytes that a pipe takes in one call as soon as it is ready.
+const PIPE_BYTES: usize = 4_096;
+
 thread_local! {
     static WINDOW: Cell<Window> = const { Cell::new(Window { begun: None, lines: 0, dropped: 0 }) };
+    static BUFFER: RefCell<Buffer> =
+        const { RefCell::new(Buffer { stream: None, text: String::new(), lines: 0 }) };
+}
+
+/// Lines of one thread that wait to be written together.
+#[derive(Debug)]
+struct Buffer {
+    /// Where they go; `None` while lines are not kept.
+    stream: Option<Stream>,
+    text: String,
+    /// How many there are, those included that were left out and are told of.
+    lines: u64,
+}
+
+impl Buffer {
+    fn add(&mut self, text: &str, lines: u64) {
+        if self.text.len() + text.len() > PIPE_BYTES {
+            self.write();
+        }
+        self.text.push_str(text);
+        self.lines += lines;
+    }
+
+    fn write(&mut self) {
+        let lines = std::mem::take(&mut self.lines);
+        if let Some(stream) = self.stream
+            && !self.text.is_empty()
+            && !write_now(stream, &self.text)
+        {
+            let mut window = WINDOW.get();
+            window.give_back(lines);
+            WINDOW.set(window);
+        }
+        self.text.clear();
+    }
+}
+
+/// Keeps the lines that this thread logs to `stream` until [`flush`] is called or a pipe would not take
+/// more at once. Each write costs an instance a good part of what a decision does.
+pub fn keep_lines(stream: Stream) {
+    BUFFER.with_borrow_mut(|buffer| buffer.stream = Some(stream));
+}
+
+/// Writes the lines that this thread has kept.
+pub fn flush() {
+    // A panic in the midst of a log line comes here as well.
+    BUFFER.with(|buffer| {
+        if let Ok(mut buffer) = buffer.try_borrow_mut() {
+            buffer.write();
+        }
+    });
 }
 
 /// What was written and left out in the present second.
@@ -60,9 +114,9 @@
         (true, std::mem::take(&mut self.dropped))
     }
 
-    /// Counts a line that could not be written after all, and those that were to be spoken of.
-    pub const fn give_back(&mut self, dropped: u64) {
-        self.dropped += dropped + 1;
+    /// Counts lines that could not be written after all, those included that were to be spoken of.
+    pub const fn give_back(&mut self, lines: u64) {
+        self.dropped += lines;
     }
 }
 
@@ -74,21 +128,34 @@
 pub(super) fn write_line(stream: Stream, level: Level, line: &str) {
     let mut window = WINDOW.get();
     let (write, dropped) = window.take(level, Instant::now());
-    if write && !write_now(stream, line, dropped) {
-        window.give_back(dropped);
-    }
     WINDOW.set(window);
-}
-
-fn write_now(stream: Stream, line: &str, dropped: u64) -> bool {
+    if !write {
+        return;
+    }
     let text = if dropped > 0 {
         format!("level=warn event=log.dropped lines={dropped}\n{line}\n")
     } else {
         format!("{line}\n")
     };
+    let lines = dropped + 1;
+    let kept = BUFFER.with_borrow_mut(|buffer| {
+        let keeps = buffer.stream == Some(stream);
+        if keeps {
+            buffer.add(&text, lines);
+        }
+        keeps
+    });
+    if !kept && !write_now(stream, &text) {
+        let mut window = WINDOW.get();
+        window.give_back(lines);
+        WINDOW.set(window);
+    }
+}
+
+fn write_now(stream: Stream, text: &str) -> bool {
     match stream {
-        Stream::Output => write_to(&mut io::stdout().lock(), io::stdout().as_raw_fd(), &text),
-        Stream::Error => write_to(&mut io::stderr().lock(), io::stderr().as_raw_fd(), &text),
+        Stream::Output => write_to(&mut io::stdout().lock(), io::stdout().as_raw_fd(), text),
+        Stream::Error => write_to(&mut io::stderr().lock(), io::stderr().as_raw_fd(), text),
     }
 }
 
--- a/tests/logic/cell/duty.rs
+++ b/tests/logic/cell/duty.rs
@@ -11,9 +11,11 @@
 #[test]
 fn measure_counts_for_its_duty() {
     let ledger = Ledger::new();
-    let answer = ledger.measure(Duty::Look, ready(7).boxed_local()).now_or_never();
-    assert_eq!(answer, Some(7));
-    assert_eq!((ledger.times(Duty::Look), ledger.times(Duty::Order)), (1, 0));
+    for _ in 0..64 {
+        let answer = ledger.measure(Duty::Look, ready(7).boxed_local()).now_or_never();
+        assert_eq!(answer, Some(7));
+    }
+    assert_eq!((ledger.times(Duty::Look), ledger.times(Duty::Order)), (64, 0));
 }
 
 #[test]
--- a/tests/logic/logging_sink.rs
+++ b/tests/logic/logging_sink.rs
@@ -27,6 +27,6 @@
 fn give_back_counts_on() {
     let (mut window, now) = (Window::default(), Instant::now());
     assert_eq!(window.take(Level::Info, now), (true, 0));
-    window.give_back(0);
+    window.give_back(1);
     assert_eq!(window.take(Level::Info, now), (true, 1));
 }
