Probe no peer that has just answered a call

Cause: each of 298 instances, which always has a watch out, probes its connection to the owner ten times a second: 3,000 probes a second, each a wake-up, a read and a write, beside 1,500 watches whose answers tell the same.

Change: a connection on which a call was answered since the last look at it is not probed at that look.

Why it holds: an answer shows that the process lives, as a probe's does. One that goes right after it answered is found out a tenth of a second later; on a connection without answers nothing changes.

--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -79,10 +79,13 @@
         let Some(ready) = before(deadline, link.sender(peer)).await else {
             return Err(unsent(Step::Timeout, peer, "no connection in time"));
         };
-        let (sender, _running) = ready.map_err(|cause| unsent(Step::Connect, peer, cause))?;
+        let (sender, running) = ready.map_err(|cause| unsent(Step::Connect, peer, cause))?;
         let exchange = exchange(sender, request, ask, self.limits.body_bytes);
         match before(deadline, exchange).await {
-            Some(Ok(answer)) => Ok(answer),
+            Some(Ok(answer)) => {
+                running.note_answer();
+                Ok(answer)
+            }
             Some(Err(Failure { step, sent, cause })) => Err(Error { step, peer, sent, cause }),
             None => {
                 let cause = "no whole answer in time".to_owned();
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -40,6 +40,8 @@
 struct Activity {
     running: Cell<usize>,
     started: Cell<bool>,
+    /// Whether an answer has come since the last look at it.
+    heard: Cell<bool>,
 }
 
 /// A call that is out; the connection is probed while one exists.
@@ -53,6 +55,11 @@
         activity.started.set(true);
         Self { activity: activity.clone() }
     }
+
+    /// Notes that the call was answered, which tells as much as a probe.
+    pub(super) fn note_answer(&self) {
+        self.activity.heard.set(true);
+    }
 }
 
 impl Drop for Running {
@@ -163,13 +170,15 @@
 ///
 /// Guards against a peer that is frozen, cut off or gone without a word: its sockets stay open, and
 /// each call would wait for its own timeout. Only the peer's process answers a probe, not its
-/// kernel, and a slow handler does not delay it.
+/// kernel, and a slow handler does not delay it. One that has answered a call since is not probed: an
+/// owner that hundreds of instances follow would do little else than answer probes.
 async fn probe(pings: Option<PingPong>, activity: Rc<Activity>, keepalive: Duration) {
     let Some(mut pings) = pings else { return std::future::pending().await };
     loop {
         monoio::time::sleep(keepalive).await;
         let started = activity.started.replace(false);
-        if !started && activity.running.get() == 0 {
+        let heard = activity.heard.replace(false);
+        if heard || !started && activity.running.get() == 0 {
             continue;
         }
         let answer = monoio::time::timeout(keepalive * 2, pings.ping(Ping::opaque())).await;
