--- a/src/cell/machine/message.rs
+++ b/src/cell/machine/message.rs
@@ -132,19 +132,6 @@
     }
 }
 
-impl Effect {
-    /// What carrying it out counts for.
-    pub const fn duty(&self) -> Duty {
-        match self {
-            Self::Append { .. } | Self::Save(_) | Self::StepDown { .. } => Duty::Append,
-            Self::Look { .. } => Duty::Look,
-            Self::Start { .. } | Self::Stop { .. } => Duty::Order,
-            Self::Advise(_) => Duty::Advice,
-            Self::Reply { .. } => Duty::Call,
-        }
-    }
-}
-
 /// What the machine wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -199,3 +186,16 @@
         why: String,
     },
 }
+
+impl Effect {
+    /// What carrying it out counts for.
+    pub const fn duty(&self) -> Duty {
+        match self {
+            Self::Append { .. } | Self::Save(_) | Self::StepDown { .. } => Duty::Append,
+            Self::Look { .. } => Duty::Look,
+            Self::Start { .. } | Self::Stop { .. } => Duty::Order,
+            Self::Advise(_) => Duty::Advice,
+            Self::Reply { .. } => Duty::Call,
+        }
+    }
+}
--- a/src/cell/machine/tracked.rs
+++ b/src/cell/machine/tracked.rs
@@ -72,11 +72,6 @@
         self.changed.extend(self.entries.keys().cloned());
     }
 
-    /// Whether any entry may have changed since the last call of [`Tracked::take_changed`].
-    pub fn is_changed(&self) -> bool {
-        !self.changed.is_empty()
-    }
-
     /// Keys of the entries that may have changed since the last call, removed ones included.
     pub fn take_changed(&mut self) -> BTreeSet<K> {
         std::mem::take(&mut self.changed)
