Log what a failed attempt is compared with, and ends that are passed over

No logic changes.

task.attempt_failed: failures, limit and version of the configuration; task.end_unused and oriolefork_cell_unused_ends_total: a worker listed an end of an attempt that had ended for the owner; owner.begin: config_version; worker.lapsed: silent_ms. may_retry moves to machine/attempts.rs, unchanged.

--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -184,7 +184,11 @@
         let health = Box::new(move |health| health_node.apply_store_health(cell, health));
         let (owner, handle) =
             OwnerTask::new(self.cell, node.cells, node.me, machine, node.deps.clone(), health);
-        log::info!("event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks}", self.cell);
+        log::info!(
+            "event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks} config_version={}",
+            self.cell,
+            node.config().version
+        );
         logging::flush();
         node.set_owner_handle(self.cell, Some(handle));
         let end_reason = owner.run().await;
--- a/src/cell/machine/end.rs
+++ b/src/cell/machine/end.rs
@@ -43,6 +43,7 @@
         if end == RunOutcome::Succeeded && !spec.long_running {
             return;
         }
+        self.log_failed_attempt(&run, end);
         if spec.gang {
             self.stop_gang(&run);
         }
@@ -61,24 +62,6 @@
         self.stop_job(key.job);
     }
 
-    fn may_retry(&self, run: &Run) -> bool {
-        let key = run.task.step;
-        let Some(entry) = self.state.jobs.get(&key.job) else { return false };
-        let Some(spec) = entry.job.steps.get(key.step as usize) else { return false };
-        if spec.long_running {
-            return true;
-        }
-        let attempts =
-            self.config.queue(&entry.job.queue).map_or(u32::MAX, |queue| queue.max_failures);
-        let Some(step) = self.state.step(&key) else { return false };
-        let failures = if spec.gang {
-            u32::try_from(step.failed_runs.len()).unwrap_or(u32::MAX)
-        } else {
-            step.tasks[run.task.index as usize].failures
-        };
-        failures < attempts.max(1)
-    }
-
     /// Stops all attempts of a job.
     pub(super) fn stop_job(&mut self, job: Id) {
         let runs: Vec<Run> = self.runs_of_job(job).copied().collect();
--- a/src/cell/machine/loss.rs
+++ b/src/cell/machine/loss.rs
@@ -93,7 +93,12 @@
         if runs.is_empty() {
             return;
         }
-        log::warn!("event=worker.lapsed worker={id} tasks={}", runs.len());
+        let silent = worker.unresponsive_since.map(|since| self.now.since(since));
+        log::warn!(
+            "event=worker.lapsed worker={id} tasks={} silent_ms={}",
+            runs.len(),
+            millis_or_unknown(silent)
+        );
         for run in runs {
             self.end_run(run, RunOutcome::WorkerLost, String::new());
         }
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -5,6 +5,7 @@
 //! commands, answers to callers, final phases, and the permission for a worker to forget an end.
 
 mod active_run;
+mod attempts;
 mod backlog;
 mod blocker;
 mod calls;
--- a/src/cell/machine/polls.rs
+++ b/src/cell/machine/polls.rs
@@ -10,6 +10,7 @@
 use crate::cell::timings::{LEASE_GRANT_WINDOW, POLL_RETRY, POLL_TIMEOUT, POLL_WAIT};
 use crate::cell::worker::Worker;
 use crate::clock::Instant;
+use crate::telemetry::names;
 
 /// Most polls that one step sends.
 ///
@@ -138,8 +139,13 @@
         // journal.
         worker.next_poll = self.now.after(POLL_RETRY);
         for end in ended {
-            if end.number > reported && self.is_on(&end.run, id) {
+            if end.number <= reported {
+                continue;
+            }
+            if self.is_on(&end.run, id) {
                 self.end_run(end.run, end.outcome, end.checkpoint);
+            } else {
+                self.note_unused_end(id, &end);
             }
         }
         if last > recorded {
@@ -147,6 +153,21 @@
         }
     }
 
+    /// Notes a reported end of an attempt that has ended for this owner already. An earlier owner
+    /// has recorded the end, or the attempt was given up as lost before its worker reported it.
+    fn note_unused_end(&self, id: &str, end: &EndedRun) {
+        names::CELL_UNUSED_ENDS.increment(&[("end", end.outcome.name())]);
+        let is_open = self.state.open.contains(&end.run.task.step.job);
+        if is_open && matches!(end.outcome, RunOutcome::Succeeded | RunOutcome::Failed) {
+            log::info!(
+                "event=task.end_unused task={} worker={id} number={} end={}",
+                end.run,
+                end.number,
+                end.outcome
+            );
+        }
+    }
+
     fn is_on(&self, run: &Run, worker: &str) -> bool {
         self.runs.get(run).is_some_and(|active| &*active.worker == worker)
     }
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -61,6 +61,8 @@
         "Jobs of a cell, by outcome; counted by the owner.";
     CELL_TRIES: Counter = "oriolefork_cell_tries_total",
         "Ended attempts to run tasks of a cell, by outcome; counted by the owner.";
+    CELL_UNUSED_ENDS: Counter = "oriolefork_cell_unused_ends_total",
+        "Ends that workers of a cell reported of attempts that had ended for its owner, by outcome.";
     CELL_CLAIMS: Counter = "oriolefork_cell_claims_total",
         "Claims of a cell by this instance, by outcome.";
     CELL_APPEND: Histogram = "oriolefork_cell_append_seconds",
