Reproduce the start after the last attempt in tests that fail

tests/logic/cell/attempts.rs: the last failure is heard before there is a configuration, while the queue is missing from it, or by an earlier owner that was lost before it failed the job; and a limit that is lowered. Seven cases fail, each with a start beyond the limit; the counterpart (attempts left) passes. Two mixes of the random histories in which owners may begin without a configuration fail as well.

The histories also keep the workers' own list of ends now: an end that is acknowledged before its worker's lease expires rules out later starts, also when it is acknowledged after them.

--- a/tests/logic/cell/harness.rs
+++ b/tests/logic/cell/harness.rs
@@ -50,7 +50,8 @@
         Self::start(Machine::new(state, 0, 1, model::queue_config(), timings, now, unix), workers)
     }
 
-    fn start(machine: Machine, workers: usize) -> Self {
+    /// Creates a harness of `machine`, whose workers have answered their first poll.
+    pub fn start(machine: Machine, workers: usize) -> Self {
         let mut harness = Self { machine, now: 0, effects: Vec::new() };
         harness.deliver(Message::WorkersChanged(model::roster(workers, cores(8))));
         harness.advance(1);
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -19,6 +19,8 @@
     resetting_workers: 0,
     crashing_tasks: false,
     resize_ms: 0,
+    late_config: false,
+    failing_interval: 11,
 };
 
 fn seeds() -> u64 {
@@ -42,7 +44,8 @@
 fn run_history(seed: u64, faults: Faults) -> Simulation {
     let mut simulation = Simulation::new(seed, 12, faults);
     for number in 0..60 {
-        simulation.submit(varied_job(seed * 1_000 + number), number % 11 == 10, number % 13 == 12);
+        let fails = number % faults.failing_interval == faults.failing_interval - 1;
+        simulation.submit(varied_job(seed * 1_000 + number), fails, number % 13 == 12);
         simulation.run(150);
         if number == 30 && faults.takeover_ms > 0 {
             simulation.take_over();
@@ -85,6 +88,7 @@
         resetting_workers: 0,
         crashing_tasks: false,
         resize_ms: 0,
+        ..NO_FAULTS
     };
     "all_faults"
 )]
@@ -99,6 +103,7 @@
         resetting_workers: 2,
         crashing_tasks: false,
         resize_ms: 0,
+        ..NO_FAULTS
     };
     "all_faults_and_reset_commands"
 )]
@@ -112,6 +117,24 @@
     Faults { resize_ms: 400, outages: true, takeover_ms: 2_500, worker_ms: 1_000, ..NO_FAULTS };
     "workers_that_shrink_of_owners_killed"
 )]
+#[test_case(
+    Faults { late_config: true, failing_interval: 3, takeover_ms: 1_000, ..NO_FAULTS };
+    "owners_without_configuration"
+)]
+#[test_case(
+    Faults {
+        late_config: true,
+        failing_interval: 3,
+        delayed_calls: 0.04,
+        lost_append_answers: 0.1,
+        takeover_ms: 2_500,
+        stale_owners: true,
+        worker_ms: 1_000,
+        outages: true,
+        ..NO_FAULTS
+    };
+    "owners_without_configuration_and_all_faults"
+)]
 fn history_keeps_invariants(faults: Faults) {
     for seed in 1..=seeds() {
         let simulation = run_history(seed, faults);
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -1,6 +1,7 @@
 //! Cells: the owner's state machine alone, and in random histories with workers and a journal.
 
 mod activity;
+mod attempts;
 mod capacity_changes;
 mod crash;
 mod departed_workers;
--- a/tests/logic/cell/simulation/faults.rs
+++ b/tests/logic/cell/simulation/faults.rs
@@ -5,6 +5,7 @@
 use oriolefork::cell::dependencies::RosterUpdate;
 use oriolefork::cell::job::Run;
 use oriolefork::cell::machine::{Machine, Message};
+use oriolefork::cell::queue::QueueConfig;
 use oriolefork::cell::record::Batch;
 use oriolefork::cell::state::State;
 use oriolefork::cell::timings::Timings;
@@ -27,6 +28,10 @@
 pub(super) const CORES: u64 = 16;
 const CAPACITY_LEVELS: u64 = 4;
 
+/// Maximum time from a takeover to the configuration of an owner that began without one, in
+/// milliseconds.
+const CONFIG_DELAY_MS: u64 = 2_000;
+
 /// Range of the time from a crash to the worker's next incarnation, in milliseconds.
 const RESTART_MS: std::ops::Range<u64> = 500..4_000;
 
@@ -152,19 +157,26 @@
         self.claims += 1;
         self.sequence = self.claims * 1_000_000;
         let end = self.journal.len() as u64;
-        let machine = Machine::new(
-            state,
-            self.sequence,
-            end,
-            model::queue_config(),
-            Timings::default(),
-            now,
-            unix,
-        );
+        let config = self.draw_config();
+        let machine =
+            Machine::new(state, self.sequence, end, config, Timings::default(), now, unix);
         self.owners.push(Owner { machine, alive: true });
         self.publish_roster();
     }
 
+    /// Returns the configuration with which the next owner begins. If that is empty, the owner
+    /// receives the present one later.
+    fn draw_config(&mut self) -> Rc<QueueConfig> {
+        // Not drawn when disabled, so that other histories keep their random sequence.
+        if !self.faults.late_config || self.rng.random_bool(0.5) {
+            return model::queue_config();
+        }
+        let delay = self.rng.random_range(0..CONFIG_DELAY_MS);
+        let message = Message::ConfigChanged(model::queue_config());
+        self.schedule(delay, Event::Owner { owner: self.owners.len(), message });
+        Rc::default()
+    }
+
     /// Returns the last snapshot and the journal offset at which replay continues.
     pub(super) fn last_snapshot(&self) -> (State, usize) {
         let Some(snapshot) = &self.saved else { return (State::default(), 0) };
--- a/tests/logic/cell/simulation/invariants.rs
+++ b/tests/logic/cell/simulation/invariants.rs
@@ -22,9 +22,10 @@
 const CRASHES_BEFORE_ABANDONING: u32 = 2;
 
 impl Simulation {
-    /// Checks that every accepted job has ended as expected and that no worker has runs or
-    /// unacknowledged ends left.
+    /// Checks that every accepted job has ended as expected, that no worker has runs or
+    /// unacknowledged ends left, and that no run started after an end that rules it out.
     pub fn check_end(&mut self) {
+        self.ledger.check();
         let owner = self.owners.last().expect("an owner");
         for (id, submitted) in self.jobs.iter().filter(|(_, submitted)| submitted.accepted) {
             let phase = owner.machine.state.jobs.get(id).map(|entry| entry.phase());
--- a/tests/logic/cell/simulation/mod.rs
+++ b/tests/logic/cell/simulation/mod.rs
@@ -7,6 +7,7 @@
 
 mod faults;
 mod invariants;
+mod ledger;
 mod worker_calls;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,6 +23,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use self::ledger::Ledger;
 use super::model;
 use super::upstream::Upstream;
 
@@ -54,6 +56,10 @@
     pub crashing_tasks: bool,
     /// Mean interval between changes of a worker's capacity, in milliseconds; zero for none.
     pub resize_ms: u64,
+    /// Whether an owner may begin without a configuration and receive it later.
+    pub late_config: bool,
+    /// Every how manieth job fails.
+    pub failing_interval: u64,
 }
 
 enum WorkerCall {
@@ -113,6 +119,7 @@
     next_call: u64,
     recorded_successes: BTreeSet<TaskKey>,
     succeeded_at: BTreeMap<TaskKey, u64>,
+    ledger: Ledger,
     /// Numbers of failed runs in the journal, by task.
     failures: BTreeMap<TaskKey, BTreeSet<u32>>,
     /// Crashes at the start of each task, and its starts after the third crash.
@@ -156,6 +163,7 @@
             next_call: 0,
             recorded_successes: BTreeSet::new(),
             succeeded_at: BTreeMap::new(),
+            ledger: Ledger::default(),
             failures: BTreeMap::new(),
             start_crashes: BTreeMap::new(),
             worker_crashes: BTreeMap::new(),
--- a/tests/logic/cell/simulation/worker_calls.rs
+++ b/tests/logic/cell/simulation/worker_calls.rs
@@ -85,7 +85,11 @@
         let clock = upstream.clock_ms(now);
         let message = match call {
             WorkerCall::Poll(poll) => {
+                let acked = upstream.newly_acked(poll.acked_end);
                 let report = upstream.poll(poll, now);
+                if report.is_ok() {
+                    self.ledger.acknowledge(acked);
+                }
                 reply(worker, call, sent, report, Ok(clock))
             }
             WorkerCall::Stop(run, epoch) => {
@@ -99,6 +103,7 @@
                 let demand = demand(start);
                 let started = upstream.start(start, demand, now);
                 if started == Ok(true) {
+                    self.ledger.record_start(start.run, now);
                     self.check_start(worker, start, sent);
                     self.begin_run(worker, start);
                 }
@@ -161,6 +166,7 @@
             let end = if fails && number > 0 { RunOutcome::GangBroken } else { end };
             let Some(upstream) = self.workers.get_mut(&worker) else { continue };
             upstream.end(member, end);
+            self.ledger.record_end(member, end, self.now);
             if end == RunOutcome::Succeeded {
                 self.succeeded_at.insert(member.task, self.now);
             }
--- a/tests/logic/cell/upstream.rs
+++ b/tests/logic/cell/upstream.rs
@@ -32,6 +32,8 @@
     highest_epoch: Epoch,
     lease_until_ms: u64,
     ended: Vec<EndedRun>,
+    /// Number of the last run that had ended when its lease was last found to have expired.
+    last_lapsed_end: u64,
     last_number: u64,
     acked_end: u64,
     /// Highest run number of each task that ended or was stopped here.
@@ -51,6 +53,7 @@
             highest_epoch: Epoch(0),
             lease_until_ms: 0,
             ended: Vec::new(),
+            last_lapsed_end: 0,
             last_number: 0,
             acked_end: 0,
             highest_ended_run: BTreeMap::new(),
@@ -91,9 +94,10 @@
 
     /// Ends all runs if the lease has expired, and returns them.
     pub fn expire_lease(&mut self, now: u64) -> Vec<Run> {
-        if self.clock_ms(now) <= self.lease_until_ms || self.runs.is_empty() {
+        if self.clock_ms(now) <= self.lease_until_ms {
             return Vec::new();
         }
+        self.last_lapsed_end = self.last_number;
         let runs: Vec<Run> = self.runs.keys().copied().collect();
         for run in &runs {
             self.end(*run, RunOutcome::LeaseExpired);
@@ -101,6 +105,13 @@
         runs
     }
 
+    /// Returns the runs whose ends a poll that acknowledges those up to `acked_end` acknowledges,
+    /// as long as the lease has not expired since they ended.
+    pub fn newly_acked(&self, acked_end: u64) -> Vec<Run> {
+        let counts = |end: &&EndedRun| end.number <= acked_end && end.number > self.last_lapsed_end;
+        self.ended.iter().filter(counts).map(|end| end.run).collect()
+    }
+
     pub fn poll(&mut self, poll: &PollRequest, now: u64) -> Result<PollReport, WorkerError> {
         self.check_epoch(poll.epoch)?;
         self.extend_lease(poll.lease_until_ms, now);
