Let the worker of the reproduction list the run that fails last

Cause: the harness's first report said that the first worker ran nothing, so that three of the seven cases of cell::attempts failed for another reason than they name: the run ended as never started, and its failure was passed over.

The first report lists the live runs now, and the cases check that the last failure is counted.

--- a/tests/logic/cell/attempts.rs
+++ b/tests/logic/cell/attempts.rs
@@ -58,11 +58,16 @@
     state
 }
 
-/// Returns an owner that has replayed `state` and has no configuration yet.
-fn owner_without_config(state: State) -> OwnerHarness {
+/// Returns an owner that has replayed `state`. The first worker reports the live runs as running.
+fn owner(state: State, config: Rc<QueueConfig>) -> OwnerHarness {
     let (now, unix) = (Instant::from_millis(0), Unix::from_millis(UNIX_START_MS));
-    let (config, timings) = (Rc::default(), Timings::default());
-    OwnerHarness::start(Machine::new(state, 0, 1, config, timings, now, unix), 3)
+    let running: Vec<Run> = state.live.keys().copied().collect();
+    let machine = Machine::new(state, 0, 1, config, Timings::default(), now, unix);
+    OwnerHarness::start_running(machine, 3, &running)
+}
+
+fn owner_without_config(state: State) -> OwnerHarness {
+    owner(state, Rc::default())
 }
 
 /// Reports that all members of the last run have ended, the first of them with a failure.
@@ -74,6 +79,9 @@
     harness.report(0, &[], &ended);
     harness.advance(10);
     harness.complete_appends();
+    let state = harness.machine.state.step(&run(MAX_FAILURES, 0).task.step).expect("an open step");
+    let failures = if step.gang { state.failed_runs.len() as u32 } else { state.tasks[0].failures };
+    assert_eq!(failures, MAX_FAILURES);
 }
 
 /// Lets the owner place what it would place, and checks that it has failed the job instead.
@@ -104,7 +112,7 @@
 fn last_failure_while_the_queue_is_not_configured() {
     let step = single_task();
     let state = state_after(&step, MAX_FAILURES - 1, RunOutcome::Failed, true);
-    let mut harness = OwnerHarness::from_state(state, 3);
+    let mut harness = owner(state, model::queue_config());
     let config = model::queue_config();
     let without = QueueConfig { version: 2, queues: Vec::new(), ..(*config).clone() };
     harness.deliver(Message::ConfigChanged(Rc::new(without)));
@@ -120,7 +128,7 @@
 #[test_case(&gang(), MAX_FAILURES, RunOutcome::Failed; "failures_of_a_gang")]
 #[test_case(&single_task(), 2, RunOutcome::WorkerCrashedAtStart; "crashes_of_workers")]
 fn limit_reached_under_an_earlier_owner(step: &Step, ended: u32, outcome: RunOutcome) {
-    let mut harness = OwnerHarness::from_state(state_after(step, ended, outcome, false), 3);
+    let mut harness = owner(state_after(step, ended, outcome, false), model::queue_config());
     assert_failed_without_start(&mut harness);
 }
 
--- a/tests/logic/cell/harness.rs
+++ b/tests/logic/cell/harness.rs
@@ -50,13 +50,18 @@
         Self::start(Machine::new(state, 0, 1, model::queue_config(), timings, now, unix), workers)
     }
 
-    /// Creates a harness of `machine`, whose workers have answered their first poll.
-    pub fn start(machine: Machine, workers: usize) -> Self {
+    fn start(machine: Machine, workers: usize) -> Self {
+        Self::start_running(machine, workers, &[])
+    }
+
+    /// Creates a harness of `machine`, whose workers have answered their first poll; the first of
+    /// them reports `running`.
+    pub fn start_running(machine: Machine, workers: usize, running: &[Run]) -> Self {
         let mut harness = Self { machine, now: 0, effects: Vec::new() };
         harness.deliver(Message::WorkersChanged(model::roster(workers, cores(8))));
         harness.advance(1);
         for number in 0..workers {
-            harness.report(number, &[], &[]);
+            harness.report(number, if number == 0 { running } else { &[] }, &[]);
         }
         harness.advance(1);
         harness.effects.clear();
