Judge the limits of a task's attempts by its state before each placement

Cause: the limit was compared only in the moment of an end, with the configuration that the owner had then, and a queue that was missing from it counted as one without a limit. An instance can own the cell before it has read a configuration: when all instances restart while the store hangs, the claim is answered at once and the read of the configuration only 0.6 s later. Reports that come in between end attempts without a limit, and once the configuration is there, the tasks are placed again.

Change: machine/attempts.rs judges a task by its state, at each end and again before each placement, so that nothing is placed that has reached a limit, whoever recorded the ends and whatever was known then. Without the queue a task is not judged, and cannot be placed either. The same for the crashes of workers, which were judged only at the crash.

Why it holds: pending_steps is the only source of placements, and it fails the job of such a task in place of returning the step.

--- a/src/cell/machine/crash.rs
+++ b/src/cell/machine/crash.rs
@@ -71,11 +71,6 @@
             }
         }
     }
-
-    /// Whether a task has crashed so many workers that its job fails.
-    pub(super) fn has_crashed_too_often(&self, run: &Run) -> bool {
-        self.state.task(&run.task).is_some_and(|task| task.crash_score.is_proven_cause())
-    }
 }
 
 impl ActiveRun {
--- a/src/cell/machine/end.rs
+++ b/src/cell/machine/end.rs
@@ -47,19 +47,9 @@
         if spec.gang {
             self.stop_gang(&run);
         }
-        let reason = match end {
-            RunOutcome::Failed if !self.may_retry(&run) => "attempts",
-            RunOutcome::WorkerCrashed | RunOutcome::WorkerCrashedAtStart
-                if self.has_crashed_too_often(&run) =>
-            {
-                "crashes"
-            }
-            _ => return,
-        };
-        log::warn!("event=job.failed job={} task={run} reason={reason}", key.job);
-        self.record(Record::Failed { job: key.job });
-        self.finish_job(key.job);
-        self.stop_job(key.job);
+        if let Some(reason) = self.failure_reason(&run.task) {
+            self.fail_job(&run.task, reason);
+        }
     }
 
     /// Stops all attempts of a job.
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use super::Machine;
+use super::attempts::FailureReason;
 use super::rank::{Rank, Timeliness, long_running_rank};
-use crate::cell::job::{Id, Job, Step, StepKey};
+use crate::cell::job::{Id, Job, Step, StepKey, TaskKey};
 use crate::cell::queue::Queue;
 use crate::cell::state;
 use crate::clock::Instant;
@@ -92,7 +93,12 @@
             }
             let first_new = waiting.len();
             let more_to_come = self.open_occurrences(id);
-            self.add_pending_steps(id, &mut waiting);
+            if let Some((task, reason)) = self.add_pending_steps(id, &mut waiting) {
+                waiting.truncate(first_new);
+                self.round_jobs.jobs.remove(&id);
+                self.fail_job(&task, reason);
+                continue;
+            }
             let has_value = |step: &PendingStep| step.rank.timeliness != Timeliness::Worthless;
             if more_to_come || waiting[first_new..].iter().any(has_value) {
                 self.round_jobs.jobs.insert(id);
@@ -110,9 +116,15 @@
         waiting
     }
 
-    fn add_pending_steps(&self, id: Id, waiting: &mut Vec<PendingStep>) {
-        let Some(entry) = self.state.jobs.get(&id) else { return };
-        let Some(queue) = self.config.queue(&entry.job.queue) else { return };
+    /// Adds the steps of a job that have tasks to place. Stops and returns the task if there is one
+    /// that may not be attempted again.
+    fn add_pending_steps(
+        &self,
+        id: Id,
+        waiting: &mut Vec<PendingStep>,
+    ) -> Option<(TaskKey, FailureReason)> {
+        let entry = self.state.jobs.get(&id)?;
+        let queue = self.config.queue(&entry.job.queue)?;
         let accepted = entry.accepted.as_millis();
         for (occurrence, steps) in &entry.open {
             for (number, step) in steps.iter().enumerate() {
@@ -123,6 +135,11 @@
                     continue;
                 }
                 let key = StepKey { job: id, occurrence: *occurrence, step: number as u32 };
+                let tasks = pending.iter().map(|index| TaskKey { step: key, index: *index });
+                let mut failed = tasks.filter_map(|task| Some((task, self.failure_reason(&task)?)));
+                if let Some(failed) = failed.next() {
+                    return Some(failed);
+                }
                 let rank = if spec.long_running {
                     long_running_rank(step, queue, accepted)
                 } else {
@@ -134,6 +151,7 @@
                 waiting.push(PendingStep { key, job, queue, rank, pending, suspects });
             }
         }
+        None
     }
 
     /// Opens the occurrences of a job that are due; returns `true` if others are due later.
