Judge failures in a row on a worker by the cell's own rate of failures

Cause: three jobs that fail in a row on a worker kept it from new tasks for four seconds. In the rest of the backlog nearly all jobs were such that can never be done, so that each worker was taken out again and again (172 times from 45 to 57 s; 26 before). That says something of the jobs, not of the workers.

Change: a worker is quarantined after as many failures in a row as are improbable (0.008) at the share of the recent attempts in the cell that failed; never less than three. worker.quarantined tells how many.

tests/logic/cell/quarantine.rs: hopeless_jobs_leave_workers_open fails before (0 starts in 0.4 s beside idle workers), its counterpart passes before and after.

--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -51,6 +51,7 @@
 use self::view::WorkerViews;
 use super::Epoch;
 use super::activity::OwnerActivity;
+use super::failure_rate::FailureRate;
 use super::job::{Id, Job, Phase, Run, Step, StepKey};
 use super::peer::HandoverOffer;
 use super::queue::QueueConfig;
@@ -107,6 +108,7 @@
     unstored_ends: BTreeSet<Id>,
     round_jobs: RoundJobs,
     backlog: BacklogLog,
+    failure_rate: FailureRate,
     /// Workers on which tasks of a step have failed.
     failed_workers: BTreeMap<StepKey, BTreeSet<WorkerId>>,
     /// Attempts of tasks that are suspected of crashing their workers.
@@ -171,6 +173,7 @@
             unstored_ends: BTreeSet::new(),
             round_jobs: RoundJobs::new(now),
             backlog: BacklogLog::new(now),
+            failure_rate: FailureRate::default(),
             failed_workers: BTreeMap::new(),
             suspects: BTreeSet::new(),
             next_preemption: BTreeMap::new(),
--- a/src/cell/machine/outcome_stats.rs
+++ b/src/cell/machine/outcome_stats.rs
@@ -11,6 +11,10 @@
         if self.spec(&step).is_some_and(|spec| spec.long_running) {
             return;
         }
+        let streak = self.failure_rate.improbable_streak();
+        if matches!(end, RunOutcome::Succeeded | RunOutcome::Failed) {
+            self.failure_rate.record(end == RunOutcome::Failed);
+        }
         let Some(worker) = self.workers.get_mut(&active.worker) else { return };
         match end {
             RunOutcome::Succeeded => {
@@ -18,10 +22,13 @@
                 self.update_mean_run_time(run, active);
             }
             RunOutcome::Failed => {
-                let quarantined = worker.record_failure(step.job, self.now);
+                let quarantined = worker.record_failure(step.job, streak, self.now);
                 self.failed_workers.entry(step).or_default().insert(active.worker.clone());
                 if quarantined {
-                    log::warn!("event=worker.quarantined worker={} reason=failures", active.worker);
+                    log::warn!(
+                        "event=worker.quarantined worker={} reason=failures jobs={streak}",
+                        active.worker
+                    );
                 }
             }
             _ => {}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -29,6 +29,7 @@
 pub mod dependencies;
 mod dependency_status;
 pub mod election;
+pub mod failure_rate;
 pub mod forward;
 pub mod incarnation;
 pub mod job;
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -14,10 +14,6 @@
 use crate::clock::Instant;
 use crate::resource::Amount;
 
-/// Number of consecutive failures, of different jobs, after which a worker gets no new tasks for a
-/// while. Jobs that cannot succeed fail two to four times on healthy workers.
-const FAILURES_TO_QUARANTINE: usize = 3;
-
 /// Duration of the quarantine. The sites' failing workers are healthy again after 5 to 8 s.
 const QUARANTINE: Duration = Duration::from_secs(4);
 
@@ -178,10 +174,11 @@
         self.failures.clear();
     }
 
-    /// Records a failed run; `true` when the worker is quarantined for it.
-    pub fn record_failure(&mut self, job: super::job::Id, now: Instant) -> bool {
+    /// Records a failed run; `true` when the worker is quarantined because `streak` jobs have
+    /// failed on it in a row.
+    pub fn record_failure(&mut self, job: super::job::Id, streak: usize, now: Instant) -> bool {
         self.failures.insert(job);
-        if self.failures.len() < FAILURES_TO_QUARANTINE {
+        if self.failures.len() < streak {
             return false;
         }
         self.failures.clear();
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -18,6 +18,7 @@
 mod polls;
 mod preempt;
 mod proxy_shares;
+mod quarantine;
 #[path = "../../../benches/cell/replay.rs"]
 #[allow(dead_code)]
 mod replay;
