Judge a task's attempts by what the round has at hand

Seen in the last reading of the change: judges each waiting task before its placement, and each time looked up its job, its step and its queue, by name among all queues, although the round has all three.

Change: FailureReason::of judges a task by its step, its state and the limit; the round and the end of an attempt both call it.

--- a/src/cell/machine/attempts.rs
+++ b/src/cell/machine/attempts.rs
@@ -7,8 +7,9 @@
 use derive_more::Display;
 
 use super::Machine;
-use crate::cell::job::{Run, RunOutcome, StepKey, TaskKey};
+use crate::cell::job::{Run, RunOutcome, Step, StepKey, TaskKey};
 use crate::cell::record::Record;
+use crate::cell::state::StepState;
 
 /// Why a task is not attempted again, so that its job fails.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -25,17 +26,8 @@
     /// Returns why the task may not be attempted again; `None` if it may, or if the configuration
     /// does not contain its queue, in which case it cannot be placed either.
     pub(super) fn failure_reason(&self, task: &TaskKey) -> Option<FailureReason> {
-        let long_running = self.spec(&task.step)?.long_running;
-        let state = self.state.task(task)?;
-        if state.done && !long_running {
-            return None;
-        }
-        if state.crash_score.is_proven_cause() {
-            return Some(FailureReason::Crashes);
-        }
-        let max_failures = self.max_failures(&task.step)?;
-        let exhausted = !long_running && self.failures(task) >= max_failures.max(1);
-        exhausted.then_some(FailureReason::Attempts)
+        let (spec, step) = (self.spec(&task.step)?, self.state.step(&task.step)?);
+        FailureReason::of(spec, step, task.index, self.max_failures(&task.step))
     }
 
     /// Fails the job of a task that may not be attempted again.
@@ -53,10 +45,12 @@
         if end != RunOutcome::Failed {
             return;
         }
-        let max_failures = self.max_failures(&run.task.step);
+        let TaskKey { step: key, index } = run.task;
+        let (Some(spec), Some(step)) = (self.spec(&key), self.state.step(&key)) else { return };
+        let max_failures = self.max_failures(&key);
         log::info!(
             "event=task.attempt_failed task={run} failures={} max_failures={} config_version={}",
-            self.failures(&run.task),
+            failures(spec, step, index),
             max_failures.map_or_else(|| "unknown".to_owned(), |limit| limit.to_string()),
             self.config.version
         );
@@ -68,14 +62,33 @@
         let entry = self.state.jobs.get(&key.job)?;
         self.config.queue(&entry.job.queue).map(|queue| queue.max_failures)
     }
+}
 
-    /// Number of failed attempts of the task or, in a gang, of the whole gang.
-    fn failures(&self, task: &TaskKey) -> u32 {
-        let is_gang = self.spec(&task.step).is_some_and(|spec| spec.gang);
-        let Some(step) = self.state.step(&task.step) else { return 0 };
-        if is_gang {
-            return u32::try_from(step.failed_runs.len()).unwrap_or(u32::MAX);
+impl FailureReason {
+    /// Returns why a task of a step may not be attempted again; `None` if it may. Failures are not
+    /// judged without `max_failures`, the number that its queue allows.
+    pub(super) fn of(
+        spec: &Step,
+        step: &StepState,
+        index: u32,
+        max_failures: Option<u32>,
+    ) -> Option<Self> {
+        let task = step.tasks.get(index as usize)?;
+        if task.done && !spec.long_running {
+            return None;
         }
-        step.tasks.get(task.index as usize).map_or(0, |state| state.failures)
+        if task.crash_score.is_proven_cause() {
+            return Some(Self::Crashes);
+        }
+        let exhausted = !spec.long_running && failures(spec, step, index) >= max_failures?.max(1);
+        exhausted.then_some(Self::Attempts)
+    }
+}
+
+/// Number of failed attempts of a task or, in a gang, of the whole gang.
+fn failures(spec: &Step, step: &StepState, index: u32) -> u32 {
+    if spec.gang {
+        return u32::try_from(step.failed_runs.len()).unwrap_or(u32::MAX);
     }
+    step.tasks.get(index as usize).map_or(0, |task| task.failures)
 }
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -135,10 +135,11 @@
                     continue;
                 }
                 let key = StepKey { job: id, occurrence: *occurrence, step: number as u32 };
-                let tasks = pending.iter().map(|index| TaskKey { step: key, index: *index });
-                let mut failed = tasks.filter_map(|task| Some((task, self.failure_reason(&task)?)));
-                if let Some(failed) = failed.next() {
-                    return Some(failed);
+                let max_failures = Some(queue.max_failures);
+                for &index in &pending {
+                    if let Some(reason) = FailureReason::of(spec, step, index, max_failures) {
+                        return Some((TaskKey { step: key, index }, reason));
+                    }
                 }
                 let rank = if spec.long_running {
                     long_running_rank(step, queue, accepted)
