Take the worker's clock where its answer is noted

start_answered and stop_answered began with the same two calls, and each looked the worker up for itself. note_response takes the clock with the answer now. owner.begin names the configuration that the owner was given, not one read a second time.

--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -169,15 +169,10 @@
         let JournalReplay { state, next_offset: next, .. } = std::mem::take(&mut self.replay);
         let (epoch, jobs, tasks) = (state.epoch, state.jobs.len(), state.live.len());
         let (now, unix) = (node.deps.clock.now(), node.deps.clock.unix());
-        let mut machine = Machine::new(
-            state,
-            node.claim_sequence(),
-            next,
-            node.config(),
-            node.timings,
-            now,
-            unix,
-        );
+        let config = node.config();
+        let config_version = config.version;
+        let mut machine =
+            Machine::new(state, node.claim_sequence(), next, config, node.timings, now, unix);
         let (peer, cpu_millis, domain) = (node.me, node.cpu_millis, node.domain.clone());
         machine.handle(Message::InstanceSeen { peer, cpu_millis, domain }, now, unix);
         let (health_node, cell) = (node.clone(), self.cell);
@@ -185,9 +180,9 @@
         let (owner, handle) =
             OwnerTask::new(self.cell, node.cells, node.me, machine, node.deps.clone(), health);
         log::info!(
-            "event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks} config_version={}",
-            self.cell,
-            node.config().version
+            "event=owner.begin cell={} epoch={epoch} jobs={jobs} tasks={tasks} \
+             config_version={config_version}",
+            self.cell
         );
         logging::flush();
         node.set_owner_handle(self.cell, Some(handle));
--- a/src/cell/machine/commands.rs
+++ b/src/cell/machine/commands.rs
@@ -111,9 +111,6 @@
     ) {
         let now = self.now;
         self.note_response(worker, &outcome);
-        if let Ok(clock_ms) = outcome {
-            self.read_clock(worker, clock_ms);
-        }
         let Some(active) = self.runs.get_mut(&run) else { return };
         if active.stage != (Stage::Starting { in_flight: true }) {
             return self.late_start_answer(run, &outcome);
@@ -208,9 +205,6 @@
     ) {
         let now = self.now;
         self.note_response(worker, &outcome);
-        if let Ok(clock_ms) = outcome {
-            self.read_clock(worker, clock_ms);
-        }
         match outcome {
             Err(WorkerError::Fenced) => return self.step_down(worker),
             Err(WorkerError::OtherIncarnation) => {
@@ -243,24 +237,18 @@
         }
     }
 
-    /// Notes whether the worker responds to commands.
+    /// Notes whether the worker responds to commands, and its clock if the answer tells it.
     fn note_response(&mut self, id: &str, outcome: &Result<u64, WorkerError>) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if matches!(outcome, Err(WorkerError::NotSent(_) | WorkerError::Unknown(_))) {
-            worker.record_unanswered_call(now);
-        } else {
-            worker.responsiveness.record_answer();
-            worker.command_backoff.reset();
+        if let Err(WorkerError::NotSent(_) | WorkerError::Unknown(_)) = outcome {
+            return worker.record_unanswered_call(now);
         }
-    }
-
-    /// Updates the worker's clock from its answer to a command.
-    fn read_clock(&mut self, worker: &str, clock_ms: u64) {
-        let now = self.now;
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.lease.observe_clock(clock_ms, now);
+        if let Ok(clock_ms) = outcome {
+            worker.lease.observe_clock(*clock_ms, now);
         }
+        worker.responsiveness.record_answer();
+        worker.command_backoff.reset();
     }
 
     /// Backs off from a worker that left all start commands of an attempt unanswered.
