--- a/tests/logic/cell/attempts.rs
+++ b/tests/logic/cell/attempts.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use oriolefork::cell::Epoch;
-use oriolefork::cell::job::{Phase, Run, RunOutcome, Step, StepKey, TaskKey};
+use oriolefork::cell::job::{Phase, Run, RunOutcome, Step};
 use oriolefork::cell::machine::{Answer, Machine, Message};
 use oriolefork::cell::queue::QueueConfig;
 use oriolefork::cell::record::Record;
@@ -13,7 +13,7 @@
 use test_case::test_case;
 
 use super::harness::{OwnerHarness, UNIX_START_MS};
-use super::model::{self, MAX_FAILURES, cores, id};
+use super::model::{self, MAX_FAILURES, cores};
 
 /// Number of the job in every test.
 const JOB: u64 = 1;
@@ -22,8 +22,7 @@
 const PLACEMENT_MS: u64 = 2_000;
 
 fn run(number: u32, index: u32) -> Run {
-    let step = StepKey { job: id(JOB), occurrence: 0, step: 0 };
-    Run { task: TaskKey { step, index }, number }
+    model::run(JOB, index, number)
 }
 
 fn single_task() -> Step {
--- a/tests/logic/cell/model.rs
+++ b/tests/logic/cell/model.rs
@@ -4,7 +4,7 @@
 
 use oriolefork::cell::Epoch;
 use oriolefork::cell::dependencies::{RosterUpdate, WorkerInfo};
-use oriolefork::cell::job::{Id, Job, Step};
+use oriolefork::cell::job::{Id, Job, Run, Step, StepKey, TaskKey};
 use oriolefork::cell::machine::Machine;
 use oriolefork::cell::queue::{Queue, QueueConfig, Service};
 use oriolefork::cell::record::{Batch, Record};
@@ -27,6 +27,12 @@
     format!("{number:016x}").parse().expect("sixteen digits")
 }
 
+/// Returns an attempt of a task of a job's first step.
+pub fn run(job: u64, index: u32, number: u32) -> Run {
+    let step = StepKey { job: id(job), occurrence: 0, step: 0 };
+    Run { task: TaskKey { step, index }, number }
+}
+
 /// Returns a job with one step.
 pub fn job(number: u64, step: Step) -> Job {
     Job {
--- a/tests/logic/cell/preempt.rs
+++ b/tests/logic/cell/preempt.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use oriolefork::cell::job::{Job, Run, RunOutcome, Step, StepKey, TaskKey};
+use oriolefork::cell::job::{Job, Run, RunOutcome, Step};
 use oriolefork::cell::machine::{Call, Message};
 use oriolefork::cell::preempt::{CandidateWorker, Victim, choose_victims};
 use oriolefork::cell::queue::{Queue, QueueConfig};
@@ -15,8 +15,7 @@
 const URGENT: &str = "urgent";
 
 fn run(number: u64) -> Run {
-    let step = StepKey { job: id(number), occurrence: 0, step: 0 };
-    Run { task: TaskKey { step, index: 0 }, number: 1 }
+    model::run(number, 0, 1)
 }
 
 fn victim(number: u64, demand: Amount) -> Victim {
--- a/tests/logic/cell/state.rs
+++ b/tests/logic/cell/state.rs
@@ -1,24 +1,19 @@
 //! State that results from replaying the records of a journal.
 
 use oriolefork::cell::Epoch;
-use oriolefork::cell::job::{Phase, Run, RunOutcome, Step, StepKey, TaskKey};
+use oriolefork::cell::job::{Phase, Run, RunOutcome, Step};
 use oriolefork::cell::record::{Batch, Record, WorkerId};
 use oriolefork::cell::state::State;
 use oriolefork::clock::Unix;
 use oriolefork::codec;
 
-use super::model::{self, cores, id};
+use super::model::{self, cores, id, run};
 
 const AT: Unix = Unix::from_millis(1_700_000_000_000);
 
 /// Largest state that one append of the store accepts, in bytes.
 const APPEND_BYTES: usize = 2_000_000;
 
-fn run(job: u64, index: u32, number: u32) -> Run {
-    let step = StepKey { job: id(job), occurrence: 0, step: 0 };
-    Run { task: TaskKey { step, index }, number }
-}
-
 fn accept(state: &mut State, number: u64, step: Step) {
     let mut job = model::job(number, step);
     job.payload = "x".repeat(2_400);
