Bound the rate of the watches by which instances follow an owner

What callers saw: on a site of 1,000 instances the owner had no time for jobs. It answered five watches a second of each instance and as many probes, and each connection costs it beside that. Probes that it left unanswered for 0.2 s made instances open new connections.

Cause: the hold of a watch and the interval between probes were the same for any number of followers.

Change: above 300 followers the hold grows with their number, so that all watches together stay at 1,500 a second. The first eight in the order of succession keep the shortest hold and notice a lost owner as before. The others leave a held watch once a new owner announces itself. The first extended hold is a random part of the full one, since all instances begin to follow a new owner at once. Up to 300 followers, holds, timeouts and messages are the former ones.

The follower states the hold in the query of the method.

--- a/src/cell/election/follow.rs
+++ b/src/cell/election/follow.rs
@@ -1,13 +1,17 @@
 //! Following the owner of a cell.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
+use futures_util::future::{self, Either};
+
 use super::Election;
 use super::priority::MAX_RANK;
 use super::reason::TakeoverReason;
-use crate::cell::peer::{HandoverOffer, WATCH, WatchRequest, WatchResponse};
-use crate::cell::timings::{PROBE_TIMEOUT, WATCH_TIMEOUT};
+use crate::cell::peer::{HandoverOffer, WatchRequest, WatchResponse};
+use crate::cell::timings::PROBE_TIMEOUT;
+use crate::cell::watch::Hold;
 use crate::peer;
 
 /// Delay between two watch requests of an instance that shuts down.
@@ -30,7 +34,7 @@
             if owner == self.node.me {
                 return TakeoverReason::Unknown;
             }
-            let response = self.watch(owner, !self.owner_unresponsive).await;
+            let Some(response) = self.watch_unless_replaced(owner).await else { continue };
             self.owner_unresponsive = response.as_ref().is_err_and(|error| !error.is_busy());
             match response {
                 Ok(response) => {
@@ -65,6 +69,31 @@
         }
     }
 
+    /// Sends a watch request to the owner; `None` if another owner becomes known during an extended
+    /// hold.
+    ///
+    /// Guards against an owner that is frozen: an instance that does not take over soon waits longer
+    /// for its response than the cell is without an owner.
+    async fn watch_unless_replaced(
+        &self,
+        owner: SocketAddr,
+    ) -> Option<Result<WatchResponse, peer::Error>> {
+        let response = self.watch(owner, !self.owner_unresponsive);
+        if !self.hold(owner).is_extended() {
+            return Some(response.await);
+        }
+        let replaced = self.node.until_owner_changes(self.cell);
+        match future::select(pin!(response), pin!(replaced)).await {
+            Either::Left((response, _)) => Some(response),
+            Either::Right(_) => None,
+        }
+    }
+
+    /// Hold of the next watch request to `owner`.
+    fn hold(&self, owner: SocketAddr) -> Hold {
+        if self.last_owner == Some(owner) { self.watch_hold } else { Hold::SHORTEST }
+    }
+
     /// Sends a watch request to the owner, which may delay its response if `long_poll` is true.
     pub(super) async fn watch(
         &self,
@@ -84,8 +113,11 @@
             long_poll,
             succession_digest,
         };
-        let timeout = if long_poll { WATCH_TIMEOUT } else { PROBE_TIMEOUT };
-        self.node.deps.peers.call(owner, WATCH, &watch, timeout).await
+        let hold = if long_poll { self.hold(owner) } else { Hold::SHORTEST };
+        let timeout = if long_poll { hold.timeout() } else { PROBE_TIMEOUT };
+        let peers = &self.node.deps.peers;
+        peers.set_keepalive(owner, hold.keepalive());
+        peers.call(owner, &hold.method(), &watch, timeout).await
     }
 
     fn apply_response(
@@ -103,18 +135,21 @@
                 self.node.set_owner(self.cell, elsewhere);
                 return None;
             }
+            self.node.set_watch_hold(self.cell, self.hold(owner));
             return self.check_takeover_progress(owner, response.owner);
         }
         self.claimant_since = None;
         self.known_journal_end = response.journal_end;
         self.owner_cpu_millis = response.cpu_millis;
         if self.last_owner.replace(owner) != Some(owner) {
+            self.watch_hold = Hold::SHORTEST;
             self.postpone_catch_up();
         }
         if let Some(order) = response.succession_order {
             self.apply_succession(owner, order);
             self.succession_digest = response.succession_digest;
         }
+        self.update_hold();
         // An owner that answers is in contact even while the store prevents it from serving:
         // callers' connections are kept and their calls forwarded to it, since no other instance
         // serves them better.
@@ -129,6 +164,14 @@
         }
     }
 
+    /// Determines the hold of the next watch request by the order of succession.
+    fn update_hold(&mut self) {
+        let hold = Hold::new(self.rank, self.peers.len());
+        let is_first = !self.watch_hold.is_extended();
+        self.watch_hold = if is_first { hold.random_part(self.node.incarnation) } else { hold };
+        self.node.set_watch_hold(self.cell, self.watch_hold);
+    }
+
     /// Records the order in which instances would take over from `owner`.
     fn apply_succession(&mut self, owner: SocketAddr, order: Vec<SocketAddr>) {
         let mut followers = order.iter().filter(|peer| **peer != owner);
--- a/src/cell/election/mod.rs
+++ b/src/cell/election/mod.rs
@@ -34,6 +34,7 @@
 use super::dependencies::OwnerRecord;
 use super::node::Node;
 use super::replay::JournalReplay;
+use super::watch::Hold;
 use crate::clock::Instant;
 
 /// Delay after the store could not be read.
@@ -49,6 +50,8 @@
     peers: Vec<SocketAddr>,
     /// Digest of the order of succession received last from the present owner; zero for none.
     succession_digest: u64,
+    /// Hold of the next watch request to the owner that answered last.
+    watch_hold: Hold,
     /// The owner record that this instance followed last.
     last_owner_record: Option<OwnerRecord>,
     /// Whether the owner did not answer the last watch request.
@@ -75,6 +78,7 @@
         rank: None,
         peers: Vec::new(),
         succession_digest: 0,
+        watch_hold: Hold::SHORTEST,
         last_owner_record: None,
         owner_unresponsive: false,
         next_catch_up,
--- a/src/cell/election/priority.rs
+++ b/src/cell/election/priority.rs
@@ -5,6 +5,7 @@
 use super::reason::TakeoverReason;
 use super::{Election, READ_RETRY_DELAY};
 use crate::cell::timings::{FAST_STORE_READ, RANK_DELAY};
+use crate::cell::watch::SUCCESSORS;
 
 /// Range of the random delay of instances that have just started and have no rank, in milliseconds.
 /// A claim and the owner record take 15 ms.
@@ -21,6 +22,9 @@
 /// Maximum rank, so that the last of many instances does not wait for long.
 pub(super) const MAX_RANK: u32 = 8;
 
+// Otherwise the rank would not tell who is among the successors.
+const _: () = assert!(MAX_RANK >= SUCCESSORS);
+
 impl Election {
     /// Waits for the instance's turn; returns whether it should claim the cell, judged by the owner
     /// record.
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -215,8 +215,7 @@
             Message::ConfigChanged(config) => self.configure(config),
             Message::SnapshotDue => self.snapshot_due = true,
             Message::InstanceSeen { peer, cpu_millis, domain } => {
-                let new = || PolicyProxy::new(cpu_millis, domain, now);
-                self.proxies.entry(peer).or_insert_with(new).last_seen = now;
+                self.note_instance(peer, cpu_millis, domain)
             }
         }
     }
--- a/src/cell/machine/proxy.rs
+++ b/src/cell/machine/proxy.rs
@@ -2,14 +2,15 @@
 
 use std::rc::Rc;
 
-use crate::cell::timings::{PEER_TIMEOUT, PROXY_BACKOFF, PROXY_MAX_BACKOFFS};
+use crate::cell::timings::{PROXY_BACKOFF, PROXY_MAX_BACKOFFS};
 use crate::clock::Instant;
 
 /// An instance that follows the owner. It can send queries to the policy service, one at a time,
 /// and take the cell over.
 #[derive(Clone, Debug)]
 pub(super) struct PolicyProxy {
-    pub(super) last_seen: Instant,
+    /// Time until which it counts as present, unless it is seen again.
+    pub(super) present_until: Instant,
     pub(super) query: Option<u64>,
     pub(super) cpu_millis: u32,
     /// Failure domain of the instance.
@@ -21,7 +22,14 @@
 
 impl PolicyProxy {
     pub(super) const fn new(cpu_millis: u32, domain: Rc<str>, now: Instant) -> Self {
-        Self { last_seen: now, query: None, cpu_millis, domain, failures: 0, backoff_until: now }
+        Self {
+            present_until: now,
+            query: None,
+            cpu_millis,
+            domain,
+            failures: 0,
+            backoff_until: now,
+        }
     }
 
     /// Notes that its query ended, with or without an answer.
@@ -40,6 +48,6 @@
     }
 
     pub(super) fn is_fresh(&self, now: Instant) -> bool {
-        now.since(self.last_seen) < PEER_TIMEOUT
+        now < self.present_until
     }
 }
--- a/src/cell/machine/succession.rs
+++ b/src/cell/machine/succession.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 use super::Machine;
+use super::proxy::PolicyProxy;
+use crate::cell::timings::PEER_TIMEOUT;
+use crate::cell::watch::{Hold, SUCCESSORS};
 use crate::clock::Instant;
 
 /// Interval between two rankings: shorter than the time for which an instance that follows the
@@ -52,6 +55,16 @@
         &self.succession
     }
 
+    /// Notes that an instance follows the owner. It counts as present until its next requests are
+    /// overdue, which depends on the longest hold among followers.
+    pub(super) fn note_instance(&mut self, peer: SocketAddr, cpu_millis: u32, domain: Rc<str>) {
+        let now = self.now;
+        let longest = Hold::new(Some(SUCCESSORS), self.succession.order.len());
+        let proxy = self.proxies.entry(peer);
+        let proxy = proxy.or_insert_with(|| PolicyProxy::new(cpu_millis, domain, now));
+        proxy.present_until = now.after(PEER_TIMEOUT + longest.extension());
+    }
+
     /// Recomputes the order of succession if it is due.
     pub(super) fn rank_instances(&mut self) {
         if self.now < self.succession.next_ranking {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -21,6 +21,7 @@
 //! | `activity.rs` | time that an owner spends on each kind of work |
 //! | `peer.rs` | messages between instances |
 //! | `timings.rs` | timeouts, intervals and limits |
+//! | `watch.rs` | time for which an owner delays its response to a follower |
 //! | `owner.rs`, `election/`, `node/`, `replay.rs`, `dependency_status.rs` | tasks of an instance |
 
 pub mod activity;
@@ -47,6 +48,7 @@
 pub mod state;
 pub mod ticket;
 pub mod timings;
+pub mod watch;
 pub mod worker;
 
 use derive_more::Display;
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -17,6 +17,7 @@
     TABLE, WATCH, WatchRequest, WatchResponse,
 };
 use crate::cell::timings::WATCH_HOLD;
+use crate::cell::watch::Hold;
 use crate::codec;
 use crate::peer::{Code, Handler, Refusal, decode};
 
@@ -25,9 +26,10 @@
 
 impl Node {
     async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
-        match method {
+        let (name, query) = method.split_once('?').unwrap_or((method, ""));
+        match name {
             CALL => encode(&self.answer_call(decode(body)?).await),
-            WATCH => encode(&self.watched(&decode(body)?).await),
+            WATCH => encode(&self.watched(&decode(body)?, Hold::from_query(query)).await),
             POLICY => encode(&self.query_policy(decode(body)?).await),
             TABLE => {
                 self.apply_config(decode(body)?);
@@ -67,14 +69,14 @@
 
     /// Answers a follower. The response may be delayed, so that the follower's next request comes
     /// soon after it, and neither side has to wait long to notice that the other is gone.
-    async fn watched(&self, request: &WatchRequest) -> WatchResponse {
+    async fn watched(&self, request: &WatchRequest, hold: Hold) -> WatchResponse {
         if let Some(handle) = self.owner_handle(request.cell) {
             let (peer, cpu_millis, domain) =
                 (request.follower, request.cpu_millis, request.domain.clone());
             handle.send(Message::InstanceSeen { peer, cpu_millis, domain });
             if request.long_poll {
-                let _ =
-                    monoio::time::timeout(WATCH_HOLD, self.until_handover_due(request.cell)).await;
+                let handover_due = self.until_handover_due(request.cell);
+                let _ = monoio::time::timeout(hold.duration(), handover_due).await;
             }
         } else if request.long_poll {
             self.wait_for_takeover(request.cell, WATCH_HOLD).await;
--- a/src/cell/node/view.rs
+++ b/src/cell/node/view.rs
@@ -5,6 +5,7 @@
 
 use super::Node;
 use crate::cell::owner::OwnerHandle;
+use crate::cell::watch::Hold;
 use crate::cell::{Epoch, Id};
 use crate::clock::Instant;
 use crate::shutdown::Shutdown;
@@ -13,14 +14,18 @@
 #[derive(Default)]
 pub(super) struct CellView {
     pub(super) owner: Option<SocketAddr>,
+    /// Triggered when another owner becomes known.
+    owner_changed: Shutdown,
     /// Latest known epoch.
     pub(super) epoch: Epoch,
     /// Time at which that epoch became known.
     epoch_since: Option<Instant>,
     pub(super) owner_handle: Option<OwnerHandle>,
-    /// Time of the latest contact with the owner.
+    /// Time by which the next response of the owner may come later than with the shortest hold.
+    contact_extension: Duration,
+    /// Time of the latest contact with the owner, moved forward by the extension at that time.
     pub(super) owner_heard_at: Option<Instant>,
-    /// Time of the latest contact with an owner that reaches the store.
+    /// The same for an owner that reaches the store.
     pub(super) serving_owner_heard_at: Option<Instant>,
     /// Triggered while this instance owns the cell and the store answers slowly or not at all.
     pub(super) handover_due: Shutdown,
@@ -45,6 +50,7 @@
             if view.owner != owner {
                 let name = owner.map_or_else(|| "none".to_owned(), |owner| owner.to_string());
                 log::info!("event=owner.known cell={cell} owner={name}");
+                std::mem::take(&mut view.owner_changed).trigger();
             }
             view.owner = owner;
         }
@@ -53,6 +59,7 @@
     pub(in crate::cell) fn set_owner_handle(&self, cell: Id, handle: Option<OwnerHandle>) {
         if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
             view.owner = handle.as_ref().map(|_| self.me);
+            view.contact_extension = Duration::ZERO;
             view.owner_handle = handle;
         }
         self.end_takeover(cell);
@@ -62,6 +69,7 @@
     pub(in crate::cell) fn begin_takeover(&self, cell: Id) {
         if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
             view.owner = Some(self.me);
+            view.contact_extension = Duration::ZERO;
             view.takeover = Some(Shutdown::new());
         }
         self.note_owner_heard(cell);
@@ -86,21 +94,41 @@
         }
     }
 
+    /// Completes when an owner other than the present one becomes known.
+    pub(in crate::cell) async fn until_owner_changes(&self, cell: Id) {
+        let changed = self.views.borrow().get(&cell).map(|view| view.owner_changed.clone());
+        match changed {
+            Some(changed) => changed.wait().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Records the hold of the next watch request, during which the instance counts as in contact.
+    pub(in crate::cell) fn set_watch_hold(&self, cell: Id, hold: Hold) {
+        if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
+            view.contact_extension = hold.extension();
+        }
+    }
+
     /// Records a contact with an owner that reaches the store.
     pub(in crate::cell) fn note_serving_owner(&self, cell: Id) {
         if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
-            view.serving_owner_heard_at = Some(self.deps.clock.now());
+            let now = self.deps.clock.now();
+            view.serving_owner_heard_at = Some(now.after(view.contact_extension));
         }
     }
 
-    /// Time of this instance's latest contact with the cell's owner.
+    /// Time of this instance's latest contact with the cell's owner; now while an extended hold
+    /// lasts.
     pub(in crate::cell) fn owner_heard_at(&self, cell: Id) -> Option<Instant> {
-        self.views.borrow().get(&cell).and_then(|view| view.owner_heard_at)
+        let heard_at = self.views.borrow().get(&cell).and_then(|view| view.owner_heard_at);
+        heard_at.map(|at| at.min(self.deps.clock.now()))
     }
 
     pub(in crate::cell) fn note_owner_heard(&self, cell: Id) {
         if let Some(view) = self.views.borrow_mut().get_mut(&cell) {
-            view.owner_heard_at = Some(self.deps.clock.now());
+            let now = self.deps.clock.now();
+            view.owner_heard_at = Some(now.after(view.contact_extension));
         }
     }
 
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -106,7 +106,7 @@
 /// Duration of one append from which new jobs wait outside the journal: ten times the usual 8 ms.
 pub const SLOW_APPEND: Duration = Duration::from_millis(80);
 
-/// Maximum time for which an owner delays its response to a follower.
+/// Time for which an owner delays its response to one of up to 300 followers; see `watch.rs`.
 pub const WATCH_HOLD: Duration = Duration::from_millis(200);
 
 /// Timeout of a watch request, including that delay.
@@ -120,7 +120,7 @@
 /// read before it; with two claims at once, one of the instances has to read the journal again.
 pub const RANK_DELAY: Duration = Duration::from_millis(40);
 
-/// Time without a message after which a peer no longer counts as present.
+/// Time without a message after which a peer no longer counts as present, with the shortest hold.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Maximum interval between two steps of the owner's state machine.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -41,7 +41,7 @@
 
     /// Calls `method` of `peer` with `payload` and decodes the response, all within `timeout`.
     ///
-    /// `method` is a name without slashes. Dropping the future abandons the call.
+    /// `method` is a name, which a query may follow. Dropping the future abandons the call.
     ///
     /// # Errors
     /// Fails if no complete response was read or the peer refused the call. [`Error::sent`] states
@@ -65,6 +65,12 @@
         })
     }
 
+    /// Sets the interval between two probes of `peer`, now and on later connections, if it is longer
+    /// than [`Limits::keepalive`]; otherwise that one applies.
+    pub fn set_keepalive(&self, peer: SocketAddr, interval: Duration) {
+        self.connection(peer).set_keepalive(interval);
+    }
+
     async fn call_bytes(
         &self,
         peer: SocketAddr,
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -26,6 +26,8 @@
     opening: Semaphore,
     current: RefCell<Option<OpenConnection>>,
     last_used: Cell<Instant>,
+    /// Interval between two probes.
+    keepalive: Rc<Cell<Duration>>,
 }
 
 /// An open connection.
@@ -79,9 +81,15 @@
             opening: Semaphore::new(1),
             current: RefCell::new(None),
             last_used: Cell::new(Instant::now()),
+            keepalive: Rc::new(Cell::new(limits.keepalive)),
         }
     }
 
+    /// Sets the interval between two probes, at least that of the limits.
+    pub(super) fn set_keepalive(&self, interval: Duration) {
+        self.keepalive.set(interval.max(self.limits.keepalive));
+    }
+
     /// Semaphore that limits the calls in flight to this peer.
     pub(super) fn calls(&self) -> &Semaphore {
         &self.calls
@@ -121,7 +129,7 @@
         if let Some(current) = self.current_if_open() {
             return Ok((current, false));
         }
-        let current = open(peer, &self.limits).await?;
+        let current = open(peer, &self.limits, self.keepalive.clone()).await?;
         *self.current.borrow_mut() = Some(current.clone());
         Ok((current, true))
     }
@@ -138,7 +146,11 @@
     }
 }
 
-async fn open(peer: SocketAddr, limits: &Limits) -> Result<OpenConnection, String> {
+async fn open(
+    peer: SocketAddr,
+    limits: &Limits,
+    keepalive: Rc<Cell<Duration>>,
+) -> Result<OpenConnection, String> {
     let stream = TcpStream::connect_addr(peer).await.map_err(|error| error.to_string())?;
     let _ = stream.set_nodelay(true);
     let (sender, mut connection) = client::Builder::new()
@@ -154,7 +166,6 @@
     let pings = connection.ping_pong();
     let activity = current.activity.clone();
     let closed = current.closed.clone();
-    let keepalive = limits.keepalive;
     monoio::spawn(async move {
         let mut probe = Box::pin(probe(pings, activity, keepalive).fuse());
         let mut connection = connection.fuse();
@@ -176,16 +187,16 @@
 /// kernel, and a slow handler does not delay the answer. No probe is sent if a call was answered
 /// since the last check: an owner that hundreds of instances follow would otherwise spend most of
 /// its time on answering probes.
-async fn probe(pings: Option<PingPong>, activity: Rc<Activity>, keepalive: Duration) {
+async fn probe(pings: Option<PingPong>, activity: Rc<Activity>, keepalive: Rc<Cell<Duration>>) {
     let Some(mut pings) = pings else { return std::future::pending().await };
     loop {
-        monoio::time::sleep(keepalive).await;
+        monoio::time::sleep(keepalive.get()).await;
         let started = activity.started.replace(false);
         let responded = activity.responded.replace(false);
         if responded || !started && activity.in_flight.get() == 0 {
             continue;
         }
-        let answer = monoio::time::timeout(keepalive * 2, pings.ping(Ping::opaque())).await;
+        let answer = monoio::time::timeout(keepalive.get() * 2, pings.ping(Ping::opaque())).await;
         if !matches!(answer, Ok(Ok(_))) {
             return;
         }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -40,7 +40,7 @@
 ///
 /// A panic in a handler ends the thread: the runtime does not catch it, so that no bug is hidden.
 pub trait Handler {
-    /// Handles one call from `peer`.
+    /// Handles one call from `peer`. `method` includes the query, if the call has one.
     ///
     /// Calls are handled concurrently. A handler that has begun runs to its end even if the caller
     /// has abandoned the call, unless the grace period of a shutdown ends first.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -211,8 +211,8 @@
         let read = body::read(&mut stream, self.limits.body_bytes);
         let result = match with_deadline(self.deadline(), read).await {
             Ok(body) => {
-                let method = head.uri.path().trim_start_matches('/');
-                self.handler.handle(peer, method, body).await
+                let method = head.uri.path_and_query().map_or("", |path| path.as_str());
+                self.handler.handle(peer, method.trim_start_matches('/'), body).await
             }
             Err(BodyError::TooLarge { limit }) => {
                 Err(malformed(format!("body larger than {limit} bytes")))
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -33,3 +33,4 @@
 mod ticket;
 mod unanswered_commands;
 mod upstream;
+mod watch;
--- a/tests/logic/cell/succession.rs
+++ b/tests/logic/cell/succession.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 
 use oriolefork::cell::machine::Message;
+use oriolefork::cell::timings::PEER_TIMEOUT;
+use oriolefork::cell::watch::{Hold, SUCCESSORS};
 use oriolefork::clock::Instant;
 use test_case::test_case;
 
@@ -78,3 +80,26 @@
     assert_eq!(left.order.len(), 2);
     assert_ne!(left.digest, all.digest);
 }
+
+/// Instances that wait for a longer hold counted as gone between two of their requests: the order
+/// changed at each ranking, and the policy service was queried through a part of them only.
+#[test]
+fn instances_with_an_extended_hold_stay_present() {
+    let mut harness = OwnerHarness::new(1);
+    let addresses = || (0..12).flat_map(|domain| (0..250).map(move |number| peer(domain, number)));
+    let all_seen = |harness: &mut OwnerHarness| {
+        for peer in addresses() {
+            harness.deliver(Message::InstanceSeen { peer, cpu_millis: 500, domain: "hall".into() });
+        }
+    };
+    all_seen(&mut harness);
+    harness.advance(200);
+    all_seen(&mut harness);
+    let digest = harness.machine.succession().digest;
+    let hold = Hold::new(Some(SUCCESSORS), addresses().count()).duration();
+    assert!(hold > PEER_TIMEOUT);
+    harness.advance(hold.as_millis() as u64);
+    let present = harness.machine.present_instances(Instant::from_millis(harness.now));
+    assert_eq!(present.len(), 3_000);
+    assert_eq!(harness.machine.succession().digest, digest);
+}
--- a/tests/process/election.rs
+++ b/tests/process/election.rs
@@ -95,7 +95,7 @@
 }
 
 /// Workers, a policy service and a discovery service that never respond.
-struct Unresponsive;
+pub(super) struct Unresponsive;
 
 impl WorkerClient for Unresponsive {
     fn poll<'a>(
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -22,3 +22,4 @@
 mod stop;
 mod submission;
 mod support;
+mod watch;
--- a/tests/process/peer.rs
+++ b/tests/process/peer.rs
@@ -228,6 +228,26 @@
     });
 }
 
+// An owner that a thousand instances follow spent its time on their probes, and each that it answered late
+// was followed by a new connection. A longer interval applies to the calls of this peer.
+#[test]
+fn call_frozen_peer_with_longer_interval() {
+    let frozen = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = frozen.local_addr().unwrap();
+    run(async {
+        let client = Client::new(frequent_probes());
+        client.set_keepalive(addr, GENEROUS * 10);
+        let timeout = frequent_probes().keepalive * 6;
+        let error = client.call::<_, u64>(addr, "double", &1_u64, timeout).await.unwrap_err();
+        assert_eq!(error.step, CallPhase::Timeout, "{error}");
+        // An interval below that of the limits has no effect.
+        let client = Client::new(Limits { keepalive: GENEROUS * 10, ..frequent_probes() });
+        client.set_keepalive(addr, Duration::from_millis(1));
+        let error = client.call::<_, u64>(addr, "double", &1_u64, timeout).await.unwrap_err();
+        assert_eq!(error.step, CallPhase::Timeout, "{error}");
+    });
+}
+
 // A frozen peer is replaced by another one at the same address. Once unanswered probes have closed the
 // connection, calls must reach the new peer.
 #[test]
