Divide descriptors among the classes of connections

Store, other instances and callers competed with thousands of connections to workers.

Cause: nothing in the process knew how many descriptors it may use, each pool was bounded by itself only, and nothing kept descriptors for what the owner cannot do without.

Change: `descriptors::Budget` counts each connection by a guard that is taken before the connect or at the accept, and returns with the socket. Each class (control, poll, command, caller) has a share that no other class can use; the rest is open to all. When none is left, the longest idle connection to a worker that lies beyond its class's share (or belongs to the same class) is closed; idle ones are kept in the order in which they became idle, so that this takes no pass over the pools. Otherwise the connection is refused at once: calls as surely not sent, callers with 503. Commands have a small share too: without it, polls of a site with too many workers would leave none. Without a budget nothing is limited, as in the product's own daemons. Failed accepts are logged once a second with their number, the descriptors in use and the limit.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -14,6 +14,7 @@
 use super::pool::{Connection, Pool, ReceivedResponse};
 use super::pool_map::PoolMap;
 use super::{CallPhase, Error, Limits, Request, Response};
+use crate::descriptors::{Budget, Class};
 
 /// Sends requests to peers named by address.
 ///
@@ -30,12 +31,34 @@
 pub struct Client {
     limits: Limits,
     pools: Rc<PoolMap>,
+    budget: Rc<Budget>,
+    class: Class,
 }
 
 impl Client {
     /// Builds a client without connections.
     pub fn new(limits: Limits) -> Self {
-        Self { limits, pools: Rc::new(PoolMap::new(limits.connections, limits.idle_timeout / 2)) }
+        Self {
+            limits,
+            pools: Rc::new(PoolMap::new(limits.connections, limits.idle_timeout / 2)),
+            budget: Rc::new(Budget::unlimited()),
+            class: Class::Control,
+        }
+    }
+
+    /// Counts the connections in `budget` as ones of `class`. A request that needs a new connection
+    /// when no descriptor is left fails at once with [`CallPhase::Connect`], surely not sent.
+    ///
+    /// ```
+    /// use std::rc::Rc;
+    /// use oriolefork::descriptors::{Budget, Class, Shares};
+    /// use oriolefork::http::{Client, Limits};
+    /// let budget = Rc::new(Budget::new(100, Shares::default()));
+    /// let client = Client::new(Limits::default()).with_budget(budget, Class::Poll);
+    /// ```
+    #[must_use]
+    pub fn with_budget(self, budget: Rc<Budget>, class: Class) -> Self {
+        Self { budget, class, ..self }
     }
 
     /// Sends `request` to `peer` and reads the whole response, both within `timeout`.
@@ -91,7 +114,7 @@
                 result => return result,
             }
         }
-        let mut connection = open(peer, deadline).await?;
+        let mut connection = self.open(peer, deadline).await?;
         pool.log_opened(peer);
         if let Some(check) = check {
             let answers_request = check.answers_request;
@@ -104,6 +127,18 @@
         self.exchange(&pool, connection, peer, &request, deadline).await
     }
 
+    async fn open(&self, peer: SocketAddr, deadline: Instant) -> Result<Connection, Error> {
+        let descriptor = self
+            .budget
+            .acquire(self.class)
+            .map_err(|cause| unsent(CallPhase::Connect, peer, cause))?;
+        match with_deadline(deadline, Connection::open(peer, descriptor)).await {
+            Some(Ok(connection)) => Ok(connection),
+            Some(Err(cause)) => Err(unsent(CallPhase::Connect, peer, cause)),
+            None => Err(unsent(CallPhase::Timeout, peer, "connection not established in time")),
+        }
+    }
+
     /// Verifies the peer's identity on a new connection, ahead of the request.
     async fn verify_peer(
         &self,
@@ -143,14 +178,14 @@
     }
 
     /// Returns a connection to the pool after a complete response.
-    fn return_to_pool(&self, pool: &Pool, connection: Connection) {
+    fn return_to_pool(&self, pool: &Rc<Pool>, connection: Connection) {
         pool.put(connection);
         self.pools.start_sweeping();
     }
 
     async fn exchange(
         &self,
-        pool: &Pool,
+        pool: &Rc<Pool>,
         mut connection: Connection,
         peer: SocketAddr,
         request: &Request,
@@ -223,14 +258,6 @@
     }
 }
 
-async fn open(peer: SocketAddr, deadline: Instant) -> Result<Connection, Error> {
-    match with_deadline(deadline, Connection::open(peer)).await {
-        Some(Ok(connection)) => Ok(connection),
-        Some(Err(cause)) => Err(unsent(CallPhase::Connect, peer, cause)),
-        None => Err(unsent(CallPhase::Timeout, peer, "connection not established in time")),
-    }
-}
-
 async fn round_trip(
     connection: &mut Connection,
     request: &Request,
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -3,7 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,6 +22,7 @@
 use super::limited::{Reader, Writer};
 use super::message::{self, MessageError, MessageReader};
 use super::{Limits, Request, Response};
+use crate::descriptors::{Guard, IdleHolder, Offer, OfferId};
 use crate::permit;
 
 /// Maximum number of heads read for one response, interim (1xx) ones included.
@@ -43,6 +44,10 @@
     fresh: bool,
     /// Verified identity of the peer, if it was checked.
     identity: Option<Rc<str>>,
+    /// Offer to close the connection while it is idle.
+    offer: Option<Offer>,
+    // Declared last, so that the socket is closed before its descriptor counts as free.
+    descriptor: Guard,
 }
 
 /// A response, and whether the connection may be reused.
@@ -52,16 +57,17 @@
 }
 
 impl Connection {
-    pub(super) async fn open(peer: SocketAddr) -> io::Result<Self> {
+    pub(super) async fn open(peer: SocketAddr, descriptor: Guard) -> io::Result<Self> {
         let stream = TcpStream::connect_addr(peer).await?;
         stream.set_nodelay(true)?;
         let (read, write) = stream.into_split();
-        Ok(Self::from_halves(read, write))
+        Ok(Self::from_halves(read, write, descriptor))
     }
 
     fn from_halves(
         read: OwnedReadHalf<TcpStream>,
         write: monoio::io::OwnedWriteHalf<TcpStream>,
+        descriptor: Guard,
     ) -> Self {
         let written = Rc::new(Cell::new(0));
         let reader = Reader::new(read);
@@ -72,6 +78,8 @@
             idle_since: Instant::now(),
             fresh: true,
             identity: None,
+            offer: None,
+            descriptor,
         }
     }
 
@@ -207,6 +215,7 @@
         let matches_identity = |connection: &Connection| connection.identity.as_deref() == identity;
         while let Some(index) = idle.iter().rposition(matches_identity) {
             let mut connection = idle.remove(index);
+            connection.offer = None;
             if connection.idle_since.elapsed() < max_idle && connection.is_quiet() {
                 return Some(connection);
             }
@@ -245,9 +254,11 @@
     }
 
     /// Returns a connection to the pool after a complete response.
-    pub(super) fn put(&self, mut connection: Connection) {
+    pub(super) fn put(self: &Rc<Self>, mut connection: Connection) {
         connection.fresh = false;
         connection.idle_since = Instant::now();
+        let holder: Weak<Self> = Rc::downgrade(self);
+        connection.offer = connection.descriptor.offer(holder);
         self.idle.borrow_mut().push(connection);
     }
 
@@ -259,3 +270,14 @@
         !idle.is_empty() || self.permits.is_in_use()
     }
 }
+
+impl IdleHolder for Pool {
+    fn close_idle(&self, offer: OfferId) {
+        let mut idle = self.idle.borrow_mut();
+        let has_offer =
+            |connection: &Connection| connection.offer.as_ref().map(Offer::id) == Some(offer);
+        if let Some(index) = idle.iter().position(has_offer) {
+            drop(idle.remove(index));
+        }
+    }
+}
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -14,6 +14,7 @@
 
 use super::connection::Connection;
 use super::{Handler, Limits, Response};
+use crate::descriptors::{Budget, Class, Guard};
 use crate::listener::Listener;
 use crate::permit::{Semaphore, SemaphorePermit};
 use crate::shutdown::Shutdown;
@@ -29,6 +30,8 @@
 pub struct Server {
     listener: Listener,
     limits: Limits,
+    budget: Rc<Budget>,
+    class: Class,
 }
 
 impl Server {
@@ -39,7 +42,19 @@
     /// # Errors
     /// Fails if the address cannot be bound, for instance because another process uses it.
     pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
-        Ok(Self { listener: Listener::bind(addr)?, limits })
+        Ok(Self {
+            listener: Listener::bind(addr)?,
+            limits,
+            budget: Rc::new(Budget::unlimited()),
+            class: Class::Caller,
+        })
+    }
+
+    /// Counts the accepted connections in `budget` as ones of `class`. If no descriptor is left for
+    /// one, it is answered with status 503 like one beyond the limit of connections.
+    #[must_use]
+    pub fn with_budget(self, budget: Rc<Budget>, class: Class) -> Self {
+        Self { budget, class, ..self }
     }
 
     /// Returns the bound address.
@@ -60,12 +75,15 @@
         let acceptor = Acceptor {
             handler,
             limits: self.limits,
+            budget: self.budget,
+            class: self.class,
             stop: stop.clone(),
             abort: abort.clone(),
             permits: Semaphore::new(self.limits.connections),
             refusals: Semaphore::new(MAX_REFUSALS),
         };
-        self.listener.accept_until(&stop, |stream, peer| acceptor.admit(stream, peer)).await;
+        let admit = |stream, peer| acceptor.admit(stream, peer);
+        self.listener.accept_until(&stop, &acceptor.budget, admit).await;
         let ended = monoio::time::timeout(grace, acceptor.permits.wait_until_unused()).await;
         if ended.is_err() {
             log::warn!("event=http.stop_cut grace_ms={}", grace.as_millis());
@@ -77,6 +95,8 @@
 struct Acceptor {
     handler: Rc<dyn Handler>,
     limits: Limits,
+    budget: Rc<Budget>,
+    class: Class,
     stop: Shutdown,
     abort: Shutdown,
     permits: Semaphore,
@@ -86,17 +106,26 @@
 impl Acceptor {
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
-        match self.permits.try_acquire() {
-            Some(permit) => self.spawn(stream, peer, permit),
-            None => self.refuse(stream, peer),
+        let Some(permit) = self.permits.try_acquire() else { return self.refuse(stream, peer) };
+        match self.budget.acquire(self.class) {
+            Ok(descriptor) => self.spawn(stream, peer, permit, descriptor),
+            Err(_) => self.refuse(stream, peer),
         }
     }
 
-    fn spawn(&self, stream: TcpStream, peer: SocketAddr, permit: SemaphorePermit) {
+    fn spawn(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+        permit: SemaphorePermit,
+        descriptor: Guard,
+    ) {
         let connection = Connection::new(stream, peer, self.limits, self.stop.clone());
         let handler = self.handler.clone();
         let abort = self.abort.clone();
         monoio::spawn(async move {
+            // Dropped after the connection.
+            let _descriptor = descriptor;
             let mut serving = Box::pin(connection.serve(handler.as_ref()).fuse());
             let mut aborted = Box::pin(abort.wait().fuse());
             futures_util::select_biased! {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod codec;
 pub mod config;
+pub mod descriptors;
 pub mod dev;
 pub mod domain;
 pub mod entry;
--- a/src/listener.rs
+++ b/src/listener.rs
@@ -8,11 +8,15 @@
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use monoio::time::Instant;
 
+use crate::descriptors::Budget;
 use crate::shutdown::Shutdown;
 
 /// Delay after a failed accept, so that a process without free descriptors does not busy-loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Minimum interval between two log lines about failed accepts.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time after the shutdown request for which connections are still accepted.
 const BACKLOG_LINGER: Duration = Duration::from_millis(50);
 
@@ -36,7 +40,16 @@
     }
 
     /// Passes each connection to `admit` until `stop` is triggered, then closes the socket.
-    pub(crate) async fn accept_until(self, stop: &Shutdown, admit: impl Fn(TcpStream, SocketAddr)) {
+    ///
+    /// `budget` is that of the descriptors of this process, which log lines about failed accepts
+    /// contain.
+    pub(crate) async fn accept_until(
+        self,
+        stop: &Shutdown,
+        budget: &Budget,
+        admit: impl Fn(TcpStream, SocketAddr),
+    ) {
+        let mut failures = Failures::default();
         let mut stopped = Box::pin(stop.wait().fuse());
         loop {
             let mut accept = Box::pin(self.socket.accept().fuse());
@@ -47,7 +60,7 @@
             match accepted {
                 Ok((stream, peer)) => admit(stream, peer),
                 Err(cause) => {
-                    log::warn!("event=listener.accept_failed cause={:?}", cause.to_string());
+                    failures.note(&cause, budget);
                     monoio::time::sleep(ACCEPT_BACKOFF).await;
                 }
             }
@@ -70,3 +83,29 @@
         }
     }
 }
+
+/// Failed accepts that have not been logged yet.
+#[derive(Default)]
+struct Failures {
+    count: u64,
+    last_log: Option<Instant>,
+}
+
+impl Failures {
+    /// Counts a failed accept, and logs the number of those since the last line.
+    fn note(&mut self, cause: &io::Error, budget: &Budget) {
+        self.count += 1;
+        let now = Instant::now();
+        if self.last_log.is_some_and(|last| now - last < LOG_INTERVAL) {
+            return;
+        }
+        self.last_log = Some(now);
+        let count = std::mem::take(&mut self.count);
+        let limit = budget.limit().map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+        log::warn!(
+            "event=listener.accept_failed count={count} in_use={} limit={limit} cause={:?}",
+            budget.in_use(),
+            cause.to_string()
+        );
+    }
+}
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -21,6 +21,7 @@
 use super::stream::REASON_BYTES;
 use super::{CallPhase, Code, Error, Limits};
 use crate::codec;
+use crate::descriptors::Budget;
 
 /// Calls methods of peers named by address.
 ///
@@ -29,6 +30,7 @@
 /// response cannot reach another caller.
 pub struct Client {
     limits: Limits,
+    budget: Rc<Budget>,
     connections: RefCell<HashMap<SocketAddr, Rc<PeerConnection>>>,
     last_sweep: Cell<Instant>,
 }
@@ -36,7 +38,21 @@
 impl Client {
     /// Builds a client without connections.
     pub fn new(limits: Limits) -> Self {
-        Self { limits, connections: RefCell::default(), last_sweep: Cell::new(Instant::now()) }
+        Self {
+            limits,
+            budget: Rc::new(Budget::unlimited()),
+            connections: RefCell::default(),
+            last_sweep: Cell::new(Instant::now()),
+        }
+    }
+
+    /// Counts the connections in `budget`, as ones of [`Class::Control`]. A call that needs a new
+    /// connection when no descriptor is left fails at once with [`CallPhase::Connect`].
+    ///
+    /// [`Class::Control`]: crate::descriptors::Class::Control
+    #[must_use]
+    pub fn with_budget(self, budget: Rc<Budget>) -> Self {
+        Self { budget, ..self }
     }
 
     /// Calls `method` of `peer` with `payload` and decodes the response, all within `timeout`.
@@ -107,7 +123,8 @@
 
     fn connection(&self, peer: SocketAddr) -> Rc<PeerConnection> {
         let mut connections = self.connections.borrow_mut();
-        connections.entry(peer).or_insert_with(|| Rc::new(PeerConnection::new(self.limits))).clone()
+        let new = || Rc::new(PeerConnection::new(self.limits, self.budget.clone()));
+        connections.entry(peer).or_insert_with(new).clone()
     }
 
     /// Closes connections that have been idle too long, so that entries of removed peers are
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -15,12 +15,14 @@
 
 use super::Limits;
 use super::stream::{CONNECTION_WINDOW, HEADER_BYTES, STREAM_WINDOW};
+use crate::descriptors::{Budget, Class, Guard};
 use crate::permit::Semaphore;
 use crate::shutdown::Shutdown;
 
 /// The connection to one peer, with the limit of calls in flight.
 pub(super) struct PeerConnection {
     limits: Limits,
+    budget: Rc<Budget>,
     calls: Semaphore,
     // Held by the caller that opens the connection; the others wait for it.
     opening: Semaphore,
@@ -74,9 +76,10 @@
 }
 
 impl PeerConnection {
-    pub(super) fn new(limits: Limits) -> Self {
+    pub(super) fn new(limits: Limits, budget: Rc<Budget>) -> Self {
         Self {
             limits,
+            budget,
             calls: Semaphore::new(limits.calls),
             opening: Semaphore::new(1),
             current: RefCell::new(None),
@@ -129,7 +132,9 @@
         if let Some(current) = self.current_if_open() {
             return Ok((current, false));
         }
-        let current = open(peer, &self.limits, self.keepalive.clone()).await?;
+        let descriptor =
+            self.budget.acquire(Class::Control).map_err(|exhausted| exhausted.to_string())?;
+        let current = open(peer, &self.limits, self.keepalive.clone(), descriptor).await?;
         *self.current.borrow_mut() = Some(current.clone());
         Ok((current, true))
     }
@@ -150,6 +155,7 @@
     peer: SocketAddr,
     limits: &Limits,
     keepalive: Rc<Cell<Duration>>,
+    descriptor: Guard,
 ) -> Result<OpenConnection, String> {
     let stream = TcpStream::connect_addr(peer).await.map_err(|error| error.to_string())?;
     let _ = stream.set_nodelay(true);
@@ -167,6 +173,8 @@
     let activity = current.activity.clone();
     let closed = current.closed.clone();
     monoio::spawn(async move {
+        // Dropped after the connection.
+        let _descriptor = descriptor;
         let mut probe = Box::pin(probe(pings, activity, keepalive).fuse());
         let mut connection = connection.fuse();
         futures_util::select_biased! {
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -16,6 +16,7 @@
 use super::body::{self, BodyError};
 use super::stream::{CONNECTION_WINDOW, HEADER_BYTES, REASON_BYTES, STREAM_WINDOW};
 use super::{Code, Handler, Limits, Refusal};
+use crate::descriptors::{Budget, Class};
 use crate::listener::Listener;
 use crate::permit::{Semaphore, SemaphorePermit};
 use crate::shutdown::Shutdown;
@@ -27,6 +28,7 @@
 pub struct Server {
     listener: Listener,
     limits: Limits,
+    budget: Rc<Budget>,
 }
 
 impl Server {
@@ -37,7 +39,13 @@
     /// # Errors
     /// Fails if the address cannot be bound, for instance because another process uses it.
     pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
-        Ok(Self { listener: Listener::bind(addr)?, limits })
+        Ok(Self { listener: Listener::bind(addr)?, limits, budget: Rc::new(Budget::unlimited()) })
+    }
+
+    /// Counts the accepted connections in `budget`, as ones of [`Class::Control`].
+    #[must_use]
+    pub fn with_budget(self, budget: Rc<Budget>) -> Self {
+        Self { budget, ..self }
     }
 
     /// Returns the bound address.
@@ -56,6 +64,7 @@
         let abort = Shutdown::new();
         let acceptor = Acceptor {
             connections: Semaphore::new(self.limits.connections),
+            budget: self.budget,
             stop: stop.clone(),
             calls: Rc::new(Calls {
                 handler,
@@ -64,7 +73,8 @@
                 abort: abort.clone(),
             }),
         };
-        self.listener.accept_until(&stop, |stream, peer| acceptor.admit(stream, peer)).await;
+        let admit = |stream, peer| acceptor.admit(stream, peer);
+        self.listener.accept_until(&stop, &acceptor.budget, admit).await;
         let ended = monoio::time::timeout(grace, acceptor.connections.wait_until_unused()).await;
         if ended.is_err() {
             log::warn!("event=peer.stop_cut grace_ms={}", grace.as_millis());
@@ -75,6 +85,7 @@
 
 struct Acceptor {
     connections: Semaphore,
+    budget: Rc<Budget>,
     stop: Shutdown,
     calls: Rc<Calls>,
 }
@@ -85,10 +96,16 @@
             log::warn!("event=peer.refused peer={peer} cause=connections");
             return;
         };
+        let Ok(descriptor) = self.budget.acquire(Class::Control) else {
+            log::warn!("event=peer.refused peer={peer} cause=descriptors");
+            return;
+        };
         let _ = stream.set_nodelay(true);
         let calls = self.calls.clone();
         let stop = self.stop.clone();
         monoio::spawn(async move {
+            // Dropped after the connection.
+            let _descriptor = descriptor;
             let abort = calls.abort.clone();
             let mut serving = Box::pin(serve(calls, stream, peer, stop).fuse());
             let mut aborted = Box::pin(abort.wait().fuse());
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -71,6 +71,14 @@
         "Time for which each activity occupied the thread of a cell's owner.";
     CELL_DUTY_LONGEST: Gauge = "oriolefork_cell_duty_longest_seconds",
         "Longest time in the last second for which one activity occupied the owner's thread.";
+    DESCRIPTORS_IN_USE: Gauge = "oriolefork_descriptors_in_use",
+        "Descriptors that connections use, by class.";
+    DESCRIPTOR_LIMIT: Gauge = "oriolefork_descriptors_limit",
+        "Descriptors that connections may use; absent if that is not limited.";
+    DESCRIPTORS_RECLAIMED: Counter = "oriolefork_descriptors_reclaimed_total",
+        "Idle connections closed for want of descriptors, by class of the connection that needed one.";
+    DESCRIPTORS_REFUSED: Counter = "oriolefork_descriptors_refused_total",
+        "Connections refused for want of descriptors, by class.";
     RUNNER_CALL: Histogram = "oriolefork_runner_call_seconds",
         "Time of one call to a runner.";
 }
--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -6,6 +6,7 @@
 mod cli;
 mod codec;
 mod config;
+mod descriptors;
 mod docs;
 mod intent;
 mod job;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod config;
 mod controller;
+mod descriptors;
 mod dev;
 mod election;
 mod harness;
