Hold a lack of descriptors against nobody

On a site with more workers than its owner has descriptors, jobs were placed and not started, and workers with free processors got no tasks.

Cause: a connection that this process could not open counted as a call that the worker had left unanswered. Polls marked the worker as silent, so that it got no lease and no tasks; commands counted as start attempts, of which there are four, and let the owner back off from the worker.

Test: call_without_a_descriptor_says_nothing_about_the_worker. tests/process/ descriptors.rs expects the new phase of the error in place of the one of a failed connect, at the same place.

--- a/src/cell/dependencies.rs
+++ b/src/cell/dependencies.rs
@@ -137,6 +137,9 @@
     /// No connection, so that the call cannot have arrived.
     #[display("not sent: {_0}")]
     NotSent(String),
+    /// No descriptor left in this process, which says nothing about the worker.
+    #[display("no descriptor: {_0}")]
+    NoDescriptor(String),
     /// No response; the call may be executed, also later.
     #[display("no answer: {_0}")]
     Unknown(String),
--- a/src/cell/machine/commands.rs
+++ b/src/cell/machine/commands.rs
@@ -5,7 +5,7 @@
 use super::{Effect, Machine, Stage};
 use crate::cell::dependencies::{StartCommand, WorkerError};
 use crate::cell::job::{Run, RunOutcome};
-use crate::cell::timings::{COMMAND_RETRY, MAX_START_ATTEMPTS};
+use crate::cell::timings::{COMMAND_RETRY, MAX_START_ATTEMPTS, POLL_RETRY};
 
 impl Machine {
     /// Sends the commands that are due.
@@ -155,6 +155,10 @@
             // nothing.
             WorkerError::RunEnded => active.stage = Stage::Running(now),
             WorkerError::LeaseExpired => active.next_command = now.after(COMMAND_RETRY),
+            WorkerError::NoDescriptor(_) => {
+                active.starts_sent = active.starts_sent.saturating_sub(1);
+                active.next_command = now.after(POLL_RETRY);
+            }
             WorkerError::NotSent(_) | WorkerError::Unknown(_) => {
                 active.may_have_arrived |= matches!(fault, WorkerError::Unknown(_));
                 active.next_command = now.after(COMMAND_RETRY);
@@ -216,6 +220,7 @@
         if !matches!(active.stage, Stage::Stopping { .. }) {
             return;
         }
+        let is_local = matches!(outcome, Err(WorkerError::NoDescriptor(_)));
         let acknowledged = match outcome {
             Ok(_) | Err(WorkerError::RunEnded) => Some(now),
             Err(fault) => {
@@ -232,7 +237,7 @@
         if acknowledged.is_some() {
             // A report proves the end only if its poll is sent in a later millisecond.
             worker.next_poll = worker.next_poll.min(now.after(Duration::from_millis(1)));
-        } else {
+        } else if !is_local {
             worker.command_backoff.record_unanswered_stop(now);
         }
     }
@@ -241,6 +246,9 @@
     fn note_response(&mut self, id: &str, outcome: &Result<u64, WorkerError>) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else { return };
+        if let Err(WorkerError::NoDescriptor(_)) = outcome {
+            return;
+        }
         if let Err(WorkerError::NotSent(_) | WorkerError::Unknown(_)) = outcome {
             return worker.record_unanswered_call(now);
         }
--- a/src/cell/machine/polls.rs
+++ b/src/cell/machine/polls.rs
@@ -102,6 +102,11 @@
         match fault {
             WorkerError::Fenced => self.step_down(id),
             WorkerError::OtherIncarnation => self.remove_dead_worker(id, "another_life"),
+            WorkerError::NoDescriptor(_) => {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.next_poll = now.after(POLL_RETRY);
+                }
+            }
             _ => {
                 let Some(worker) = self.workers.get_mut(id) else { return };
                 let silent_since = silent_since(worker.poll_timeout, sent, now);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -47,7 +47,7 @@
     }
 
     /// Counts the connections in `budget` as ones of `class`. A request that needs a new connection
-    /// when no descriptor is left fails at once with [`CallPhase::Connect`], surely not sent.
+    /// when no descriptor is left fails at once with [`CallPhase::Descriptor`], surely not sent.
     ///
     /// ```
     /// use std::rc::Rc;
@@ -131,7 +131,7 @@
         let descriptor = self
             .budget
             .acquire(self.class)
-            .map_err(|cause| unsent(CallPhase::Connect, peer, cause))?;
+            .map_err(|cause| unsent(CallPhase::Descriptor, peer, cause))?;
         match with_deadline(deadline, Connection::open(peer, descriptor)).await {
             Some(Ok(connection)) => Ok(connection),
             Some(Err(cause)) => Err(unsent(CallPhase::Connect, peer, cause)),
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -10,6 +10,9 @@
     /// Opening a connection.
     #[display("connect")]
     Connect,
+    /// Opening a connection, for which this process has no descriptor left.
+    #[display("descriptors")]
+    Descriptor,
     /// Verifying the peer's identity on a new connection.
     #[display("greet")]
     IdentityCheck,
--- a/tests/logic/cell/unanswered_commands.rs
+++ b/tests/logic/cell/unanswered_commands.rs
@@ -176,3 +176,30 @@
     harness.advance(30_000);
     assert!(!deprioritized(&harness));
 }
+
+/// Guards against a lack of descriptors in the owner's process that is held against its workers: they
+/// were given no more tasks, and starts were given up after four attempts.
+#[test]
+fn call_without_a_descriptor_says_nothing_about_the_worker() {
+    let mut harness = OwnerHarness::new(1);
+    harness.call(1, Call::Submit(model::job(1, model::step(1, cores(1)))));
+    harness.complete_appends();
+    harness.advance(10);
+    harness.complete_appends();
+    let none = || WorkerError::NoDescriptor("0 left".to_owned());
+    let mut starts = harness.drain_starts();
+    for _ in 0..10 {
+        assert_eq!(starts.len(), 1, "the same start is sent again");
+        harness.answer_start(&starts[0], Err(none()));
+        let (worker, sent) = ("w0".into(), Instant::from_millis(harness.now));
+        harness.deliver(Message::Polled { worker, sent, outcome: Err(none()) });
+        harness.advance(350);
+        harness.complete_appends();
+        starts = harness.drain_starts();
+    }
+    let now = Instant::from_millis(harness.now);
+    let worker = harness.machine.workers.values().next().expect("a worker");
+    assert!(worker.accepts_tasks(now) && worker.missed_polls == 0);
+    harness.answer_start(&starts[0], Ok(WORKER_CLOCK_MS + harness.now));
+    assert_eq!(harness.machine.runs.len(), 1);
+}
--- a/tests/process/descriptors.rs
+++ b/tests/process/descriptors.rs
@@ -97,7 +97,7 @@
 }
 
 fn assert_refused(error: &Error) {
-    assert_eq!((error.phase, error.sent), (CallPhase::Connect, false), "{error}");
+    assert_eq!((error.phase, error.sent), (CallPhase::Descriptor, false), "{error}");
     assert!(error.cause.contains("no descriptor left"), "{error}");
 }
 
