--- a/src/cell/dependencies.rs
+++ b/src/cell/dependencies.rs
@@ -14,6 +14,7 @@
 use super::queue::QueueConfig;
 use super::record::WorkerId;
 use super::{Epoch, Id};
+use crate::clock::Instant;
 use crate::resource::Amount;
 
 /// Entry of a worker in the platform's list.
@@ -313,6 +314,8 @@
     pub is_complete: bool,
     /// Whether further workers are listed that the next read returns.
     pub has_more: bool,
+    /// When the read was sent, if that is known; the list may have changed since.
+    pub sent: Option<Instant>,
 }
 
 /// The platform's list of workers and its configuration.
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -10,6 +10,7 @@
 use crate::cell::queue::QueueConfig;
 use crate::cell::record::WorkerId;
 use crate::cell::worker::Worker;
+use crate::clock::Instant;
 
 impl Machine {
     pub(super) fn update_workers(&mut self, roster: RosterUpdate) {
@@ -21,8 +22,10 @@
             self.dead_workers.retain(|id| present.contains(id));
         }
         let mut any_new = false;
+        // The answer may have waited for the owner's thread.
+        let info_at = roster.sent.unwrap_or(self.now);
         for (id, listed) in roster.changed {
-            any_new |= self.add_listed(id, listed);
+            any_new |= self.add_listed(id, listed, info_at);
         }
         if any_new {
             self.allocate_recovered();
@@ -33,7 +36,7 @@
     }
 
     /// Adds or updates a worker's entry; returns `true` if the worker was not known.
-    fn add_listed(&mut self, id: WorkerId, listed: Rc<WorkerInfo>) -> bool {
+    fn add_listed(&mut self, id: WorkerId, listed: Rc<WorkerInfo>, info_at: Instant) -> bool {
         if self.dead_workers.contains(&id) {
             return false;
         }
@@ -50,7 +53,7 @@
             self.needs_placement |=
                 !worker.is_capacity_current(self.timings.capacity_max_age, self.now);
             worker.info = listed;
-            worker.info_at = self.now;
+            worker.info_at = info_at;
             return false;
         }
         log::info!(
@@ -63,7 +66,9 @@
         if WorkerIncarnation::parse(&id).started_at_ms.is_some() {
             self.mark_incarnations_unlisted(WorkerIncarnation::parse(&id).listed_name);
         }
-        self.workers.insert(id.clone(), Worker::new(id, listed, self.timings.lease, self.now));
+        let mut worker = Worker::new(id.clone(), listed, self.timings.lease, self.now);
+        worker.info_at = info_at;
+        self.workers.insert(id, worker);
         true
     }
 
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -349,21 +349,29 @@
         deps.discovery.reset();
         monoio::spawn(async move {
             let mut list = DependencyStatus::new("roster");
+            // The pages of a long list count as old as the first of them.
+            let mut first_sent = None;
             while !ended.get() {
+                let sent = *first_sent.get_or_insert(deps.clock.now());
                 match deps
                     .profiler
                     .measure(OwnerActivity::List, deps.discovery.roster_update())
                     .await
                 {
-                    Ok(roster) => {
+                    Ok(mut roster) => {
+                        roster.sent = Some(sent);
                         list.record_success();
                         let has_more = roster.has_more;
                         handle.send(Message::WorkersChanged(retain_cell(roster, cell, cells)));
                         if has_more {
                             continue;
                         }
+                        first_sent = None;
+                    }
+                    Err(cause) => {
+                        first_sent = None;
+                        list.record_failure(&cause);
                     }
-                    Err(cause) => list.record_failure(&cause),
                 }
                 deps.clock.sleep(ROSTER_INTERVAL).await;
             }
