Poll a limited number of workers, and others where they are needed

Cause, traced twice apart from each other: an owner holds a poll at each worker that is listed. 3.8 s after its begin, before any job, 6,980 polls and 999 followers hold all 8,192 descriptors. From then on no question reaches the policy service, no command a worker and no follower the owner: of 562 accepted jobs 535 are never placed.

Change: an owner polls as many workers as an eighth of its descriptors; the others are listed and cost nothing. Workers with runs are polled whatever the limit says, and first by a new owner. A step that finds too little capacity on workers that it may use has others activated, by service, label, rack, spread and eligibility; idle ones are retired once too many are active. Below the limit nothing changes: all tests of the machine give the same figures.

--- a/src/cell/machine/end.rs
+++ b/src/cell/machine/end.rs
@@ -11,7 +11,7 @@
         let Some(active) = self.runs.remove(&run) else { return };
         self.suspects.remove(&run);
         if let Some(worker) = self.workers.get_mut(&active.worker) {
-            worker.release(&run, &active.demand);
+            worker.release(&run, &active.demand, self.now);
         }
         self.needs_placement = true;
         self.round_jobs.add(run.task.step.job);
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -4,6 +4,7 @@
 //! Effects through which others could see a decision wait until its batch is stored: start
 //! commands, answers to callers, final phases, and the permission for a worker to forget an end.
 
+mod activation;
 mod active_run;
 mod attempts;
 mod backlog;
@@ -12,6 +13,7 @@
 mod commands;
 mod crash;
 mod end;
+mod inactive;
 mod journal_queue;
 mod loss;
 mod message;
@@ -44,7 +46,9 @@
 pub use succession::Succession;
 pub use tracked_map::TrackedMap;
 
+use self::activation::ActivationLog;
 use self::backlog::BacklogLog;
+use self::inactive::InactiveWorkers;
 use self::pending::RoundJobs;
 use self::proxy::PolicyProxy;
 use self::timer_queue::TimerQueue;
@@ -86,8 +90,19 @@
     pub state: State,
     /// Configuration in force.
     pub config: Rc<QueueConfig>,
-    /// Workers by name of their incarnation.
+    /// Active workers, which are polled, by name of their incarnation.
     pub workers: TrackedMap<WorkerId, Worker>,
+    /// The other listed workers.
+    inactive: InactiveWorkers,
+    activation_log: ActivationLog,
+    /// Whether steps wait for which too few active workers have capacity.
+    lacks_workers: bool,
+    /// Whether all pages of the list have been read.
+    is_list_complete: bool,
+    /// Position of the next waiting step for which workers may be activated.
+    next_examined: usize,
+    /// When workers may next be activated for waiting steps.
+    next_extension: Instant,
     /// Attempts that are not known to have ended.
     pub runs: TrackedMap<Run, ActiveRun>,
     /// Answers of the policy service, by step.
@@ -162,6 +177,12 @@
             workers: TrackedMap::default(),
             runs: TrackedMap::default(),
             tickets: BTreeMap::new(),
+            inactive: InactiveWorkers::default(),
+            activation_log: ActivationLog::default(),
+            lacks_workers: false,
+            is_list_complete: false,
+            next_examined: 0,
+            next_extension: now,
             mean_run_times_ms: BTreeMap::new(),
             eligible_shares: BTreeMap::new(),
             claim,
@@ -249,6 +270,7 @@
         if self.now >= self.next_forget {
             self.next_forget = now.after(FORGET_INTERVAL);
             self.forget();
+            self.adjust_active_workers();
         }
         done(OwnerActivity::Upkeep);
         if self.now >= self.next_round && (self.needs_placement || self.now >= self.round_by) {
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -49,6 +49,7 @@
         let mut views = std::mem::take(&mut self.views);
         self.refresh_views(&mut views, &waiting);
         self.place_steps(&waiting, &mut views, full_scan);
+        self.extend_active_workers(&waiting, &views);
         views.end_round();
         self.views = views;
     }
@@ -86,7 +87,7 @@
         if !plan.is_empty() {
             self.apply_plan(step, &plan, views);
         }
-        if left > 0 {
+        if left > 0 && !self.has_inactive_for(step) {
             self.preempt_for(step, left, &allowed, views);
         }
         if plan.is_empty() && step.spec().gang {
--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -195,7 +195,7 @@
         if room - expiring.slots >= wanted {
             return Vec::new();
         }
-        if room < wanted && queried < self.workers.len() {
+        if room < wanted && queried < self.workers.len() + self.inactive.len() {
             let unqueried = self.unqueried_workers(step, views, (wanted - room) * WORKER_FACTOR);
             if !unqueried.is_empty() {
                 return unqueried;
@@ -249,7 +249,7 @@
     }
 
     /// Returns the share of workers that are expected to be eligible for the step.
-    fn eligible_share(&self, step: &PendingStep) -> f64 {
+    pub(super) fn eligible_share(&self, step: &PendingStep) -> f64 {
         let share =
             self.eligible_shares.get(&step.queue.name).copied().unwrap_or(INITIAL_ELIGIBLE_SHARE);
         share.max(MIN_ELIGIBLE_SHARE)
--- a/src/cell/machine/polls.rs
+++ b/src/cell/machine/polls.rs
@@ -33,6 +33,7 @@
             let timeout = poll.max_wait + worker.responsiveness.poll_timeout(now);
             worker.poll_sent_at = Some(now);
             worker.poll_timeout = timeout;
+            worker.poll_acked_end = poll.acked_end;
             let peer = worker.address();
             self.effects.push(Effect::Poll { worker: id, peer, poll, timeout });
         }
@@ -55,6 +56,9 @@
         if worker.runs.is_empty() && !worker.fenced && !is_configured {
             return None;
         }
+        if worker.retiring && worker.poll_sent_at.is_none() {
+            return None;
+        }
         // Covers an answer that never arrives because the adapter missed its own timeout or the
         // message about the end of the poll was lost.
         let overdue = worker.poll_sent_at.map(|sent| sent.after(POLL_WAIT + POLL_TIMEOUT * 2));
@@ -89,6 +93,7 @@
                 worker.unresponsive_since = None;
                 worker.responsiveness.record_answer();
                 worker.fenced = true;
+                worker.forgotten_end = worker.forgotten_end.max(worker.poll_acked_end);
                 worker.lease.observe_clock(report.clock_ms, now);
                 worker.next_poll = now;
                 self.apply_report(id, sent, report);
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -19,20 +19,24 @@
             let missing: Vec<WorkerId> =
                 self.workers.keys().filter(|id| !present.contains(id)).cloned().collect();
             missing.iter().for_each(|id| self.mark_unlisted(id));
+            self.inactive.retain_listed(&present);
             self.dead_workers.retain(|id| present.contains(id));
         }
+        self.is_list_complete = !roster.has_more;
         let mut any_new = false;
         // The answer may have waited for the owner's thread.
         let info_at = roster.sent.unwrap_or(self.now);
         for (id, listed) in roster.changed {
             any_new |= self.add_listed(id, listed, info_at);
         }
-        if any_new {
-            self.allocate_recovered();
-        }
         for entry in roster.removed {
             self.mark_incarnations_unlisted(&entry);
         }
+        if any_new {
+            self.activate_for_recovery();
+            self.fill_active_workers();
+            self.allocate_recovered();
+        }
     }
 
     /// Adds or updates a worker's entry; returns `true` if the worker was not known.
@@ -56,19 +60,13 @@
             worker.info_at = info_at;
             return false;
         }
-        log::info!(
-            "event=worker.listed worker={id} address={} domain={} labels={} draining={}",
-            listed.address,
-            crate::logging::value(&listed.domain),
-            crate::logging::value(&listed.labels.join(",")),
-            listed.draining
-        );
+        if self.inactive.update(&id, &listed, info_at) {
+            return false;
+        }
         if WorkerIncarnation::parse(&id).started_at_ms.is_some() {
             self.mark_incarnations_unlisted(WorkerIncarnation::parse(&id).listed_name);
         }
-        let mut worker = Worker::new(id.clone(), listed, self.timings.lease, self.now);
-        worker.info_at = info_at;
-        self.workers.insert(id, worker);
+        self.inactive.add_unpolled(id, listed, info_at);
         true
     }
 
@@ -77,7 +75,13 @@
         for run in std::mem::take(&mut self.unlisted_runs) {
             let Some(active) = self.runs.get(&run) else { continue };
             match self.workers.get_mut(&active.worker) {
-                Some(worker) => worker.allocate(run, &active.demand),
+                Some(worker) => {
+                    worker.allocate(run, &active.demand);
+                    if !worker.fenced && worker.poll_sent_at.is_none() {
+                        // Polls that renew leases go before those of workers without runs.
+                        worker.next_poll = Instant::default();
+                    }
+                }
                 None => {
                     self.unlisted_runs.insert(run);
                 }
@@ -90,6 +94,9 @@
         let incarnations: Vec<WorkerId> =
             incarnations_of(&self.workers, entry).map(|(id, _)| id.clone()).collect();
         incarnations.iter().for_each(|id| self.mark_unlisted(id));
+        for id in self.inactive.incarnations(entry) {
+            self.inactive.remove(&id);
+        }
         self.dead_workers.retain(|id| WorkerIncarnation::parse(id).listed_name != entry);
     }
 
@@ -138,10 +145,10 @@
 }
 
 /// Returns the incarnations of the worker that the list names `entry`.
-pub(super) fn incarnations_of<'a>(
-    workers: &'a BTreeMap<WorkerId, Worker>,
+pub(super) fn incarnations_of<'a, T>(
+    workers: &'a BTreeMap<WorkerId, T>,
     entry: &'a str,
-) -> impl Iterator<Item = (&'a WorkerId, &'a Worker)> {
+) -> impl Iterator<Item = (&'a WorkerId, &'a T)> {
     workers
         .range::<str, _>((Bound::Included(entry), Bound::Unbounded))
         .take_while(move |(id, _)| id.starts_with(entry))
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -218,25 +218,33 @@
         if self.reserved || !self.matches(service, step) || !self.is_compatible(step) {
             return 0.0;
         }
-        let demand = step.allocation();
-        let fits = |room: u64, demand: u64| room.checked_div(demand).unwrap_or(u64::MAX);
-        let slots = fits(room.cpu_millis, demand.cpu_millis)
-            .min(fits(room.memory_mib, demand.memory_mib))
-            .min(fits(room.accelerators, demand.accelerators))
-            .min(u64::from(step.count));
-        let bound =
-            if step.max_per_worker == 0 { u64::MAX } else { u64::from(step.max_per_worker) };
-        slots.min(bound) as f64
+        slots_within(room, step)
     }
 
     /// Whether the worker belongs to `service` and has the label that the step requires.
     pub(super) fn matches(&self, service: &str, step: &Step) -> bool {
-        let label =
-            step.required_label.as_ref().is_none_or(|label| self.listed.labels.contains(label));
-        self.listed.service == service && label
+        matches(&self.listed, service, step)
     }
 }
 
+/// Number of the step's tasks that fit into `room` on one worker.
+pub(super) fn slots_within(room: &Amount, step: &Step) -> f64 {
+    let demand = step.allocation();
+    let fits = |room: u64, demand: u64| room.checked_div(demand).unwrap_or(u64::MAX);
+    let slots = fits(room.cpu_millis, demand.cpu_millis)
+        .min(fits(room.memory_mib, demand.memory_mib))
+        .min(fits(room.accelerators, demand.accelerators))
+        .min(u64::from(step.count));
+    let bound = if step.max_per_worker == 0 { u64::MAX } else { u64::from(step.max_per_worker) };
+    slots.min(bound) as f64
+}
+
+/// Whether a listed worker belongs to `service` and has the label that the step requires.
+pub(super) fn matches(listed: &WorkerInfo, service: &str, step: &Step) -> bool {
+    let label = step.required_label.as_ref().is_none_or(|label| listed.labels.contains(label));
+    listed.service == service && label
+}
+
 impl Machine {
     /// Refreshes the views for a round that places the `waiting` steps. What runs on each worker
     /// matters only if one of them has a response time target or is opportunistic.
--- a/src/cell/ticket.rs
+++ b/src/cell/ticket.rs
@@ -66,11 +66,14 @@
         self.eligible.contains_key(worker)
     }
 
+    /// Whether the service answered that the worker may not run the step.
+    pub fn is_refused(&self, worker: &str) -> bool {
+        self.refused.contains(worker)
+    }
+
     /// Whether there is neither an answer nor a pending query about the worker.
     pub fn is_unqueried(&self, worker: &str) -> bool {
-        !self.is_eligible(worker)
-            && !self.refused.contains(worker)
-            && !self.queried.contains(worker)
+        !self.is_eligible(worker) && !self.is_refused(worker) && !self.queried.contains(worker)
     }
 
     /// Whether a query is pending.
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-/// Durations that a site's platform sets, converted from its settings.
+/// Durations and limits that a site's platform sets, converted from its settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timings {
     /// Time for which an ended job is retained.
@@ -12,6 +12,9 @@
     pub stop_grace: Duration,
     /// Lease granted with each poll of a worker.
     pub lease: Duration,
+    /// Maximum number of workers that an owner polls while nothing needs more of them; `None` for
+    /// no limit.
+    pub max_active_workers: Option<usize>,
     /// Maximum age of a worker's entry in the list for its capacity to count as current; `None`
     /// where the list reports each change at once.
     pub capacity_max_age: Option<Duration>,
@@ -23,6 +26,7 @@
             status_retention: Duration::from_secs(120),
             stop_grace: Duration::from_secs(6),
             lease: LEASE,
+            max_active_workers: None,
             capacity_max_age: None,
         }
     }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -52,10 +52,18 @@
     pub last_recorded_end: u64,
     /// Number of the latest ended run that it reported.
     pub last_reported_end: u64,
+    /// Number of the latest ended run that it was allowed to forget in a poll that it answered.
+    pub forgotten_end: u64,
+    /// The same of the outstanding poll.
+    pub poll_acked_end: u64,
     /// Resources allocated to the runs on it.
     pub allocated: Amount,
     /// Runs placed on it that are not known to have ended.
     pub runs: BTreeSet<Run>,
+    /// Time since which nothing runs on it, if nothing does.
+    pub idle_since: Instant,
+    /// Whether it is deactivated once its outstanding poll has ended.
+    pub retiring: bool,
     /// Time of the outstanding poll; `None` without one.
     pub poll_sent_at: Option<Instant>,
     /// Timeout of the outstanding poll.
@@ -91,8 +99,12 @@
             fenced: false,
             last_recorded_end: 0,
             last_reported_end: 0,
+            forgotten_end: 0,
+            poll_acked_end: 0,
             allocated: Amount::ZERO,
             runs: BTreeSet::new(),
+            idle_since: now,
+            retiring: false,
             poll_sent_at: None,
             poll_timeout: Duration::ZERO,
             next_poll: now,
@@ -115,6 +127,7 @@
     pub fn accepts_tasks(&self, now: Instant) -> bool {
         let quarantined = self.quarantined_until.is_some_and(|until| now < until);
         self.fenced
+            && !self.retiring
             && self.lease.is_clock_known()
             && self.unlisted_since.is_none()
             && !self.info.draining
@@ -123,6 +136,34 @@
             && !self.command_backoff.is_active(now)
     }
 
+    /// Whether nothing has run on it from `since` on, and nothing is known or owed that polls are
+    /// needed for.
+    pub fn is_idle(&self, since: Instant, now: Instant) -> bool {
+        let is_healthy = self.accepts_tasks(now) && self.failures.is_empty();
+        self.idle_since <= since && is_healthy && self.is_unneeded()
+    }
+
+    /// Whether it may be given tasks, or may once it has answered its first poll.
+    pub fn is_promising(&self) -> bool {
+        self.missed_polls == 0 && self.unlisted_since.is_none() && !self.info.draining
+    }
+
+    /// Whether it holds nothing and may not be given tasks.
+    pub fn is_useless(&self) -> bool {
+        !self.is_promising() && self.may_be_deactivated()
+    }
+
+    /// Whether nothing is lost if it is not polled any more. A worker that is not listed is polled
+    /// until it is removed.
+    pub fn may_be_deactivated(&self) -> bool {
+        self.is_unneeded() && self.unlisted_since.is_none()
+    }
+
+    /// Whether neither runs nor ends that it may not forget yet are left on it.
+    fn is_unneeded(&self) -> bool {
+        self.runs.is_empty() && self.forgotten_end >= self.last_reported_end
+    }
+
     /// The next time after `now` at which a pause in new tasks or a lower preference ends.
     pub fn next_backoff_change(&self, now: Instant) -> Option<Instant> {
         let ends = self.quarantined_until.into_iter().chain(self.command_backoff.deadlines());
@@ -159,9 +200,10 @@
         }
     }
 
-    /// Releases the resources of a run.
-    pub fn release(&mut self, run: &Run, demand: &Amount) {
+    /// Releases the resources of a run that has ended at `now`.
+    pub fn release(&mut self, run: &Run, demand: &Amount, now: Instant) {
         if self.runs.remove(run) {
+            self.idle_since = now;
             self.allocated = self.allocated.saturating_sub(demand);
         }
     }
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -67,6 +67,8 @@
         "Claims of a cell by this instance, by outcome.";
     CELL_APPEND: Histogram = "oriolefork_cell_append_seconds",
         "Time until a batch of the cell's journal was stored, retries included.";
+    CELL_WORKERS: Gauge = "oriolefork_cell_workers",
+        "Workers of the cell by state, active if the owner polls them; set by the owner.";
     CELL_DUTY: Counter = "oriolefork_cell_duty_microseconds_total",
         "Time for which each activity occupied the thread of a cell's owner.";
     CELL_DUTY_LONGEST: Gauge = "oriolefork_cell_duty_longest_seconds",
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -1,6 +1,9 @@
 //! Cells: the owner's state machine alone, and in random histories with workers and a journal.
 
+mod activation;
+mod active_workers;
 mod activity;
+mod answering_workers;
 mod attempts;
 mod capacity_changes;
 mod crash;
