Refuse new jobs while the owner's thread is overloaded

Cause: an owner accepted whatever reached it. What it can't place makes its rounds longer, and it answers the instances that follow it later and later, until they replace it; its successor begins with all that waits.

Change: a timer that is late by 80 ms in the mean of a second shows that the thread has more work than time. New jobs are refused then, with a time to come back, until the mean is below 40 ms. Repeated jobs are accepted as before; polls, ends and starts go on. owner.overload and a counter say so.

Tests: tests/logic/cell/overload.rs.

--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -34,11 +34,14 @@
     /// pending for longer than a slow store takes, they are refused. Guards against an outage that
     /// leaves every caller's job in an unknown state: a job that is queued for the journal is still
     /// written when the store returns, so it can no longer be refused.
+    ///
+    /// An overloaded owner refuses new jobs too: it could only start them late.
     fn submit(&mut self, id: CallId, job: Job) {
         if self.state.jobs.contains_key(&job.id) {
             return self.defer(Deferred::Reply(id, Answer::Accepted));
         }
-        if self.journal.is_stuck(self.now) {
+        if self.overloaded || self.journal.is_stuck(self.now) {
+            names::CELL_JOBS.increment(&[("outcome", "refused")]);
             return self.reply(id, Answer::Unavailable);
         }
         if self.journal.is_slow(self.now) {
--- a/src/cell/machine/message.rs
+++ b/src/cell/machine/message.rs
@@ -110,6 +110,8 @@
     ConfigChanged(Rc<QueueConfig>),
     /// A snapshot of the state is due.
     SnapshotDue,
+    /// Whether the owner's thread is overloaded, so that new jobs are refused.
+    Overloaded(bool),
     /// An instance is present and can send queries to the policy service.
     InstanceSeen {
         /// Address of the instance's peer server.
@@ -125,7 +127,7 @@
     /// Activity that handling it counts as.
     pub const fn activity(&self) -> OwnerActivity {
         match self {
-            Self::Call { .. } => OwnerActivity::Call,
+            Self::Call { .. } | Self::Overloaded(_) => OwnerActivity::Call,
             Self::Appended { .. } | Self::SnapshotDue => OwnerActivity::Append,
             Self::Polled { .. } => OwnerActivity::Report,
             Self::Started { .. } | Self::Stopped { .. } => OwnerActivity::Command,
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -115,6 +115,8 @@
     journal: JournalQueue,
     /// New jobs that are delayed by a slow store.
     delayed_jobs: Vec<(CallId, Job)>,
+    /// Whether new jobs are refused because the owner's thread is overloaded.
+    overloaded: bool,
     claimed: Instant,
     /// Worker incarnations that have ended but may still be listed.
     dead_workers: BTreeSet<WorkerId>,
@@ -175,19 +177,20 @@
             state,
             config,
             workers: TrackedMap::default(),
-            runs: TrackedMap::default(),
-            tickets: BTreeMap::new(),
             inactive: InactiveWorkers::default(),
             activation_log: ActivationLog::default(),
             lacks_workers: false,
             is_list_complete: false,
             next_examined: 0,
             next_extension: now,
+            runs: TrackedMap::default(),
+            tickets: BTreeMap::new(),
             mean_run_times_ms: BTreeMap::new(),
             eligible_shares: BTreeMap::new(),
             claim,
             journal: JournalQueue::new(claim + 1, end, now),
             delayed_jobs: Vec::new(),
+            overloaded: false,
             claimed: now,
             dead_workers: BTreeSet::new(),
             snapshot_due: false,
@@ -234,6 +237,7 @@
             }
             Message::WorkersChanged(roster) => self.update_workers(roster),
             Message::ConfigChanged(config) => self.configure(config),
+            Message::Overloaded(overloaded) => self.overloaded = overloaded,
             Message::SnapshotDue => self.snapshot_due = true,
             Message::InstanceSeen { peer, cpu_millis, domain } => {
                 self.note_instance(peer, cpu_millis, domain)
@@ -266,11 +270,11 @@
             self.next_lease_check = now.after(LEASE_CHECK_INTERVAL);
             self.expire_leases();
             self.remove_unlisted_workers();
+            self.adjust_active_workers();
         }
         if self.now >= self.next_forget {
             self.next_forget = now.after(FORGET_INTERVAL);
             self.forget();
-            self.adjust_active_workers();
         }
         done(OwnerActivity::Upkeep);
         if self.now >= self.next_round && (self.needs_placement || self.now >= self.round_by) {
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -21,6 +21,7 @@
 //! | `activity.rs` | time that an owner spends on each kind of work |
 //! | `peer.rs` | messages between instances |
 //! | `timings.rs` | timeouts, intervals and limits |
+//! | `overload.rs` | detection of an owner whose thread has more work than time |
 //! | `watch.rs` | time for which an owner delays its response to a follower |
 //! | `owner.rs`, `election/`, `node/`, `replay.rs`, `dependency_status.rs` | tasks of an instance |
 
@@ -37,6 +38,7 @@
 pub mod lease;
 pub mod machine;
 pub mod node;
+pub mod overload;
 pub mod owner;
 pub mod peer;
 pub mod preempt;
--- a/src/cell/owner.rs
+++ b/src/cell/owner.rs
@@ -19,6 +19,7 @@
 use super::dependency_status::DependencyStatus;
 use super::job::Run;
 use super::machine::{Answer, Call, CallId, Effect, Machine, Message, PolicyQuery, StoreHealth};
+use super::overload::{OverloadDetector, SAMPLE_INTERVAL};
 use super::peer as wire;
 use super::record::WorkerId;
 use super::timings::{APPEND_TIMEOUT, ROSTER_INTERVAL, SNAPSHOT_INTERVAL, TICK};
@@ -162,6 +163,7 @@
         self.follow_roster();
         self.schedule_snapshots();
         self.report_activities();
+        self.watch_load();
         let reason = self.run_loop().await;
         self.ended.set(true);
         reason
@@ -326,6 +328,28 @@
         monoio::spawn(self.profiler.clone().report_periodically(self.cell, move || !ended.get()));
     }
 
+    /// Measures how late the thread's timers fire, and tells the machine when it is overloaded.
+    fn watch_load(&self) {
+        let (handle, ended, cell) = (self.handle.clone(), self.ended.clone(), self.cell);
+        let clock = self.deps.clock.clone();
+        monoio::spawn(async move {
+            let mut detector = OverloadDetector::default();
+            while !ended.get() {
+                let due = clock.now().after(SAMPLE_INTERVAL);
+                clock.sleep(SAMPLE_INTERVAL).await;
+                let lateness = clock.now().since(due);
+                if detector.record(lateness) {
+                    let overloaded = detector.is_overloaded();
+                    log::warn!(
+                        "event=owner.overload cell={cell} overloaded={overloaded} late_ms={}",
+                        lateness.as_millis()
+                    );
+                    handle.send(Message::Overloaded(overloaded));
+                }
+            }
+        });
+    }
+
     fn save_snapshot(&mut self, snapshot: JournalSnapshot) {
         self.saves += 1;
         let (deps, cell, epoch) = (self.deps.clone(), self.cell, self.machine.epoch);
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -16,6 +16,7 @@
 #[allow(dead_code)]
 mod mix;
 mod model;
+mod overload;
 mod placement;
 mod policy_queries;
 mod polls;
