Send the order of succession once it has settled

Cause: whoever follows a new owner is sent the order of all that do, again whenever another one comes: 8 kB to each of 1,000 instances ten times a second (estimated from their addresses, not measured), on a link of 25 MB/s and a full thread.

Change: with more than 300 instances only the first sixteen of the order are sent each change at once, the others once it has not changed for 2 s. Until then they keep their former place and hold.

Test: changed_order_is_sent_at_once.

--- a/src/cell/machine/succession.rs
+++ b/src/cell/machine/succession.rs
@@ -16,6 +16,15 @@
 /// owner waits for its answer.
 const RANKING_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum number of instances that are sent each change of the order at once.
+const MAX_UNSETTLED: usize = 300;
+
+/// Number of instances, the first in the order, that are sent each change on any site.
+const FIRST: usize = 2 * SUCCESSORS as usize;
+
+/// Time without a change after which the others are sent the order.
+const SETTLING_TIME: Duration = Duration::from_secs(2);
+
 /// The order in which instances would take the cell over, as last computed.
 ///
 /// Each instance receives it several times a second. Computing and sending all of it each time
@@ -29,9 +38,27 @@
     pub digest: u64,
     /// Most CPU that any instance may use, in thousandths of a core.
     pub(super) strongest: u32,
+    /// When the order last changed.
+    changed: Instant,
     next_ranking: Instant,
 }
 
+impl Succession {
+    /// Whether `follower`, which knows the order with the digest `known`, is to be sent the present
+    /// one.
+    ///
+    /// Guards against a new owner of a thousand instances that sends each of them a list of all
+    /// again and again while they begin to follow it. Those that would not take over soon receive
+    /// the list once it has not changed for a while.
+    pub fn is_wanted_by(&self, follower: &SocketAddr, known: u64, now: Instant) -> bool {
+        let is_long = self.order.len() > MAX_UNSETTLED;
+        let is_settled = now.since(self.changed) >= SETTLING_TIME;
+        let is_among_first = || self.order.iter().take(FIRST).any(|peer| peer == follower);
+        let is_known = self.digest != 0 && self.digest == known;
+        !is_known && (!is_long || is_settled || is_among_first())
+    }
+}
+
 impl Machine {
     /// Returns the instances that are present, in order of succession. Those with more CPU come
     /// first, because the owner does most of the work and instances differ by a factor of four.
@@ -78,6 +105,7 @@
         if *order != *self.succession.order {
             self.succession.digest = digest(&order);
             self.succession.order = order.into();
+            self.succession.changed = self.now;
         }
     }
 }
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -84,10 +84,12 @@
         let config = self.config();
         let newer_config = (config.version > request.config_version).then(|| (*config).clone());
         let cpu_millis = self.cpu_millis;
+        let (follower, known) = (request.follower, request.succession_digest);
         let read = move |machine: &Machine, now| {
             let succession = machine.succession();
-            let (order, digest) = (succession.order.clone(), succession.digest);
-            (machine.offer(cpu_millis, now), order, digest, machine.journal_end())
+            let is_wanted = succession.is_wanted_by(&follower, known, now);
+            let order = is_wanted.then(|| succession.order.clone());
+            (machine.offer(cpu_millis, now), order, succession.digest, machine.journal_end())
         };
         let snapshot = match self.owner_handle(request.cell) {
             Some(handle) => handle.inspect(read).await,
@@ -95,8 +97,7 @@
         };
         let is_owner = snapshot.is_some();
         let (offer, order, succession_digest, journal_end) = snapshot.unwrap_or_default();
-        let has_order = succession_digest != 0 && succession_digest == request.succession_digest;
-        let succession_order = (!has_order).then(|| order.to_vec());
+        let succession_order = order.map(|order| order.to_vec());
         let offer = if self.stop.is_triggered() { HandoverOffer::Anyone } else { offer };
         let owner = self.owner(request.cell);
         WatchResponse {
--- a/tests/logic/cell/succession.rs
+++ b/tests/logic/cell/succession.rs
@@ -103,3 +103,35 @@
     assert_eq!(present.len(), 3_000);
     assert_eq!(harness.machine.succession().digest, digest);
 }
+
+/// Guards against a new owner of many instances whose link and thread are taken by the order of
+/// succession: it sent all of it to each of a thousand followers, again with each one that came.
+#[test_case(300, true; "few_instances")]
+#[test_case(301, false; "many_instances")]
+fn changed_order_is_sent_at_once(instances: u16, to_the_last: bool) {
+    let mut harness = OwnerHarness::new(1);
+    for number in 0..instances {
+        let peer = peer((number / 200) as u8, (number % 200) as u8);
+        harness.deliver(Message::InstanceSeen { peer, cpu_millis: 500, domain: "hall".into() });
+    }
+    harness.advance(200);
+    let order = harness.machine.succession().order.clone();
+    let (first, last) = (order[0], order[order.len() - 1]);
+    let is_wanted = |harness: &OwnerHarness, follower: &SocketAddr, known: u64| {
+        let now = Instant::from_millis(harness.now);
+        harness.machine.succession().is_wanted_by(follower, known, now)
+    };
+    assert_eq!(order.len(), usize::from(instances));
+    assert!(is_wanted(&harness, &first, 0), "the first take over soon");
+    assert_eq!(is_wanted(&harness, &last, 0), to_the_last);
+    let digest = harness.machine.succession().digest;
+    assert!(!is_wanted(&harness, &first, digest), "it knows the order");
+    for _ in 0..20 {
+        harness.advance(100);
+        for number in 0..instances {
+            let peer = peer((number / 200) as u8, (number % 200) as u8);
+            harness.deliver(Message::InstanceSeen { peer, cpu_millis: 500, domain: "hall".into() });
+        }
+    }
+    assert!(is_wanted(&harness, &last, 0), "nothing has changed for a while");
+}
