Give an owner of many instances more time to append

What callers saw: an owner of 1,000 instances that works is replaced.

Cause: an owner that does not answer is left alone if it appends within 0.25 s. With its thread full, its steps alone take up to 0.1 s and its timers are late by more (trial: owner.claim motive=Silent 1.6 s after its last owner.duties, and it is fenced while it works), and each change of owner costs more than the wait.

Change: with more than 300 followers the check waits as much longer as twice the extension of their holds, 1.2 s in all at 1,000. A suspended owner of such a site is replaced later by as much.

--- a/src/cell/election/takeover.rs
+++ b/src/cell/election/takeover.rs
@@ -9,6 +9,7 @@
 use crate::cell::Epoch;
 use crate::cell::peer::HandoverOffer;
 use crate::cell::timings::APPEND_RETRY;
+use crate::cell::watch::{Hold, SUCCESSORS};
 use crate::peer;
 
 /// Time within which an owner that does not answer must append to the journal to count as working.
@@ -145,10 +146,16 @@
     /// Guards against taking a cell from an owner that only this instance cannot reach.
     async fn is_owner_writing(&self) -> bool {
         let Some(seen) = self.journal_end(self.known_journal_end).await else { return true };
-        self.node.deps.clock.sleep(APPEND_WINDOW).await;
+        self.node.deps.clock.sleep(self.append_window()).await;
         self.journal_end(seen).await.is_none_or(|end| end > seen)
     }
 
+    /// Time within which a working owner appends. An owner with many followers has longer pieces of
+    /// work.
+    fn append_window(&self) -> Duration {
+        APPEND_WINDOW + Hold::new(Some(SUCCESSORS), self.peers.len()).extension() * 2
+    }
+
     /// Offset of the next append. The read starts at `near`, so that few records are transferred.
     async fn journal_end(&self, near: u64) -> Option<u64> {
         match self.node.deps.journal.read(self.cell, near).await {
