Limit the queries to the policy service that are in flight

What callers saw: while many steps wait at 1,000 instances, few are placed.

By the service's times some 40 to 100 in flight suffice for 175 jobs a second (estimated).

Change: at most 300 in flight, as many as on the largest site that is served whole.

Test: queries_in_flight_are_limited.

--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -20,6 +20,12 @@
 use crate::cell::timings::{MAX_POLICY_WORKERS, POLICY_RECHECK_INTERVAL, POLICY_TIMEOUT_MARGIN};
 use crate::clock::Instant;
 
+/// Maximum number of queries in flight: one for each instance of a site of 300.
+///
+/// Guards against an owner of a thousand instances whose thread is taken by queries: while many
+/// steps waited, it sent more than a thousand a second, and most of their answers expired unused.
+pub(super) const MAX_CONCURRENT_QUERIES: usize = 300;
+
 /// Fewest workers in a query, if that many have free capacity: the fixed cost of a query is far
 /// higher than the cost per worker.
 const MIN_QUERY_WORKERS: usize = 10;
@@ -292,8 +298,16 @@
         chosen.workers
     }
 
+    /// Number of queries that may be sent in addition to those in flight.
+    pub(super) fn spare_queries(&self) -> usize {
+        MAX_CONCURRENT_QUERIES.saturating_sub(self.queries.len())
+    }
+
     /// Returns an instance that can send a query now.
     pub(super) fn idle_proxy(&self) -> Option<SocketAddr> {
+        if self.spare_queries() == 0 {
+            return None;
+        }
         self.proxies.iter().find(|(_, proxy)| proxy.is_idle(self.now)).map(|(peer, _)| *peer)
     }
 
--- a/src/cell/machine/proxy_shares.rs
+++ b/src/cell/machine/proxy_shares.rs
@@ -11,6 +11,7 @@
 
 use super::Machine;
 use super::pending::PendingStep;
+use super::policy_query::MAX_CONCURRENT_QUERIES;
 use super::rank::Timeliness;
 use super::view::WorkerViews;
 use crate::cell::job::StepKey;
@@ -143,8 +144,10 @@
             }
         }
         let fresh = self.proxies.values().filter(|proxy| proxy.is_fresh(self.now)).count();
+        let fresh = fresh.min(MAX_CONCURRENT_QUERIES);
         allot(&mut queues, fresh, if mostly_free { 1.0 } else { SHARE_OF_NEXT_PRIORITY });
         let idle = self.proxies.values().filter(|proxy| proxy.is_idle(self.now)).count();
+        let idle = idle.min(self.spare_queries());
         ProxyShares { queues, mostly_free, idle, deferred: Vec::new() }
     }
 
--- a/tests/logic/cell/proxy_shares.rs
+++ b/tests/logic/cell/proxy_shares.rs
@@ -121,3 +121,20 @@
     submit(&mut harness, QUEUE, 1..21, &model::step(1, cores(1)));
     assert_eq!(queries_by_queue(&mut harness), (12, 0));
 }
+
+/// Guards against an owner of many instances that spends its time on queries: it sent as many at a
+/// time as there were instances.
+#[test]
+fn queries_in_flight_are_limited() {
+    let mut harness = harness_with_two_queues(60_000);
+    submit(&mut harness, QUEUE, 100..450, &model::step(1, cores(1)));
+    for number in 1..=400 {
+        harness.see_instance(number);
+    }
+    harness.advance(100);
+    let queries = harness.drain_queries();
+    assert_eq!(queries.len(), 300);
+    harness.allow_all(&queries[0]);
+    harness.advance(100);
+    assert!(!harness.drain_queries().is_empty(), "an answer makes room for another query");
+}
