--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -23,7 +23,7 @@
 //! | `timings.rs` | timeouts, intervals and limits |
 //! | `overload.rs` | detection of an owner whose thread has more work than time |
 //! | `watch.rs` | time for which an owner delays its response to a follower |
-//! | `owner.rs`, `election/`, `node/`, `replay.rs`, `dependency_status.rs` | tasks of an instance |
+//! | `owner/`, `election/`, `node/`, `replay.rs`, `dependency_status.rs` | tasks of an instance |
 
 pub mod activity;
 pub mod command_backoff;
--- /dev/null
+++ b/src/cell/owner/background.rs
@@ -0,0 +1,93 @@
+//! Tasks that run beside the owner's state machine and send it messages.
+
+use super::{OwnerTask, cell_of};
+use crate::cell::Id;
+use crate::cell::activity::OwnerActivity;
+use crate::cell::dependencies::RosterUpdate;
+use crate::cell::dependency_status::DependencyStatus;
+use crate::cell::machine::Message;
+use crate::cell::overload::{OverloadDetector, SAMPLE_INTERVAL};
+use crate::cell::timings::{ROSTER_INTERVAL, SNAPSHOT_INTERVAL};
+
+impl OwnerTask {
+    /// Requests snapshots at intervals, so that the next owner has few records to replay and the
+    /// store may remove old ones.
+    pub(super) fn schedule_snapshots(&self) {
+        let (clock, handle, ended) =
+            (self.deps.clock.clone(), self.handle.clone(), self.ended.clone());
+        monoio::spawn(async move {
+            while !ended.get() {
+                clock.sleep(SNAPSHOT_INTERVAL).await;
+                handle.send(Message::SnapshotDue);
+            }
+        });
+    }
+
+    pub(super) fn report_activities(&self) {
+        let ended = self.ended.clone();
+        monoio::spawn(self.profiler.clone().report_periodically(self.cell, move || !ended.get()));
+    }
+
+    /// Measures how late the thread's timers fire, and tells the machine when it is overloaded.
+    pub(super) fn watch_load(&self) {
+        let (handle, ended, cell) = (self.handle.clone(), self.ended.clone(), self.cell);
+        let clock = self.deps.clock.clone();
+        monoio::spawn(async move {
+            let mut detector = OverloadDetector::default();
+            while !ended.get() {
+                let due = clock.now().after(SAMPLE_INTERVAL);
+                clock.sleep(SAMPLE_INTERVAL).await;
+                let lateness = clock.now().since(due);
+                if detector.record(lateness) {
+                    let overloaded = detector.is_overloaded();
+                    log::warn!(
+                        "event=owner.overload cell={cell} overloaded={overloaded} late_ms={}",
+                        lateness.as_millis()
+                    );
+                    handle.send(Message::Overloaded(overloaded));
+                }
+            }
+        });
+    }
+
+    /// Reads the list of workers while the task runs.
+    pub(super) fn follow_roster(&self) {
+        let (deps, handle) = (self.deps.clone(), self.handle.clone());
+        let (cell, cells, ended) = (self.cell, self.cells, self.ended.clone());
+        deps.discovery.reset();
+        monoio::spawn(async move {
+            let mut list = DependencyStatus::new("roster");
+            // The pages of a long list count as old as the first of them.
+            let mut first_sent = None;
+            while !ended.get() {
+                let sent = *first_sent.get_or_insert(deps.clock.now());
+                match deps
+                    .profiler
+                    .measure(OwnerActivity::List, deps.discovery.roster_update())
+                    .await
+                {
+                    Ok(mut roster) => {
+                        roster.sent = Some(sent);
+                        list.record_success();
+                        let has_more = roster.has_more;
+                        handle.send(Message::WorkersChanged(retain_cell(roster, cell, cells)));
+                        if has_more {
+                            continue;
+                        }
+                        first_sent = None;
+                    }
+                    Err(cause) => {
+                        first_sent = None;
+                        list.record_failure(&cause);
+                    }
+                }
+                deps.clock.sleep(ROSTER_INTERVAL).await;
+            }
+        });
+    }
+}
+
+fn retain_cell(mut roster: RosterUpdate, cell: Id, cells: u32) -> RosterUpdate {
+    roster.changed.retain(|(_, listed)| cell_of(listed, cells) == cell);
+    roster
+}
--- a/src/cell/owner.rs
+++ b/src/cell/owner/mod.rs
@@ -1,5 +1,7 @@
 //! The task that runs a cell's state machine and executes its effects.
 
+mod background;
+
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,16 +15,14 @@
 
 use super::activity::{OwnerActivity, Stopwatch, ThreadProfiler};
 use super::dependencies::{
-    Discovery, Journal, JournalSnapshot, PolicyService, PollRequest, RosterUpdate, StartCommand,
-    WorkerClient, WorkerError, WorkerInfo,
+    Discovery, Journal, JournalSnapshot, PolicyService, PollRequest, StartCommand, WorkerClient,
+    WorkerError, WorkerInfo,
 };
-use super::dependency_status::DependencyStatus;
 use super::job::Run;
 use super::machine::{Answer, Call, CallId, Effect, Machine, Message, PolicyQuery, StoreHealth};
-use super::overload::{OverloadDetector, SAMPLE_INTERVAL};
 use super::peer as wire;
 use super::record::WorkerId;
-use super::timings::{APPEND_TIMEOUT, ROSTER_INTERVAL, SNAPSHOT_INTERVAL, TICK};
+use super::timings::{APPEND_TIMEOUT, TICK};
 use super::{Epoch, Id};
 use crate::clock::{Clock, Instant, Unix};
 use crate::peer;
@@ -310,46 +310,6 @@
         });
     }
 
-    /// Requests snapshots at intervals, so that the next owner has few records to replay and the
-    /// store may remove old ones.
-    fn schedule_snapshots(&self) {
-        let (clock, handle, ended) =
-            (self.deps.clock.clone(), self.handle.clone(), self.ended.clone());
-        monoio::spawn(async move {
-            while !ended.get() {
-                clock.sleep(SNAPSHOT_INTERVAL).await;
-                handle.send(Message::SnapshotDue);
-            }
-        });
-    }
-
-    fn report_activities(&self) {
-        let ended = self.ended.clone();
-        monoio::spawn(self.profiler.clone().report_periodically(self.cell, move || !ended.get()));
-    }
-
-    /// Measures how late the thread's timers fire, and tells the machine when it is overloaded.
-    fn watch_load(&self) {
-        let (handle, ended, cell) = (self.handle.clone(), self.ended.clone(), self.cell);
-        let clock = self.deps.clock.clone();
-        monoio::spawn(async move {
-            let mut detector = OverloadDetector::default();
-            while !ended.get() {
-                let due = clock.now().after(SAMPLE_INTERVAL);
-                clock.sleep(SAMPLE_INTERVAL).await;
-                let lateness = clock.now().since(due);
-                if detector.record(lateness) {
-                    let overloaded = detector.is_overloaded();
-                    log::warn!(
-                        "event=owner.overload cell={cell} overloaded={overloaded} late_ms={}",
-                        lateness.as_millis()
-                    );
-                    handle.send(Message::Overloaded(overloaded));
-                }
-            }
-        });
-    }
-
     fn save_snapshot(&mut self, snapshot: JournalSnapshot) {
         self.saves += 1;
         let (deps, cell, epoch) = (self.deps.clone(), self.cell, self.machine.epoch);
@@ -365,42 +325,6 @@
             }
         });
     }
-
-    /// Reads the list of workers while the task runs.
-    fn follow_roster(&self) {
-        let (deps, handle) = (self.deps.clone(), self.handle.clone());
-        let (cell, cells, ended) = (self.cell, self.cells, self.ended.clone());
-        deps.discovery.reset();
-        monoio::spawn(async move {
-            let mut list = DependencyStatus::new("roster");
-            // The pages of a long list count as old as the first of them.
-            let mut first_sent = None;
-            while !ended.get() {
-                let sent = *first_sent.get_or_insert(deps.clock.now());
-                match deps
-                    .profiler
-                    .measure(OwnerActivity::List, deps.discovery.roster_update())
-                    .await
-                {
-                    Ok(mut roster) => {
-                        roster.sent = Some(sent);
-                        list.record_success();
-                        let has_more = roster.has_more;
-                        handle.send(Message::WorkersChanged(retain_cell(roster, cell, cells)));
-                        if has_more {
-                            continue;
-                        }
-                        first_sent = None;
-                    }
-                    Err(cause) => {
-                        first_sent = None;
-                        list.record_failure(&cause);
-                    }
-                }
-                deps.clock.sleep(ROSTER_INTERVAL).await;
-            }
-        });
-    }
 }
 
 async fn query_policy_service(
@@ -428,8 +352,3 @@
     let rack = listed.rack.as_deref().unwrap_or(&listed.domain);
     Id((xxhash_rust::xxh3::xxh3_64(rack.as_bytes()) % u64::from(cells.max(1))) as u32)
 }
-
-fn retain_cell(mut roster: RosterUpdate, cell: Id, cells: u32) -> RosterUpdate {
-    roster.changed.retain(|(_, listed)| cell_of(listed, cells) == cell);
-    roster
-}
