--- a/src/cell/owner/background.rs
+++ b/src/cell/owner/background.rs
@@ -1,5 +1,7 @@
 //! Tasks that run beside the owner's state machine and send it messages.
 
+use std::time::Duration;
+
 use super::{OwnerTask, cell_of};
 use crate::cell::Id;
 use crate::cell::activity::OwnerActivity;
@@ -9,6 +11,9 @@
 use crate::cell::overload::{OverloadDetector, SAMPLE_INTERVAL};
 use crate::cell::timings::{ROSTER_INTERVAL, SNAPSHOT_INTERVAL};
 
+/// Time until the end of the list has been read from which the read is logged.
+const SLOW_READ: Duration = Duration::from_secs(1);
+
 impl OwnerTask {
     /// Requests snapshots at intervals, so that the next owner has few records to replay and the
     /// store may remove old ones.
@@ -74,6 +79,11 @@
                         if has_more {
                             continue;
                         }
+                        let took = deps.clock.now().since(sent);
+                        if took > SLOW_READ {
+                            let took_ms = took.as_millis();
+                            log::info!("event=roster.read_slowly cell={cell} took_ms={took_ms}");
+                        }
                         first_sent = None;
                     }
                     Err(cause) => {
