--- a/tests/logic/cell/activation.rs
+++ b/tests/logic/cell/activation.rs
@@ -37,13 +37,7 @@
 }
 
 fn with_policy(site: &mut Site) {
-    let config = model::queue_config();
-    let queues = config.queues.iter();
-    let queues = queues
-        .map(|queue| Queue { policy: Some(POLICY_TIMING), ..Queue::clone(queue) }.into())
-        .collect();
-    let config = QueueConfig { version: 2, queues, services: config.services.clone() };
-    site.deliver(Message::ConfigChanged(Rc::new(config)));
+    site.deliver(Message::ConfigChanged(model::policy_config(POLICY_TIMING)));
 }
 
 /// A step that allows one task on each worker, whose last tasks need workers that are inactive.
--- a/tests/logic/cell/active_workers.rs
+++ b/tests/logic/cell/active_workers.rs
@@ -2,12 +2,11 @@
 //! jobs never ran.
 
 use std::collections::BTreeSet;
-use std::rc::Rc;
 
 use oriolefork::cell::Epoch;
 use oriolefork::cell::job::Run;
 use oriolefork::cell::machine::Message;
-use oriolefork::cell::queue::{PolicyTiming, Queue, QueueConfig};
+use oriolefork::cell::queue::PolicyTiming;
 use oriolefork::cell::record::{Batch, Record};
 use oriolefork::cell::state::State;
 use oriolefork::cell::timings::{POLL_TIMEOUT, POLL_WAIT, UNLISTED_AFTER};
@@ -137,13 +136,7 @@
 #[test]
 fn job_that_is_eligible_only_on_a_reserve_worker_starts() {
     let mut site = Site::empty();
-    let config = model::queue_config();
-    let queues = config.queues.iter();
-    let queues = queues
-        .map(|queue| Queue { policy: Some(POLICY_TIMING), ..Queue::clone(queue) }.into())
-        .collect();
-    let config = QueueConfig { version: 2, queues, services: config.services.clone() };
-    site.deliver(Message::ConfigChanged(Rc::new(config)));
+    site.deliver(Message::ConfigChanged(model::policy_config(POLICY_TIMING)));
     site.play(1_000);
     let reserve = (0..LISTED).map(name).filter(|worker| !site.polled.contains(worker));
     site.eligible = Some(reserve.take(2).chain([name(LISTED - 1)]).collect());
--- a/tests/logic/cell/model.rs
+++ b/tests/logic/cell/model.rs
@@ -6,7 +6,7 @@
 use oriolefork::cell::dependencies::{RosterUpdate, WorkerInfo};
 use oriolefork::cell::job::{Id, Job, Run, Step, StepKey, TaskKey};
 use oriolefork::cell::machine::Machine;
-use oriolefork::cell::queue::{Queue, QueueConfig, Service};
+use oriolefork::cell::queue::{PolicyTiming, Queue, QueueConfig, Service};
 use oriolefork::cell::record::{Batch, Record};
 use oriolefork::cell::state::State;
 use oriolefork::cell::timings::Timings;
@@ -64,6 +64,15 @@
     Rc::new(QueueConfig { version: 1, queues: vec![queue.into()], services: vec![service] })
 }
 
+/// The configuration in its next version, whose queues are subject to the policy service.
+pub fn policy_config(timing: PolicyTiming) -> Rc<QueueConfig> {
+    let config = queue_config();
+    let queues = config.queues.iter();
+    let queues =
+        queues.map(|queue| Queue { policy: Some(timing), ..Queue::clone(queue) }.into()).collect();
+    Rc::new(QueueConfig { version: 2, queues, services: config.services.clone() })
+}
+
 pub fn listed(number: usize, capacity: Amount) -> WorkerInfo {
     let rack = format!("r{}", number / 4);
     WorkerInfo {
--- a/tests/logic/cell/policy_queries.rs
+++ b/tests/logic/cell/policy_queries.rs
@@ -1,11 +1,9 @@
 //! Which instance queries the policy service, about which workers, and how its answers are used.
 
-use std::rc::Rc;
-
 use oriolefork::cell::dependencies::Eligibility;
 use oriolefork::cell::job::Step;
 use oriolefork::cell::machine::{Call, Message};
-use oriolefork::cell::queue::{PolicyTiming, Queue, QueueConfig};
+use oriolefork::cell::queue::PolicyTiming;
 use oriolefork::resource::Amount;
 
 use super::harness::OwnerHarness;
@@ -17,13 +15,7 @@
 /// Creates a cell whose only queue is subject to the policy service.
 fn harness_with_policy(workers: usize) -> OwnerHarness {
     let mut harness = OwnerHarness::new(workers);
-    let config = model::queue_config();
-    let queues = config.queues.iter();
-    let queues = queues
-        .map(|queue| Queue { policy: Some(POLICY_TIMING), ..Queue::clone(queue) }.into())
-        .collect();
-    let config = QueueConfig { version: 2, queues, services: config.services.clone() };
-    harness.deliver(Message::ConfigChanged(Rc::new(config)));
+    harness.deliver(Message::ConfigChanged(model::policy_config(POLICY_TIMING)));
     harness
 }
 
