--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -23,7 +23,7 @@
 /// Maximum number of queries in flight: one for each instance of a site of 300.
 ///
 /// Guards against an owner of a thousand instances whose thread is taken by queries: while many
-/// steps waited, it sent more than a thousand a second, and most of their answers expired unused.
+/// steps waited, it sent more than a thousand a second.
 pub(super) const MAX_CONCURRENT_QUERIES: usize = 300;
 
 /// Fewest workers in a query, if that many have free capacity: the fixed cost of a query is far
