--- a/benches/cell/mix.rs
+++ b/benches/cell/mix.rs
@@ -213,6 +213,7 @@
             max_failures: kind.max_failures,
             stretch: kind.stretch,
             target_ms: kind.target_ms,
+            anonymous: false,
             policy: Some(PolicyTiming {
                 decide_ms: kind.policy.0,
                 per_worker_ms: kind.policy.1,
@@ -221,7 +222,7 @@
         };
         let service = Service { name: SERVICE.to_owned(), enforces_capacity: false };
         let queues = self.kinds.iter().enumerate().map(queue).map(Rc::new).collect();
-        Rc::new(QueueConfig { version: 1, queues, services: vec![service] })
+        Rc::new(QueueConfig::new(1, queues, vec![service]))
     }
 }
 
@@ -256,7 +257,8 @@
             ..Step::default()
         };
         let steps = (0..steps).map(|number| step(number, rng)).collect();
-        Job { id, queue: queue.to_string(), payload: "replayed".to_owned(), steps, schedule: None }
+        let (queue, payload) = (queue.to_string(), "replayed".to_owned());
+        Job { id, queue, customer: None, payload, steps, schedule: None }
     }
 }
 
--- a/benches/cell/replay.rs
+++ b/benches/cell/replay.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant as Wall};
 
 use hdrhistogram::Histogram;
+use oriolefork::cell::caller::Caller;
 use oriolefork::cell::dependencies::{Eligibility, PollRequest, RosterUpdate, WorkerInfo};
 use oriolefork::cell::job::{Id, Phase, Run, RunOutcome, StepKey};
 use oriolefork::cell::machine::{Call, Effect, Machine, Message, PolicyQuery};
@@ -314,7 +315,11 @@
         let (started, ended) = (false, false);
         let known = Job { kind, at: self.now, core_ms, earned: 0.0, target_ms, started, ended };
         self.jobs.insert(id, known);
-        self.deliver(Message::Call { id: self.job_count, call: Call::Submit(job) });
+        self.deliver(Message::Call {
+            id: self.job_count,
+            call: Call::Submit(job),
+            caller: Caller::default(),
+        });
     }
 
     fn execute_effect(&mut self, effect: Effect) {
--- a/src/cell/election/follow.rs
+++ b/src/cell/election/follow.rs
@@ -9,7 +9,7 @@
 use super::Election;
 use super::priority::MAX_RANK;
 use super::reason::TakeoverReason;
-use crate::cell::peer::{HandoverOffer, WatchRequest, WatchResponse};
+use crate::cell::peer::{HandoverOffer, NO_TABLE, WatchRequest, WatchResponse};
 use crate::cell::timings::PROBE_TIMEOUT;
 use crate::cell::watch::Hold;
 use crate::peer;
@@ -100,7 +100,7 @@
         owner: SocketAddr,
         long_poll: bool,
     ) -> Result<WatchResponse, peer::Error> {
-        let (config_version, cpu_millis) = (self.node.config().version, self.node.cpu_millis);
+        let (config_version, cpu_millis) = (NO_TABLE, self.node.cpu_millis);
         let (cell, follower, domain) = (self.cell, self.node.me, self.node.domain.clone());
         let is_same_owner = self.last_owner == Some(owner);
         let succession_digest = if is_same_owner { self.succession_digest } else { 0 };
@@ -125,8 +125,8 @@
         owner: SocketAddr,
         response: WatchResponse,
     ) -> Option<TakeoverReason> {
-        if let Some(config) = response.config {
-            self.node.apply_config(config);
+        if let Some(notice) = response.config {
+            self.node.note_config_version(owner, notice.version);
         }
         if !response.is_owner {
             let elsewhere =
--- a/src/cell/forward.rs
+++ b/src/cell/forward.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Id;
+use super::caller::Caller;
 use super::job;
 use super::machine::{Answer, Call};
 use super::node::Node;
@@ -44,10 +45,15 @@
     }
 
     /// Counts the waiting jobs of a queue over all cells.
-    pub async fn count_waiting(&self, queue: &str, timeout: Duration) -> CallOutcome {
+    pub async fn count_waiting(
+        &self,
+        queue: &str,
+        caller: &Caller,
+        timeout: Duration,
+    ) -> CallOutcome {
         let mut total = 0;
         for cell in 0..self.node.cells {
-            match self.call(Id(cell), Call::Waiting(queue.to_owned()), timeout).await {
+            match self.call(Id(cell), Call::Waiting(queue.to_owned()), caller, timeout).await {
                 CallOutcome::Answer(Answer::Waiting(waiting)) => total += waiting,
                 other => return other,
             }
@@ -55,12 +61,18 @@
         CallOutcome::Answer(Answer::Waiting(total))
     }
 
-    /// Forwards `call` to the owner of `cell`, for a caller that waits for `timeout`.
+    /// Forwards `call` to the owner of `cell`, for a `caller` that waits for `timeout`.
     ///
     /// Every call is idempotent by the job's ID, so it is repeated at the next owner when the
     /// former one does not answer. A call that fails is [`CallOutcome::Unknown`] if it changes a
     /// job and one of its attempts may have been executed, else [`CallOutcome::NotDone`].
-    pub async fn call(&self, cell: Id, call: Call, timeout: Duration) -> CallOutcome {
+    pub async fn call(
+        &self,
+        cell: Id,
+        call: Call,
+        caller: &Caller,
+        timeout: Duration,
+    ) -> CallOutcome {
         let clock = self.node.deps.clock.clone();
         let is_write = matches!(call, Call::Submit(_) | Call::Cancel(_));
         let mut policy = RetryPolicy::new(clock.now(), timeout, self.node.owner_heard_at(cell));
@@ -73,7 +85,7 @@
                     return CallOutcome::NotDone;
                 }
             };
-            let outcome = match self.attempt(cell, &call, timeout).await {
+            let outcome = match self.attempt(cell, &call, caller, timeout).await {
                 Ok(answer) => return CallOutcome::Answer(answer),
                 Err(outcome) => outcome,
             };
@@ -88,14 +100,18 @@
         &self,
         cell: Id,
         call: &Call,
+        caller: &Caller,
         timeout: Duration,
     ) -> Result<Answer, AttemptOutcome> {
         let answer = match self.node.owner_handle(cell) {
-            Some(owner) => match monoio::time::timeout(timeout, owner.call(call.clone())).await {
-                Ok(Some(answer)) => answer,
-                Ok(None) | Err(_) => return Err(AttemptOutcome::Unknown),
-            },
-            None => self.call_owner(cell, call, timeout).await?,
+            Some(owner) => {
+                let answer = owner.call(call.clone(), caller.clone());
+                match monoio::time::timeout(timeout, answer).await {
+                    Ok(Some(answer)) => answer,
+                    Ok(None) | Err(_) => return Err(AttemptOutcome::Unknown),
+                }
+            }
+            None => self.call_owner(cell, call, caller, timeout).await?,
         };
         if answer == Answer::Unavailable { Err(AttemptOutcome::Refused) } else { Ok(answer) }
     }
@@ -104,13 +120,14 @@
         &self,
         cell: Id,
         call: &Call,
+        caller: &Caller,
         timeout: Duration,
     ) -> Result<Answer, AttemptOutcome> {
         let owner = self.node.owner(cell).filter(|owner| *owner != self.node.me);
         let owner = owner.ok_or(AttemptOutcome::NotDelivered)?;
         let envelope = ForwardedCall { cell, call: call.clone() };
         let reply: Result<Reply, _> =
-            self.node.deps.peers.call(owner, CALL, &envelope, timeout).await;
+            self.node.deps.peers.call(owner, &caller.method(CALL), &envelope, timeout).await;
         match reply {
             Ok(Reply::Answer(answer)) => Ok(answer),
             Ok(Reply::NotOwner(_)) => Err(AttemptOutcome::NotDelivered),
--- a/src/cell/job.rs
+++ b/src/cell/job.rs
@@ -6,6 +6,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use super::customer::Name;
 use crate::clock::Unix;
 use crate::resource::Amount;
 
@@ -55,12 +56,14 @@
 }
 
 /// A job as submitted by a caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Job {
     /// ID chosen by the caller.
     pub id: Id,
     /// Name of the queue that it was submitted to.
     pub queue: String,
+    /// Customer that submitted it; `None` for an anonymous caller, or on a site without customers.
+    pub customer: Option<Name>,
     /// Text for the workers, passed on unchanged.
     pub payload: String,
     /// Its steps.
--- a/src/cell/machine/active_run.rs
+++ b/src/cell/machine/active_run.rs
@@ -1,5 +1,6 @@
 //! Attempts of tasks that are not known to have ended.
 
+use super::customers::Charge;
 use crate::cell::record::WorkerId;
 use crate::clock::Instant;
 use crate::resource::Amount;
@@ -34,6 +35,8 @@
     pub worker: WorkerId,
     /// Resources allocated to it.
     pub demand: Amount,
+    /// What it counts for its customer's cap.
+    pub(super) charge: Option<Charge>,
     /// Its state.
     pub stage: Stage,
     /// Start commands that have been sent.
@@ -57,10 +60,17 @@
 }
 
 impl ActiveRun {
-    pub(super) fn new(worker: WorkerId, demand: Amount, stage: Stage, now: Instant) -> Self {
+    pub(super) fn new(
+        worker: WorkerId,
+        demand: Amount,
+        charge: Option<Charge>,
+        stage: Stage,
+        now: Instant,
+    ) -> Self {
         Self {
             worker,
             demand,
+            charge,
             stage,
             starts_sent: 0,
             may_have_arrived: false,
--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -2,15 +2,19 @@
 
 use super::journal_queue::Deferred;
 use super::{Answer, Call, CallId, Effect, Machine};
+use crate::cell::caller::Caller;
 use crate::cell::job::{Id, Job, Phase};
 use crate::cell::record::Record;
 use crate::cell::timings::MAX_STORE_STALENESS;
 use crate::telemetry::names;
 
 impl Machine {
-    pub(super) fn call(&mut self, id: CallId, call: Call) {
+    pub(super) fn call(&mut self, id: CallId, call: Call, caller: &Caller) {
+        if let Some(answer) = self.refusal(&call, caller) {
+            return self.reply(id, answer);
+        }
         match call {
-            Call::Submit(job) => self.submit(id, job),
+            Call::Submit(job) => self.submit(id, Job { customer: caller.customer.clone(), ..job }),
             Call::Cancel(job) => self.cancel(id, job),
             Call::Show(job) => {
                 let answer = self.show(job);
@@ -72,9 +76,10 @@
     fn admit(&mut self, id: CallId, job: Job) {
         if !self.state.jobs.contains_key(&job.id) {
             log::info!(
-                "event=job.accepted job={} queue={} steps={} tasks={}",
+                "event=job.accepted job={} queue={} customer={} steps={} tasks={}",
                 job.id,
                 crate::logging::value(&job.queue),
+                crate::logging::value(job.customer.as_deref().unwrap_or("-")),
                 job.steps.len(),
                 job.steps.iter().map(|step| step.count).sum::<u32>()
             );
@@ -117,7 +122,7 @@
     ///
     /// Guards against an owner that lost its connection to the store and was replaced: it has no
     /// record of the jobs that its successor accepted, and the caller would take its job for lost.
-    fn unknown(&self) -> Answer {
+    pub(super) fn unknown(&self) -> Answer {
         if self.now.since(self.journal.last_write_sent()) < MAX_STORE_STALENESS {
             Answer::Unknown
         } else {
--- a/src/cell/machine/commands.rs
+++ b/src/cell/machine/commands.rs
@@ -40,7 +40,8 @@
 
     fn send_start(&mut self, run: Run) {
         let Some(start) = self.start_command(run) else {
-            // The ticket has expired, or the worker is gone or overcommitted; no command was sent.
+            // The ticket has expired, the worker is gone or overcommitted, or the customer's cap has
+            // been lowered; no command was sent.
             return self.abandon_start(run);
         };
         let Some(active) = self.runs.get_mut(&run) else { return };
@@ -55,9 +56,10 @@
 
     fn start_command(&mut self, run: Run) -> Option<StartCommand> {
         let (epoch, now, may_extend_leases) = (self.epoch, self.now, self.may_extend_leases());
+        let is_above_cap = self.is_above_cap(&run);
         let active = self.runs.get(&run)?;
         let worker = self.workers.get_mut(&active.worker)?;
-        if worker.is_overcommitted() {
+        if worker.is_overcommitted() || is_above_cap {
             return None;
         }
         let key = run.task.step;
--- /dev/null
+++ b/src/cell/machine/customers.rs
@@ -0,0 +1,196 @@
+//! Customers' keys and caps, as the owner enforces them.
+//!
+//! A cap counts every attempt that is not known to have ended, from its placement on: also one
+//! whose start command was lost or is late, one on a worker that does not answer, and one of an
+//! earlier owner. All of them are in the journal, so that a new owner counts the same.
+
+use std::collections::HashMap;
+
+use super::pending::PendingStep;
+use super::{Answer, Call, Machine};
+use crate::cell::caller::Caller;
+use crate::cell::customer::{Customer, Name};
+use crate::cell::job::{Id, Job, Run, Step, StepKey};
+use crate::cell::queue::Access;
+use crate::resource::Amount;
+
+/// What an attempt counts for the cap of its customer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Charge {
+    customer: Name,
+    demand: Amount,
+}
+
+/// Resources that each customer's attempts use.
+#[derive(Debug, Default)]
+pub(super) struct CustomerUsage {
+    by_customer: HashMap<Name, Amount>,
+}
+
+/// How a customer's cap restricts a waiting step now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Allowance {
+    /// Not at all.
+    Unlimited,
+    /// This many of its tasks may start.
+    Tasks(u64),
+    /// The configuration has no such customer, so that its cap is unknown.
+    Unknown,
+}
+
+impl Charge {
+    /// What an attempt of `step` counts. Opportunistic tasks count too: they use what others leave.
+    pub(super) fn of(job: &Job, step: &Step) -> Option<Self> {
+        Some(Self { customer: job.customer.clone()?, demand: step.demand })
+    }
+}
+
+impl CustomerUsage {
+    pub(super) fn add(&mut self, charge: Option<&Charge>) {
+        let Some(charge) = charge else { return };
+        let usage = self.by_customer.entry(charge.customer.clone()).or_insert(Amount::ZERO);
+        *usage = usage.saturating_add(&charge.demand);
+    }
+
+    pub(super) fn release(&mut self, charge: Option<&Charge>) {
+        let Some(charge) = charge else { return };
+        if let Some(usage) = self.by_customer.get_mut(&charge.customer) {
+            *usage = usage.saturating_sub(&charge.demand);
+        }
+    }
+
+    fn of(&self, customer: &str) -> Amount {
+        self.by_customer.get(customer).copied().unwrap_or(Amount::ZERO)
+    }
+}
+
+impl Machine {
+    /// Resources that a customer's attempts use, counting every attempt that may be running.
+    pub fn usage_of(&self, customer: &str) -> Amount {
+        self.usage.of(customer)
+    }
+
+    /// Returns the answer to a call that the caller may not make, by this owner's configuration.
+    pub(super) fn refusal(&self, call: &Call, caller: &Caller) -> Option<Answer> {
+        self.config.customers.as_ref()?;
+        if caller.config_version == 0 {
+            // An instance of an earlier version has not checked the key.
+            return Some(Answer::Unavailable);
+        }
+        if !self.knows_caller(call, caller) {
+            return Some(Answer::Unauthorized);
+        }
+        match call {
+            Call::Submit(job) if self.is_foreign(&job.id, caller) => Some(Answer::IdInUse),
+            Call::Submit(job) if self.can_never_run(job, caller) => Some(Answer::AboveCap),
+            Call::Cancel(id) | Call::Show(id) if self.is_foreign(id, caller) => {
+                Some(self.unknown())
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the caller's key is valid. An instance whose configuration is newer has checked it
+    /// by that one.
+    fn knows_caller(&self, call: &Call, caller: &Caller) -> bool {
+        if caller.config_version > self.config.version {
+            return true;
+        }
+        let queue = match call {
+            Call::Submit(job) => self.config.queue(&job.queue),
+            Call::Waiting(queue) => self.config.queue(queue),
+            Call::Cancel(_) | Call::Show(_) => None,
+        };
+        let granted = |access| access == Access::Granted(caller.customer.clone());
+        match (queue, &caller.key) {
+            (Some(queue), key) => granted(self.config.access(queue, key.as_ref())),
+            (None, Some(key)) => {
+                let customers = self.config.customers.as_ref();
+                customers.is_none_or(|customers| customers.with_key(key).is_some())
+            }
+            (None, None) => true,
+        }
+    }
+
+    /// Whether the job is one of another customer. One that was accepted without a customer is
+    /// everybody's.
+    fn is_foreign(&self, id: &Id, caller: &Caller) -> bool {
+        let customer = self.state.jobs.get(id).and_then(|entry| entry.job.customer.as_ref());
+        customer.is_some() && customer != caller.customer.as_ref()
+    }
+
+    /// Whether a gang of a new job is wider than its customer's cap.
+    fn can_never_run(&self, job: &Job, caller: &Caller) -> bool {
+        let Some(customer) = self.customer(caller.customer.as_deref()) else { return false };
+        if self.state.jobs.contains_key(&job.id) {
+            return false;
+        }
+        let is_too_wide = |step: &Step| {
+            // One task may go beyond the cap, see `allowance`.
+            step.gang && !customer.could_run(&step.demand, u64::from(step.count).saturating_sub(1))
+        };
+        job.steps.iter().any(is_too_wide)
+    }
+
+    fn customer(&self, name: Option<&str>) -> Option<&Customer> {
+        let customers = self.config.customers.as_ref()?;
+        customers.named(name?).map(|customer| &**customer)
+    }
+
+    /// What an attempt of the step counts for its customer's cap.
+    pub(super) fn charge(&self, key: &StepKey) -> Option<Charge> {
+        let job = &self.state.jobs.get(&key.job)?.job;
+        Charge::of(job, job.steps.get(key.step as usize)?)
+    }
+
+    /// How many of the pending tasks of a step its customer's cap lets start now: all or none of a
+    /// gang.
+    pub(super) fn startable(&self, step: &PendingStep) -> usize {
+        let pending = step.pending.len();
+        match self.allowance(step) {
+            Allowance::Unlimited => pending,
+            Allowance::Unknown => 0,
+            Allowance::Tasks(tasks) if step.spec().gang && tasks < pending as u64 => 0,
+            Allowance::Tasks(tasks) => pending.min(usize::try_from(tasks).unwrap_or(usize::MAX)),
+        }
+    }
+
+    /// Tasks of a step that may start under its customer's cap. While nothing of the customer runs,
+    /// the last one may go beyond the cap.
+    ///
+    /// Guards against a cap that is lowered below a task that has been accepted: the task would
+    /// wait for ever.
+    fn allowance(&self, step: &PendingStep) -> Allowance {
+        let (Some(name), Some(_)) = (&step.job.customer, &self.config.customers) else {
+            return Allowance::Unlimited;
+        };
+        let Some(customer) = self.customer(Some(name)) else { return Allowance::Unknown };
+        let usage = self.usage.of(name);
+        let count = customer.cap.count(&usage, &step.spec().demand);
+        if !usage.is_zero() {
+            return Allowance::Tasks(count);
+        }
+        let beyond = if step.spec().gang { count.saturating_add(1) } else { count.max(1) };
+        Allowance::Tasks(beyond)
+    }
+
+    /// Removes the steps of which no task may start under the cap of its customer, so that no
+    /// query, reservation or preemption is spent on them.
+    pub(super) fn hold_back_capped(&self, waiting: &mut Vec<PendingStep>) {
+        if self.config.customers.is_some() {
+            waiting.retain(|step| self.startable(step) > 0);
+        }
+    }
+
+    /// Whether the other attempts of its customer alone exceed the cap, so that this one may not
+    /// start.
+    ///
+    /// Guards against a placement that was made before the cap was lowered and is carried out
+    /// afterwards.
+    pub(super) fn is_above_cap(&self, run: &Run) -> bool {
+        let charge = self.runs.get(run).and_then(|active| active.charge.as_ref());
+        let Some(Charge { customer, demand }) = charge else { return false };
+        let others = self.usage.of(customer).saturating_sub(demand);
+        self.customer(Some(customer)).is_some_and(|found| found.cap.is_exceeded_by(&others))
+    }
+}
--- a/src/cell/machine/end.rs
+++ b/src/cell/machine/end.rs
@@ -10,6 +10,7 @@
     pub(super) fn end_run(&mut self, run: Run, end: RunOutcome, saved: String) {
         let Some(active) = self.runs.remove(&run) else { return };
         self.suspects.remove(&run);
+        self.usage.release(active.charge.as_ref());
         if let Some(worker) = self.workers.get_mut(&active.worker) {
             worker.release(&run, &active.demand, self.now);
         }
--- a/src/cell/machine/message.rs
+++ b/src/cell/machine/message.rs
@@ -9,6 +9,7 @@
 
 use super::policy_query::PolicyQuery;
 use crate::cell::activity::OwnerActivity;
+use crate::cell::caller::Caller;
 use crate::cell::dependencies::{
     AppendError, Eligibility, JournalSnapshot, PollReport, PollRequest, RosterUpdate, StartCommand,
     WorkerError,
@@ -49,6 +50,12 @@
     Unknown,
     /// The owner cannot answer at present; nothing was done.
     Unavailable,
+    /// No customer has the caller's key.
+    Unauthorized,
+    /// The ID is that of a job of another customer; nothing was done.
+    IdInUse,
+    /// A gang of the job is wider than its customer's cap; nothing was done.
+    AboveCap,
 }
 
 /// Input of the state machine.
@@ -60,6 +67,8 @@
         id: CallId,
         /// The call.
         call: Call,
+        /// Who calls.
+        caller: Caller,
     },
     /// An append to the journal ended.
     Appended {
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -12,6 +12,7 @@
 mod calls;
 mod commands;
 mod crash;
+mod customers;
 mod end;
 mod inactive;
 mod journal_queue;
@@ -48,6 +49,7 @@
 
 use self::activation::ActivationLog;
 use self::backlog::BacklogLog;
+use self::customers::CustomerUsage;
 use self::inactive::InactiveWorkers;
 use self::pending::RoundJobs;
 use self::proxy::PolicyProxy;
@@ -105,6 +107,8 @@
     next_extension: Instant,
     /// Attempts that are not known to have ended.
     pub runs: TrackedMap<Run, ActiveRun>,
+    /// Resources that each customer's attempts use.
+    usage: CustomerUsage,
     /// Answers of the policy service, by step.
     pub tickets: BTreeMap<StepKey, Tickets>,
     /// Mean run time of a task by queue, in milliseconds.
@@ -184,6 +188,7 @@
             next_examined: 0,
             next_extension: now,
             runs: TrackedMap::default(),
+            usage: CustomerUsage::default(),
             tickets: BTreeMap::new(),
             mean_run_times_ms: BTreeMap::new(),
             eligible_shares: BTreeMap::new(),
@@ -227,7 +232,7 @@
     pub fn handle(&mut self, message: Message, now: Instant, unix: Unix) {
         self.advance(now, unix);
         match message {
-            Message::Call { id, call } => self.call(id, call),
+            Message::Call { id, call, caller } => self.call(id, call, &caller),
             Message::Appended { sequence, sent, outcome } => self.appended(sequence, sent, outcome),
             Message::Polled { worker, sent, outcome } => self.poll_answered(&worker, sent, outcome),
             Message::Started { worker, run, outcome } => self.start_answered(&worker, run, outcome),
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -6,6 +6,7 @@
 
 use super::Machine;
 use super::attempts::FailureReason;
+use super::customers::Charge;
 use super::rank::{Rank, Timeliness, long_running_rank};
 use crate::cell::job::{Id, Job, Step, StepKey, TaskKey};
 use crate::cell::queue::Queue;
@@ -22,6 +23,7 @@
 const MAX_WORTHLESS_JOBS: usize = 64;
 
 /// A step with tasks that wait for a worker.
+#[derive(Clone)]
 pub(super) struct PendingStep {
     pub(super) key: StepKey,
     pub(super) job: Rc<Job>,
@@ -37,6 +39,17 @@
         &self.job.steps[self.key.step as usize]
     }
 
+    /// The step with the first `count` of its pending tasks only.
+    pub(super) fn first(&self, count: usize) -> Self {
+        let pending = self.pending[..count].to_vec();
+        Self { pending, ..self.clone() }
+    }
+
+    /// What each of its tasks counts for its customer's cap.
+    pub(super) fn charge(&self) -> Option<Charge> {
+        Charge::of(&self.job, self.spec())
+    }
+
     /// CPU that its pending tasks need, in thousandths of a core.
     pub(super) fn cpu_millis(&self) -> u64 {
         self.spec().allocation().cpu_millis.saturating_mul(self.pending.len() as u64)
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -40,7 +40,8 @@
         self.next_round = self.now.after(MIN_ROUND_INTERVAL);
         self.round_by = self.now.after(MAX_ROUND_INTERVAL);
         let full_scan = self.round_jobs.is_full_scan_due(self.now);
-        let waiting = self.pending_steps();
+        let mut waiting = self.pending_steps();
+        self.hold_back_capped(&mut waiting);
         if waiting.is_empty() {
             return;
         }
@@ -68,6 +69,17 @@
         let mut budget = self.budget(waiting, views);
         let mut shares = self.proxy_shares(waiting, views);
         for step in waiting {
+            let startable = self.startable(step);
+            if startable == 0 {
+                continue;
+            }
+            let first;
+            let step = if startable < step.pending.len() {
+                first = step.first(startable);
+                &first
+            } else {
+                step
+            };
             // Jobs that will be late query the policy service after all that can be on time.
             if step.rank.timeliness != Timeliness::OnTime && shares.on_time_first() {
                 self.send_deferred(&mut shares);
@@ -237,7 +249,10 @@
             if let Some(worker) = self.workers.get_mut(&view.id) {
                 worker.allocate(run, &demand);
             }
-            let active = ActiveRun::new(view.id.clone(), demand, Stage::Recording, self.now);
+            let charge = step.charge();
+            self.usage.add(charge.as_ref());
+            let active =
+                ActiveRun::new(view.id.clone(), demand, charge, Stage::Recording, self.now);
             self.runs.insert(run, active);
             if suspect {
                 self.suspects.insert(run);
--- a/src/cell/machine/recovery.rs
+++ b/src/cell/machine/recovery.rs
@@ -14,7 +14,10 @@
             if self.is_suspect(&run) {
                 self.suspects.insert(run);
             }
-            self.runs.insert(run, ActiveRun::new(worker, demand, Stage::Recovered, self.now));
+            let charge = self.charge(&run.task.step);
+            self.usage.add(charge.as_ref());
+            let active = ActiveRun::new(worker, demand, charge, Stage::Recovered, self.now);
+            self.runs.insert(run, active);
             self.unlisted_runs.insert(run);
         }
         let stop_requested: Vec<Run> = self
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -9,7 +9,11 @@
 //! | File | Contents |
 //! |---|---|
 //! | `job.rs`, `queue.rs` | jobs as submitted, and the configuration of their queues |
+//! | `customer.rs` | customers, their keys and the resources that they may use |
+//! | `config_message.rs` | the configuration as instances send it to each other |
+//! | `caller.rs` | what an instance states about the caller of a forwarded call |
 //! | `record.rs`, `state.rs` | journal records and the state that they yield |
+//! | `stored_job.rs` | a job in the form of the journal |
 //! | `worker.rs`, `lease.rs`, `incarnation.rs` | a worker's capacity, clock, lease and identity |
 //! | `command_backoff.rs` | backoff for workers that leave commands unanswered |
 //! | `crash_score.rs` | evidence that a task crashes its workers |
@@ -26,8 +30,11 @@
 //! | `owner/`, `election/`, `node/`, `replay.rs`, `dependency_status.rs` | tasks of an instance |
 
 pub mod activity;
+pub mod caller;
 pub mod command_backoff;
+pub mod config_message;
 pub mod crash_score;
+pub mod customer;
 pub mod dependencies;
 mod dependency_status;
 pub mod election;
@@ -48,6 +55,7 @@
 pub mod responsiveness;
 pub mod retry;
 pub mod state;
+mod stored_job;
 pub mod ticket;
 pub mod timings;
 pub mod watch;
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -10,11 +10,13 @@
 
 use super::Node;
 use crate::cell::activity::OwnerActivity;
+use crate::cell::caller::Caller;
+use crate::cell::config_message::{ConfigMessage, RouteTable};
 use crate::cell::dependencies::Eligibility;
 use crate::cell::machine::{Machine, Message};
 use crate::cell::peer::{
-    ANNOUNCE, Announcement, CALL, ForwardedCall, HandoverOffer, POLICY, PolicyRequest, Reply,
-    TABLE, WATCH, WatchRequest, WatchResponse,
+    ANNOUNCE, Announcement, CALL, CONFIG, CONFIGURE, ForwardedCall, HandoverOffer, NO_TABLE,
+    POLICY, PolicyRequest, Reply, TABLE, WATCH, WatchRequest, WatchResponse,
 };
 use crate::cell::timings::WATCH_HOLD;
 use crate::cell::watch::Hold;
@@ -28,11 +30,22 @@
     async fn answer(&self, method: &str, body: &[u8]) -> Result<Bytes, Refusal> {
         let (name, query) = method.split_once('?').unwrap_or((method, ""));
         match name {
-            CALL => encode(&self.answer_call(decode(body)?).await),
+            CALL => {
+                let caller = Caller::from_query(query)
+                    .map_err(|invalid| Refusal::new(Code::Malformed, invalid))?;
+                encode(&self.answer_call(decode(body)?, caller).await)
+            }
             WATCH => encode(&self.watched(&decode(body)?, Hold::from_query(query)).await),
             POLICY => encode(&self.query_policy(decode(body)?).await),
+            CONFIG => encode(&ConfigMessage::from(&*self.config())),
+            CONFIGURE => {
+                self.apply_message(decode(body)?);
+                encode(&())
+            }
             TABLE => {
-                self.apply_config(decode(body)?);
+                // It knows no customers. This instance reads the configuration from the store.
+                let table: RouteTable = decode(body)?;
+                log::info!("event=config.table_ignored version={}", table.version);
                 encode(&())
             }
             ANNOUNCE => {
@@ -54,12 +67,12 @@
         self.set_owner(cell, Some(owner));
     }
 
-    async fn answer_call(&self, envelope: ForwardedCall) -> Reply {
+    async fn answer_call(&self, envelope: ForwardedCall, caller: Caller) -> Reply {
         self.wait_for_takeover(envelope.cell, CALL_HOLD).await;
         let Some(handle) = self.owner_handle(envelope.cell) else {
             return Reply::NotOwner(self.owner(envelope.cell));
         };
-        handle.call(envelope.call).await.map_or(Reply::Interrupted, Reply::Answer)
+        handle.call(envelope.call, caller).await.map_or(Reply::Interrupted, Reply::Answer)
     }
 
     async fn query_policy(&self, request: PolicyRequest) -> Result<Eligibility, String> {
@@ -82,7 +95,10 @@
             self.wait_for_takeover(request.cell, WATCH_HOLD).await;
         }
         let config = self.config();
-        let newer_config = (config.version > request.config_version).then(|| (*config).clone());
+        let newer_config = match request.config_version {
+            NO_TABLE => Some(RouteTable::notice(config.version)),
+            known => (config.version > known).then(|| RouteTable::from(&*config)),
+        };
         let cpu_millis = self.cpu_millis;
         let (follower, known) = (request.follower, request.succession_digest);
         let read = move |machine: &Machine, now| {
@@ -121,7 +137,8 @@
         body: Bytes,
     ) -> LocalBoxFuture<'_, Result<Bytes, Refusal>> {
         let method = method.to_owned();
-        let activity = if method == CALL { OwnerActivity::Call } else { OwnerActivity::Watch };
+        let name = method.split('?').next();
+        let activity = if name == Some(CALL) { OwnerActivity::Call } else { OwnerActivity::Watch };
         let answer = async move { self.answer(&method, &body).await }.boxed_local();
         self.deps.profiler.measure(activity, answer).boxed_local()
     }
--- a/src/cell/node/config.rs
+++ b/src/cell/node/config.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use super::Node;
+use crate::cell::config_message::{ConfigMessage, RouteTable};
 use crate::cell::dependency_status::DependencyStatus;
 use crate::cell::machine::Message;
-use crate::cell::peer::TABLE;
+use crate::cell::peer::{CONFIG, CONFIGURE, TABLE};
 use crate::cell::queue::QueueConfig;
+use crate::peer;
 
 /// Time for which the platform delays its response to a read while there is no newer configuration.
 const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
@@ -16,7 +18,7 @@
 /// Delay after a failed read.
 const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Timeout for sending the configuration to an owner.
+/// Timeout for sending the configuration to another instance, or for fetching it.
 const CONFIG_TIMEOUT: Duration = Duration::from_millis(500);
 
 impl Node {
@@ -34,9 +36,10 @@
             return;
         }
         log::info!(
-            "event=config.received version={} queues={}",
+            "event=config.received version={} queues={} customers={}",
             config.version,
-            config.queues.len()
+            config.queues().len(),
+            config.customers.as_ref().map_or(0, |customers| customers.iter().count())
         );
         let config = Rc::new(config);
         *self.config.borrow_mut() = config.clone();
@@ -68,19 +71,76 @@
         }
     }
 
+    /// Sends the configuration to owners of cells, which may be cut off from the store.
     fn push_config(&self) {
         let config = self.config();
-        let owners: Vec<SocketAddr> =
-            self.views.borrow().values().filter_map(|view| view.owner).collect();
-        for owner in owners.into_iter().filter(|owner| *owner != self.me) {
+        let owners: Vec<SocketAddr> = self.other_owners();
+        for owner in owners {
             let (deps, config) = (self.deps.clone(), config.clone());
             monoio::spawn(async move {
-                let result: Result<(), _> =
-                    deps.peers.call(owner, TABLE, &*config, CONFIG_TIMEOUT).await;
-                if let Err(error) = result {
+                if let Err(error) = send_config(&deps.peers, owner, &config).await {
                     log::info!("event=config.not_passed owner={owner} cause={error:?}");
                 }
             });
         }
     }
+
+    /// Addresses of the known owners other than this instance.
+    pub(super) fn other_owners(&self) -> Vec<SocketAddr> {
+        let owners = self.views.borrow();
+        let owners = owners.values().filter_map(|view| view.owner);
+        owners.filter(|owner| *owner != self.me).collect()
+    }
+
+    /// Fetches the configuration from another instance whose version is `version`, if that is
+    /// newer.
+    pub(in crate::cell) fn note_config_version(self: &Rc<Self>, peer: SocketAddr, version: u64) {
+        if version <= self.config().version || self.is_fetching_config.replace(true) {
+            return;
+        }
+        let node = self.clone();
+        monoio::spawn(async move {
+            node.fetch_config(peer).await;
+            node.is_fetching_config.set(false);
+        });
+    }
+
+    /// Fetches and applies the configuration of another instance; `true` if it answered.
+    pub(super) async fn fetch_config(&self, peer: SocketAddr) -> bool {
+        let fetched: Result<ConfigMessage, _> =
+            self.deps.peers.call(peer, CONFIG, &(), CONFIG_TIMEOUT).await;
+        match fetched {
+            Ok(message) => {
+                self.apply_message(message);
+                true
+            }
+            Err(error) => {
+                log::info!("event=config.not_fetched peer={peer} cause={error:?}");
+                false
+            }
+        }
+    }
+
+    /// Applies a configuration that another instance sent.
+    pub(super) fn apply_message(&self, message: ConfigMessage) {
+        match QueueConfig::try_from(message) {
+            Ok(config) => self.apply_config(config),
+            Err(invalid) => log::error!("event=config.refused cause={:?}", invalid.to_string()),
+        }
+    }
+}
+
+/// Sends the configuration to an instance, in the form of earlier versions if it knows no other.
+async fn send_config(
+    peers: &peer::Client,
+    to: SocketAddr,
+    config: &QueueConfig,
+) -> Result<(), peer::Error> {
+    let message = ConfigMessage::from(config);
+    match peers.call(to, CONFIGURE, &message, CONFIG_TIMEOUT).await {
+        Err(error) if error.step == peer::CallPhase::Refused(peer::Code::UnknownMethod) => {
+            peers.call(to, TABLE, &RouteTable::from(config), CONFIG_TIMEOUT).await
+        }
+        sent => sent,
+    }
 }
--- a/src/cell/node/mod.rs
+++ b/src/cell/node/mod.rs
@@ -3,13 +3,17 @@
 //! | File | Contents |
 //! |---|---|
 //! | `view.rs` | state of each cell, as known to the instance |
+//! | `admission.rs` | which callers may use which queue |
 //! | `config.rs` | the configuration and its distribution |
+//! | `refresh.rs` | reads of the configuration that callers wait for |
 //! | `readiness.rs` | readiness for callers, and closing of their idle connections |
 //! | `answer.rs` | responses to other instances |
 
+mod admission;
 mod answer;
 mod config;
 mod readiness;
+mod refresh;
 mod view;
 
 use std::cell::{Cell, RefCell};
@@ -17,6 +21,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+pub use admission::{Admission, Denial};
+use refresh::Refresh;
 use view::CellView;
 
 use super::owner::Dependencies;
@@ -57,6 +63,9 @@
     /// Triggered when the process receives a request to stop.
     pub stop: Shutdown,
     config: RefCell<Rc<QueueConfig>>,
+    /// Whether a newer configuration is being fetched from another instance.
+    is_fetching_config: Cell<bool>,
+    refresh: Refresh,
     views: RefCell<BTreeMap<Id, CellView>>,
     left: Cell<bool>,
     /// Triggered while callers are served better by other instances.
@@ -84,6 +93,8 @@
             deps,
             stop,
             config: RefCell::default(),
+            is_fetching_config: Cell::new(false),
+            refresh: Refresh::default(),
             views: RefCell::new(views),
             left: Cell::new(false),
             close_idle_signal: RefCell::new(Shutdown::new()),
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -14,6 +14,7 @@
 use local_sync::oneshot;
 
 use super::activity::{OwnerActivity, Stopwatch, ThreadProfiler};
+use super::caller::Caller;
 use super::dependencies::{
     Discovery, Journal, JournalSnapshot, PolicyService, PollRequest, StartCommand, WorkerClient,
     WorkerError, WorkerInfo,
@@ -55,7 +56,7 @@
 
 enum Input {
     Message(Message),
-    Call { call: Call, reply: oneshot::Sender<Answer> },
+    Call { call: Call, caller: Caller, reply: oneshot::Sender<Answer> },
     Inspect(Inspection),
     End,
 }
@@ -85,9 +86,9 @@
     }
 
     /// Executes a call; `None` when the task ended before it answered.
-    pub async fn call(&self, call: Call) -> Option<Answer> {
+    pub async fn call(&self, call: Call, caller: Caller) -> Option<Answer> {
         let (reply, answer) = oneshot::channel();
-        self.inputs.send(Input::Call { call, reply }).ok()?;
+        self.inputs.send(Input::Call { call, caller, reply }).ok()?;
         answer.await.ok()
     }
 
@@ -223,11 +224,11 @@
     fn process(&mut self, input: Input, now: Instant, unix: Unix) -> bool {
         match input {
             Input::Message(message) => self.machine.handle(message, now, unix),
-            Input::Call { call, reply } => {
+            Input::Call { call, caller, reply } => {
                 self.last_call += 1;
                 let id = self.last_call;
                 self.pending_replies.insert(id, reply);
-                self.machine.handle(Message::Call { id, call }, now, unix);
+                self.machine.handle(Message::Call { id, call, caller }, now, unix);
             }
             Input::Inspect(inspect) => inspect(&self.machine, now),
             Input::End => return true,
--- a/src/cell/peer.rs
+++ b/src/cell/peer.rs
@@ -5,9 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::config_message::RouteTable;
 use super::job::StepKey;
 use super::machine::{Answer, Call};
-use super::queue::QueueConfig;
 use super::record::WorkerId;
 use super::{Epoch, Id};
 
@@ -19,9 +19,17 @@
 pub const POLICY: &str = "cell/advise";
 /// Peer method by which a new owner announces itself.
 pub const ANNOUNCE: &str = "cell/announce";
+/// Peer method that returns the configuration of an instance.
+pub const CONFIG: &str = "cell/config";
 /// Peer method that sends a newer configuration.
+pub const CONFIGURE: &str = "cell/configure";
+/// Peer method by which instances of earlier versions send theirs, without customers.
 pub const TABLE: &str = "cell/table";
 
+/// Version that a follower states which needs no [`RouteTable`], but the owner's version. Owners of
+/// earlier versions have no newer table, and send none.
+pub const NO_TABLE: u64 = u64::MAX;
+
 /// A caller's call, forwarded to the owner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ForwardedCall {
@@ -54,7 +62,7 @@
     pub follower: SocketAddr,
     /// Failure domain of the follower.
     pub domain: Rc<str>,
-    /// Version of the follower's configuration.
+    /// Version of the follower's configuration, or [`NO_TABLE`].
     #[serde(rename = "version")]
     pub config_version: u64,
     /// CPU that the follower may use, in thousandths of a core.
@@ -117,9 +125,10 @@
     /// Digest of that order; zero while there is none.
     #[serde(rename = "succession")]
     pub succession_digest: u64,
-    /// The owner's configuration, when it is newer.
+    /// Queues and services of the owner's configuration, when it is newer; only its version if the
+    /// follower needs no table.
     #[serde(rename = "table")]
-    pub config: Option<QueueConfig>,
+    pub config: Option<RouteTable>,
 }
 
 /// Request to query the policy service on behalf of the owner.
--- a/src/cell/queue.rs
+++ b/src/cell/queue.rs
@@ -1,44 +1,70 @@
 //! Queues to which callers submit jobs, as defined by the operators' configuration.
 
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
 
+use super::customer::{Customers, KeyDigest, Name};
+
 /// The part of the operators' configuration that concerns jobs.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct QueueConfig {
     /// Rises with each change.
     pub version: u64,
     /// All queues.
-    pub queues: Vec<Rc<Queue>>,
+    queues: Vec<Rc<Queue>>,
     /// All services.
     pub services: Vec<Service>,
+    /// The site's customers; `None` for a site whose callers need no keys.
+    pub customers: Option<Rc<Customers>>,
+    by_name: HashMap<String, usize>,
+    by_host: HashMap<String, HostQueues>,
+}
+
+/// The queues on one host, by path prefix.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct HostQueues {
+    /// Lengths of the prefixes, longest first.
+    lengths: BTreeSet<Reverse<usize>>,
+    by_prefix: HashMap<String, usize>,
+}
+
+/// Whether a caller may use a queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// It may, for this customer; `None` without a customer.
+    Granted(Option<Name>),
+    /// It states no key and the queue requires one.
+    KeyMissing,
+    /// No customer has its key.
+    KeyUnknown,
 }
 
 /// One queue.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Queue {
     /// Its name.
     pub name: String,
     /// Host name to which callers send requests.
     pub host: String,
     /// Prefix of the paths that belong to it.
-    #[serde(rename = "prefix")]
     pub path_prefix: String,
     /// Service whose workers run its tasks.
     pub service: String,
     /// Priority; zero is the highest.
     pub priority: u32,
     /// Number of failed attempts of one task after which its job fails.
-    #[serde(rename = "attempts")]
     pub max_failures: u32,
     /// Target for the time of a job, as a multiple of its critical path.
     pub stretch: f64,
     /// Time that a job may take in addition to that, in milliseconds.
     pub target_ms: u64,
     /// Response times of the policy service, for queues whose workers it decides on.
-    #[serde(rename = "advice")]
     pub policy: Option<PolicyTiming>,
+    /// Whether callers may use it without a key.
+    pub anonymous: bool,
 }
 
 /// Response times and ticket validity of the policy service for a queue.
@@ -77,21 +103,71 @@
 }
 
 impl QueueConfig {
+    /// Creates a configuration of a site without customers.
+    pub fn new(version: u64, queues: Vec<Rc<Queue>>, services: Vec<Service>) -> Self {
+        let mut config = Self { version, services, ..Self::default() };
+        for (at, queue) in queues.iter().enumerate() {
+            config.by_name.entry(queue.name.clone()).or_insert(at);
+            let host = config.by_host.entry(queue.host.to_ascii_lowercase()).or_default();
+            host.lengths.insert(Reverse(queue.path_prefix.len()));
+            host.by_prefix.insert(queue.path_prefix.clone(), at);
+        }
+        config.queues = queues;
+        config
+    }
+
+    /// The configuration with these customers.
+    #[must_use]
+    pub fn with_customers(self, customers: Customers) -> Self {
+        Self { customers: Some(Rc::new(customers)), ..self }
+    }
+
+    /// All queues.
+    pub fn queues(&self) -> &[Rc<Queue>] {
+        &self.queues
+    }
+
     /// The queue on `host` with the longest prefix of `path`.
     ///
     /// ```
     /// use oriolefork::cell::queue::{Queue, QueueConfig};
     /// let queue = Queue { host: "a.example".into(), path_prefix: "/jobs/".into(), ..Default::default() };
-    /// let table = QueueConfig { version: 1, queues: vec![queue.into()], services: vec![] };
-    /// assert!(table.find("a.example", "/jobs/5c0e7a21d94b36f8").is_some());
-    /// assert!(table.find("b.example", "/jobs/5c0e7a21d94b36f8").is_none());
+    /// let config = QueueConfig::new(1, vec![queue.into()], vec![]);
+    /// assert!(config.find("a.example", "/jobs/5c0e7a21d94b36f8").is_some());
+    /// assert!(config.find("b.example", "/jobs/5c0e7a21d94b36f8").is_none());
     /// ```
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
-        let matching = |queue: &&Rc<Queue>| {
-            queue.host.eq_ignore_ascii_case(host) && path.starts_with(&queue.path_prefix)
+        let host = match self.by_host.get(host) {
+            Some(host) => host,
+            None => self.by_host.get(&host.to_ascii_lowercase())?,
         };
-        let found = self.queues.iter().filter(matching).max_by_key(|queue| queue.path_prefix.len());
-        found.map(Rc::as_ref)
+        let prefixes = host.lengths.iter().filter_map(|Reverse(length)| path.get(..*length));
+        let found = prefixes.filter_map(|prefix| host.by_prefix.get(prefix)).next();
+        found.map(|&at| &*self.queues[at])
+    }
+
+    /// Whether a caller that states `key` may use `queue`, and for which customer. A key that is
+    /// stated has to be valid on an anonymous queue too.
+    ///
+    /// ```
+    /// use oriolefork::cell::customer::{Customers, KeyDigest};
+    /// use oriolefork::cell::queue::{Access, Queue, QueueConfig};
+    /// let config = QueueConfig::new(1, vec![], vec![]);
+    /// assert_eq!(config.access(&Queue::default(), None), Access::Granted(None));
+    ///
+    /// let config = config.with_customers(Customers::default());
+    /// assert_eq!(config.access(&Queue::default(), None), Access::KeyMissing);
+    /// let key = KeyDigest::of("unknown");
+    /// assert_eq!(config.access(&Queue::default(), Some(&key)), Access::KeyUnknown);
+    /// ```
+    pub fn access(&self, queue: &Queue, key: Option<&KeyDigest>) -> Access {
+        let Some(customers) = &self.customers else { return Access::Granted(None) };
+        match key.map(|key| customers.with_key(key)) {
+            Some(Some(customer)) => Access::Granted(Some(customer.name.clone())),
+            Some(None) => Access::KeyUnknown,
+            None if queue.anonymous => Access::Granted(None),
+            None => Access::KeyMissing,
+        }
     }
 
     /// Whether there is a service of that name.
@@ -101,6 +177,6 @@
 
     /// The queue of that name.
     pub fn queue(&self, name: &str) -> Option<&Rc<Queue>> {
-        self.queues.iter().find(|queue| queue.name == name)
+        self.by_name.get(name).map(|&at| &self.queues[at])
     }
 }
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -182,9 +182,10 @@
         }
         self.open.clear();
         self.done.clear();
-        let Job { id, queue, schedule, .. } = &*self.job;
-        let (id, queue, schedule) = (*id, queue.clone(), *schedule);
-        self.job = Rc::new(Job { id, queue, payload: String::new(), steps: Vec::new(), schedule });
+        let Job { id, queue, customer, schedule, .. } = &*self.job;
+        let (id, queue, customer, schedule) = (*id, queue.clone(), customer.clone(), *schedule);
+        let (payload, steps) = (String::new(), Vec::new());
+        self.job = Rc::new(Job { id, queue, customer, payload, steps, schedule });
     }
 
     /// Marks the job as completed once its last task has succeeded, even if runs are still
--- a/src/placement/team.rs
+++ b/src/placement/team.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use super::arithmetic;
-use crate::resource::Amount;
+use crate::resource::{Amount, Limit};
 
 /// A team's quota and usage.
 #[derive(Debug)]
@@ -17,7 +17,7 @@
 impl Team {
     /// Whether `demand` in addition would exceed the team's quota.
     pub(super) fn exceeds(&self, demand: &Amount) -> bool {
-        self.quota.is_some_and(|quota| !self.usage.saturating_add(demand).fits(&quota))
+        self.quota.is_some_and(|quota| !Limit::from(quota).admits(&self.usage, demand))
     }
 
     /// The team's dominant share: the largest share of its quota that it uses in any dimension, in
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -57,6 +57,10 @@
         "Quick requests that wait for a runner's slot at this instance.";
     RUNNER_CALLS: Counter = "oriolefork_runner_calls_total",
         "Calls to runners, retries and hedges included, by outcome.";
+    CONFIG_REFRESHES: Counter = "oriolefork_config_refreshes_total",
+        "Reads of the configuration before a caller is refused, by outcome.";
+    CALLERS_DENIED: Counter = "oriolefork_callers_denied_total",
+        "Requests refused for their queue or key, by reason.";
     CELL_JOBS: Counter = "oriolefork_cell_jobs_total",
         "Jobs of a cell, by outcome; counted by the owner.";
     CELL_TRIES: Counter = "oriolefork_cell_tries_total",
--- a/tests/logic/cell/activation.rs
+++ b/tests/logic/cell/activation.rs
@@ -142,7 +142,7 @@
 fn inactive_workers_go_before_preemption() {
     let mut site = Site::empty();
     let config = model::queue_config();
-    let base = Queue::clone(&config.queues[0]);
+    let base = Queue::clone(&config.queues()[0]);
     let low = Queue { priority: 5, stretch: 50.0, target_ms: 600_000, ..base.clone() };
     let urgent = Queue {
         name: "urgent".to_owned(),
@@ -151,7 +151,7 @@
         ..base
     };
     let queues = vec![low.into(), urgent.into()];
-    let config = QueueConfig { version: 2, queues, services: config.services.clone() };
+    let config = QueueConfig::new(2, queues, config.services.clone());
     site.deliver(Message::ConfigChanged(Rc::new(config)));
     site.play(1_000);
     let step =
--- a/tests/logic/cell/answering_workers.rs
+++ b/tests/logic/cell/answering_workers.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use oriolefork::cell::Epoch;
+use oriolefork::cell::caller::Caller;
 use oriolefork::cell::dependencies::{
     Eligibility, EndedRun, PollReport, RosterUpdate, RunStatus, WorkerError,
 };
@@ -129,7 +130,11 @@
     }
 
     pub fn submit(&mut self, number: u64, job: Job) {
-        self.deliver(Message::Call { id: number, call: Call::Submit(job) });
+        self.deliver(Message::Call {
+            id: number,
+            call: Call::Submit(job),
+            caller: Caller::default(),
+        });
     }
 
     /// Plays `duration` milliseconds.
--- a/tests/logic/cell/attempts.rs
+++ b/tests/logic/cell/attempts.rs
@@ -113,11 +113,12 @@
     let state = state_after(&step, MAX_FAILURES - 1, RunOutcome::Failed, true);
     let mut harness = owner(state, model::queue_config());
     let config = model::queue_config();
-    let without = QueueConfig { version: 2, queues: Vec::new(), ..(*config).clone() };
+    let without = QueueConfig::new(2, Vec::new(), config.services.clone());
     harness.deliver(Message::ConfigChanged(Rc::new(without)));
     report_last_failure(&mut harness, &step);
-    harness
-        .deliver(Message::ConfigChanged(Rc::new(QueueConfig { version: 3, ..(*config).clone() })));
+    let mut with_queues = (*config).clone();
+    with_queues.version = 3;
+    harness.deliver(Message::ConfigChanged(Rc::new(with_queues)));
     assert_failed_without_start(&mut harness);
 }
 
@@ -136,10 +137,10 @@
 fn limit_lowered_below_the_failures() {
     let state = state_after(&single_task(), MAX_FAILURES - 1, RunOutcome::Failed, false);
     let mut harness = owner_without_config(state);
-    let mut config = (*model::queue_config()).clone();
-    let mut queue = (*config.queues[0]).clone();
+    let config = model::queue_config();
+    let mut queue = (*config.queues()[0]).clone();
     queue.max_failures = MAX_FAILURES - 1;
-    config.queues = vec![Rc::new(queue)];
+    let config = QueueConfig::new(config.version, vec![Rc::new(queue)], config.services.clone());
     harness.deliver(Message::ConfigChanged(Rc::new(config)));
     assert_failed_without_start(&mut harness);
 }
--- a/tests/logic/cell/harness.rs
+++ b/tests/logic/cell/harness.rs
@@ -1,6 +1,7 @@
 //! An owner's state machine whose store, workers and policy service are driven by a test.
 
 use oriolefork::cell::Epoch;
+use oriolefork::cell::caller::Caller;
 use oriolefork::cell::dependencies::{
     AppendError, Eligibility, EndedRun, PollReport, RunStatus, StartCommand, WorkerError,
 };
@@ -87,7 +88,12 @@
     }
 
     pub fn call(&mut self, number: u64, call: Call) {
-        self.deliver(Message::Call { id: number, call });
+        self.call_as(number, call, Caller::default());
+    }
+
+    /// The same for a caller that an instance stated.
+    pub fn call_as(&mut self, number: u64, call: Call, caller: Caller) {
+        self.deliver(Message::Call { id: number, call, caller });
         self.advance(10);
     }
 
--- a/tests/logic/cell/model.rs
+++ b/tests/logic/cell/model.rs
@@ -38,6 +38,7 @@
     Job {
         id: id(number),
         queue: QUEUE.to_owned(),
+        customer: None,
         payload: format!("work {number}"),
         steps: vec![step],
         schedule: None,
@@ -59,18 +60,19 @@
         stretch: 2.0,
         target_ms: 1_000,
         policy: None,
+        anonymous: false,
     };
     let service = Service { name: "portal".to_owned(), enforces_capacity: false };
-    Rc::new(QueueConfig { version: 1, queues: vec![queue.into()], services: vec![service] })
+    Rc::new(QueueConfig::new(1, vec![queue.into()], vec![service]))
 }
 
 /// The configuration in its next version, whose queues are subject to the policy service.
 pub fn policy_config(timing: PolicyTiming) -> Rc<QueueConfig> {
     let config = queue_config();
-    let queues = config.queues.iter();
+    let queues = config.queues().iter();
     let queues =
         queues.map(|queue| Queue { policy: Some(timing), ..Queue::clone(queue) }.into()).collect();
-    Rc::new(QueueConfig { version: 2, queues, services: config.services.clone() })
+    Rc::new(QueueConfig::new(2, queues, config.services.clone()))
 }
 
 pub fn listed(number: usize, capacity: Amount) -> WorkerInfo {
--- a/tests/logic/cell/preempt.rs
+++ b/tests/logic/cell/preempt.rs
@@ -63,10 +63,10 @@
 fn harness_with_urgent_queue(workers: usize) -> OwnerHarness {
     let mut harness = OwnerHarness::new(workers);
     let config = model::queue_config();
-    let usual = Queue { priority: 2, stretch: 40.0, ..Queue::clone(&config.queues[0]) };
+    let usual = Queue { priority: 2, stretch: 40.0, ..Queue::clone(&config.queues()[0]) };
     let urgent = Queue { name: URGENT.to_owned(), priority: 0, stretch: 4.0, ..usual.clone() };
     let queues = vec![usual.into(), urgent.into()];
-    let config = QueueConfig { version: 2, queues, services: config.services.clone() };
+    let config = QueueConfig::new(2, queues, config.services.clone());
     harness.deliver(Message::ConfigChanged(Rc::new(config)));
     harness
 }
--- a/tests/logic/cell/proxy_shares.rs
+++ b/tests/logic/cell/proxy_shares.rs
@@ -27,7 +27,7 @@
     let mut harness = OwnerHarness::new(WORKERS as usize);
     harness.start_job(999, Step { max_per_worker: 1, ..model::step(WORKERS, cores(5)) });
     let config = model::queue_config();
-    let upper = Queue { policy: Some(POLICY_TIMING), ..Queue::clone(&config.queues[0]) };
+    let upper = Queue { policy: Some(POLICY_TIMING), ..Queue::clone(&config.queues()[0]) };
     let lower = Queue {
         name: LOWER.to_owned(),
         path_prefix: "/thumbnails/".to_owned(),
@@ -37,11 +37,11 @@
         ..upper.clone()
     };
     let queues = vec![upper.into(), lower.into()];
-    harness.deliver(Message::ConfigChanged(Rc::new(QueueConfig {
-        version: 2,
+    harness.deliver(Message::ConfigChanged(Rc::new(QueueConfig::new(
+        2,
         queues,
-        services: config.services.clone(),
-    })));
+        config.services.clone(),
+    ))));
     harness
 }
 
--- a/tests/logic/cell/simulation/mod.rs
+++ b/tests/logic/cell/simulation/mod.rs
@@ -15,6 +15,7 @@
 
 use bytes::Bytes;
 use oriolefork::cell::Epoch;
+use oriolefork::cell::caller::Caller;
 use oriolefork::cell::dependencies::{JournalSnapshot, PollRequest, StartCommand};
 use oriolefork::cell::job::{Id, Job, Run, TaskKey};
 use oriolefork::cell::machine::{Answer, Call, Effect, Machine, Message};
@@ -259,7 +260,7 @@
         self.next_call += 1;
         let number = self.next_call;
         self.calls.insert((owner, number), id);
-        let message = Message::Call { id: number, call };
+        let message = Message::Call { id: number, call, caller: Caller::default() };
         self.schedule(1, Event::Owner { owner, message });
     }
 
--- a/tests/logic/cell/starvation.rs
+++ b/tests/logic/cell/starvation.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use oriolefork::cell::caller::Caller;
 use oriolefork::cell::dependencies::Eligibility;
 use oriolefork::cell::job::{Job, Step};
 use oriolefork::cell::machine::{Call, Message, PolicyQuery};
@@ -45,7 +46,7 @@
     fn new(target_ms: u64) -> Self {
         let mut harness = OwnerHarness::new(WORKERS);
         let config = model::queue_config();
-        let plain = config.queues[0].clone();
+        let plain = config.queues()[0].clone();
         let limited =
             [WIDE, SMALL].into_iter().enumerate().map(|(priority, (name, policy_timings))| {
                 let (name, priority) = (name.to_owned(), priority as u32);
@@ -58,14 +59,18 @@
                 })
             });
         let queues = [plain.clone()].into_iter().chain(limited).collect();
-        let config = QueueConfig { version: 2, queues, services: config.services.clone() };
+        let config = QueueConfig::new(2, queues, config.services.clone());
         harness.deliver(Message::ConfigChanged(Rc::new(config)));
         Self { harness, pending: Vec::new(), policy_timings: vec![WIDE, SMALL] }
     }
 
     fn submit(&mut self, number: u64, queue: &str, step: Step) {
         let job = Job { queue: queue.to_owned(), ..model::job(number, step) };
-        self.harness.deliver(Message::Call { id: number, call: Call::Submit(job) });
+        self.harness.deliver(Message::Call {
+            id: number,
+            call: Call::Submit(job),
+            caller: Caller::default(),
+        });
     }
 
     /// Allocates one core of every worker until the test ends.
--- a/tests/process/watch.rs
+++ b/tests/process/watch.rs
@@ -15,13 +15,14 @@
 use futures_util::future::LocalBoxFuture;
 use monoio::{LegacyDriver, RuntimeBuilder};
 use oriolefork::cell::activity::ThreadProfiler;
+use oriolefork::cell::config_message::{ConfigMessage, RouteTable};
 use oriolefork::cell::dependencies::{
     AppendError, Journal, JournalSnapshot, OwnerRecord, Page, ReadError,
 };
 use oriolefork::cell::node::{Identity, Node};
 use oriolefork::cell::owner::Dependencies;
 use oriolefork::cell::peer::{
-    ANNOUNCE, Announcement, HandoverOffer, WATCH, WatchRequest, WatchResponse,
+    ANNOUNCE, Announcement, CONFIG, HandoverOffer, WATCH, WatchRequest, WatchResponse,
 };
 use oriolefork::cell::queue::QueueConfig;
 use oriolefork::cell::timings::Timings;
@@ -161,6 +162,10 @@
         }
         let method = method.to_owned();
         async move {
+            if method == CONFIG {
+                let config = QueueConfig::new(1, Vec::new(), Vec::new());
+                return Ok(codec::encode(&ConfigMessage::from(&config)).expect("a message"));
+            }
             let request: WatchRequest = peer::decode(&body)?;
             let query = method.split_once('?').map_or("", |(_, query)| query);
             let hold = Hold::from_query(query).duration();
@@ -176,7 +181,7 @@
                 offer: HandoverOffer::NotOffered,
                 succession_order: (!is_known).then(|| self.order()),
                 succession_digest: 1,
-                config: Some(QueueConfig { version: 1, ..QueueConfig::default() }),
+                config: Some(RouteTable::notice(1)),
             };
             Ok(codec::encode(&response).expect("a message"))
         }
