Check customers' keys and keep their caps

The configuration has customers (name, digests of keys, rate, cap), checked once. An instance checks the key of each call; one that it does not know is looked for in the store, or through the owner, before it is refused, by reads that all callers share (5 a second at most). If neither answers, the caller is sent to another instance with 503. The owner checks again by its own configuration.

It is checked when a task is placed and again when its start is sent. While nothing of the customer runs, one task may go beyond the cap: a cap lowered below an accepted task would leave it waiting for ever. Gangs wider than that are refused.

Tests of tests/logic/cell that built a configuration from its fields use its constructor; the fake owner of tests/process/watch.rs gives its configuration by the new method.

--- a/src/cell/machine/customers.rs
+++ b/src/cell/machine/customers.rs
@@ -156,7 +156,7 @@
     }
 
     /// Tasks of a step that may start under its customer's cap. While nothing of the customer runs,
-    /// the last one may go beyond the cap.
+    /// one of them may go beyond the cap.
     ///
     /// Guards against a cap that is lowered below a task that has been accepted: the task would
     /// wait for ever.
@@ -182,15 +182,30 @@
         }
     }
 
-    /// Whether the other attempts of its customer alone exceed the cap, so that this one may not
-    /// start.
+    /// Whether the customer of an attempt uses more than its cap, so that the attempt may not start.
+    /// What may start alone by [`Machine::allowance`] may do so here.
     ///
     /// Guards against a placement that was made before the cap was lowered and is carried out
     /// afterwards.
     pub(super) fn is_above_cap(&self, run: &Run) -> bool {
         let charge = self.runs.get(run).and_then(|active| active.charge.as_ref());
-        let Some(Charge { customer, demand }) = charge else { return false };
-        let others = self.usage.of(customer).saturating_sub(demand);
-        self.customer(Some(customer)).is_some_and(|found| found.cap.is_exceeded_by(&others))
+        let Some(Charge { customer: name, demand }) = charge else { return false };
+        let Some(customer) = self.customer(Some(name)) else { return false };
+        let usage = self.usage.of(name);
+        if !customer.cap.is_exceeded_by(&usage) {
+            return false;
+        }
+        let members = self.members(run);
+        let is_alone = demand.checked_mul(members).is_some_and(|alone| alone == usage);
+        !is_alone || customer.cap.count(&Amount::ZERO, demand).saturating_add(1) < members
+    }
+
+    /// Number of attempts that start together with `run`: the members of its gang, or itself.
+    fn members(&self, run: &Run) -> u64 {
+        let key = run.task.step;
+        if !self.spec(&key).is_some_and(|step| step.gang) {
+            return 1;
+        }
+        self.runs_of_step(key).filter(|(member, _)| member.number == run.number).count() as u64
     }
 }
--- a/src/cell/node/admission.rs
+++ b/src/cell/node/admission.rs
@@ -1,7 +1,5 @@
 //! Which callers may use which queue, by the newest configuration that the instance can learn of.
 
-use std::rc::Rc;
-
 use super::Node;
 use crate::cell::caller::Caller;
 use crate::cell::customer::KeyDigest;
@@ -43,7 +41,7 @@
     /// # Errors
     /// Returns why the caller may not use the queue.
     pub async fn admit(
-        self: &Rc<Self>,
+        &self,
         host: &str,
         path: &str,
         key: Option<KeyDigest>,
--- a/src/cell/node/answer.rs
+++ b/src/cell/node/answer.rs
@@ -15,8 +15,8 @@
 use crate::cell::dependencies::Eligibility;
 use crate::cell::machine::{Machine, Message};
 use crate::cell::peer::{
-    ANNOUNCE, Announcement, CALL, CONFIG, CONFIGURE, ForwardedCall, HandoverOffer, NO_TABLE,
-    POLICY, PolicyRequest, Reply, TABLE, WATCH, WatchRequest, WatchResponse,
+    ANNOUNCE, Announcement, CALL, CONFIG, CONFIGURE, FRESH_CONFIG, ForwardedCall, HandoverOffer,
+    NO_TABLE, POLICY, PolicyRequest, Reply, TABLE, WATCH, WatchRequest, WatchResponse,
 };
 use crate::cell::timings::WATCH_HOLD;
 use crate::cell::watch::Hold;
@@ -37,6 +37,9 @@
             }
             WATCH => encode(&self.watched(&decode(body)?, Hold::from_query(query)).await),
             POLICY => encode(&self.query_policy(decode(body)?).await),
+            _ if method == FRESH_CONFIG && !self.refresh_config().await => {
+                Err(Refusal::new(Code::Busy, "the store does not answer"))
+            }
             CONFIG => encode(&ConfigMessage::from(&*self.config())),
             CONFIGURE => {
                 self.apply_message(decode(body)?);
--- a/src/cell/node/config.rs
+++ b/src/cell/node/config.rs
@@ -94,21 +94,22 @@
 
     /// Fetches the configuration from another instance whose version is `version`, if that is
     /// newer.
-    pub(in crate::cell) fn note_config_version(self: &Rc<Self>, peer: SocketAddr, version: u64) {
+    pub(in crate::cell) fn note_config_version(&self, peer: SocketAddr, version: u64) {
+        let Some(node) = self.this.upgrade() else { return };
         if version <= self.config().version || self.is_fetching_config.replace(true) {
             return;
         }
-        let node = self.clone();
         monoio::spawn(async move {
-            node.fetch_config(peer).await;
+            node.fetch_config(peer, CONFIG).await;
             node.is_fetching_config.set(false);
         });
     }
 
-    /// Fetches and applies the configuration of another instance; `true` if it answered.
-    pub(super) async fn fetch_config(&self, peer: SocketAddr) -> bool {
+    /// Fetches and applies the configuration of another instance by [`CONFIG`] or [`FRESH_CONFIG`];
+    /// `true` if it answered.
+    pub(super) async fn fetch_config(&self, peer: SocketAddr, method: &str) -> bool {
         let fetched: Result<ConfigMessage, _> =
-            self.deps.peers.call(peer, CONFIG, &(), CONFIG_TIMEOUT).await;
+            self.deps.peers.call(peer, method, &(), CONFIG_TIMEOUT).await;
         match fetched {
             Ok(message) => {
                 self.apply_message(message);
--- a/src/cell/node/mod.rs
+++ b/src/cell/node/mod.rs
@@ -19,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 pub use admission::{Admission, Denial};
 use refresh::Refresh;
@@ -46,6 +46,8 @@
 
 /// One instance.
 pub struct Node {
+    /// The instance itself, for the tasks that it starts.
+    this: Weak<Self>,
     /// Address at which other instances reach it.
     pub me: SocketAddr,
     /// Random number drawn at the start of the process.
@@ -83,7 +85,8 @@
     ) -> Rc<Self> {
         let views = (0..cells.max(1)).map(|cell| (Id(cell), CellView::default())).collect();
         let Identity { me, incarnation, cpu_millis, domain } = identity;
-        Rc::new(Self {
+        Rc::new_cyclic(|this| Self {
+            this: this.clone(),
             me,
             incarnation,
             cpu_millis,
--- a/src/cell/node/refresh.rs
+++ b/src/cell/node/refresh.rs
@@ -6,10 +6,10 @@
 //! the owner next to nothing.
 
 use std::cell::{Cell, RefCell};
-use std::rc::Rc;
 use std::time::Duration;
 
 use super::Node;
+use crate::cell::peer::FRESH_CONFIG;
 use crate::clock::Instant;
 use crate::shutdown::Shutdown;
 use crate::telemetry::names;
@@ -33,8 +33,8 @@
 
 impl Node {
     /// Makes sure that this instance has the newest configuration of a time after the call; `false`
-    /// if neither the store nor an owner answered.
-    pub(super) async fn refresh_config(self: &Rc<Self>) -> bool {
+    /// if neither the store answered nor an owner that the store answers.
+    pub(super) async fn refresh_config(&self) -> bool {
         let clock = self.deps.clock.clone();
         let asked = clock.now();
         loop {
@@ -59,11 +59,11 @@
         }
     }
 
-    fn begin_refresh(self: &Rc<Self>, now: Instant) {
+    fn begin_refresh(&self, now: Instant) {
+        let Some(node) = self.this.upgrade() else { return };
         let ended = Shutdown::new();
         self.refresh.began.set(Some(now));
         *self.refresh.in_flight.borrow_mut() = Some(ended.clone());
-        let node = self.clone();
         monoio::spawn(async move {
             let answered = node.read_config_once().await;
             let outcome = if answered { "answered" } else { "unanswered" };
@@ -76,8 +76,8 @@
         });
     }
 
-    /// Reads the configuration from the store, or else from the owners of the cells; `true` if one
-    /// of them answered.
+    /// Reads the configuration from the store, or else through the owners of the cells; `true` if
+    /// the store answered one of them.
     async fn read_config_once(&self) -> bool {
         let read = self.deps.discovery.newer_config(self.config().version, Duration::ZERO);
         match monoio::time::timeout(STORE_TIMEOUT, read).await {
@@ -91,7 +91,7 @@
             Err(_) => log::info!("event=config.not_read cause=\"no answer in time\""),
         }
         for owner in self.other_owners() {
-            if self.fetch_config(owner).await {
+            if self.fetch_config(owner, FRESH_CONFIG).await {
                 return true;
             }
         }
--- a/src/cell/peer.rs
+++ b/src/cell/peer.rs
@@ -21,6 +21,9 @@
 pub const ANNOUNCE: &str = "cell/announce";
 /// Peer method that returns the configuration of an instance.
 pub const CONFIG: &str = "cell/config";
+/// The same of an instance that first looks for a newer one in the store, and is refused if the
+/// store does not answer.
+pub const FRESH_CONFIG: &str = "cell/config?fresh";
 /// Peer method that sends a newer configuration.
 pub const CONFIGURE: &str = "cell/configure";
 /// Peer method by which instances of earlier versions send theirs, without customers.
--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -23,6 +23,7 @@
     late_config: false,
     own_timeouts: false,
     failing_interval: 11,
+    cap_ms: 0,
 };
 
 const CRASHING_TASKS_OF_OWNERS_KILLED: Faults = Faults {
@@ -160,6 +161,19 @@
     "workers_whose_answers_are_lost"
 )]
 #[test_case(LOST_ANSWERS_AND_ALL_FAULTS; "workers_whose_answers_are_lost_and_all_faults")]
+#[test_case(Faults { cap_ms: 1_200, ..NO_FAULTS }; "caps_that_change")]
+#[test_case(
+    Faults { cap_ms: 1_200, takeover_ms: 1_500, stale_owners: true, ..NO_FAULTS };
+    "caps_that_change_of_owners_killed"
+)]
+#[test_case(
+    Faults { cap_ms: 1_200, delayed_calls: 0.1, ..NO_FAULTS };
+    "caps_that_change_while_calls_are_delayed"
+)]
+#[test_case(
+    Faults { cap_ms: 1_200, ..LOST_ANSWERS_AND_ALL_FAULTS };
+    "caps_that_change_and_all_faults"
+)]
 fn history_keeps_invariants(faults: Faults) {
     for seed in 1..=seeds() {
         let simulation = run_history(seed, faults);
--- a/tests/logic/cell/simulation/faults.rs
+++ b/tests/logic/cell/simulation/faults.rs
@@ -48,6 +48,9 @@
         if self.faults.resize_ms > 0 && self.chance(every(self.faults.resize_ms)) {
             self.resize_worker();
         }
+        if self.faults.cap_ms > 0 && self.chance(every(self.faults.cap_ms)) {
+            self.change_caps();
+        }
         let turn = if self.store_down { OUTAGE_MS } else { OUTAGE_INTERVAL_MS };
         if self.chance(every(SNAPSHOT_INTERVAL_MS)) {
             for owner in 0..self.owners.len() {
@@ -180,10 +183,10 @@
     fn draw_config(&mut self) -> Rc<QueueConfig> {
         // Not drawn when disabled, so that other histories keep their random sequence.
         if !self.faults.late_config || self.rng.random_bool(0.5) {
-            return model::queue_config();
+            return self.config();
         }
         let delay = self.rng.random_range(0..CONFIG_DELAY_MS);
-        let message = Message::ConfigChanged(model::queue_config());
+        let message = Message::ConfigChanged(self.config());
         self.schedule(delay, Event::Owner { owner: self.owners.len(), message });
         Rc::default()
     }
--- a/tests/logic/cell/simulation/invariants.rs
+++ b/tests/logic/cell/simulation/invariants.rs
@@ -69,6 +69,7 @@
             used.fits(&limit),
             "{now}: {run} raises the allocation of {worker} to {used}, above its {limit}"
         );
+        self.check_cap(run, sent);
         for (other, upstream) in &self.workers {
             let other_run = upstream
                 .runs
--- a/tests/logic/cell/simulation/mod.rs
+++ b/tests/logic/cell/simulation/mod.rs
@@ -5,6 +5,7 @@
 //! Safety is checked at each start; what must happen eventually is checked after the faults have
 //! ended.
 
+mod caps;
 mod faults;
 mod invariants;
 mod journal;
@@ -15,7 +16,6 @@
 
 use bytes::Bytes;
 use oriolefork::cell::Epoch;
-use oriolefork::cell::caller::Caller;
 use oriolefork::cell::dependencies::{JournalSnapshot, PollRequest, StartCommand};
 use oriolefork::cell::job::{Id, Job, Run, TaskKey};
 use oriolefork::cell::machine::{Answer, Call, Effect, Machine, Message};
@@ -23,6 +23,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use self::caps::Caps;
 use self::ledger::Ledger;
 use super::model;
 use super::upstream::Upstream;
@@ -65,6 +66,9 @@
     pub own_timeouts: bool,
     /// Every how manieth job fails.
     pub failing_interval: u64,
+    /// Mean interval between changes of the customers' caps, in milliseconds; zero for a site
+    /// without customers.
+    pub cap_ms: u64,
 }
 
 enum WorkerCall {
@@ -116,6 +120,7 @@
     rng: StdRng,
     faults: Faults,
     faults_ended: bool,
+    caps: Caps,
     owners: Vec<Owner>,
     journal: Vec<Bytes>,
     epoch: Epoch,
@@ -162,6 +167,7 @@
             rng,
             faults,
             faults_ended: false,
+            caps: Caps::default(),
             owners: Vec::new(),
             journal: Vec::new(),
             epoch: Epoch(0),
@@ -186,6 +192,9 @@
             starts: 0,
             takeovers: 0,
         };
+        if simulation.has_customers() {
+            simulation.change_caps();
+        }
         simulation.take_over();
         simulation
     }
@@ -203,6 +212,9 @@
     pub fn settle(&mut self, span_ms: u64) {
         self.faults_ended = true;
         self.store_down = false;
+        if self.has_customers() {
+            self.change_caps();
+        }
         for upstream in self.workers.values_mut() {
             upstream.reachable = true;
             upstream.answers_lost = false;
@@ -260,7 +272,7 @@
         self.next_call += 1;
         let number = self.next_call;
         self.calls.insert((owner, number), id);
-        let message = Message::Call { id: number, call, caller: Caller::default() };
+        let message = Message::Call { id: number, call, caller: self.caller_of(&id) };
         self.schedule(1, Event::Owner { owner, message });
     }
 
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests over real sockets on loopback. Verdicts wait for conditions, never for the machine's speed.
 
+mod admission;
 mod cli;
 mod config;
 mod controller;
--- a/tests/process/watch.rs
+++ b/tests/process/watch.rs
@@ -17,12 +17,12 @@
 use oriolefork::cell::activity::ThreadProfiler;
 use oriolefork::cell::config_message::{ConfigMessage, RouteTable};
 use oriolefork::cell::dependencies::{
-    AppendError, Journal, JournalSnapshot, OwnerRecord, Page, ReadError,
+    AppendError, Discovery, Journal, JournalSnapshot, OwnerRecord, Page, ReadError,
 };
 use oriolefork::cell::node::{Identity, Node};
 use oriolefork::cell::owner::Dependencies;
 use oriolefork::cell::peer::{
-    ANNOUNCE, Announcement, CONFIG, HandoverOffer, WATCH, WatchRequest, WatchResponse,
+    ANNOUNCE, Announcement, CONFIG, FRESH_CONFIG, HandoverOffer, WATCH, WatchRequest, WatchResponse,
 };
 use oriolefork::cell::queue::QueueConfig;
 use oriolefork::cell::timings::Timings;
@@ -100,8 +100,12 @@
 }
 
 /// An owner with a given number of followers, of which the instance under test has a given position.
-struct FakeOwner {
-    address: SocketAddr,
+pub(super) struct FakeOwner {
+    /// Its configuration.
+    pub(super) config: RefCell<QueueConfig>,
+    /// Number of times that it was asked for a configuration that is not older than the call.
+    pub(super) fresh_configs: Cell<u32>,
+    pub(super) address: SocketAddr,
     followers: usize,
     position: usize,
     /// Methods of the watch requests received.
@@ -115,7 +119,7 @@
 
 impl FakeOwner {
     /// Serves an owner on a free port.
-    fn serve(followers: usize, position: usize) -> Rc<Self> {
+    pub(super) fn serve(followers: usize, position: usize) -> Rc<Self> {
         Self::serve_with_pause(followers, position, Duration::ZERO)
     }
 
@@ -123,6 +127,8 @@
         let address = "127.0.0.1:0".parse().expect("an address");
         let server = peer::Server::bind(address, peer::Limits::default()).expect("a free port");
         let owner = Rc::new(Self {
+            config: RefCell::new(QueueConfig::new(1, Vec::new(), Vec::new())),
+            fresh_configs: Cell::new(0),
             address: server.local_addr().expect("an address"),
             followers,
             position,
@@ -162,9 +168,11 @@
         }
         let method = method.to_owned();
         async move {
-            if method == CONFIG {
-                let config = QueueConfig::new(1, Vec::new(), Vec::new());
-                return Ok(codec::encode(&ConfigMessage::from(&config)).expect("a message"));
+            if method == CONFIG || method == FRESH_CONFIG {
+                self.fresh_configs
+                    .set(self.fresh_configs.get() + u32::from(method == FRESH_CONFIG));
+                let message = ConfigMessage::from(&*self.config.borrow());
+                return Ok(codec::encode(&message).expect("a message"));
             }
             let request: WatchRequest = peer::decode(&body)?;
             let query = method.split_once('?').map_or("", |(_, query)| query);
@@ -181,7 +189,7 @@
                 offer: HandoverOffer::NotOffered,
                 succession_order: (!is_known).then(|| self.order()),
                 succession_digest: 1,
-                config: Some(RouteTable::notice(1)),
+                config: Some(RouteTable::notice(self.config.borrow().version)),
             };
             Ok(codec::encode(&response).expect("a message"))
         }
@@ -191,13 +199,21 @@
 
 /// Starts an instance that finds this owner, if any.
 fn start_instance(owner: Option<SocketAddr>) -> Rc<Node> {
+    start_with_discovery(owner, Rc::new(Unresponsive))
+}
+
+/// The same with a discovery service.
+pub(super) fn start_with_discovery(
+    owner: Option<SocketAddr>,
+    discovery: Rc<dyn Discovery>,
+) -> Rc<Node> {
     let limits = peer::Limits { keepalive: Duration::from_millis(100), ..peer::Limits::default() };
     let clock: Rc<dyn Clock> = Rc::new(System::start());
     let deps = Dependencies {
         journal: Rc::new(MemoryJournal { owner, ..MemoryJournal::default() }),
         workers: Rc::new(Unresponsive),
         policy_service: Rc::new(Unresponsive),
-        discovery: Rc::new(Unresponsive),
+        discovery,
         peers: Rc::new(peer::Client::new(limits)),
         clock,
         profiler: ThreadProfiler::new(),
@@ -213,14 +229,14 @@
     node
 }
 
-fn run(test: impl Future<Output = ()>) {
+pub(super) fn run(test: impl Future<Output = ()>) {
     let builder = RuntimeBuilder::<LegacyDriver>::new();
     // Instances outlive the test, so their runtime must not be dropped.
     let mut runtime = ManuallyDrop::new(builder.enable_timer().build().expect("a runtime"));
     runtime.block_on(test);
 }
 
-async fn until(done: impl Fn() -> bool) {
+pub(super) async fn until(done: impl Fn() -> bool) {
     let start = Instant::now();
     while !done() {
         assert!(start.elapsed() < LIMIT, "the condition did not hold within {LIMIT:?}");
