Let jobs beyond their customer's rate yield to those of others

What users saw: while one customer sent 7.5 times its usual, the jobs of all waited in one order and everybody was late.

Each customer has a token bucket of five seconds of its rate. A job that finds it empty is beyond the rate: it is placed after all that can be on time or late, and before those of no value, and it neither preempts nor holds up others. Where capacity is free it is served. The owner logs once a second which customers' steps wait for caps alone, with the figures.

--- a/src/cell/machine/backlog.rs
+++ b/src/cell/machine/backlog.rs
@@ -21,13 +21,24 @@
 #[derive(Debug)]
 pub(super) struct BacklogLog {
     next: Instant,
+    /// When the next lines about customers at their caps are due.
+    next_capped: Instant,
     /// Placement rounds since the last line.
     rounds: u32,
 }
 
 impl BacklogLog {
     pub(super) const fn new(now: Instant) -> Self {
-        Self { next: now, rounds: 0 }
+        Self { next: now, next_capped: now, rounds: 0 }
+    }
+
+    /// Whether lines about customers at their caps are due; the next ones then wait.
+    pub(super) fn take_capped_turn(&mut self, now: Instant) -> bool {
+        let is_due = now >= self.next_capped;
+        if is_due {
+            self.next_capped = now.after(LOG_INTERVAL);
+        }
+        is_due
     }
 }
 
@@ -47,8 +58,9 @@
         }
         self.backlog.next = self.now.after(LOG_INTERVAL);
         let rounds = std::mem::take(&mut self.backlog.rounds);
-        let classes = [Timeliness::OnTime, Timeliness::Late, Timeliness::Worthless];
-        let [on_time, late, worthless] = classes.map(|timeliness| {
+        let classes =
+            [Timeliness::OnTime, Timeliness::Late, Timeliness::Excess, Timeliness::Worthless];
+        let [on_time, late, excess, worthless] = classes.map(|timeliness| {
             waiting.iter().filter(|step| step.rank.timeliness == timeliness).count()
         });
         let gangs = waiting.iter().filter(|step| step.spec().gang).count();
@@ -57,8 +69,8 @@
         let idle = self.proxies.values().filter(|proxy| proxy.is_idle(self.now)).count();
         let (free, cores) = (views.free_cpu_millis() / 1_000, views.cpu_millis() / 1_000);
         log::info!(
-            "event=steps.waiting on_time={on_time} late={late} worthless={worthless} gangs={gangs} \
-             unasked={unqueried} askers={fresh} idle_askers={idle} free_cores={free} cores={cores} \
+            "event=steps.waiting on_time={on_time} late={late} excess={excess} worthless={worthless} \
+             gangs={gangs} unasked={unqueried} askers={fresh} idle_askers={idle} free_cores={free} cores={cores} \
              workers={} rounds={rounds}",
             views.count()
         );
--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -85,6 +85,7 @@
             );
             names::CELL_JOBS.increment(&[("outcome", "accepted")]);
             self.round_jobs.add(job.id);
+            self.count_for_share(job.id, &job, self.unix);
             self.record(Record::Accepted { at: self.unix, job });
             self.needs_placement = true;
         }
--- a/src/cell/machine/customers.rs
+++ b/src/cell/machine/customers.rs
@@ -4,6 +4,7 @@
 //! whose start command was lost or is late, one on a worker that does not answer, and one of an
 //! earlier owner. All of them are in the journal, so that a new owner counts the same.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use super::pending::PendingStep;
@@ -12,7 +13,7 @@
 use crate::cell::customer::{Customer, Name};
 use crate::cell::job::{Id, Job, Run, Step, StepKey};
 use crate::cell::queue::Access;
-use crate::resource::Amount;
+use crate::resource::{Amount, Limit};
 
 /// What an attempt counts for the cap of its customer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +28,16 @@
     by_customer: HashMap<Name, Amount>,
 }
 
+/// Customers with a log line of their own, those with the most waiting steps.
+const MAX_LOGGED_CUSTOMERS: usize = 8;
+
+/// Steps of a customer that wait for its cap alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct HeldBack {
+    steps: usize,
+    tasks: usize,
+}
+
 /// How a customer's cap restricts a waiting step now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Allowance {
@@ -132,7 +143,7 @@
         job.steps.iter().any(is_too_wide)
     }
 
-    fn customer(&self, name: Option<&str>) -> Option<&Customer> {
+    pub(super) fn customer(&self, name: Option<&str>) -> Option<&Customer> {
         let customers = self.config.customers.as_ref()?;
         customers.named(name?).map(|customer| &**customer)
     }
@@ -176,9 +187,49 @@
 
     /// Removes the steps of which no task may start under the cap of its customer, so that no
     /// query, reservation or preemption is spent on them.
-    pub(super) fn hold_back_capped(&self, waiting: &mut Vec<PendingStep>) {
-        if self.config.customers.is_some() {
-            waiting.retain(|step| self.startable(step) > 0);
+    pub(super) fn hold_back_capped(&mut self, waiting: &mut Vec<PendingStep>) {
+        let mut held_back = std::mem::take(&mut self.held_back);
+        held_back.clear();
+        waiting.retain(|step| {
+            let may_start = self.startable(step) > 0;
+            if let Some(customer) = step.job.customer.as_ref().filter(|_| !may_start) {
+                let held = held_back.entry(customer.clone()).or_default();
+                held.steps += 1;
+                held.tasks += step.pending.len();
+            }
+            may_start
+        });
+        self.held_back = held_back;
+        self.log_held_back();
+    }
+
+    /// Logs which customers' steps wait for their caps, and the figures.
+    fn log_held_back(&mut self) {
+        if self.held_back.is_empty() || !self.backlog.take_capped_turn(self.now) {
+            return;
+        }
+        let mut held_back: Vec<(&Name, &HeldBack)> = self.held_back.iter().collect();
+        held_back.sort_by_key(|(_, held)| Reverse(held.steps));
+        for (name, held) in held_back.into_iter().take(MAX_LOGGED_CUSTOMERS) {
+            let usage = self.usage.of(name);
+            let cap = self.customer(Some(name)).map(|customer| customer.cap);
+            let limit = |limit: fn(&Limit) -> Option<u64>| match &cap {
+                Some(cap) => limit(cap).map_or_else(|| "none".to_owned(), |most| most.to_string()),
+                None => "unknown".to_owned(),
+            };
+            log::info!(
+                "event=customer.capped customer={} steps={} tasks={} cpu_millis={} cpu_cap={} \
+                 memory_mib={} memory_cap={} accelerators={} accelerators_cap={}",
+                crate::logging::value(name),
+                held.steps,
+                held.tasks,
+                usage.cpu_millis,
+                limit(|cap| cap.cpu_millis),
+                usage.memory_mib,
+                limit(|cap| cap.memory_mib),
+                usage.accelerators,
+                limit(|cap| cap.accelerators)
+            );
         }
     }
 
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -30,6 +30,7 @@
 mod recovery;
 mod reservation;
 mod roster;
+mod shares;
 mod succession;
 mod timer_queue;
 mod tracked_map;
@@ -49,14 +50,16 @@
 
 use self::activation::ActivationLog;
 use self::backlog::BacklogLog;
-use self::customers::CustomerUsage;
+use self::customers::{CustomerUsage, HeldBack};
 use self::inactive::InactiveWorkers;
 use self::pending::RoundJobs;
 use self::proxy::PolicyProxy;
+use self::shares::CustomerShares;
 use self::timer_queue::TimerQueue;
 use self::view::WorkerViews;
 use super::Epoch;
 use super::activity::OwnerActivity;
+use super::customer::Name;
 use super::failure_rate::FailureRate;
 use super::job::{Id, Job, Phase, Run, Step, StepKey};
 use super::peer::HandoverOffer;
@@ -109,6 +112,9 @@
     pub runs: TrackedMap<Run, ActiveRun>,
     /// Resources that each customer's attempts use.
     usage: CustomerUsage,
+    shares: CustomerShares,
+    /// Steps that the last round did not consider because of caps, by customer.
+    held_back: BTreeMap<Name, HeldBack>,
     /// Answers of the policy service, by step.
     pub tickets: BTreeMap<StepKey, Tickets>,
     /// Mean run time of a task by queue, in milliseconds.
@@ -189,6 +195,8 @@
             next_extension: now,
             runs: TrackedMap::default(),
             usage: CustomerUsage::default(),
+            shares: CustomerShares::default(),
+            held_back: BTreeMap::new(),
             tickets: BTreeMap::new(),
             mean_run_times_ms: BTreeMap::new(),
             eligible_shares: BTreeMap::new(),
@@ -225,6 +233,7 @@
             unix,
         };
         machine.recover_runs();
+        machine.recover_shares();
         machine
     }
 
@@ -338,6 +347,7 @@
             remove_job(&mut self.tickets, id);
             remove_job(&mut self.failed_workers, id);
             remove_job(&mut self.next_preemption, id);
+            self.shares.forget(&id);
         }
     }
 
--- a/src/cell/machine/rank.rs
+++ b/src/cell/machine/rank.rs
@@ -29,6 +29,8 @@
 pub(super) enum Timeliness {
     OnTime,
     Late,
+    /// Of any value, beyond the rate of its customer.
+    Excess,
     Worthless,
 }
 
@@ -41,12 +43,14 @@
         let remaining = self.remaining_path_ms(job, key.step as usize, queue) * ON_TIME_RUN_SHARE
             + self.first_query_ms(job, key, queue);
         let end = (self.unix.as_millis().saturating_sub(begin)) as f64 + remaining;
-        let timeliness = if end <= objective {
-            Timeliness::OnTime
-        } else if end <= objective * WORTHLESS_FACTOR {
+        let timeliness = if end > objective * WORTHLESS_FACTOR {
+            Timeliness::Worthless
+        } else if self.shares.is_excess(&key.job) {
+            Timeliness::Excess
+        } else if end > objective {
             Timeliness::Late
         } else {
-            Timeliness::Worthless
+            Timeliness::OnTime
         };
         Rank { timeliness, priority: queue.priority, deadline: begin + objective as u64 }
     }
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -115,7 +115,10 @@
     pub(super) fn configure(&mut self, config: Rc<QueueConfig>) {
         if config.version > self.config.version {
             log::info!("event=config.in_force version={}", config.version);
-            self.config = config;
+            let had_customers = std::mem::replace(&mut self.config, config).customers.is_some();
+            if !had_customers {
+                self.recover_shares();
+            }
             self.workers.mark_all_changed();
             self.needs_placement = true;
         }
