Give what a cap leaves to its customer's first steps

In each round the steps of a customer claim what its cap leaves, in rank order; the others are held back before any query, reservation or preemption is spent on them. A wide step is queried about once a useful part of it may start.

Tests: two load patterns in tests/logic/cell/customers.rs. The test of shares across a change of owner compares jobs that are on time; before it passed without the shares.

--- a/src/cell/machine/customers.rs
+++ b/src/cell/machine/customers.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 
 use super::pending::PendingStep;
+use super::policy_query::useful_tasks;
 use super::{Answer, Call, Machine};
 use crate::cell::caller::Caller;
 use crate::cell::customer::{Customer, Name};
@@ -157,8 +158,13 @@
     /// How many of the pending tasks of a step its customer's cap lets start now: all or none of a
     /// gang.
     pub(super) fn startable(&self, step: &PendingStep) -> usize {
+        self.startable_beside(step, &Amount::ZERO)
+    }
+
+    /// The same if `claimed` of the cap is meant for other steps.
+    fn startable_beside(&self, step: &PendingStep, claimed: &Amount) -> usize {
         let pending = step.pending.len();
-        match self.allowance(step) {
+        match self.allowance(step, claimed) {
             Allowance::Unlimited => pending,
             Allowance::Unknown => 0,
             Allowance::Tasks(tasks) if step.spec().gang && tasks < pending as u64 => 0,
@@ -171,12 +177,12 @@
     ///
     /// Guards against a cap that is lowered below a task that has been accepted: the task would
     /// wait for ever.
-    fn allowance(&self, step: &PendingStep) -> Allowance {
+    fn allowance(&self, step: &PendingStep, claimed: &Amount) -> Allowance {
         let (Some(name), Some(_)) = (&step.job.customer, &self.config.customers) else {
             return Allowance::Unlimited;
         };
         let Some(customer) = self.customer(Some(name)) else { return Allowance::Unknown };
-        let usage = self.usage.of(name);
+        let usage = self.usage.of(name).saturating_add(claimed);
         let count = customer.cap.count(&usage, &step.spec().demand);
         if !usage.is_zero() {
             return Allowance::Tasks(count);
@@ -185,14 +191,25 @@
         Allowance::Tasks(beyond)
     }
 
-    /// Removes the steps of which no task may start under the cap of its customer, so that no
-    /// query, reservation or preemption is spent on them.
+    /// Removes the steps that have to wait for the cap of their customer, so that no query,
+    /// reservation or preemption is spent on them. What the cap leaves goes to the first in rank.
+    ///
+    /// Pattern of load: a customer submits more than its cap lets run. Each of its steps was
+    /// queried about again and again for the few tasks that might start, and the instances that
+    /// send queries were missing for the steps of others.
     pub(super) fn hold_back_capped(&mut self, waiting: &mut Vec<PendingStep>) {
         let mut held_back = std::mem::take(&mut self.held_back);
         held_back.clear();
+        let mut claims: HashMap<Name, Amount> = HashMap::new();
         waiting.retain(|step| {
-            let may_start = self.startable(step) > 0;
-            if let Some(customer) = step.job.customer.as_ref().filter(|_| !may_start) {
+            let Some(customer) = &step.job.customer else { return true };
+            let claimed = claims.entry(customer.clone()).or_insert(Amount::ZERO);
+            let tasks = self.startable_beside(step, claimed);
+            let may_start = self.is_worth_considering(step, tasks);
+            if may_start {
+                let wanted = step.spec().demand.checked_mul(tasks as u64);
+                *claimed = wanted.map_or(*claimed, |wanted| claimed.saturating_add(&wanted));
+            } else {
                 let held = held_back.entry(customer.clone()).or_default();
                 held.steps += 1;
                 held.tasks += step.pending.len();
@@ -203,6 +220,17 @@
         self.log_held_back();
     }
 
+    /// Whether a step of which `tasks` may start is worth a query to the policy service, if it needs
+    /// one.
+    fn is_worth_considering(&self, step: &PendingStep, tasks: usize) -> bool {
+        if tasks == 0 || step.queue.policy.is_none() || self.has_query_or_tickets(step) {
+            return tasks > 0;
+        }
+        let Some(customer) = self.customer(step.job.customer.as_deref()) else { return true };
+        let most = customer.cap.count(&Amount::ZERO, &step.spec().demand).max(1);
+        tasks as u64 >= most.min(useful_tasks(step.pending.len()) as u64)
+    }
+
     /// Logs which customers' steps wait for their caps, and the figures.
     fn log_held_back(&mut self) {
         if self.held_back.is_empty() || !self.backlog.take_capped_turn(self.now) {
--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -127,6 +127,12 @@
     }
 }
 
+/// Number of tasks of a step that is not a gang, with `pending` tasks to place, from which a query
+/// about it is worth its time.
+pub(super) fn useful_tasks(pending: usize) -> f64 {
+    (pending as f64 * MIN_USEFUL_FRACTION).min(MIN_USEFUL_TASKS)
+}
+
 impl Machine {
     /// Sends the query that the step still needs before it can be placed, if there is one.
     pub(super) fn query_policy(
@@ -207,7 +213,7 @@
                 return unqueried;
             }
         }
-        if room >= (wanted * MIN_USEFUL_FRACTION).min(MIN_USEFUL_TASKS) {
+        if room >= useful_tasks(step.pending.len()) {
             return expiring.choose(wanted * WORKER_FACTOR);
         }
         Vec::new()
--- a/tests/logic/cell/customers.rs
+++ b/tests/logic/cell/customers.rs
@@ -5,9 +5,9 @@
 use oriolefork::cell::caller::Caller;
 use oriolefork::cell::customer::{Customer, Customers, InvalidCustomers, KeyDigest, MAX_CAP};
 use oriolefork::cell::dependencies::WorkerError;
-use oriolefork::cell::job::{Phase, Run, RunOutcome, Step};
+use oriolefork::cell::job::{Id, Phase, Run, RunOutcome, Step};
 use oriolefork::cell::machine::{Answer, Call, Machine, Message};
-use oriolefork::cell::queue::{Queue, QueueConfig};
+use oriolefork::cell::queue::{PolicyTiming, Queue, QueueConfig};
 use oriolefork::cell::timings::Timings;
 use oriolefork::clock::{Instant, Unix};
 use oriolefork::resource::{Amount, Limit};
@@ -178,6 +178,51 @@
     assert_eq!(submit(&mut harness, MUSEUM, 2, gang(3)).len(), 3);
 }
 
+/// An owner whose queue is subject to the policy service, with instances that can query it.
+fn owner_with_policy(workers: usize, cap: u64) -> OwnerHarness {
+    let mut harness = OwnerHarness::new(workers);
+    let timing = PolicyTiming { decide_ms: 100.0, per_worker_ms: 1.0, valid_ms: 1_500 };
+    let base = model::policy_config(timing);
+    let customers = config(2, cap).customers.clone().expect("customers");
+    harness.deliver(Message::ConfigChanged(Rc::new(
+        (*base).clone().with_customers((*customers).clone()),
+    )));
+    (1..=8).for_each(|number| harness.see_instance(number));
+    harness
+}
+
+/// Submits a job and returns the jobs that the policy service is asked about.
+fn queried(harness: &mut OwnerHarness, customer: &str, number: u64, step: Step) -> Vec<Id> {
+    harness.call_as(number, Call::Submit(job(number, step)), caller(customer));
+    harness.complete_appends();
+    harness.advance(60);
+    harness.drain_queries().iter().map(|query| query.step.job).collect()
+}
+
+/// Load pattern: a customer submits more than its cap lets run. Each of its steps took an instance
+/// for a query although only the first could start, and those of others had none.
+#[test]
+fn capped_steps_take_no_queries() {
+    let mut harness = owner_with_policy(4, 4);
+    assert_eq!(queried(&mut harness, MUSEUM, 1, step(2, cores(2))), [id(1)]);
+    assert_eq!(queried(&mut harness, MUSEUM, 2, step(2, cores(2))), []);
+    assert_eq!(queried(&mut harness, MUSEUM, 3, step(9, cores(1))), []);
+    assert_eq!(queried(&mut harness, ORCHARD, 4, step(2, cores(2))), [id(4)]);
+}
+
+/// Load pattern: a wide step waits at its customer's cap. Each end let one task start, after a
+/// query for it alone. It is queried about once a useful part of it may start.
+#[test]
+fn wide_step_at_its_cap_is_queried_for_a_useful_part() {
+    let mut harness = owner_with_policy(4, 16);
+    let first = queried(&mut harness, ORCHARD, 1, step(1, cores(1)));
+    assert_eq!(first, [id(1)]);
+    assert_eq!(queried(&mut harness, MUSEUM, 2, step(15, cores(1))), [id(2)]);
+    // One core of the cap is left.
+    assert_eq!(queried(&mut harness, MUSEUM, 3, step(12, cores(1))), []);
+    assert_eq!(queried(&mut harness, MUSEUM, 4, step(1, cores(1))), [id(4)]);
+}
+
 #[test_case(&Caller { key: Some(KeyDigest::of("stolen")), ..caller(MUSEUM) }, Answer::Unauthorized;
     "unknown_key")]
 #[test_case(&Caller { key: Some(KeyDigest::of(ORCHARD)), ..caller(MUSEUM) }, Answer::Unauthorized;
--- a/tests/logic/cell/shares.rs
+++ b/tests/logic/cell/shares.rs
@@ -103,6 +103,7 @@
     let state = harness.machine.state.clone();
     let machine = Machine::new(state, 0, 1, config(), Timings::default(), now, unix);
     let mut successor = OwnerHarness::start_running(machine, 1, &[]);
+    successor.advance(200);
     submit(&mut successor, QUIET, QUIET_JOB);
     let order = run_all(&mut successor, 13);
     let position = order.iter().position(|job| *job == QUIET_JOB);
