--- a/src/cell/machine/customers.rs
+++ b/src/cell/machine/customers.rs
@@ -193,6 +193,8 @@
 
     /// Removes the steps that have to wait for the cap of their customer, so that no query,
     /// reservation or preemption is spent on them. What the cap leaves goes to the first in rank.
+    /// While the customer uses no more than half of its cap, each step that may start is considered,
+    /// since the first may wait for something else.
     ///
     /// Pattern of load: a customer submits more than its cap lets run. Each of its steps was
     /// queried about again and again for the few tasks that might start, and the instances that
@@ -204,8 +206,10 @@
         waiting.retain(|step| {
             let Some(customer) = &step.job.customer else { return true };
             let claimed = claims.entry(customer.clone()).or_insert(Amount::ZERO);
-            let tasks = self.startable_beside(step, claimed);
-            let may_start = self.is_worth_considering(step, tasks);
+            let is_near_cap = self.is_near_cap(customer);
+            let others = if is_near_cap { *claimed } else { Amount::ZERO };
+            let tasks = self.startable_beside(step, &others);
+            let may_start = tasks > 0 && (!is_near_cap || self.is_worth_considering(step, tasks));
             if may_start {
                 let wanted = step.spec().demand.checked_mul(tasks as u64);
                 *claimed = wanted.map_or(*claimed, |wanted| claimed.saturating_add(&wanted));
@@ -220,15 +224,19 @@
         self.log_held_back();
     }
 
+    /// Whether a customer uses more than half of its cap, in any dimension.
+    fn is_near_cap(&self, name: &Name) -> bool {
+        let usage = self.usage.of(name);
+        let twice = usage.saturating_add(&usage);
+        self.customer(Some(name)).is_some_and(|customer| customer.cap.is_exceeded_by(&twice))
+    }
+
     /// Whether a step of which `tasks` may start is worth a query to the policy service, if it needs
     /// one.
     fn is_worth_considering(&self, step: &PendingStep, tasks: usize) -> bool {
-        if tasks == 0 || step.queue.policy.is_none() || self.has_query_or_tickets(step) {
-            return tasks > 0;
-        }
-        let Some(customer) = self.customer(step.job.customer.as_deref()) else { return true };
-        let most = customer.cap.count(&Amount::ZERO, &step.spec().demand).max(1);
-        tasks as u64 >= most.min(useful_tasks(step.pending.len()) as u64)
+        step.queue.policy.is_none()
+            || self.has_query_or_tickets(step)
+            || tasks as f64 >= useful_tasks(step.pending.len())
     }
 
     /// Logs which customers' steps wait for their caps, and the figures.
