--- a/src/cell/machine/active_run.rs
+++ b/src/cell/machine/active_run.rs
@@ -1,6 +1,6 @@
 //! Attempts of tasks that are not known to have ended.
 
-use super::customers::Charge;
+use super::caps::Charge;
 use crate::cell::record::WorkerId;
 use crate::clock::Instant;
 use crate::resource::Amount;
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -4,15 +4,16 @@
 //! Effects through which others could see a decision wait until its batch is stored: start
 //! commands, answers to callers, final phases, and the permission for a worker to forget an end.
 
+mod access;
 mod activation;
 mod active_run;
 mod attempts;
 mod backlog;
 mod blocker;
 mod calls;
+mod caps;
 mod commands;
 mod crash;
-mod customers;
 mod end;
 mod inactive;
 mod journal_queue;
@@ -50,7 +51,7 @@
 
 use self::activation::ActivationLog;
 use self::backlog::BacklogLog;
-use self::customers::{CustomerUsage, HeldBack};
+use self::caps::{CustomerUsage, HeldBack};
 use self::inactive::InactiveWorkers;
 use self::pending::RoundJobs;
 use self::proxy::PolicyProxy;
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -6,7 +6,7 @@
 
 use super::Machine;
 use super::attempts::FailureReason;
-use super::customers::Charge;
+use super::caps::Charge;
 use super::rank::{Rank, Timeliness, long_running_rank};
 use crate::cell::job::{Id, Job, Step, StepKey, TaskKey};
 use crate::cell::queue::Queue;
