--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,48 @@
+//! Stand-ins and drivers of the review's scripts: a store, a runner, and one driver a case.
+
+mod crashes;
+mod history;
+mod http;
+mod json;
+mod runner;
+mod site;
+mod store;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+fn main() {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let address = |at: usize| -> SocketAddr {
+        words.get(at).and_then(|text| text.parse().ok()).unwrap_or_else(|| site::unable("usage"))
+    };
+    let text = |at: usize| words.get(at).cloned().unwrap_or_else(|| site::unable("usage"));
+    match words.first().map(String::as_str) {
+        Some("store") => {
+            let keep = Duration::from_secs(text(2).parse().unwrap_or(300));
+            let store = store::Store::new(keep);
+            http::serve(address(1), Arc::new(move |request| store.handle(request)));
+        }
+        Some("runner") => runner::run(runner::Config {
+            listen: address(1),
+            store: address(2),
+            id: text(3),
+            service: text(4),
+            zone: text(5),
+            rack: text(6),
+            cpu: 16_000,
+            mem_mb: 65_536,
+            record: text(7),
+        }),
+        Some("crashes") => std::process::exit(crashes::run(PathBuf::from(text(1)), is_troubled())),
+        Some("history") => std::process::exit(history::run(PathBuf::from(text(1)), is_troubled())),
+        _ => site::unable("usage: standin store|runner|CASE ..."),
+    }
+}
+
+/// Whether the case brings its disruption about.
+fn is_troubled() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
