--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,9 +1,10 @@
 //! Stand-ins and drivers of the review's scripts: a store, a runner, and one driver a case.
 
-mod crashes;
+mod cut;
 mod history;
 mod http;
 mod json;
+mod proxy;
 mod runner;
 mod site;
 mod store;
@@ -27,16 +28,17 @@
         }
         Some("runner") => runner::run(runner::Config {
             listen: address(1),
-            store: address(2),
-            id: text(3),
-            service: text(4),
-            zone: text(5),
-            rack: text(6),
+            address: address(2),
+            store: address(3),
+            id: text(4),
+            service: text(5),
+            zone: text(6),
+            rack: text(7),
             cpu: 16_000,
             mem_mb: 65_536,
-            record: text(7),
+            record: text(8),
         }),
-        Some("crashes") => std::process::exit(crashes::run(PathBuf::from(text(1)), is_troubled())),
+        Some("cut") => std::process::exit(cut::run(PathBuf::from(text(1)), is_troubled())),
         Some("history") => std::process::exit(history::run(PathBuf::from(text(1)), is_troubled())),
         _ => site::unable("usage: standin store|runner|CASE ..."),
     }
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -26,6 +26,8 @@
 /// What a runner is started with.
 pub struct Config {
     pub listen: SocketAddr,
+    /// Address that the runner reports, at which instances reach it.
+    pub address: SocketAddr,
     pub store: SocketAddr,
     pub id: String,
     pub service: String,
@@ -96,9 +98,9 @@
     }
 
     fn report(&self, seq: u64) {
-        let Config { service, listen, zone, rack, cpu, mem_mb, id, store, .. } = &self.config;
+        let Config { service, address, zone, rack, cpu, mem_mb, id, store, .. } = &self.config;
         let entry = format!(
-            r#"{{"backend":"{service}","address":"{listen}","zone":"{zone}","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"capacity":{{"cpu":{cpu},"memMb":{mem_mb},"gpu":0}},"labels":["a","{rack}"],"clockMs":{},"seq":{seq}}}"#,
+            r#"{{"backend":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"capacity":{{"cpu":{cpu},"memMb":{mem_mb},"gpu":0}},"labels":["a","{rack}"],"clockMs":{},"seq":{seq}}}"#,
             self.clock_ms()
         );
         let target = format!("/standin/entry?topic=keyed.servers&key={id}");
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -9,6 +9,7 @@
 
 use crate::http;
 use crate::json;
+use crate::proxy::{self, Cut};
 
 pub const SERVICE: &str = "portal";
 pub const HOST: &str = "jobs.example";
@@ -29,10 +30,12 @@
     pub keep_s: u64,
 }
 
-/// A runner's place: its address, and the life of it that runs now.
+/// A runner's place: its address, which is that of a proxy, and the life of it that runs now.
 pub struct RunnerPlace {
     pub address: SocketAddr,
     pub id: String,
+    behind: SocketAddr,
+    cut: Cut,
     lives: u32,
     process: Option<Child>,
 }
@@ -90,9 +93,13 @@
         site.store_process = Some(standin(&["store", &store.to_string(), &keep_s]));
         site.put_config(1, plan.attempts);
         for number in 0..plan.runners {
-            let address = free_port("127.0.0.1");
+            let listener = TcpListener::bind(("127.0.0.1", 0));
+            let listener = listener.unwrap_or_else(|_| unable("no free port"));
+            let address = listener.local_addr().unwrap_or_else(|_| unable("no address"));
+            let (behind, cut) = (free_port("127.0.0.1"), Cut::default());
+            proxy::start(listener, behind, cut.clone());
             let id = String::new();
-            site.runners.push(RunnerPlace { address, id, lives: 0, process: None });
+            site.runners.push(RunnerPlace { address, id, behind, cut, lives: 0, process: None });
             site.start_runner(number);
         }
         for number in 0..plan.instances {
@@ -153,6 +160,7 @@
         let (zone, rack) = (format!("hall-{}", number % 3), format!("r{}-1", number % 3));
         place.process = Some(standin(&[
             "runner",
+            &place.behind.to_string(),
             &place.address.to_string(),
             &store,
             &place.id,
@@ -178,6 +186,13 @@
         self.note(&format!("runner {id} is killed"));
     }
 
+    /// Cuts a runner off from all instances, or heals the cut. It still reaches the store.
+    pub fn cut(&self, number: usize, cut: bool) {
+        self.runners[number].cut.set(cut);
+        let (id, what) = (&self.runners[number].id, if cut { "is cut off" } else { "is in touch" });
+        self.note(&format!("runner {id} {what}"));
+    }
+
     fn add_instance(&mut self, number: usize, plan: &Plan) {
         let ip = format!("127.0.0.{}", 2 + number);
         let (front, ready, peer) = (free_port(&ip), free_port(&ip), free_port(&ip));
