--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -89,11 +89,13 @@
     }
 
     fn note(&self, line: &str) {
-        let mut file = std::fs::OpenOptions::new().append(true).create(true).open(&self.config.record);
+        let mut file =
+            std::fs::OpenOptions::new().append(true).create(true).open(&self.config.record);
         if let Ok(file) = &mut file {
             let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
             let unix_ms = unix.map_or(0, |span| span.as_millis());
-            let _ = file.write_all(format!("{unix_ms} runner {} {line}\n", self.config.id).as_bytes());
+            let _ =
+                file.write_all(format!("{unix_ms} runner {} {line}\n", self.config.id).as_bytes());
         }
     }
 
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -58,10 +58,10 @@
     began: Instant,
 }
 
-/// Reports that a case could not run.
+/// Ends a case that can't run. The processes of its site are ended while the stack unwinds.
 pub fn unable(cause: &str) -> ! {
     eprintln!("the case could not run: {cause}");
-    std::process::exit(2);
+    std::panic::resume_unwind(Box::new("unable"));
 }
 
 fn free_port(ip: &str) -> SocketAddr {
@@ -231,18 +231,6 @@
         self.note(&format!("instance {number} is killed"));
     }
 
-    /// The instance whose log says last that it owns the cell.
-    pub fn owner(&self) -> Option<usize> {
-        let began = |instance: &Instance| {
-            let log = std::fs::read_to_string(&instance.log).unwrap_or_default();
-            let line = log.lines().rfind(|line| line.contains("event=owner.begin"))?;
-            let epoch = line.split("epoch=").nth(1)?.split(' ').next()?;
-            epoch.parse::<u64>().ok()
-        };
-        let owners = self.instances.iter().enumerate();
-        owners.filter_map(|(at, one)| Some((began(one)?, at))).max().map(|(_, at)| at)
-    }
-
     fn is_ready(&self) -> bool {
         self.instances.iter().all(|instance| {
             let wait = Duration::from_millis(500);
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -80,8 +80,7 @@
 
 impl Store {
     pub fn new(keep: Duration) -> Arc<Self> {
-        let store =
-            Arc::new(Self { topics: Mutex::default(), changed: Condvar::new(), keep });
+        let store = Arc::new(Self { topics: Mutex::default(), changed: Condvar::new(), keep });
         let upkeep = store.clone();
         std::thread::spawn(move || {
             loop {
@@ -155,10 +154,11 @@
         let response = format!(r#"{{"offset":{offset},"endOffset":{}}}"#, partition.end());
         if let Some(producer) = request.query.get("producer") {
             let (epoch, seq) = (number("epoch").unwrap_or(0), number("seq").unwrap_or(0));
-            let known = partition
-                .producers
-                .entry(producer.clone())
-                .or_insert(Producer { epoch, last: seq, recent: VecDeque::new() });
+            let known = partition.producers.entry(producer.clone()).or_insert(Producer {
+                epoch,
+                last: seq,
+                recent: VecDeque::new(),
+            });
             if known.epoch != epoch {
                 known.recent.clear();
             }
