--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -168,13 +168,15 @@
     /// Runs the owner of the cell until another instance takes over.
     async fn run_as_owner(&mut self) {
         let node = self.node.clone();
-        let JournalReplay { state, next_offset: next, .. } = std::mem::take(&mut self.replay);
+        let JournalReplay { state, next_offset: next, unsaved, .. } =
+            std::mem::take(&mut self.replay);
         let (epoch, jobs, tasks) = (state.epoch, state.jobs.len(), state.live.len());
         let (now, unix) = (node.deps.clock.now(), node.deps.clock.unix());
         let config = node.config();
         let config_version = config.version;
         let mut machine =
             Machine::new(state, node.claim_sequence(), next, config, node.timings, now, unix);
+        machine.note_unsaved(unsaved);
         let (peer, cpu_millis, domain) = (node.me, node.cpu_millis, node.domain.clone());
         machine.handle(Message::InstanceSeen { peer, cpu_millis, domain }, now, unix);
         let (health_node, cell) = (node.clone(), self.cell);
--- a/src/cell/machine/journal_queue.rs
+++ b/src/cell/machine/journal_queue.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{Answer, CallId, Effect, Machine, Stage, remove_job};
-use crate::cell::dependencies::{AppendError, JournalSnapshot};
+use crate::cell::dependencies::AppendError;
 use crate::cell::job::{Id, Phase, Run, RunOutcome};
 use crate::cell::record::{Batch, Record, WorkerId};
 use crate::cell::timings::{
@@ -16,6 +16,9 @@
 use crate::planted::{Fault, is_planted};
 use crate::telemetry::names;
 
+/// Upper bound of the encoded size of an empty batch, in bytes.
+const BATCH_BYTES: usize = 32;
+
 /// Action to take once a batch is stored.
 #[derive(Debug)]
 pub(super) enum Deferred {
@@ -114,6 +117,11 @@
         self.last_write_sent
     }
 
+    /// Whether all decisions so far are stored.
+    pub(super) fn is_empty(&self) -> bool {
+        self.batches.is_empty()
+    }
+
     /// Journal offset after the last batch that is known to be stored.
     pub(super) const fn end(&self) -> u64 {
         self.end
@@ -158,25 +166,6 @@
 }
 
 impl Machine {
-    /// Saves a snapshot of the state, if one is due and all decisions are stored.
-    ///
-    /// Guards against a snapshot that contains decisions which never get stored. A successor that
-    /// reads the journal without them decides otherwise, and a later owner that starts from the
-    /// snapshot would run tasks again that have failed or ended.
-    fn save_snapshot_when_idle(&mut self) {
-        if !self.snapshot_due || !self.journal.batches.is_empty() {
-            return;
-        }
-        self.snapshot_due = false;
-        match codec::encode(&self.state) {
-            Ok(state) => {
-                let base = JournalSnapshot { state: Some(state), offset: self.journal.end };
-                self.effects.push(Effect::Save(base));
-            }
-            Err(error) => log::error!("event=journal.base_too_large cause={error:?}"),
-        }
-    }
-
     /// Sequence number of this owner's claim within its epoch.
     pub const fn claim_number(&self) -> u64 {
         self.claim
@@ -282,6 +271,7 @@
         self.journal.retry_at = self.now;
         self.journal.trying_since = None;
         let Some(batch) = self.journal.batches.pop_front() else { return };
+        self.snapshots.note_stored(BATCH_BYTES + batch.bytes);
         for action in batch.on_stored {
             self.run_deferred(action);
         }
--- a/src/cell/machine/message.rs
+++ b/src/cell/machine/message.rs
@@ -126,8 +126,10 @@
     ConfigChanged(Rc<QueueConfig>),
     /// The record of what an earlier owner had learned was read.
     LearnedRead(Box<learned::Record>),
-    /// A snapshot of the state is due.
-    SnapshotDue,
+    /// A snapshot of the state is to be saved as soon as possible.
+    SnapshotRequested,
+    /// The last snapshot of [`Effect::Save`] was saved, or could not be.
+    SnapshotSaved(bool),
     /// Whether the owner's thread is overloaded, so that new jobs are refused.
     Overloaded(bool),
     /// An instance is present and can send queries to the policy service.
@@ -146,9 +148,10 @@
     pub const fn activity(&self) -> OwnerActivity {
         match self {
             Self::Call { .. } | Self::Overloaded(_) => OwnerActivity::Call,
-            Self::Appended { .. } | Self::LearnedRead(_) | Self::SnapshotDue => {
-                OwnerActivity::Append
-            }
+            Self::Appended { .. }
+            | Self::LearnedRead(_)
+            | Self::SnapshotRequested
+            | Self::SnapshotSaved(_) => OwnerActivity::Append,
             Self::Polled { .. } => OwnerActivity::Report,
             Self::Started { .. } | Self::Stopped { .. } => OwnerActivity::Command,
             Self::PolicyAnswered { .. } => OwnerActivity::Policy,
@@ -210,7 +213,7 @@
         /// The answer.
         answer: Answer,
     },
-    /// Save a snapshot of the state.
+    /// Save a snapshot of the state, and answer with [`Message::SnapshotSaved`].
     Save(JournalSnapshot),
     /// Another owner has taken the cell over; stop owning it.
     StepDown {
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -36,6 +36,7 @@
 mod roster;
 mod run_times;
 mod shares;
+mod snapshot;
 mod speeds;
 mod start_limits;
 mod succession;
@@ -65,6 +66,7 @@
 use self::proxy::PolicyProxy;
 use self::run_times::RunTimes;
 use self::shares::CustomerShares;
+use self::snapshot::SnapshotSchedule;
 use self::speeds::WorkerSpeeds;
 use self::start_limits::StartLimitCache;
 use self::timer_queue::TimerQueue;
@@ -151,7 +153,7 @@
     claimed: Instant,
     /// Worker incarnations that have ended but may still be listed.
     dead_workers: BTreeSet<WorkerId>,
-    snapshot_due: bool,
+    snapshots: SnapshotSchedule,
     /// Jobs whose final phase is not stored yet.
     unstored_ends: BTreeSet<Id>,
     round_jobs: RoundJobs,
@@ -233,7 +235,7 @@
             overloaded: false,
             claimed: now,
             dead_workers: BTreeSet::new(),
-            snapshot_due: false,
+            snapshots: SnapshotSchedule::new(timings.retention, now),
             unstored_ends: BTreeSet::new(),
             round_jobs: RoundJobs::new(now),
             backlog: BacklogLog::new(now),
@@ -281,7 +283,8 @@
             Message::ConfigChanged(config) => self.configure(config),
             Message::Overloaded(overloaded) => self.overloaded = overloaded,
             Message::LearnedRead(record) => self.adopt_learned(*record),
-            Message::SnapshotDue => self.snapshot_due = true,
+            Message::SnapshotRequested => self.snapshots.request(),
+            Message::SnapshotSaved(is_saved) => self.snapshot_saved(is_saved),
             Message::InstanceSeen { peer, cpu_millis, domain } => {
                 self.note_instance(peer, cpu_millis, domain)
             }
@@ -319,12 +322,14 @@
         if self.now >= self.next_forget {
             self.next_forget = now.after(FORGET_INTERVAL);
             self.forget();
+            self.report_unsaved();
         }
         done(OwnerActivity::Upkeep);
         if self.now >= self.next_round && (self.needs_placement || self.now >= self.round_by) {
             self.place();
             done(OwnerActivity::Placement);
         }
+        self.save_snapshot_when_idle();
         self.flush();
         done(OwnerActivity::Append);
         std::mem::take(&mut self.effects)
--- /dev/null
+++ b/src/cell/machine/snapshot.rs
@@ -0,0 +1,155 @@
+//! Snapshots of the state, from which a new owner replays the journal.
+//!
+//! The store removes old records. What must not be lost is therefore saved in a snapshot long before
+//! that, as measured by the oldest record that no snapshot contains. Its age goes on counting when
+//! the owner changes, because the next owner learns it from its replay.
+
+use std::time::Duration;
+
+use super::{Effect, Machine};
+use crate::cell::dependencies::JournalSnapshot;
+use crate::cell::replay::Unsaved;
+use crate::cell::timings::Retention;
+use crate::clock::Instant;
+use crate::codec;
+use crate::telemetry::names;
+
+/// Interval between two warnings of records that are in no snapshot.
+const WARNING_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Progress of saving snapshots.
+#[derive(Debug)]
+pub(super) struct SnapshotSchedule {
+    retention: Retention,
+    /// From when on records may be in no snapshot.
+    unsaved_since: Instant,
+    /// Age of the oldest of these records at that time.
+    age_before: Duration,
+    /// Size of the stored records that are in no snapshot.
+    unsaved_bytes: u64,
+    /// Whether a snapshot is requested before it is due.
+    requested: bool,
+    attempt: Option<Attempt>,
+    retry_at: Instant,
+    next_warning: Instant,
+}
+
+/// A snapshot that is being saved.
+#[derive(Debug)]
+struct Attempt {
+    taken: Instant,
+    /// Size of the records that it contains and no earlier snapshot does.
+    bytes: u64,
+}
+
+impl SnapshotSchedule {
+    pub(super) const fn new(retention: Retention, now: Instant) -> Self {
+        Self {
+            retention,
+            unsaved_since: now,
+            age_before: Duration::ZERO,
+            unsaved_bytes: 0,
+            requested: false,
+            attempt: None,
+            retry_at: now,
+            next_warning: now,
+        }
+    }
+
+    /// Requests a snapshot before it is due.
+    pub(super) const fn request(&mut self) {
+        self.requested = true;
+    }
+
+    /// Notes that records of that size have been stored.
+    pub(super) const fn note_stored(&mut self, bytes: usize) {
+        self.unsaved_bytes += bytes as u64;
+    }
+
+    fn note_taken(&mut self, now: Instant) {
+        self.requested = false;
+        self.attempt = Some(Attempt { taken: now, bytes: self.unsaved_bytes });
+    }
+
+    fn note_saved(&mut self, is_saved: bool, now: Instant) {
+        let Some(attempt) = self.attempt.take() else { return };
+        if is_saved {
+            self.unsaved_since = attempt.taken;
+            self.age_before = Duration::ZERO;
+            self.unsaved_bytes -= attempt.bytes;
+        } else {
+            self.retry_at = now.after(self.retention.snapshot_age());
+        }
+    }
+
+    /// Age of the oldest record that is in no snapshot.
+    fn age(&self, now: Instant) -> Duration {
+        now.since(self.unsaved_since) + self.age_before
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        let is_old = self.age(now) >= self.retention.snapshot_age();
+        let is_large = self.unsaved_bytes >= self.retention.snapshot_bytes();
+        let may_try = self.attempt.is_none() && now >= self.retry_at;
+        may_try && (self.requested || is_old || is_large)
+    }
+
+    /// Whether the store may remove records soon that are in no snapshot, and no warning of it was
+    /// due lately.
+    fn is_warning_due(&self, now: Instant) -> bool {
+        let is_at_risk = self.age(now) > self.retention.time / 2
+            || self.unsaved_bytes > self.retention.bytes / 2;
+        is_at_risk && now >= self.next_warning
+    }
+}
+
+impl Machine {
+    /// Notes which of the replayed records are in no snapshot.
+    pub fn note_unsaved(&mut self, unsaved: Unsaved) {
+        let age = unsaved.since.map(|since| self.unix.since(since));
+        self.snapshots.age_before = age.unwrap_or_default();
+        self.snapshots.unsaved_bytes = unsaved.bytes;
+    }
+
+    /// Saves a snapshot of the state, if one is due and all decisions are stored.
+    ///
+    /// Guards against a snapshot that contains decisions which never get stored. A successor that
+    /// reads the journal without them decides otherwise, and a later owner that starts from the
+    /// snapshot would run tasks again that have failed or ended.
+    pub(super) fn save_snapshot_when_idle(&mut self) {
+        if !self.snapshots.is_due(self.now) || !self.journal.is_empty() {
+            return;
+        }
+        self.snapshots.note_taken(self.now);
+        match codec::encode(&self.state) {
+            Ok(state) => {
+                let snapshot = JournalSnapshot { state: Some(state), offset: self.journal.end() };
+                self.effects.push(Effect::Save(snapshot));
+            }
+            Err(error) => {
+                log::error!("event=journal.base_too_large cause={error:?}");
+                self.snapshot_saved(false);
+            }
+        }
+    }
+
+    /// Notes that a snapshot has been saved or that it could not be.
+    pub(super) fn snapshot_saved(&mut self, is_saved: bool) {
+        self.snapshots.note_saved(is_saved, self.now);
+    }
+
+    /// Reports how much of the journal is in no snapshot.
+    pub(super) fn report_unsaved(&mut self) {
+        let snapshots = &mut self.snapshots;
+        let (age, bytes) = (snapshots.age(self.now), snapshots.unsaved_bytes);
+        names::CELL_UNSAVED_AGE.set(age.as_secs_f64(), &[]);
+        names::CELL_UNSAVED_BYTES.set(bytes as f64, &[]);
+        if snapshots.is_warning_due(self.now) {
+            snapshots.next_warning = self.now.after(WARNING_INTERVAL);
+            let (age_ms, retention_ms) = (age.as_millis(), snapshots.retention.time.as_millis());
+            log::error!(
+                "event=journal.unsaved age_ms={age_ms} retention_ms={retention_ms} bytes={bytes}"
+            );
+        }
+    }
+}
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -62,7 +62,7 @@
 pub mod preempt;
 pub mod queue;
 pub mod record;
-mod replay;
+pub mod replay;
 pub mod responsiveness;
 pub mod retry;
 pub mod run_time;
--- a/src/cell/owner/background.rs
+++ b/src/cell/owner/background.rs
@@ -10,25 +10,12 @@
 use crate::cell::learned::Record;
 use crate::cell::machine::{Message, StoreHealth};
 use crate::cell::overload::{OverloadDetector, SAMPLE_INTERVAL};
-use crate::cell::timings::{LEARNED_INTERVAL, ROSTER_INTERVAL, SNAPSHOT_INTERVAL};
+use crate::cell::timings::{LEARNED_INTERVAL, ROSTER_INTERVAL};
 
 /// Time until the end of the list has been read from which the read is logged.
 const SLOW_READ: Duration = Duration::from_secs(1);
 
 impl OwnerTask {
-    /// Requests snapshots at intervals, so that the next owner has few records to replay and the
-    /// store may remove old ones.
-    pub(super) fn schedule_snapshots(&self) {
-        let (clock, handle, ended) =
-            (self.deps.clock.clone(), self.handle.clone(), self.ended.clone());
-        monoio::spawn(async move {
-            while !ended.get() {
-                clock.sleep(SNAPSHOT_INTERVAL).await;
-                handle.send(Message::SnapshotDue);
-            }
-        });
-    }
-
     /// Saves what the owner has learned at intervals, if it has changed and the store is healthy.
     pub(super) fn save_learned(&self) {
         if !self.machine.timings.features.any_learned() {
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -163,7 +163,6 @@
     /// Runs until another instance takes over or the handle stops it; returns the reason.
     pub async fn run(mut self) -> String {
         self.follow_roster();
-        self.schedule_snapshots();
         self.save_learned();
         self.report_activities();
         self.watch_load();
@@ -314,7 +313,8 @@
     }
 
     fn save_snapshot(&mut self, snapshot: JournalSnapshot) {
-        let (deps, cell, epoch) = (self.deps.clone(), self.cell, self.machine.epoch);
+        let (deps, handle) = (self.deps.clone(), self.handle.clone());
+        let (cell, epoch) = (self.cell, self.machine.epoch);
         // The store refuses a number that does not follow the last stored one, so a snapshot that
         // failed leaves its number to the next one. If it was stored after all, the store ignores the
         // next one as a repetition and stores the one after it.
@@ -323,13 +323,15 @@
         monoio::spawn(async move {
             let bytes = snapshot.state.as_ref().map_or(0, Bytes::len);
             let offset = snapshot.offset;
-            match deps.journal.save_snapshot(cell, epoch, sequence, &snapshot).await {
+            let outcome = deps.journal.save_snapshot(cell, epoch, sequence, &snapshot).await;
+            match &outcome {
                 Ok(()) => {
                     stored.set(stored.get() + 1);
                     log::info!("event=journal.saved cell={cell} offset={offset} bytes={bytes}");
                 }
                 Err(cause) => log::warn!("event=journal.save_failed cell={cell} cause={cause:?}"),
             }
+            handle.send(Message::SnapshotSaved(outcome.is_ok()));
         });
     }
 }
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -10,6 +10,8 @@
 pub struct Timings {
     /// Time for which an ended job is retained.
     pub status_retention: Duration,
+    /// How long the store keeps the records of a journal.
+    pub retention: Retention,
     /// Time that the process has for its shutdown.
     pub stop_grace: Duration,
     /// Lease granted with each poll of a worker.
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             status_retention: Duration::from_secs(120),
+            retention: Retention::default(),
             stop_grace: Duration::from_secs(6),
             lease: LEASE,
             max_active_workers: None,
@@ -37,6 +40,52 @@
     }
 }
 
+/// How long the store keeps the records of a journal: those that exceed either limit are removed,
+/// oldest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Retention {
+    /// Age from which a record may be removed.
+    pub time: Duration,
+    /// Size of the journal in bytes from which its oldest records may be removed.
+    pub bytes: u64,
+}
+
+impl Retention {
+    /// Number of snapshots that are due before the store removes a record. One is enough; the others
+    /// leave time for attempts that fail and for a change of owner.
+    const SNAPSHOTS: u32 = 4;
+
+    /// Age of the oldest record in no snapshot from which the next snapshot is due.
+    ///
+    /// ```
+    /// use oriolefork::cell::timings::Retention;
+    /// use std::time::Duration;
+    /// let retention = Retention { time: Duration::from_secs(20), ..Retention::default() };
+    /// assert_eq!(retention.snapshot_age(), Duration::from_secs(5));
+    /// ```
+    pub fn snapshot_age(&self) -> Duration {
+        (self.time / Self::SNAPSHOTS).min(MAX_SNAPSHOT_AGE)
+    }
+
+    /// Size of the records in no snapshot, in bytes, from which the next snapshot is due.
+    ///
+    /// ```
+    /// use oriolefork::cell::timings::Retention;
+    /// let retention = Retention { bytes: 200_000_000, ..Retention::default() };
+    /// assert_eq!(retention.snapshot_bytes(), 50_000_000);
+    /// ```
+    pub fn snapshot_bytes(&self) -> u64 {
+        self.bytes / u64::from(Self::SNAPSHOTS)
+    }
+}
+
+impl Default for Retention {
+    /// The shortest retention of the sites, for stores that state none.
+    fn default() -> Self {
+        Self { time: Duration::from_secs(20), bytes: 200_000_000 }
+    }
+}
+
 /// Maximum lease granted with each poll of a worker. It is longer than the six-second network cuts
 /// of a whole failure domain that the sites experience; a shorter one would lose a third of the
 /// work in progress.
@@ -93,8 +142,9 @@
 /// 5 ms.
 pub const LEARNED_READ_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Interval between snapshots; the store keeps records for 300 s.
-pub const SNAPSHOT_INTERVAL: Duration = Duration::from_secs(60);
+/// Age of the oldest record in no snapshot from which the next snapshot is due, however long the
+/// store keeps records: a new owner replays what no snapshot contains.
+pub const MAX_SNAPSHOT_AGE: Duration = Duration::from_secs(60);
 
 /// Maximum size of one append in bytes.
 pub const MAX_APPEND_BYTES: usize = 200_000;
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -73,6 +73,10 @@
         "Claims of a cell by this instance, by outcome.";
     CELL_APPEND: Histogram = "oriolefork_cell_append_seconds",
         "Time until a batch of the cell's journal was stored, retries included.";
+    CELL_UNSAVED_AGE: Gauge = "oriolefork_cell_unsaved_age_seconds",
+        "Age of the oldest record of the cell's journal that no snapshot contains; set by the owner.";
+    CELL_UNSAVED_BYTES: Gauge = "oriolefork_cell_unsaved_bytes",
+        "Size of the records of the cell's journal that no snapshot contains; set by the owner.";
     CELL_WORKERS: Gauge = "oriolefork_cell_workers",
         "Workers of the cell by state, active if the owner polls them; set by the owner.";
     CELL_DUTY: Counter = "oriolefork_cell_duty_microseconds_total",
--- a/tests/logic/cell/simulation/faults.rs
+++ b/tests/logic/cell/simulation/faults.rs
@@ -54,7 +54,7 @@
         let turn = if self.store_down { OUTAGE_MS } else { OUTAGE_INTERVAL_MS };
         if self.chance(every(SNAPSHOT_INTERVAL_MS)) {
             for owner in 0..self.owners.len() {
-                self.schedule(1, Event::Owner { owner, message: Message::SnapshotDue });
+                self.schedule(1, Event::Owner { owner, message: Message::SnapshotRequested });
             }
         }
         if self.faults.outages && self.chance(every(turn)) {
--- a/tests/logic/cell/simulation/mod.rs
+++ b/tests/logic/cell/simulation/mod.rs
@@ -332,7 +332,10 @@
             }
             Effect::QueryPolicy(_) => {}
             Effect::Reply { id, answer } => self.handle_answer(owner, id, answer),
-            Effect::Save(snapshot) => self.saved = Some(snapshot),
+            Effect::Save(snapshot) => {
+                self.saved = Some(snapshot);
+                self.schedule(delay, Event::Owner { owner, message: Message::SnapshotSaved(true) });
+            }
             Effect::StepDown { .. } => self.owners[owner].alive = false,
         }
     }
