--- a/src/cell/machine/journal_queue.rs
+++ b/src/cell/machine/journal_queue.rs
@@ -72,6 +72,8 @@
 
 #[derive(Debug, Default)]
 struct PendingBatch {
+    /// Whether it takes no more records.
+    closed: bool,
     records: Vec<Record>,
     bytes: usize,
     on_stored: Vec<Deferred>,
@@ -117,9 +119,18 @@
         self.last_write_sent
     }
 
-    /// Whether all decisions so far are stored.
-    pub(super) fn is_empty(&self) -> bool {
-        self.batches.is_empty()
+    /// Closes the last batch, so that later records go into the next one. Returns its sequence
+    /// number; if no batch waits, that of the last stored one.
+    pub(super) fn close_last_batch(&mut self) -> u64 {
+        if let Some(batch) = self.batches.back_mut() {
+            batch.closed = true;
+        }
+        self.first_sequence + self.batches.len() as u64 - 1
+    }
+
+    /// Whether the batch with that sequence number is stored.
+    pub(super) const fn is_stored(&self, sequence: u64) -> bool {
+        sequence < self.first_sequence
     }
 
     /// Journal offset after the last batch that is known to be stored.
@@ -130,7 +141,7 @@
     fn push(&mut self, record: Record) {
         let bytes = size(&record);
         let sealed = usize::from(self.sealed);
-        let full = |batch: &PendingBatch| batch.bytes + bytes > MAX_APPEND_BYTES;
+        let full = |batch: &PendingBatch| batch.closed || batch.bytes + bytes > MAX_APPEND_BYTES;
         if self.batches.len() <= sealed || self.batches.back().is_some_and(full) {
             self.batches.push_back(PendingBatch::default());
         }
@@ -275,7 +286,7 @@
         for action in batch.on_stored {
             self.run_deferred(action);
         }
-        self.save_snapshot_when_idle();
+        self.save_snapshot_once_stored();
         self.flush();
     }
 
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -329,7 +329,7 @@
             self.place();
             done(OwnerActivity::Placement);
         }
-        self.save_snapshot_when_idle();
+        self.take_snapshot_when_due();
         self.flush();
         done(OwnerActivity::Append);
         std::mem::take(&mut self.effects)
--- a/src/cell/machine/snapshot.rs
+++ b/src/cell/machine/snapshot.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use super::{Effect, Machine};
 use crate::cell::dependencies::JournalSnapshot;
 use crate::cell::replay::Unsaved;
@@ -34,11 +36,15 @@
     next_warning: Instant,
 }
 
-/// A snapshot that is being saved.
+/// A snapshot that has been taken and not saved yet.
 #[derive(Debug)]
 struct Attempt {
     taken: Instant,
-    /// Size of the records that it contains and no earlier snapshot does.
+    /// Sequence number of the last batch that it contains.
+    last_batch: u64,
+    /// The encoded state, until that batch is stored.
+    state: Option<Bytes>,
+    /// Size of the records that it contains and no earlier snapshot does, once they are stored.
     bytes: u64,
 }
 
@@ -66,11 +72,6 @@
         self.unsaved_bytes += bytes as u64;
     }
 
-    fn note_taken(&mut self, now: Instant) {
-        self.requested = false;
-        self.attempt = Some(Attempt { taken: now, bytes: self.unsaved_bytes });
-    }
-
     fn note_saved(&mut self, is_saved: bool, now: Instant) {
         let Some(attempt) = self.attempt.take() else { return };
         if is_saved {
@@ -111,26 +112,43 @@
         self.snapshots.unsaved_bytes = unsaved.bytes;
     }
 
-    /// Saves a snapshot of the state, if one is due and all decisions are stored.
-    ///
-    /// Guards against a snapshot that contains decisions which never get stored. A successor that
-    /// reads the journal without them decides otherwise, and a later owner that starts from the
-    /// snapshot would run tasks again that have failed or ended.
-    pub(super) fn save_snapshot_when_idle(&mut self) {
-        if !self.snapshots.is_due(self.now) || !self.journal.is_empty() {
+    /// Takes a snapshot of the state if one is due. It is saved once all decisions in it are stored.
+    pub(super) fn take_snapshot_when_due(&mut self) {
+        if !self.snapshots.is_due(self.now) {
             return;
         }
-        self.snapshots.note_taken(self.now);
-        match codec::encode(&self.state) {
-            Ok(state) => {
-                let snapshot = JournalSnapshot { state: Some(state), offset: self.journal.end() };
-                self.effects.push(Effect::Save(snapshot));
-            }
+        let (taken, last_batch) = (self.now, self.journal.close_last_batch());
+        let state = match codec::encode(&self.state) {
+            Ok(state) => Some(state),
             Err(error) => {
                 log::error!("event=journal.base_too_large cause={error:?}");
-                self.snapshot_saved(false);
+                None
             }
+        };
+        let is_encoded = state.is_some();
+        self.snapshots.requested = false;
+        self.snapshots.attempt = Some(Attempt { taken, last_batch, state, bytes: 0 });
+        if !is_encoded {
+            return self.snapshot_saved(false);
+        }
+        self.save_snapshot_once_stored();
+    }
+
+    /// Saves the snapshot that has been taken, once all decisions in it are stored.
+    ///
+    /// Guards against a snapshot that contains decisions which never get stored. A successor that
+    /// reads the journal without them decides otherwise, and a later owner that starts from the
+    /// snapshot would run tasks again that have failed or ended.
+    pub(super) fn save_snapshot_once_stored(&mut self) {
+        let snapshots = &mut self.snapshots;
+        let Some(attempt) = &mut snapshots.attempt else { return };
+        if !self.journal.is_stored(attempt.last_batch) {
+            return;
         }
+        let Some(state) = attempt.state.take() else { return };
+        attempt.bytes = snapshots.unsaved_bytes;
+        let snapshot = JournalSnapshot { state: Some(state), offset: self.journal.end() };
+        self.effects.push(Effect::Save(snapshot));
     }
 
     /// Notes that a snapshot has been saved or that it could not be.
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -37,6 +37,7 @@
 mod shares;
 mod simulation;
 mod sizes;
+mod snapshots;
 mod starvation;
 mod state;
 mod store;
