--- a/src/cell/dependencies.rs
+++ b/src/cell/dependencies.rs
@@ -280,14 +280,16 @@
     /// Reads the latest snapshot.
     fn snapshot(&self, cell: Id) -> LocalBoxFuture<'_, Result<JournalSnapshot, String>>;
 
-    /// Saves a snapshot as number `sequence` of the owner's epoch, so that the store may remove
-    /// older records.
+    /// Saves a snapshot of the owner that claimed `epoch` with the sequence number `claim`, so that
+    /// the store may remove older records. An owner saves one snapshot at a time.
+    ///
+    /// Success means that this snapshot is stored, whatever became of earlier ones.
     fn save_snapshot<'a>(
         &'a self,
         cell: Id,
         epoch: Epoch,
-        sequence: u64,
-        base: &'a JournalSnapshot,
+        claim: u64,
+        snapshot: &'a JournalSnapshot,
     ) -> LocalBoxFuture<'a, Result<(), String>>;
 
     /// Writes the owner record of the cell as number `sequence` of the owner's epoch.
--- a/src/cell/machine/snapshot.rs
+++ b/src/cell/machine/snapshot.rs
@@ -11,7 +11,7 @@
 use super::{Effect, Machine};
 use crate::cell::dependencies::JournalSnapshot;
 use crate::cell::replay::Unsaved;
-use crate::cell::timings::Retention;
+use crate::cell::timings::{Retention, SNAPSHOT_RETRY};
 use crate::clock::Instant;
 use crate::codec;
 use crate::telemetry::names;
@@ -79,7 +79,7 @@
             self.age_before = Duration::ZERO;
             self.unsaved_bytes -= attempt.bytes;
         } else {
-            self.retry_at = now.after(self.retention.snapshot_age());
+            self.retry_at = now.after(SNAPSHOT_RETRY);
         }
     }
 
@@ -125,12 +125,13 @@
                 None
             }
         };
-        let is_encoded = state.is_some();
         self.snapshots.requested = false;
-        self.snapshots.attempt = Some(Attempt { taken, last_batch, state, bytes: 0 });
-        if !is_encoded {
-            return self.snapshot_saved(false);
+        if state.is_none() {
+            // The next attempt would take as long and fail as well.
+            self.snapshots.retry_at = self.now.after(self.snapshots.retention.snapshot_age());
+            return;
         }
+        self.snapshots.attempt = Some(Attempt { taken, last_batch, state, bytes: 0 });
         self.save_snapshot_once_stored();
     }
 
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -122,8 +122,6 @@
     handle: OwnerHandle,
     pending_replies: BTreeMap<CallId, oneshot::Sender<Answer>>,
     last_call: CallId,
-    /// Number of stored snapshots of this epoch.
-    stored_snapshots: Rc<Cell<u64>>,
     ended: Rc<Cell<bool>>,
     profiler: Rc<ThreadProfiler>,
     /// Called at each step with the health of the store.
@@ -151,7 +149,6 @@
             handle: handle.clone(),
             pending_replies: BTreeMap::new(),
             last_call: 0,
-            stored_snapshots: Rc::default(),
             ended: Rc::new(Cell::new(false)),
             profiler: deps.profiler.clone(),
             deps,
@@ -312,21 +309,16 @@
         });
     }
 
-    fn save_snapshot(&mut self, snapshot: JournalSnapshot) {
+    fn save_snapshot(&self, snapshot: JournalSnapshot) {
         let (deps, handle) = (self.deps.clone(), self.handle.clone());
         let (cell, epoch) = (self.cell, self.machine.epoch);
-        // The store refuses a number that does not follow the last stored one, so a snapshot that
-        // failed leaves its number to the next one. If it was stored after all, the store ignores the
-        // next one as a repetition and stores the one after it.
-        let stored = self.stored_snapshots.clone();
-        let sequence = self.machine.claim_number() + stored.get() + 1;
+        let claim = self.machine.claim_number();
         monoio::spawn(async move {
             let bytes = snapshot.state.as_ref().map_or(0, Bytes::len);
             let offset = snapshot.offset;
-            let outcome = deps.journal.save_snapshot(cell, epoch, sequence, &snapshot).await;
+            let outcome = deps.journal.save_snapshot(cell, epoch, claim, &snapshot).await;
             match &outcome {
                 Ok(()) => {
-                    stored.set(stored.get() + 1);
                     log::info!("event=journal.saved cell={cell} offset={offset} bytes={bytes}");
                 }
                 Err(cause) => log::warn!("event=journal.save_failed cell={cell} cause={cause:?}"),
--- a/src/cell/timings.rs
+++ b/src/cell/timings.rs
@@ -146,6 +146,9 @@
 /// store keeps records: a new owner replays what no snapshot contains.
 pub const MAX_SNAPSHOT_AGE: Duration = Duration::from_secs(60);
 
+/// Delay after a snapshot that could not be saved.
+pub const SNAPSHOT_RETRY: Duration = Duration::from_secs(1);
+
 /// Maximum size of one append in bytes.
 pub const MAX_APPEND_BYTES: usize = 200_000;
 
--- a/tests/logic/cell/snapshots.rs
+++ b/tests/logic/cell/snapshots.rs
@@ -5,7 +5,7 @@
 use oriolefork::cell::dependencies::JournalSnapshot;
 use oriolefork::cell::machine::{Call, Effect, Message};
 use oriolefork::cell::state::State;
-use oriolefork::cell::timings::{Retention, Timings};
+use oriolefork::cell::timings::{Retention, SNAPSHOT_RETRY, Timings};
 use oriolefork::clock::Instant;
 use oriolefork::codec;
 
@@ -133,3 +133,19 @@
     journal.harness.advance(10);
     assert_eq!(journal.drain_snapshots().len(), 1);
 }
+
+/// Guards against a snapshot that could not be saved and is tried again only a whole interval later,
+/// when the store has removed what it would contain.
+#[test]
+fn snapshot_not_saved_is_tried_again_soon() {
+    let mut journal = Journal::new(retention(Duration::from_secs(300)));
+    journal.harness.deliver(Message::SnapshotRequested);
+    journal.harness.advance(10);
+    assert_eq!(journal.drain_snapshots().len(), 1);
+    journal.harness.deliver(Message::SnapshotSaved(false));
+    journal.stay_busy(Duration::from_secs(61));
+    assert_eq!(journal.drain_snapshots().len(), 1, "due by the age of the first record");
+    journal.harness.deliver(Message::SnapshotSaved(false));
+    journal.stay_busy(SNAPSHOT_RETRY * 2);
+    assert_eq!(journal.drain_snapshots().len(), 1, "the second attempt");
+}
