Query the policy service from the only instance that is left

Callers would see: all instances but one are lost; the one that is left accepts jobs, and none of a queue with a policy service starts until another instance joins.

Cause: queries go through the instances that follow the owner. Its own instance counted among them only for 1.5 s after the claim.

Change: the owner's own instance counts as present while no other one does. Sites whose owner is followed are not affected.

--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -7,7 +7,7 @@
 use super::{Election, READ_RETRY_DELAY};
 use crate::cell::Epoch;
 use crate::cell::dependencies::AppendError;
-use crate::cell::machine::{Machine, Message};
+use crate::cell::machine::Machine;
 use crate::cell::owner::OwnerTask;
 use crate::cell::peer::{ANNOUNCE, Announcement};
 use crate::cell::record::{Batch, Record};
@@ -178,7 +178,7 @@
             Machine::new(state, node.claim_sequence(), next, config, node.timings, now, unix);
         machine.note_unsaved(unsaved);
         let (peer, cpu_millis, domain) = (node.me, node.cpu_millis, node.domain.clone());
-        machine.handle(Message::InstanceSeen { peer, cpu_millis, domain }, now, unix);
+        machine.note_self(peer, cpu_millis, domain);
         let (health_node, cell) = (node.clone(), self.cell);
         let health = Box::new(move |health| health_node.apply_store_health(cell, health));
         let (owner, handle) =
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -175,6 +175,8 @@
     unlisted_runs: BTreeSet<Run>,
     /// Instances that follow the owner, by address.
     proxies: BTreeMap<SocketAddr, PolicyProxy>,
+    /// Address of the instance that runs this owner, which is among them.
+    own_address: Option<SocketAddr>,
     succession: Succession,
     /// Policy queries in flight, by number.
     queries: BTreeMap<u64, PolicyQuery>,
@@ -248,6 +250,7 @@
             views: WorkerViews::default(),
             unlisted_runs: BTreeSet::new(),
             proxies: BTreeMap::new(),
+            own_address: None,
             succession: Succession::default(),
             queries: BTreeMap::new(),
             last_query: 0,
--- a/src/cell/machine/succession.rs
+++ b/src/cell/machine/succession.rs
@@ -92,11 +92,30 @@
         proxy.present_until = now.after(PEER_TIMEOUT + longest.extension());
     }
 
+    /// Notes the instance that runs this owner.
+    pub fn note_self(&mut self, peer: SocketAddr, cpu_millis: u32, domain: Rc<str>) {
+        self.own_address = Some(peer);
+        self.note_instance(peer, cpu_millis, domain);
+    }
+
+    /// Lets the owner query the policy service itself while no other instance follows it.
+    ///
+    /// Guards against accepted jobs that never start at the only instance that is left.
+    fn stand_in_for_followers(&mut self) {
+        let Some(own) = self.own_address else { return };
+        let is_followed =
+            self.proxies.iter().any(|(peer, proxy)| *peer != own && proxy.is_fresh(self.now));
+        if !is_followed && let Some(proxy) = self.proxies.get_mut(&own) {
+            proxy.present_until = self.now.after(PEER_TIMEOUT);
+        }
+    }
+
     /// Recomputes the order of succession if it is due.
     pub(super) fn rank_instances(&mut self) {
         if self.now < self.succession.next_ranking {
             return;
         }
+        self.stand_in_for_followers();
         let order = self.present_instances(self.now);
         let fresh = self.proxies.values().filter(|proxy| proxy.is_fresh(self.now));
         let strongest = fresh.map(|proxy| proxy.cpu_millis).max().unwrap_or(0);
