--- a/src/cell/dependencies.rs
+++ b/src/cell/dependencies.rs
@@ -227,8 +227,11 @@
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 pub enum ReadError {
     /// The requested records have been removed; reading restarts at the snapshot.
-    #[display("records have been dropped")]
-    Truncated,
+    #[display("records before {first_offset} have been removed")]
+    Truncated {
+        /// Offset of the first record that is left.
+        first_offset: u64,
+    },
     /// The store did not answer; the records read so far are valid.
     #[display("{_0}")]
     Failed(String),
--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -38,7 +38,9 @@
         log::info!("event=owner.claim cell={} epoch={epoch} motive={reason:?}", self.cell);
         let first = self.node.claim_sequence();
         let journal = self.node.deps.journal.clone();
-        match journal.append(self.cell, epoch, first, bytes, APPEND_TIMEOUT).await {
+        let claimed = journal.append(self.cell, epoch, first, bytes, APPEND_TIMEOUT).await;
+        self.drop_replay_with_losses();
+        match claimed {
             Ok(_) => {
                 names::CELL_CLAIMS.increment(&[("outcome", "written")]);
                 self.learned = self.begin_reading_learned();
@@ -168,7 +170,7 @@
     /// Runs the owner of the cell until another instance takes over.
     async fn run_as_owner(&mut self) {
         let node = self.node.clone();
-        let JournalReplay { state, next_offset: next, unsaved, .. } =
+        let JournalReplay { state, next_offset: next, unsaved, lost, .. } =
             std::mem::take(&mut self.replay);
         let (epoch, jobs, tasks) = (state.epoch, state.jobs.len(), state.live.len());
         let (now, unix) = (node.deps.clock.now(), node.deps.clock.unix());
@@ -177,6 +179,10 @@
         let mut machine =
             Machine::new(state, node.claim_sequence(), next, config, node.timings, now, unix);
         machine.note_unsaved(unsaved);
+        if let Some(lost) = lost {
+            self.report_losses(&lost);
+            machine.begin_without_records(&lost.open_jobs);
+        }
         let (peer, cpu_millis, domain) = (node.me, node.cpu_millis, node.domain.clone());
         machine.note_self(peer, cpu_millis, domain);
         let (health_node, cell) = (node.clone(), self.cell);
--- a/src/cell/election/journal.rs
+++ b/src/cell/election/journal.rs
@@ -2,37 +2,89 @@
 
 use super::Election;
 use crate::cell::dependencies::ReadError;
+use crate::cell::replay::LostRecords;
+use crate::telemetry::names;
+
+/// Maximum number of jobs named in the log after records are lost.
+const MAX_LOGGED_JOBS: usize = 1_000;
 
 impl Election {
     /// Replays the journal to its end; `false` when the store does not answer.
+    ///
+    /// Where the store has removed records that no snapshot contains, it continues after them and
+    /// notes what is lost. Guards against a cell that nobody owns for as long as such records are
+    /// missing, which is for ever.
     pub(super) async fn read(&mut self) -> bool {
         let journal = self.node.deps.journal.clone();
-        if !self.replay.has_snapshot {
-            match journal.snapshot(self.cell).await {
-                Ok(snapshot) => self.replay.load_snapshot(&snapshot),
-                Err(cause) => return self.unread(&cause),
-            }
-        }
+        // Offset of the snapshot after which records were missing.
+        let mut missing_after = None;
         loop {
-            match journal.read(self.cell, self.replay.next_offset).await {
-                Ok(page) => {
-                    for record in &page.records {
-                        self.replay.apply_record(record);
-                    }
-                    self.replay.next_offset = page.next_offset;
-                    if page.next_offset >= page.end_offset {
-                        return true;
-                    }
-                }
-                Err(ReadError::Truncated) => {
-                    self.replay.has_snapshot = false;
-                    return self.unread(&ReadError::Truncated.to_string());
+            if !self.replay.has_snapshot {
+                match journal.snapshot(self.cell).await {
+                    Ok(snapshot) => self.replay.load_snapshot(&snapshot),
+                    Err(cause) => return self.unread(&cause),
                 }
+            }
+            let first_offset = match self.read_records().await {
+                Ok(()) => return true,
                 Err(ReadError::Failed(cause)) => return self.unread(&cause),
+                Err(ReadError::Truncated { first_offset }) => first_offset,
+            };
+            let snapshot_offset = self.replay.snapshot_offset;
+            log::warn!(
+                "event=journal.truncated cell={} next={} first={first_offset} \
+                 snapshot={snapshot_offset}",
+                self.cell,
+                self.replay.next_offset
+            );
+            // The owner may have saved a snapshot since this one was loaded.
+            if missing_after == Some(snapshot_offset) {
+                self.replay.skip_removed(first_offset);
+            } else {
+                missing_after = Some(snapshot_offset);
+                self.replay.has_snapshot = false;
+            }
+        }
+    }
+
+    /// Replays records from the next offset to the end of the journal.
+    async fn read_records(&mut self) -> Result<(), ReadError> {
+        let journal = self.node.deps.journal.clone();
+        loop {
+            let page = journal.read(self.cell, self.replay.next_offset).await?;
+            for record in &page.records {
+                self.replay.apply_record(record);
+            }
+            self.replay.next_offset = page.next_offset;
+            if page.next_offset >= page.end_offset {
+                return Ok(());
             }
         }
     }
 
+    /// Forgets what was replayed if records are lost for it: a snapshot that was saved since may
+    /// contain them.
+    pub(super) fn drop_replay_with_losses(&mut self) {
+        if self.replay.lost.is_some() {
+            self.replay = Default::default();
+        }
+    }
+
+    /// Tells operators which records are lost, and with them which jobs.
+    pub(super) fn report_losses(&self, lost: &LostRecords) {
+        let LostRecords { from, until, open_jobs, unknown_jobs } = lost;
+        names::CELL_LOST_RECORDS.add(until - from, &[]);
+        log::error!(
+            "event=journal.records_lost cell={} from={from} until={until} in_doubt={} unknown={}",
+            self.cell,
+            open_jobs.len(),
+            unknown_jobs.len()
+        );
+        for job in unknown_jobs.iter().take(MAX_LOGGED_JOBS) {
+            log::error!("event=job.lost job={job}");
+        }
+    }
+
     fn unread(&self, cause: &str) -> bool {
         log::warn!("event=journal.unread cell={} cause={cause:?}", self.cell);
         false
--- a/src/cell/election/standby.rs
+++ b/src/cell/election/standby.rs
@@ -44,6 +44,11 @@
         // The records read before the timeout are kept.
         let timeout = if self.replay.has_snapshot { TAIL_TIMEOUT } else { FULL_TIMEOUT };
         let _ = monoio::time::timeout(timeout, self.read()).await;
+        if self.replay.lost.is_some() {
+            // The owner has what is missing, and saves a snapshot of it.
+            self.drop_replay_with_losses();
+            return self.postpone_catch_up();
+        }
         let retention = self.node.timings.status_retention;
         self.replay.state.remove_expired(self.node.deps.clock.unix(), retention);
         self.next_catch_up = self.node.deps.clock.now().after(CATCH_UP_INTERVAL);
--- a/src/cell/machine/attempts.rs
+++ b/src/cell/machine/attempts.rs
@@ -20,6 +20,9 @@
     /// It has crashed too many workers.
     #[display("crashes")]
     Crashes,
+    /// The store has removed records that may have told of its success.
+    #[display("records_lost")]
+    RecordsLost,
 }
 
 impl Machine {
--- a/src/cell/machine/loss.rs
+++ b/src/cell/machine/loss.rs
@@ -7,7 +7,6 @@
 use crate::cell::incarnation::WorkerIncarnation;
 use crate::cell::job::{Run, RunOutcome};
 use crate::cell::record::WorkerId;
-use crate::cell::timings::{CLOCK_DRIFT, LEASE_GRANT_WINDOW, LEASE_MARGIN};
 use crate::cell::worker::Worker;
 
 impl Machine {
@@ -65,8 +64,7 @@
 
     /// Ends attempts on workers whose leases have certainly expired.
     pub(super) fn expire_leases(&mut self) {
-        let lease = self.timings.lease.mul_f64(1.0 + 2.0 * CLOCK_DRIFT);
-        let unfenced_end = self.claimed.after(LEASE_GRANT_WINDOW + lease + LEASE_MARGIN);
+        let unfenced_end = self.former_leases_end();
         let now = self.now;
         let lapsed = |worker: &&Worker| {
             let end = if worker.fenced { worker.lease.expires_at() } else { Some(unfenced_end) };
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -21,6 +21,7 @@
 mod inactive;
 mod journal_queue;
 mod loss;
+mod lost_records;
 mod message;
 mod outcome_stats;
 mod pending;
@@ -62,6 +63,7 @@
 use self::caps::{CustomerUsage, HeldBack};
 use self::explain::History;
 use self::inactive::InactiveWorkers;
+use self::lost_records::Doubts;
 use self::pending::RoundJobs;
 use self::proxy::PolicyProxy;
 use self::run_times::RunTimes;
@@ -154,6 +156,8 @@
     /// Worker incarnations that have ended but may still be listed.
     dead_workers: BTreeSet<WorkerId>,
     snapshots: SnapshotSchedule,
+    /// Jobs of which the store has removed records that no snapshot contains.
+    doubts: Option<Doubts>,
     /// Jobs whose final phase is not stored yet.
     unstored_ends: BTreeSet<Id>,
     round_jobs: RoundJobs,
@@ -238,6 +242,7 @@
             claimed: now,
             dead_workers: BTreeSet::new(),
             snapshots: SnapshotSchedule::new(timings.retention, now),
+            doubts: None,
             unstored_ends: BTreeSet::new(),
             round_jobs: RoundJobs::new(now),
             backlog: BacklogLog::new(now),
@@ -318,6 +323,7 @@
         if self.now >= self.next_lease_check {
             self.next_lease_check = now.after(LEASE_CHECK_INTERVAL);
             self.expire_leases();
+            self.settle_doubts();
             self.remove_unlisted_workers();
             self.adjust_active_workers();
             self.refresh_proportions();
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -41,6 +41,9 @@
         self.needs_placement = false;
         self.next_round = self.now.after(MIN_ROUND_INTERVAL);
         self.round_by = self.now.after(MAX_ROUND_INTERVAL);
+        if self.has_doubts() {
+            return;
+        }
         let full_scan = self.round_jobs.is_full_scan_due(self.now);
         let mut waiting = self.pending_steps();
         self.hold_back_capped(&mut waiting);
--- a/src/cell/machine/polls.rs
+++ b/src/cell/machine/polls.rs
@@ -160,7 +160,7 @@
             }
             if self.is_on(&end.run, id) {
                 self.end_run(end.run, end.outcome, end.checkpoint);
-            } else {
+            } else if !self.adopt_success(id, &end) {
                 self.note_unused_end(id, &end);
             }
         }
@@ -190,7 +190,8 @@
 
     fn note_running(&mut self, id: &str, running: &RunStatus) {
         let run = running.run;
-        if !self.is_on(&run, id) {
+        self.note_seen(run.task);
+        if !self.is_on(&run, id) && !self.adopt_run(id, run) {
             self.stop_unknown_run(id, run);
             return;
         }
--- a/src/cell/machine/snapshot.rs
+++ b/src/cell/machine/snapshot.rs
@@ -113,8 +113,11 @@
     }
 
     /// Takes a snapshot of the state if one is due. It is saved once all decisions in it are stored.
+    ///
+    /// A snapshot would hide from the next owner that records are lost, so none is taken until their
+    /// jobs are settled.
     pub(super) fn take_snapshot_when_due(&mut self) {
-        if !self.snapshots.is_due(self.now) {
+        if !self.snapshots.is_due(self.now) || self.has_doubts() {
             return;
         }
         let (taken, last_batch) = (self.now, self.journal.close_last_batch());
--- a/src/cell/replay.rs
+++ b/src/cell/replay.rs
@@ -1,7 +1,10 @@
 //! State of a cell that a follower replays from the journal.
 
+use std::collections::BTreeSet;
+
 use super::dependencies::JournalSnapshot;
-use super::record::Batch;
+use super::job::Id;
+use super::record::{Batch, Record};
 use super::state::State;
 use crate::clock::Unix;
 use crate::codec;
@@ -15,6 +18,19 @@
     pub bytes: u64,
 }
 
+/// Records that the store has removed and no snapshot contains.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct LostRecords {
+    /// Offset of the first of them.
+    pub(super) from: u64,
+    /// Offset of the first record after them.
+    pub(super) until: u64,
+    /// Jobs that were open before them.
+    pub(super) open_jobs: BTreeSet<Id>,
+    /// Jobs that later records name, and that no record or snapshot contains.
+    pub(super) unknown_jobs: BTreeSet<Id>,
+}
+
 /// Replayed state of a cell and the offset that it corresponds to.
 #[derive(Default)]
 pub(super) struct JournalReplay {
@@ -23,16 +39,21 @@
     pub(super) next_offset: u64,
     /// Whether the snapshot has been loaded.
     pub(super) has_snapshot: bool,
+    /// Offset of the snapshot that has been loaded.
+    pub(super) snapshot_offset: u64,
     pub(super) unsaved: Unsaved,
+    pub(super) lost: Option<LostRecords>,
 }
 
 impl JournalReplay {
     /// Starts with a snapshot.
     pub(super) fn load_snapshot(&mut self, snapshot: &JournalSnapshot) {
-        self.has_snapshot = true;
-        self.unsaved = Unsaved::default();
-        self.next_offset = snapshot.offset;
-        self.state = State::default();
+        *self = Self {
+            next_offset: snapshot.offset,
+            has_snapshot: true,
+            snapshot_offset: snapshot.offset,
+            ..Self::default()
+        };
         let Some(bytes) = &snapshot.state else { return };
         match codec::decode(bytes) {
             Ok(state) => self.state = state,
@@ -40,15 +61,58 @@
         }
     }
 
+    /// Continues at the first record that the store has left.
+    pub(super) fn skip_removed(&mut self, first_offset: u64) {
+        let lost = self.lost.get_or_insert_with(|| LostRecords {
+            from: self.next_offset,
+            until: first_offset,
+            open_jobs: self.state.open.clone(),
+            unknown_jobs: BTreeSet::new(),
+        });
+        lost.until = first_offset;
+        self.next_offset = first_offset;
+    }
+
     /// Applies one record.
     pub(super) fn apply_record(&mut self, record: &[u8]) {
         match codec::decode::<Batch>(record) {
             Ok(batch) => {
                 self.unsaved.since.get_or_insert(batch.at);
                 self.unsaved.bytes += record.len() as u64;
+                self.note_gap(&batch);
                 self.state.apply_batch(batch);
             }
             Err(error) => log::error!("event=journal.record_unreadable cause={error:?}"),
         }
     }
+
+    /// Takes from a batch after lost records what these would have told: the epoch, whose claim may
+    /// be among them, and jobs whose acceptance is.
+    fn note_gap(&mut self, batch: &Batch) {
+        let Some(lost) = &mut self.lost else { return };
+        if batch.epoch > self.state.epoch {
+            self.state.epoch = batch.epoch;
+            self.state.owner = None;
+        }
+        let jobs = batch.records.iter().flat_map(jobs_of);
+        let mut accepted = BTreeSet::new();
+        for (job, is_acceptance) in jobs {
+            if is_acceptance {
+                accepted.insert(job);
+            } else if !self.state.jobs.contains_key(&job) && !accepted.contains(&job) {
+                lost.unknown_jobs.insert(job);
+            }
+        }
+    }
+}
+
+/// Jobs that a record names, each with whether it is accepted by it.
+fn jobs_of(record: &Record) -> Vec<(Id, bool)> {
+    match record {
+        Record::Claimed { .. } => Vec::new(),
+        Record::Accepted { job, .. } => vec![(job.id, true)],
+        Record::Cancelled { job } | Record::Failed { job } => vec![(*job, false)],
+        Record::Placed { runs, .. } => runs.iter().map(|run| (run.task.step.job, false)).collect(),
+        Record::Ended { run, .. } => vec![(run.task.step.job, false)],
+    }
 }
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -16,6 +16,7 @@
 mod harness;
 mod histories;
 mod lease;
+mod lost_records;
 mod machine;
 #[path = "../../../benches/cell/mix.rs"]
 #[allow(dead_code)]
