--- a/src/cell/election/journal.rs
+++ b/src/cell/election/journal.rs
@@ -1,15 +1,21 @@
 //! Replay of the journal.
 
+use std::time::Duration;
+
 use super::Election;
 use crate::cell::dependencies::ReadError;
-use crate::cell::replay::LostRecords;
+use crate::cell::replay::{Error, JournalReplay, LostRecords};
 use crate::telemetry::names;
 
+/// Time for which an instance does not claim a cell whose journal it cannot decode.
+const UNREADABLE_PAUSE: Duration = Duration::from_secs(10);
+
 /// Maximum number of jobs named in the log after records are lost.
 const MAX_LOGGED_JOBS: usize = 1_000;
 
 impl Election {
-    /// Replays the journal to its end; `false` when the store does not answer.
+    /// Replays the journal to its end; `false` when the store does not answer, or when this instance
+    /// cannot decode what it returns.
     ///
     /// Where the store has removed records that no snapshot contains, it continues after them and
     /// notes what is lost. Guards against a cell that nobody owns for as long as such records are
@@ -20,15 +26,19 @@
         let mut missing_after = None;
         loop {
             if !self.replay.has_snapshot {
-                match journal.snapshot(self.cell).await {
-                    Ok(snapshot) => self.replay.load_snapshot(&snapshot),
+                let snapshot = match journal.snapshot(self.cell).await {
+                    Ok(snapshot) => snapshot,
                     Err(cause) => return self.unread(&cause),
+                };
+                if let Err(unreadable) = self.replay.load_snapshot(&snapshot) {
+                    return self.pause_claims(&unreadable);
                 }
             }
             let first_offset = match self.read_records().await {
                 Ok(()) => return true,
-                Err(ReadError::Failed(cause)) => return self.unread(&cause),
-                Err(ReadError::Truncated { first_offset }) => first_offset,
+                Err(Error::Unread(ReadError::Truncated { first_offset })) => first_offset,
+                Err(Error::Unread(unread)) => return self.unread(&unread.to_string()),
+                Err(unreadable) => return self.pause_claims(&unreadable),
             };
             let snapshot_offset = self.replay.snapshot_offset;
             log::warn!(
@@ -48,12 +58,12 @@
     }
 
     /// Replays records from the next offset to the end of the journal.
-    async fn read_records(&mut self) -> Result<(), ReadError> {
+    async fn read_records(&mut self) -> Result<(), Error> {
         let journal = self.node.deps.journal.clone();
         loop {
             let page = journal.read(self.cell, self.replay.next_offset).await?;
             for record in &page.records {
-                self.replay.apply_record(record);
+                self.replay.apply_record(record)?;
             }
             self.replay.next_offset = page.next_offset;
             if page.next_offset >= page.end_offset {
@@ -66,7 +76,7 @@
     /// contain them.
     pub(super) fn drop_replay_with_losses(&mut self) {
         if self.replay.lost.is_some() {
-            self.replay = Default::default();
+            self.replay = JournalReplay::default();
         }
     }
 
@@ -85,6 +95,28 @@
         }
     }
 
+    /// Leaves the cell to other instances for a while.
+    ///
+    /// Guards against an instance of an earlier version that owns a cell whose journal a later one
+    /// has written: without what it cannot decode it would lose jobs and run tasks twice.
+    fn pause_claims(&mut self, unreadable: &Error) -> bool {
+        log::error!(
+            "event=journal.unreadable cell={} pause_ms={} cause={:?}",
+            self.cell,
+            UNREADABLE_PAUSE.as_millis(),
+            unreadable.to_string()
+        );
+        self.replay = JournalReplay::default();
+        self.claims_paused_until = Some(self.node.deps.clock.now().after(UNREADABLE_PAUSE));
+        false
+    }
+
+    /// Whether this instance does not claim the cell because it could not decode its journal.
+    pub(super) fn are_claims_paused(&self) -> bool {
+        let now = self.node.deps.clock.now();
+        self.claims_paused_until.is_some_and(|until| now < until)
+    }
+
     fn unread(&self, cause: &str) -> bool {
         log::warn!("event=journal.unread cell={} cause={cause:?}", self.cell);
         false
--- a/src/cell/election/mod.rs
+++ b/src/cell/election/mod.rs
@@ -69,6 +69,8 @@
     owner_cpu_millis: u32,
     /// End offset of the journal, as last received from the owner.
     known_journal_end: u64,
+    /// Time until which this instance leaves the cell to others.
+    claims_paused_until: Option<Instant>,
     /// What an earlier owner had learned, being read since the last claim.
     learned: Option<oneshot::Receiver<learned::Record>>,
 }
@@ -91,12 +93,13 @@
         last_owner: None,
         owner_cpu_millis: 0,
         known_journal_end: 0,
+        claims_paused_until: None,
         learned: None,
     };
     let mut reason = TakeoverReason::Unknown;
     while !election.node.has_left() {
-        if election.node.stop.is_triggered() {
-            // A process that shuts down claims nothing; it forwards calls until its end.
+        // A process that shuts down claims nothing; it forwards calls until its end.
+        if election.node.stop.is_triggered() || election.are_claims_paused() {
             election.follow_without_claiming().await;
             continue;
         }
--- a/src/cell/election/standby.rs
+++ b/src/cell/election/standby.rs
@@ -38,7 +38,8 @@
         if rank >= DROP_REPLAY_RANK {
             self.replay = JournalReplay::default();
         }
-        if rank >= STANDBYS || self.node.deps.clock.now() < self.next_catch_up {
+        let is_due = self.node.deps.clock.now() >= self.next_catch_up;
+        if rank >= STANDBYS || !is_due || self.are_claims_paused() {
             return;
         }
         // The records read before the timeout are kept.
--- a/src/cell/replay.rs
+++ b/src/cell/replay.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use super::dependencies::JournalSnapshot;
+use derive_more::{Display, From};
+
+use super::dependencies::{JournalSnapshot, ReadError};
 use super::job::Id;
 use super::record::{Batch, Record};
 use super::state::State;
@@ -31,6 +33,23 @@
     pub(super) unknown_jobs: BTreeSet<Id>,
 }
 
+/// Why a journal was not replayed to its end.
+#[derive(Clone, Debug, Display, From, PartialEq, Eq)]
+pub(super) enum Error {
+    /// The store did not return the records.
+    #[display("{_0}")]
+    Unread(ReadError),
+    /// This version cannot decode the snapshot, or the record at that offset.
+    #[from(skip)]
+    #[display("offset {offset}: {cause}")]
+    Unreadable {
+        /// Offset of the record, or of the first one after the snapshot.
+        offset: u64,
+        /// Why it cannot be decoded.
+        cause: codec::Error,
+    },
+}
+
 /// Replayed state of a cell and the offset that it corresponds to.
 #[derive(Default)]
 pub(super) struct JournalReplay {
@@ -46,19 +65,18 @@
 }
 
 impl JournalReplay {
-    /// Starts with a snapshot.
-    pub(super) fn load_snapshot(&mut self, snapshot: &JournalSnapshot) {
+    /// Starts with a snapshot; fails if it cannot be decoded.
+    pub(super) fn load_snapshot(&mut self, snapshot: &JournalSnapshot) -> Result<(), Error> {
         *self = Self {
             next_offset: snapshot.offset,
             has_snapshot: true,
             snapshot_offset: snapshot.offset,
             ..Self::default()
         };
-        let Some(bytes) = &snapshot.state else { return };
-        match codec::decode(bytes) {
-            Ok(state) => self.state = state,
-            Err(error) => log::error!("event=journal.base_unreadable cause={error:?}"),
-        }
+        let Some(bytes) = &snapshot.state else { return Ok(()) };
+        let offset = snapshot.offset;
+        self.state = codec::decode(bytes).map_err(|cause| Error::Unreadable { offset, cause })?;
+        Ok(())
     }
 
     /// Continues at the first record that the store has left.
@@ -73,17 +91,17 @@
         self.next_offset = first_offset;
     }
 
-    /// Applies one record.
-    pub(super) fn apply_record(&mut self, record: &[u8]) {
-        match codec::decode::<Batch>(record) {
-            Ok(batch) => {
-                self.unsaved.since.get_or_insert(batch.at);
-                self.unsaved.bytes += record.len() as u64;
-                self.note_gap(&batch);
-                self.state.apply_batch(batch);
-            }
-            Err(error) => log::error!("event=journal.record_unreadable cause={error:?}"),
-        }
+    /// Applies the record at the next offset; fails if it cannot be decoded.
+    pub(super) fn apply_record(&mut self, record: &[u8]) -> Result<(), Error> {
+        let offset = self.next_offset;
+        let batch: Batch =
+            codec::decode(record).map_err(|cause| Error::Unreadable { offset, cause })?;
+        self.next_offset += 1;
+        self.unsaved.since.get_or_insert(batch.at);
+        self.unsaved.bytes += record.len() as u64;
+        self.note_gap(&batch);
+        self.state.apply_batch(batch);
+        Ok(())
     }
 
     /// Takes from a batch after lost records what these would have told: the epoch, whose claim may
