--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -219,3 +219,10 @@
 fn crash_after_a_lost_poll_fails_no_job() {
     run_history(3, Faults { own_timeouts: true, ..CRASHING_TASKS_OF_OWNERS_KILLED });
 }
+
+/// The same fault in another history: the worker of the second attempt crashes after the task has
+/// succeeded there unheard.
+#[test]
+fn crash_after_an_unheard_success_fails_no_job() {
+    run_history(30, CRASHING_TASKS_OF_OWNERS_KILLED);
+}
