--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -20,6 +20,7 @@
 mod explain;
 mod inactive;
 mod journal_queue;
+mod lookup;
 mod loss;
 mod lost_records;
 mod message;
@@ -78,7 +79,7 @@
 use super::admission::Admission;
 use super::customer::Name;
 use super::failure_rate::FailureRate;
-use super::job::{Id, Job, Phase, Run, Step, StepKey};
+use super::job::{Id, Job, Run, StepKey};
 use super::peer::HandoverOffer;
 use super::queue::QueueConfig;
 use super::record::WorkerId;
@@ -87,7 +88,6 @@
 use super::timings::Timings;
 use super::worker::Worker;
 use crate::clock::{Instant, Unix};
-use crate::resource::Amount;
 
 /// Ratio of another instance's CPU to the owner's from which it should take the cell over. A change
 /// of owner costs about 50 ms of placements.
@@ -341,6 +341,11 @@
         self.take_snapshot_when_due();
         self.flush();
         done(OwnerActivity::Append);
+        self.take_effects()
+    }
+
+    /// Returns the effects since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
     }
 
@@ -376,15 +381,6 @@
         self.unix = unix;
     }
 
-    fn demand(&self, run: &Run) -> Amount {
-        self.spec(&run.task.step).map_or(Amount::ZERO, Step::allocation)
-    }
-
-    /// Returns the step as submitted.
-    fn spec(&self, key: &StepKey) -> Option<&Step> {
-        self.state.jobs.get(&key.job)?.job.steps.get(key.step as usize)
-    }
-
     fn forget(&mut self) {
         let gone = self.state.remove_expired(self.unix, self.timings.status_retention);
         self.admission.forget_gone(self.now);
@@ -395,21 +391,6 @@
             self.shares.forget(&id);
         }
     }
-
-    /// Attempts of a job that are not known to have ended.
-    fn runs_of_job(&self, job: Id) -> impl Iterator<Item = &Run> {
-        let from = self.runs.range(Run::first(StepKey::first(job))..);
-        from.map(|(run, _)| run).take_while(move |run| run.task.step.job == job)
-    }
-
-    /// Attempts of a step that are not known to have ended, with their state.
-    fn runs_of_step(&self, step: StepKey) -> impl Iterator<Item = (&Run, &ActiveRun)> {
-        self.runs.range(Run::first(step)..).take_while(move |(run, _)| run.task.step == step)
-    }
-
-    fn phase_of(&self, job: Id) -> Option<Phase> {
-        self.state.jobs.get(&job).map(super::state::JobState::phase)
-    }
 }
 
 /// Removes the entries of a job's steps.
