Settle runs placed before lost records by reports alone

Callers would see: after records are lost, a task runs twice. The owner took a run that the records before the gap place on a worker for accounted for, also while its worker had not reported it. If that worker is never heard, or at the very moment at which its lease ends, the task was free again afterwards, though it may have ended there and succeeded elsewhere in the gap.

Change: only a worker's report accounts for a task, and the jobs are settled strictly after the end of all former leases. run_placed_before_fails_the_job shows the rule for a worker that does not report the run and for one that is not listed.

--- a/src/cell/machine/lost_records.rs
+++ b/src/cell/machine/lost_records.rs
@@ -110,7 +110,7 @@
     /// Settles the jobs of which records are lost, once no worker can run anything that this owner
     /// does not know.
     pub(super) fn settle_doubts(&mut self) {
-        if self.doubts.as_ref().is_none_or(|doubts| self.now < doubts.until) {
+        if self.doubts.as_ref().is_none_or(|doubts| self.now <= doubts.until) {
             return;
         }
         let Some(Doubts { jobs, seen, .. }) = self.doubts.take() else { return };
@@ -146,8 +146,7 @@
                 let key = StepKey { job: id, occurrence, step: number as u32 };
                 let tasks = (0..step.count).map(|index| TaskKey { step: key, index });
                 let is_accounted = |task: &TaskKey| {
-                    let state = self.state.task(task);
-                    seen.contains(task) || state.is_some_and(|state| state.done || state.live > 0)
+                    seen.contains(task) || self.state.task(task).is_some_and(|state| state.done)
                 };
                 tasks.into_iter().find(|task| !is_accounted(task))
             })
--- a/tests/logic/cell/lost_records.rs
+++ b/tests/logic/cell/lost_records.rs
@@ -22,13 +22,24 @@
 const LEASES_END_MS: u64 = 13_000;
 const REPORT_INTERVAL_MS: u64 = 500;
 
-/// Owner of two workers that knows of a job with one step and of none of its runs. The records after
-/// its acceptance are lost, and the first worker reports `running` and `ended`.
-fn owner(step: Step, running: &[Run], ended: &[(u64, Run, RunOutcome)]) -> OwnerHarness {
+/// State with a job of one step, before the records that are lost.
+fn state(step: Step) -> State {
     let unix = Unix::from_millis(UNIX_START_MS);
     let mut state = State::default();
     state.apply_batch(model::claim(Epoch(1), unix));
     state.apply(Record::Accepted { at: unix, job: model::job(JOB, step) }, unix);
+    state
+}
+
+/// Owner of two workers that knows of a job with one step and of none of its runs. The records after
+/// its acceptance are lost, and the first worker reports `running` and `ended`.
+fn owner(step: Step, running: &[Run], ended: &[(u64, Run, RunOutcome)]) -> OwnerHarness {
+    owner_of(state(step), running, ended)
+}
+
+/// The same for an owner that begins with `state`.
+fn owner_of(state: State, running: &[Run], ended: &[(u64, Run, RunOutcome)]) -> OwnerHarness {
+    let unix = Unix::from_millis(UNIX_START_MS);
     let (now, timings) = (Instant::from_millis(0), Timings::default());
     let machine = Machine::new(state, 0, 1, model::queue_config(), timings, now, unix);
     let mut harness = OwnerHarness { machine, now: 0, effects: Vec::new() };
@@ -66,6 +77,20 @@
     assert_eq!(harness.phase(JOB), Some(Answer::Phase(Phase::Failed)));
 }
 
+/// Guards against a run that the records before the gap place on a worker which is never heard: it may
+/// have ended there, and a later attempt may have succeeded elsewhere.
+#[test_case("w0"; "on_a_worker_that_does_not_report_it")]
+#[test_case("w9"; "on_a_worker_that_is_not_listed")]
+fn run_placed_before_fails_the_job(worker: &str) {
+    let mut state = state(single());
+    let placed = Record::Placed { worker: worker.into(), runs: vec![run(JOB, 0, 1)] };
+    state.apply(placed, Unix::from_millis(UNIX_START_MS));
+    let mut harness = owner_of(state, &[], &[]);
+    outlive_leases(&mut harness, &[]);
+    assert!(harness.drain_starts().is_empty());
+    assert_eq!(harness.phase(JOB), Some(Answer::Phase(Phase::Failed)));
+}
+
 /// Guards against a running task that is stopped, or started elsewhere, because the record of its
 /// placement is lost.
 #[test]
