--- a/src/cell/machine/journal_queue.rs
+++ b/src/cell/machine/journal_queue.rs
@@ -177,6 +177,11 @@
 }
 
 impl Machine {
+    /// Whether all decisions are stored.
+    pub fn is_stored(&self) -> bool {
+        self.journal.batches.is_empty()
+    }
+
     /// Sequence number of this owner's claim within its epoch.
     pub const fn claim_number(&self) -> u64 {
         self.claim
--- a/src/cell/machine/snapshot.rs
+++ b/src/cell/machine/snapshot.rs
@@ -155,6 +155,15 @@
         self.effects.push(Effect::Save(snapshot));
     }
 
+    /// Returns a snapshot for an owner that ends, if all decisions are stored and none is being saved.
+    pub fn last_snapshot(&self) -> Option<JournalSnapshot> {
+        if !self.is_stored() || self.snapshots.attempt.is_some() || self.has_doubts() {
+            return None;
+        }
+        let state = codec::encode(&self.state).ok()?;
+        Some(JournalSnapshot { state: Some(state), offset: self.journal.end() })
+    }
+
     /// Notes that a snapshot has been saved or that it could not be.
     pub(super) fn snapshot_saved(&mut self, is_saved: bool) {
         self.snapshots.note_saved(is_saved, self.now);
--- a/src/cell/node/mod.rs
+++ b/src/cell/node/mod.rs
@@ -22,6 +22,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 pub use admission::{Admission, Denial};
 use explain::Explanations;
@@ -35,6 +36,9 @@
 use super::{Id, election};
 use crate::shutdown::Shutdown;
 
+/// Interval at which a leaving instance checks whether its owners have ended.
+const OWNER_END_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Identity and resources of a process.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -145,6 +149,13 @@
         }
     }
 
+    /// Waits until no cell is owned any more.
+    pub async fn until_owners_end(&self) {
+        while self.views.borrow().values().any(|view| view.owner_handle.is_some()) {
+            self.deps.clock.sleep(OWNER_END_INTERVAL).await;
+        }
+    }
+
     /// Whether the instance has left.
     pub fn has_left(&self) -> bool {
         self.left.get()
--- a/src/cell/owner/mod.rs
+++ b/src/cell/owner/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use futures_util::FutureExt;
 use local_sync::mpsc::unbounded::{Rx, Tx, channel};
 use local_sync::oneshot;
@@ -33,6 +34,9 @@
 /// every few messages.
 const MAX_MESSAGES_PER_STEP: usize = 1_024;
 
+/// Time for which an owner that ends waits for its last decisions to be stored.
+const LAST_APPENDS_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Interfaces to external systems, shared by the tasks of an instance.
 pub struct Dependencies {
     /// Journals of the cells.
@@ -111,6 +115,17 @@
     }
 }
 
+/// Why an owner ended.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum EndReason {
+    /// Its instance shuts down.
+    #[display("stopped on request")]
+    Requested,
+    /// Another owner has taken the cell over.
+    #[display("{_0}")]
+    Replaced(String),
+}
+
 /// Task of a cell's owner.
 pub struct OwnerTask {
     cell: Id,
@@ -158,23 +173,26 @@
     }
 
     /// Runs until another instance takes over or the handle stops it; returns the reason.
-    pub async fn run(mut self) -> String {
+    pub async fn run(mut self) -> EndReason {
         self.follow_roster();
         self.save_learned();
         self.report_activities();
         self.watch_load();
         let reason = self.run_loop().await;
         self.ended.set(true);
+        if reason == EndReason::Requested {
+            self.save_last_snapshot().await;
+        }
         reason
     }
 
-    async fn run_loop(&mut self) -> String {
+    async fn run_loop(&mut self) -> EndReason {
         let mut stopwatch = self.profiler.stopwatch();
         loop {
             let first = monoio::time::timeout(TICK, self.inputs.recv()).await.ok().flatten();
             stopwatch.restart();
             if self.drain_inputs(first, &mut stopwatch) {
-                return "stopped on request".to_owned();
+                return EndReason::Requested;
             }
             let (now, unix) = (self.deps.clock.now(), self.deps.clock.unix());
             (self.report_health)(self.machine.store_health(now));
@@ -189,7 +207,7 @@
             for effect in effects {
                 let activity = effect.activity();
                 if let Some(reason) = self.execute(effect) {
-                    return reason;
+                    return EndReason::Replaced(reason);
                 }
                 stopwatch.record(activity);
             }
@@ -310,21 +328,57 @@
     }
 
     fn save_snapshot(&self, snapshot: JournalSnapshot) {
-        let (deps, handle) = (self.deps.clone(), self.handle.clone());
-        let (cell, epoch) = (self.cell, self.machine.epoch);
-        let claim = self.machine.claim_number();
+        let saving = self.store_snapshot(snapshot);
+        let handle = self.handle.clone();
         monoio::spawn(async move {
-            let bytes = snapshot.state.as_ref().map_or(0, Bytes::len);
-            let offset = snapshot.offset;
-            let outcome = deps.journal.save_snapshot(cell, epoch, claim, &snapshot).await;
-            match &outcome {
+            let is_saved = saving.await;
+            handle.send(Message::SnapshotSaved(is_saved));
+        });
+    }
+
+    /// Stores a snapshot; returns whether it is stored.
+    fn store_snapshot(&self, snapshot: JournalSnapshot) -> impl Future<Output = bool> + 'static {
+        let (deps, cell, epoch) = (self.deps.clone(), self.cell, self.machine.epoch);
+        let claim = self.machine.claim_number();
+        async move {
+            let (offset, bytes) = (snapshot.offset, snapshot.state.as_ref().map_or(0, Bytes::len));
+            match deps.journal.save_snapshot(cell, epoch, claim, &snapshot).await {
                 Ok(()) => {
                     log::info!("event=journal.saved cell={cell} offset={offset} bytes={bytes}");
+                    true
+                }
+                Err(cause) => {
+                    log::warn!("event=journal.save_failed cell={cell} cause={cause:?}");
+                    false
                 }
-                Err(cause) => log::warn!("event=journal.save_failed cell={cell} cause={cause:?}"),
             }
-            handle.send(Message::SnapshotSaved(outcome.is_ok()));
-        });
+        }
+    }
+
+    /// Saves a snapshot of all that is stored, when no other instance has taken the cell over.
+    ///
+    /// Guards against a planned stop of all instances that lasts longer than the store retains
+    /// records.
+    async fn save_last_snapshot(&mut self) {
+        self.wait_stored().await;
+        if let Some(snapshot) = self.machine.last_snapshot() {
+            self.store_snapshot(snapshot).await;
+        }
+    }
+
+    /// Waits for a limited time until all decisions are stored, and makes none meanwhile.
+    async fn wait_stored(&mut self) {
+        let deadline = self.deps.clock.now().after(LAST_APPENDS_TIMEOUT);
+        while !self.machine.is_stored() && self.deps.clock.now() < deadline {
+            let input = monoio::time::timeout(TICK, self.inputs.recv()).await.ok().flatten();
+            let Some(Input::Message(message @ Message::Appended { .. })) = input else { continue };
+            self.machine.handle(message, self.deps.clock.now(), self.deps.clock.unix());
+            for effect in self.machine.take_effects() {
+                if matches!(effect, Effect::Append { .. } | Effect::Reply { .. }) {
+                    self.execute(effect);
+                }
+            }
+        }
     }
 }
 
