--- a/src/cell/election/takeover.rs
+++ b/src/cell/election/takeover.rs
@@ -7,6 +7,7 @@
 use super::search::ReplayResult;
 use super::{Election, READ_RETRY_DELAY};
 use crate::cell::Epoch;
+use crate::cell::dependencies::ReadError;
 use crate::cell::peer::HandoverOffer;
 use crate::cell::timings::APPEND_RETRY;
 use crate::cell::watch::{Hold, SUCCESSORS};
@@ -156,13 +157,21 @@
         APPEND_WINDOW + Hold::new(Some(SUCCESSORS), self.peers.len()).extension() * 2
     }
 
-    /// Offset of the next append. The read starts at `near`, so that few records are transferred.
+    /// Offset of the next append. The read starts at `near`, so that few records are transferred, or
+    /// at the first record that the store has left.
     async fn journal_end(&self, near: u64) -> Option<u64> {
-        match self.node.deps.journal.read(self.cell, near).await {
-            Ok(page) => Some(page.end_offset),
-            Err(cause) => {
-                log::warn!("event=journal.unread cell={} cause={:?}", self.cell, cause.to_string());
-                None
+        let mut from = near;
+        loop {
+            match self.node.deps.journal.read(self.cell, from).await {
+                Ok(page) => return Some(page.end_offset),
+                Err(ReadError::Truncated { first_offset }) if first_offset > from => {
+                    from = first_offset;
+                }
+                Err(cause) => {
+                    let (cell, cause) = (self.cell, cause.to_string());
+                    log::warn!("event=journal.unread cell={cell} cause={cause:?}");
+                    return None;
+                }
             }
         }
     }
