--- a/src/cell/machine/lost_records.rs
+++ b/src/cell/machine/lost_records.rs
@@ -17,7 +17,7 @@
 use crate::cell::timings::{CLOCK_DRIFT, LEASE_GRANT_WINDOW, LEASE_MARGIN};
 use crate::clock::Instant;
 
-/// Jobs of which records are lost.
+/// Jobs that are in doubt because records of them are lost.
 #[derive(Clone, Debug)]
 pub(super) struct Doubts {
     jobs: BTreeSet<Id>,
@@ -127,8 +127,8 @@
 
     /// Returns a task of the job that may have run to its end without a record that is left.
     ///
-    /// Tasks that last are none: they have no end that counts, and none of them runs any more. Nor
-    /// are tasks whose turn cannot have come.
+    /// Long-running tasks are excluded: they never complete, and none of them runs any more. So are
+    /// tasks of steps that cannot have begun.
     fn task_in_doubt(&self, id: Id, seen: &BTreeSet<TaskKey>) -> Option<TaskKey> {
         let entry = self.state.jobs.get(&id)?;
         let is_due = |number: &u32| entry.job.due_at(*number).is_none_or(|due| due <= self.unix);
