Leave workers room for the owners that follow a lost one

Cause: a worker accepts 64 connections and keeps those of a lost machine for good. Each owner kept up to eight, idle ones for 5 to 10 s, and left about five when it was lost. After some ten owners most workers took none from anybody.

The last owner reached 6 of 48 workers; at the others it had no connection but the one refused.

Change: an owner keeps two connections to a worker, and only while the worker has shown that it accepts four more; any other request asks to close its connection. Where nothing shows it, five short calls at once do. A worker that has refused a connection and has not shown it gets short polls and one command at a time.

Why it works: what an owner leaves is what it has open; two at most while there is room, and while there is none a connection is open for some milliseconds in a second. The last four are never held for longer.

--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -13,6 +13,10 @@
     /// Opening a connection, for which this process has no descriptor left.
     #[display("descriptors")]
     Descriptor,
+    /// Opening a connection to a peer that limits its connections, and refused this one or closed it
+    /// before any response to its first request.
+    #[display("refused")]
+    Refused,
     /// Verifying the peer's identity on a new connection.
     #[display("greet")]
     IdentityCheck,
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::shutdown::Shutdown;
 
+mod attempt;
 mod client;
 mod connection;
 mod error;
@@ -19,10 +20,12 @@
 mod message;
 mod pool;
 mod pool_map;
+mod quota;
 mod server;
 
 pub use client::{Client, IdentityCheck};
 pub use error::{CallPhase, Error};
+pub use quota::{Quotas, RESERVE};
 pub use server::Server;
 
 /// A request with its whole body.
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -21,6 +21,7 @@
 
 use super::limited::{Reader, Writer};
 use super::message::{self, MessageError, MessageReader};
+use super::quota::{KeptGuard, OpenGuard};
 use super::{Limits, Request, Response};
 use crate::descriptors::{Guard, IdleHolder, Offer, OfferId};
 use crate::permit;
@@ -46,6 +47,10 @@
     identity: Option<Rc<str>>,
     /// Offer to close the connection while it is idle.
     offer: Option<Offer>,
+    /// Counts it while it is kept open, if its peer limits its connections.
+    kept: Option<KeptGuard>,
+    /// Counts it while it is open, if its peer limits its connections.
+    established: Option<OpenGuard>,
     // Declared last, so that the socket is closed before its descriptor counts as free.
     descriptor: Guard,
 }
@@ -79,6 +84,8 @@
             fresh: true,
             identity: None,
             offer: None,
+            kept: None,
+            established: None,
             descriptor,
         }
     }
@@ -93,6 +100,25 @@
         self.fresh
     }
 
+    /// Counts it among the connections to a peer that limits them.
+    pub(super) fn set_established(&mut self, established: OpenGuard) {
+        self.established = Some(established);
+    }
+
+    pub(super) const fn established(&self) -> Option<&OpenGuard> {
+        self.established.as_ref()
+    }
+
+    /// Ends the count of a connection that the peer has refused.
+    pub(super) const fn take_established(&mut self) -> Option<OpenGuard> {
+        self.established.take()
+    }
+
+    /// Whether it is counted as kept open, to be changed before a request.
+    pub(super) const fn kept(&mut self) -> &mut Option<KeptGuard> {
+        &mut self.kept
+    }
+
     /// Records the verified identity of the peer.
     pub(super) fn set_identity(&mut self, identity: &str) {
         self.identity = Some(identity.into());
@@ -187,6 +213,7 @@
 /// The connections to one peer.
 pub(super) struct Pool {
     permits: permit::Semaphore,
+    extra: permit::Semaphore,
     idle: RefCell<Vec<Connection>>,
     /// Largest number of open connections that has been logged.
     logged: Cell<usize>,
@@ -194,20 +221,27 @@
 }
 
 impl Pool {
-    pub(super) fn new(connections: usize) -> Self {
+    /// Creates a pool of `reused` connections, with at most `extra` others at once.
+    pub(super) fn new(reused: usize, extra: usize) -> Self {
         Self {
-            permits: permit::Semaphore::new(connections),
+            permits: permit::Semaphore::new(reused),
+            extra: permit::Semaphore::new(extra),
             idle: RefCell::new(Vec::new()),
             logged: Cell::new(0),
             next_log: Cell::new(Instant::now()),
         }
     }
 
-    /// Semaphore that limits the connections in use.
-    pub(super) fn permits(&self) -> &permit::Semaphore {
+    /// Semaphore that limits the reused connections in use.
+    pub(super) const fn permits(&self) -> &permit::Semaphore {
         &self.permits
     }
 
+    /// Semaphore that limits the connections in use that are closed after one request.
+    pub(super) const fn extra(&self) -> &permit::Semaphore {
+        &self.extra
+    }
+
     /// Takes the most recently used idle connection with that verified identity. Connections that
     /// have been idle for `max_idle`, were closed or received unexpected data are dropped.
     pub(super) fn take(&self, max_idle: Duration, identity: Option<&str>) -> Option<Connection> {
@@ -225,7 +259,7 @@
 
     /// Number of connections in use or idle.
     fn open(&self) -> usize {
-        self.permits.in_use() + self.idle.borrow().len()
+        self.permits.in_use() + self.extra.in_use() + self.idle.borrow().len()
     }
 
     /// Logs when this process has many connections to the peer, which may limit their number.
@@ -246,7 +280,8 @@
             return;
         }
         self.next_log.set(now + LOG_INTERVAL);
-        let (used, resting) = (self.permits.in_use(), self.idle.borrow().len());
+        let used = self.permits.in_use() + self.extra.in_use();
+        let resting = self.idle.borrow().len();
         log::info!(
             "event=http.connection_lost peer={peer} fresh={fresh} used={used} resting={resting} \
              cause={cause:?}"
--- a/src/http/pool_map.rs
+++ b/src/http/pool_map.rs
@@ -10,7 +10,8 @@
 
 /// A pool for each peer.
 pub(super) struct PoolMap {
-    connections: usize,
+    reused: usize,
+    extra: usize,
     max_idle: Duration,
     by_peer: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     /// Whether a task that closes idle connections is running.
@@ -18,17 +19,17 @@
 }
 
 impl PoolMap {
-    /// Creates a map whose pools allow `connections` in use at once per peer, and reuse a
-    /// connection that has been idle for less than `max_idle`.
-    pub(super) fn new(connections: usize, max_idle: Duration) -> Self {
+    /// Creates a map whose pools allow `reused` and `extra` connections in use at once per peer, and
+    /// reuse a connection that has been idle for less than `max_idle`.
+    pub(super) fn new(reused: usize, extra: usize, max_idle: Duration) -> Self {
         let by_peer = RefCell::new(HashMap::new());
-        Self { connections, max_idle, by_peer, sweeping: Cell::new(false) }
+        Self { reused, extra, max_idle, by_peer, sweeping: Cell::new(false) }
     }
 
     /// Returns the pool of one peer.
     pub(super) fn of(&self, peer: SocketAddr) -> Rc<Pool> {
         let mut by_peer = self.by_peer.borrow_mut();
-        by_peer.entry(peer).or_insert_with(|| Rc::new(Pool::new(self.connections))).clone()
+        by_peer.entry(peer).or_insert_with(|| Rc::new(Pool::new(self.reused, self.extra))).clone()
     }
 
     /// Idle time after which a connection is not reused.
--- /dev/null
+++ b/src/http/quota.rs
@@ -0,0 +1,275 @@
+//! How many connections peers accept from this process, and how many of them it may keep open.
+//!
+//! A peer may limit its connections and keep those of a machine that was lost for as long as it
+//! runs. If each lost machine leaves connections behind, the peer accepts none in the end. What a
+//! machine leaves is what it has open when it is lost, idle connections and calls in flight alike.
+//! Three rules keep that small, and room for the next machine:
+//!
+//! - A connection is kept open after a call only while the peer has shown that it accepts
+//!   [`RESERVE`] more than those kept. Any other request asks the peer to close the connection.
+//! - While a peer that has refused a connection has not shown that, its connections are *scarce*:
+//!   callers should make short calls only.
+//! - For a while after a refusal, commands use one connection at a time.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::time::Instant;
+
+use crate::permit::Semaphore;
+use crate::telemetry::names;
+
+/// Connections that the peer must accept beyond those that are kept. They are used by short calls
+/// once the peer has no room for more, and some of these leave a connection behind as well.
+pub const RESERVE: usize = 4;
+
+/// Time for which a refusal limits the connections to a peer.
+const LIMIT_TIME: Duration = Duration::from_secs(5);
+
+/// Minimum interval between two probes of one peer, and between those of different peers. The latter
+/// keeps an owner of hundreds of peers from probing all of them at once.
+const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+const PROBE_PACE: Duration = Duration::from_millis(4);
+
+/// Time without a call after which what is known about a peer is forgotten.
+const MEMORY_TIME: Duration = Duration::from_secs(60);
+
+/// Number of peers from which on those without calls are forgotten.
+const FIRST_PRUNE: usize = 64;
+
+/// Minimum interval between two log lines about refused connections of one peer.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is known about the connections that peers accept; shared by the clients of a process that
+/// call the same peers.
+///
+/// ```
+/// use oriolefork::http::Quotas;
+/// let quotas = Quotas::default();
+/// assert!(!quotas.is_scarce("127.0.0.1:9".parse().unwrap()));
+/// ```
+#[derive(Default)]
+pub struct Quotas {
+    by_peer: RefCell<HashMap<SocketAddr, Rc<Quota>>>,
+    prune_at: Cell<usize>,
+    /// When the next probe of any peer may begin.
+    probe_slot: Cell<Option<Instant>>,
+}
+
+impl Quotas {
+    /// Whether the peer has refused a connection, and has not shown since that it accepts enough for
+    /// one to be kept.
+    pub fn is_scarce(&self, peer: SocketAddr) -> bool {
+        self.by_peer.borrow().get(&peer).is_some_and(|quota| quota.scarce.get())
+    }
+
+    /// Whether the peer has shown that it accepts enough connections for one to be kept.
+    pub fn is_proven(&self, peer: SocketAddr) -> bool {
+        self.by_peer.borrow().get(&peer).is_some_and(|quota| quota.allows(1))
+    }
+
+    /// Returns the delay after which more than [`RESERVE`] connections should be used at once, to
+    /// show that the peer accepts them; `None` if no probe is due. Probes of different peers follow
+    /// one another at intervals.
+    ///
+    /// ```
+    /// use oriolefork::http::Quotas;
+    /// assert_eq!(Quotas::default().next_probe("127.0.0.1:9".parse().unwrap()), None);
+    /// ```
+    pub fn next_probe(&self, peer: SocketAddr) -> Option<Duration> {
+        let by_peer = self.by_peer.borrow();
+        let quota = by_peer.get(&peer).filter(|quota| quota.unproven.get())?;
+        let now = Instant::now();
+        if quota.next_probe.get().is_some_and(|next| now < next) {
+            return None;
+        }
+        let at = self.probe_slot.get().map_or(now, |slot| slot.max(now));
+        quota.unproven.set(false);
+        quota.next_probe.set(Some(at + PROBE_INTERVAL));
+        self.probe_slot.set(Some(at + PROBE_PACE));
+        Some(at - now)
+    }
+
+    pub(super) fn of(&self, peer: SocketAddr) -> Rc<Quota> {
+        let mut by_peer = self.by_peer.borrow_mut();
+        if by_peer.len() >= self.prune_at.get().max(FIRST_PRUNE) {
+            by_peer.retain(|_, quota| !quota.is_forgotten());
+            self.prune_at.set(by_peer.len() * 2);
+        }
+        let quota = by_peer.entry(peer).or_insert_with(|| Rc::new(Quota::new(peer))).clone();
+        quota.last_used.set(Instant::now());
+        quota
+    }
+}
+
+/// What is known about the connections that one peer accepts.
+pub(super) struct Quota {
+    peer: SocketAddr,
+    /// Established connections, in the order in which they were established.
+    open: RefCell<Vec<Established>>,
+    next_id: Cell<u64>,
+    /// Largest number of connections at once that the peer has been shown to accept.
+    accepted: Cell<usize>,
+    /// Connections that are kept open, in use or idle.
+    kept: Cell<usize>,
+    /// Whether a connection was not kept since the peer has not shown that it accepts enough.
+    unproven: Cell<bool>,
+    next_probe: Cell<Option<Instant>>,
+    scarce: Cell<bool>,
+    /// End of the time in which commands use one connection at a time.
+    limited_until: Cell<Option<Instant>>,
+    turns: Semaphore,
+    last_used: Cell<Instant>,
+    next_log: Cell<Instant>,
+    unlogged: Cell<u64>,
+}
+
+/// An established connection.
+struct Established {
+    id: u64,
+    /// Number of connections that were open when it was established, itself included, without
+    /// those that the peer has refused since.
+    beside: usize,
+}
+
+impl Quota {
+    fn new(peer: SocketAddr) -> Self {
+        let now = Instant::now();
+        Self {
+            peer,
+            open: RefCell::default(),
+            next_id: Cell::new(0),
+            accepted: Cell::new(0),
+            kept: Cell::new(0),
+            unproven: Cell::new(false),
+            next_probe: Cell::new(None),
+            scarce: Cell::new(false),
+            limited_until: Cell::new(None),
+            turns: Semaphore::new(1),
+            last_used: Cell::new(now),
+            next_log: Cell::new(now),
+            unlogged: Cell::new(0),
+        }
+    }
+
+    /// Semaphore of the calls that use one connection at a time once the peer has refused one.
+    pub(super) const fn turns(&self) -> &Semaphore {
+        &self.turns
+    }
+
+    /// Whether commands use one connection at a time.
+    pub(super) fn is_limited(&self) -> bool {
+        self.limited_until.get().is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Whether any connection is open.
+    pub(super) fn is_in_use(&self) -> bool {
+        !self.open.borrow().is_empty()
+    }
+
+    /// Counts a connection that was established.
+    pub(super) fn note_established(self: &Rc<Self>) -> OpenGuard {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        let mut open = self.open.borrow_mut();
+        let beside = open.len() + 1;
+        open.push(Established { id, beside });
+        OpenGuard { quota: self.clone(), id }
+    }
+
+    /// Records that the peer has answered on a connection, which it has thus accepted.
+    ///
+    /// It has accepted the connections established before it as well: a refusal of one of them
+    /// would have arrived earlier than this response.
+    pub(super) fn note_answered(&self, connection: &OpenGuard) {
+        let open = self.open.borrow();
+        let Some(answered) = open.iter().find(|open| open.id == connection.id) else { return };
+        self.accepted.set(self.accepted.get().max(answered.beside));
+        if self.allows(1) {
+            self.scarce.set(false);
+        }
+    }
+
+    /// Records that the peer has refused a connection: one that was established and then closed by
+    /// the peer before any response, or one that was not established.
+    pub(super) fn note_refused(&self, refused: Option<OpenGuard>) {
+        if let Some(refused) = refused {
+            let mut open = self.open.borrow_mut();
+            let later = open.iter_mut().filter(|open| open.id > refused.id);
+            later.for_each(|open| open.beside -= 1);
+        }
+        let open = self.open.borrow().len();
+        self.accepted.set(self.accepted.get().min(open));
+        self.limited_until.set(Some(Instant::now() + LIMIT_TIME));
+        if !self.allows(1) {
+            self.scarce.set(true);
+        }
+        names::CONNECTIONS_REFUSED_BY_PEER.increment(&[]);
+        self.log_refused(open);
+    }
+
+    fn log_refused(&self, open: usize) {
+        let now = Instant::now();
+        self.unlogged.set(self.unlogged.get() + 1);
+        if now < self.next_log.get() {
+            return;
+        }
+        self.next_log.set(now + LOG_INTERVAL);
+        let (count, kept) = (self.unlogged.replace(0), self.kept.get());
+        log::warn!(
+            "event=http.connection_refused peer={} open={open} kept={kept} scarce={} count={count}",
+            self.peer,
+            self.scarce.get()
+        );
+    }
+
+    fn is_forgotten(&self) -> bool {
+        self.last_used.get().elapsed() > MEMORY_TIME && !self.is_in_use()
+    }
+
+    /// Whether the peer accepts enough connections for `kept` to be kept.
+    const fn allows(&self, kept: usize) -> bool {
+        kept + RESERVE <= self.accepted.get()
+    }
+
+    /// Decides before a request whether its connection is kept open after the response. `kept` is the
+    /// present state of the connection.
+    pub(super) fn keep(self: &Rc<Self>, kept: &mut Option<KeptGuard>) -> bool {
+        // What is kept is counted already.
+        let added = usize::from(kept.is_none());
+        if !self.allows(self.kept.get() + added) {
+            *kept = None;
+            self.unproven.set(true);
+        } else if kept.is_none() {
+            self.kept.set(self.kept.get() + 1);
+            *kept = Some(KeptGuard { quota: self.clone() });
+        }
+        kept.is_some()
+    }
+}
+
+/// Counts an established connection until it is closed.
+pub(super) struct OpenGuard {
+    quota: Rc<Quota>,
+    id: u64,
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.quota.open.borrow_mut().retain(|open| open.id != self.id);
+    }
+}
+
+/// Counts a connection that is kept open until it is closed.
+pub(super) struct KeptGuard {
+    quota: Rc<Quota>,
+}
+
+impl Drop for KeptGuard {
+    fn drop(&mut self) {
+        self.quota.kept.set(self.quota.kept.get() - 1);
+    }
+}
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -123,6 +123,8 @@
         "Idle connections closed for want of descriptors, by class of the connection that needed one.";
     DESCRIPTORS_REFUSED: Counter = "oriolefork_descriptors_refused_total",
         "Connections refused for want of descriptors, by class.";
+    CONNECTIONS_REFUSED_BY_PEER: Counter = "oriolefork_connections_refused_by_peer_total",
+        "Connections that workers refused, or closed before any response.";
     RUNNER_CALL: Histogram = "oriolefork_runner_call_seconds",
         "Time of one call to a runner.";
 }
