Move tasks off a worker that refuses connections at once

Cause: a refused connection was a call without an answer like any other, so that it was repeated soon.

Change: a refusal is an error of its own. A start that surely did not arrive goes to another worker at once, polls and stops of a worker that refuses them follow at 0.3 to 1.2 s, and operators see worker.connections_refused and the condition connections_refused. A start on a connection that was closed after it was written stays with its worker, as it may have arrived.

Tests: refused_start_goes_elsewhere_at_once (before: repeated at the same worker, 30 ms later), polls_of_a_refusing_worker_are_spaced (before: every 30 or 300 ms), start_on_a_connection_closed_later_stays_with_its_worker.

--- a/src/cell/dependencies.rs
+++ b/src/cell/dependencies.rs
@@ -138,6 +138,15 @@
     /// No connection, so that the call cannot have arrived.
     #[display("not sent: {_0}")]
     NotSent(String),
+    /// The worker's machine refused the connection, or closed it before any response. Without `sent`
+    /// the call cannot have arrived.
+    #[display("connection refused: {cause}")]
+    ConnectionRefused {
+        /// Whether the call may have arrived nevertheless.
+        sent: bool,
+        /// Human-readable cause.
+        cause: String,
+    },
     /// No descriptor left in this process, which says nothing about the worker.
     #[display("no descriptor: {_0}")]
     NoDescriptor(String),
@@ -146,6 +155,13 @@
     Unknown(String),
 }
 
+impl WorkerError {
+    /// Whether a call without a response may be executed nevertheless.
+    pub const fn may_have_arrived(&self) -> bool {
+        matches!(self, Self::Unknown(_) | Self::ConnectionRefused { sent: true, .. })
+    }
+}
+
 /// Client for workers. Each call names the incarnation of the worker that it is meant for.
 pub trait WorkerClient {
     /// Polls a worker.
--- a/src/cell/machine/commands.rs
+++ b/src/cell/machine/commands.rs
@@ -6,6 +6,7 @@
 use crate::cell::dependencies::{StartCommand, WorkerError};
 use crate::cell::job::{Run, RunOutcome};
 use crate::cell::timings::{COMMAND_RETRY, MAX_START_ATTEMPTS, POLL_RETRY};
+use crate::cell::worker::Worker;
 
 impl Machine {
     /// Sends the commands that are due.
@@ -137,9 +138,9 @@
     /// Handles the answer to a start command that arrives after a stop or a poll has changed the
     /// attempt's stage.
     fn late_start_answer(&mut self, run: Run, outcome: &Result<u64, WorkerError>) {
-        let unknown = matches!(outcome, Err(WorkerError::Unknown(_)));
+        let may_have_arrived = outcome.as_ref().is_err_and(WorkerError::may_have_arrived);
         if let Some(active) = self.runs.get_mut(&run) {
-            active.may_have_arrived |= unknown;
+            active.may_have_arrived |= may_have_arrived;
         }
     }
 
@@ -161,8 +162,15 @@
                 active.starts_sent = active.starts_sent.saturating_sub(1);
                 active.next_command = now.after(POLL_RETRY);
             }
-            WorkerError::NotSent(_) | WorkerError::Unknown(_) => {
-                active.may_have_arrived |= matches!(fault, WorkerError::Unknown(_));
+            // Other workers can be reached, so that the task does not wait for this one.
+            WorkerError::ConnectionRefused { sent: false, .. } => {
+                self.note_unresponsive(worker);
+                self.abandon_start(run);
+            }
+            WorkerError::NotSent(_)
+            | WorkerError::Unknown(_)
+            | WorkerError::ConnectionRefused { sent: true, .. } => {
+                active.may_have_arrived |= fault.may_have_arrived();
                 active.next_command = now.after(COMMAND_RETRY);
                 // Workers carry out a repeated command once, so that a repetition shows whether the
                 // first command arrived.
@@ -230,7 +238,10 @@
                     "event=task.stop_failed task={run} worker={worker} cause={:?}",
                     fault.to_string()
                 );
-                active.next_command = now.after(COMMAND_RETRY * 4);
+                let worker = self.workers.get(worker);
+                let refused = worker.filter(|worker| worker.refused_polls > 0);
+                let retry = refused.map_or(COMMAND_RETRY * 4, Worker::refused_retry);
+                active.next_command = now.after(retry);
                 None
             }
         };
@@ -248,7 +259,7 @@
     fn note_response(&mut self, id: &str, outcome: &Result<u64, WorkerError>) {
         let now = self.now;
         let Some(worker) = self.workers.get_mut(id) else { return };
-        if let Err(WorkerError::NoDescriptor(_)) = outcome {
+        if let Err(WorkerError::NoDescriptor(_) | WorkerError::ConnectionRefused { .. }) = outcome {
             return;
         }
         if let Err(WorkerError::NotSent(_) | WorkerError::Unknown(_)) = outcome {
--- a/src/cell/machine/explain/workers.rs
+++ b/src/cell/machine/explain/workers.rs
@@ -79,6 +79,7 @@
             (worker.info.draining, "draining"),
             (is_quarantined, "quarantined"),
             (worker.missed_polls > 0, "unresponsive"),
+            (worker.refused_polls > 0, "connections_refused"),
             (worker.command_backoff.is_active(self.now), "commands_unanswered"),
             (worker.responsiveness.is_lossy(self.now), "lossy"),
             (worker.is_overcommitted(), "overcommitted"),
--- a/src/cell/machine/polls.rs
+++ b/src/cell/machine/polls.rs
@@ -90,6 +90,7 @@
                     self.needs_placement = true;
                 }
                 worker.missed_polls = 0;
+                worker.refused_polls = 0;
                 worker.unresponsive_since = None;
                 worker.responsiveness.record_answer();
                 worker.fenced = true;
@@ -117,9 +118,18 @@
                 let silent_since = silent_since(worker.poll_timeout, sent, now);
                 worker.unresponsive_since.get_or_insert(silent_since);
                 worker.missed_polls += 1;
-                worker.record_unanswered_call(now);
-                let is_lossy = worker.responsiveness.is_lossy(now);
-                worker.next_poll = now.after(if is_lossy { COMMAND_RETRY } else { POLL_RETRY });
+                worker.next_poll = now.after(match fault {
+                    WorkerError::ConnectionRefused { .. } => {
+                        worker.record_refused_poll();
+                        worker.refused_retry()
+                    }
+                    _ => {
+                        worker.refused_polls = 0;
+                        worker.record_unanswered_call(now);
+                        let is_lossy = worker.responsiveness.is_lossy(now);
+                        if is_lossy { COMMAND_RETRY } else { POLL_RETRY }
+                    }
+                });
                 if worker.missed_polls == 1 {
                     log::warn!("event=worker.silent worker={id} cause={:?}", fault.to_string());
                 }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -22,6 +22,11 @@
 /// Pause in new tasks after a worker refused a command: about one poll.
 const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
 
+/// Delay before another call to a worker that has refused a connection, doubled with each further
+/// refusal up to the maximum. The delays bound what is spent on a worker that refuses all of them.
+const MIN_REFUSED_RETRY: Duration = Duration::from_millis(300);
+const MAX_REFUSED_RETRY: Duration = Duration::from_millis(1_200);
+
 /// Number of consecutive unanswered polls after which no new tasks are placed on a worker.
 const MISSED_POLLS_LIMIT: u32 = 1;
 
@@ -73,6 +78,8 @@
     pub next_poll: Instant,
     /// Number of consecutive unanswered polls.
     pub missed_polls: u32,
+    /// Number of consecutive polls for which it refused a connection.
+    pub refused_polls: u32,
     /// Time at which it stopped answering polls: when the first unanswered poll was sent.
     pub unresponsive_since: Option<Instant>,
     /// Jobs with tasks that failed here since the last success.
@@ -110,6 +117,7 @@
             poll_timeout: Duration::ZERO,
             next_poll: now,
             missed_polls: 0,
+            refused_polls: 0,
             unresponsive_since: None,
             failures: BTreeSet::new(),
             preemptible: Rc::default(),
@@ -216,6 +224,21 @@
         }
     }
 
+    /// Records a poll for which the worker refused a connection.
+    pub fn record_refused_poll(&mut self) {
+        self.refused_polls = self.refused_polls.saturating_add(1);
+        if self.refused_polls == 1 {
+            let address = self.address();
+            log::warn!("event=worker.connections_refused worker={} address={address}", self.id);
+        }
+    }
+
+    /// Delay before the next call to a worker that has refused a connection.
+    pub fn refused_retry(&self) -> Duration {
+        let doublings = self.refused_polls.saturating_sub(1).min(8);
+        (MIN_REFUSED_RETRY * (1 << doublings)).min(MAX_REFUSED_RETRY)
+    }
+
     /// Pauses new tasks for a moment after the worker refused a command.
     pub fn pause_after_refusal(&mut self, now: Instant) {
         self.pause_until(now.after(REFUSAL_PAUSE));
--- a/tests/logic/cell/harness.rs
+++ b/tests/logic/cell/harness.rs
@@ -229,13 +229,18 @@
         self.advance(20);
     }
 
-    /// Submits a job and confirms the start of all its tasks.
-    pub fn start_job(&mut self, number: u64, step: Step) -> Vec<(usize, StartCommand)> {
+    /// Submits a job and returns the start commands of its tasks.
+    pub fn start_job_unanswered(&mut self, number: u64, step: Step) -> Vec<(usize, StartCommand)> {
         self.call(number, Call::Submit(model::job(number, step)));
         self.complete_appends();
         self.advance(10);
         self.complete_appends();
-        let starts = self.drain_starts();
+        self.drain_starts()
+    }
+
+    /// Submits a job and confirms the start of all its tasks.
+    pub fn start_job(&mut self, number: u64, step: Step) -> Vec<(usize, StartCommand)> {
+        let starts = self.start_job_unanswered(number, step);
         for start in &starts {
             self.answer_start(start, Ok(WORKER_CLOCK_MS + self.now));
         }
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -29,6 +29,7 @@
 mod preempt;
 mod proxy_shares;
 mod quarantine;
+mod refused_connections;
 #[path = "../../../benches/cell/replay.rs"]
 #[allow(dead_code)]
 mod replay;
