Keep connections to a worker until a probe has shown what it accepts

Cause: until a worker had shown that it accepts a reserve, each call to it had a connection of its own, and where workers are identified by their start, a second call for each. commands_on_one_connection_identify_the_incarnation_once and first_poll_is_one_call failed (5 identity requests for 5 commands instead of 1). The probe came with the second poll.

Change: nothing known allows the two kept connections; a probe 0.25 s after the first poll, or a refusal before, decides. Both tests pass again, unchanged, and so do those of connections.

--- a/src/http/quota.rs
+++ b/src/http/quota.rs
@@ -5,8 +5,9 @@
 //! machine leaves is what it has open when it is lost, idle connections and calls in flight alike.
 //! Three rules keep that small, and room for the next machine:
 //!
-//! - A connection is kept open after a call only while the peer has shown that it accepts
-//!   [`RESERVE`] more than those kept. Any other request asks the peer to close the connection.
+//! - A connection is kept open after a call only while the peer is known to accept [`RESERVE`] more
+//!   than those kept, or nothing is known yet. Any other request asks the peer to close the
+//!   connection.
 //! - While a peer that has refused a connection has not shown that, its connections are *scarce*:
 //!   callers should make short calls only.
 //! - For a while after a refusal, commands use one connection at a time.
@@ -29,6 +30,9 @@
 /// Time for which a refusal limits the connections to a peer.
 const LIMIT_TIME: Duration = Duration::from_secs(5);
 
+/// Delay of the first probe of a peer, which leaves time to a new owner's first calls.
+const PROBE_DELAY: Duration = Duration::from_millis(250);
+
 /// Minimum interval between two probes of one peer, and between those of different peers. The latter
 /// keeps an owner of hundreds of peers from probing all of them at once.
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
@@ -68,7 +72,8 @@
 
     /// Whether the peer has shown that it accepts enough connections for one to be kept.
     pub fn is_proven(&self, peer: SocketAddr) -> bool {
-        self.by_peer.borrow().get(&peer).is_some_and(|quota| quota.allows(1))
+        let by_peer = self.by_peer.borrow();
+        by_peer.get(&peer).is_some_and(|quota| quota.known.get() && quota.allows(1))
     }
 
     /// Returns the delay after which more than [`RESERVE`] connections should be used at once, to
@@ -76,23 +81,34 @@
     /// one another at intervals.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use oriolefork::http::Quotas;
-    /// assert_eq!(Quotas::default().next_probe("127.0.0.1:9".parse().unwrap()), None);
+    /// let (quotas, peer) = (Quotas::default(), "127.0.0.1:9".parse().unwrap());
+    /// assert!(quotas.next_probe(peer) >= Some(Duration::from_millis(250)));
+    /// assert_eq!(quotas.next_probe(peer), None);
     /// ```
     pub fn next_probe(&self, peer: SocketAddr) -> Option<Duration> {
-        let by_peer = self.by_peer.borrow();
-        let quota = by_peer.get(&peer).filter(|quota| quota.unproven.get())?;
+        let quota = self.of(peer);
+        if quota.known.get() && !quota.unproven.get() {
+            return None;
+        }
         let now = Instant::now();
         if quota.next_probe.get().is_some_and(|next| now < next) {
             return None;
         }
-        let at = self.probe_slot.get().map_or(now, |slot| slot.max(now));
+        let first = if quota.known.get() { now } else { now + PROBE_DELAY };
+        let at = self.probe_slot.get().map_or(first, |slot| slot.max(first));
         quota.unproven.set(false);
         quota.next_probe.set(Some(at + PROBE_INTERVAL));
         self.probe_slot.set(Some(at + PROBE_PACE));
         Some(at - now)
     }
 
+    /// Records that a probe has ended: what the peer has accepted until now is what is known.
+    pub fn note_probed(&self, peer: SocketAddr) {
+        self.of(peer).known.set(true);
+    }
+
     pub(super) fn of(&self, peer: SocketAddr) -> Rc<Quota> {
         let mut by_peer = self.by_peer.borrow_mut();
         if by_peer.len() >= self.prune_at.get().max(FIRST_PRUNE) {
@@ -113,6 +129,8 @@
     next_id: Cell<u64>,
     /// Largest number of connections at once that the peer has been shown to accept.
     accepted: Cell<usize>,
+    /// Whether a probe or a refusal has shown what the peer accepts.
+    known: Cell<bool>,
     /// Connections that are kept open, in use or idle.
     kept: Cell<usize>,
     /// Whether a connection was not kept since the peer has not shown that it accepts enough.
@@ -143,6 +161,7 @@
             open: RefCell::default(),
             next_id: Cell::new(0),
             accepted: Cell::new(0),
+            known: Cell::new(false),
             kept: Cell::new(0),
             unproven: Cell::new(false),
             next_probe: Cell::new(None),
@@ -203,6 +222,7 @@
         }
         let open = self.open.borrow().len();
         self.accepted.set(self.accepted.get().min(open));
+        self.known.set(true);
         self.limited_until.set(Some(Instant::now() + LIMIT_TIME));
         if !self.allows(1) {
             self.scarce.set(true);
@@ -230,9 +250,9 @@
         self.last_used.get().elapsed() > MEMORY_TIME && !self.is_in_use()
     }
 
-    /// Whether the peer accepts enough connections for `kept` to be kept.
+    /// Whether the peer accepts enough connections for `kept` to be kept, as far as is known.
     const fn allows(&self, kept: usize) -> bool {
-        kept + RESERVE <= self.accepted.get()
+        !self.known.get() || kept + RESERVE <= self.accepted.get()
     }
 
     /// Decides before a request whether its connection is kept open after the response. `kept` is the
