Simplify the wait for a connection and the delays after refusals

Read again, behaviour unchanged: the wait for a reused connection stood twice, and its two kinds of permit are one with a flag; the first delay after a refusal was a second constant of POLL_RETRY; the delay after a missed poll was a match in a match; the probe of a worker stood in the middle of a poll.

--- a/src/cell/machine/polls.rs
+++ b/src/cell/machine/polls.rs
@@ -7,9 +7,7 @@
 use super::{ActiveRun, Effect, Machine, Stage};
 use crate::cell::dependencies::{EndedRun, PollReport, PollRequest, RunStatus, WorkerError};
 use crate::cell::job::{Run, RunOutcome};
-use crate::cell::timings::{
-    COMMAND_RETRY, LEASE_GRANT_WINDOW, POLL_RETRY, POLL_TIMEOUT, POLL_WAIT,
-};
+use crate::cell::timings::{LEASE_GRANT_WINDOW, POLL_RETRY, POLL_TIMEOUT, POLL_WAIT};
 use crate::cell::worker::Worker;
 use crate::clock::Instant;
 use crate::telemetry::names;
@@ -117,19 +115,7 @@
                 let Some(worker) = self.workers.get_mut(id) else { return };
                 let silent_since = silent_since(worker.poll_timeout, sent, now);
                 worker.unresponsive_since.get_or_insert(silent_since);
-                worker.missed_polls += 1;
-                worker.next_poll = now.after(match fault {
-                    WorkerError::ConnectionRefused { .. } => {
-                        worker.record_refused_poll();
-                        worker.refused_retry()
-                    }
-                    _ => {
-                        worker.refused_polls = 0;
-                        worker.record_unanswered_call(now);
-                        let is_lossy = worker.responsiveness.is_lossy(now);
-                        if is_lossy { COMMAND_RETRY } else { POLL_RETRY }
-                    }
-                });
+                worker.next_poll = now.after(worker.record_missed_poll(fault, now));
                 if worker.missed_polls == 1 {
                     log::warn!("event=worker.silent worker={id} cause={:?}", fault.to_string());
                 }
--- a/src/cell/worker.rs
+++ b/src/cell/worker.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use super::command_backoff::CommandBackoff;
-use super::dependencies::WorkerInfo;
+use super::dependencies::{WorkerError, WorkerInfo};
 use super::job::Run;
 use super::lease::Lease;
 use super::preempt::Victim;
 use super::record::WorkerId;
 use super::responsiveness::Responsiveness;
+use super::timings::{COMMAND_RETRY, POLL_RETRY};
 use crate::clock::Instant;
 use crate::planted::{Fault, is_planted};
 use crate::resource::Amount;
@@ -22,9 +23,9 @@
 /// Pause in new tasks after a worker refused a command: about one poll.
 const REFUSAL_PAUSE: Duration = Duration::from_secs(1);
 
-/// Delay before another call to a worker that has refused a connection, doubled with each further
-/// refusal up to the maximum. The delays bound what is spent on a worker that refuses all of them.
-const MIN_REFUSED_RETRY: Duration = Duration::from_millis(300);
+/// Maximum delay before another call to a worker that has refused a connection. The delay begins with
+/// that of an unanswered poll and doubles with each further refusal, which bounds what is spent on a
+/// worker that refuses all of them.
 const MAX_REFUSED_RETRY: Duration = Duration::from_millis(1_200);
 
 /// Number of consecutive unanswered polls after which no new tasks are placed on a worker.
@@ -224,8 +225,19 @@
         }
     }
 
-    /// Records a poll for which the worker refused a connection.
-    pub fn record_refused_poll(&mut self) {
+    /// Records a poll that got no answer, and returns the delay before the next one.
+    pub fn record_missed_poll(&mut self, fault: &WorkerError, now: Instant) -> Duration {
+        self.missed_polls += 1;
+        if let WorkerError::ConnectionRefused { .. } = fault {
+            self.record_refused_poll();
+            return self.refused_retry();
+        }
+        self.refused_polls = 0;
+        self.record_unanswered_call(now);
+        if self.responsiveness.is_lossy(now) { COMMAND_RETRY } else { POLL_RETRY }
+    }
+
+    fn record_refused_poll(&mut self) {
         self.refused_polls = self.refused_polls.saturating_add(1);
         if self.refused_polls == 1 {
             let address = self.address();
@@ -236,7 +248,7 @@
     /// Delay before the next call to a worker that has refused a connection.
     pub fn refused_retry(&self) -> Duration {
         let doublings = self.refused_polls.saturating_sub(1).min(8);
-        (MIN_REFUSED_RETRY * (1 << doublings)).min(MAX_REFUSED_RETRY)
+        (POLL_RETRY * (1 << doublings)).min(MAX_REFUSED_RETRY)
     }
 
     /// Pauses new tasks for a moment after the worker refused a command.
--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -33,12 +33,11 @@
     pub(super) deadline: Instant,
 }
 
-/// Permission to use one connection.
-enum Permit {
-    /// One that may be reused.
-    Reused { _permit: SemaphorePermit },
-    /// One that is closed after the request.
-    Extra { _permit: SemaphorePermit },
+/// Permission to use one connection, until dropped.
+struct Permit {
+    _held: SemaphorePermit,
+    /// Whether the connection is closed after the request.
+    is_extra: bool,
 }
 
 impl Attempt<'_> {
@@ -49,7 +48,7 @@
         check: Option<IdentityCheck<'_>>,
     ) -> Result<Response, Error> {
         let permit = self.acquire_connection().await?;
-        let is_extra = matches!(permit, Permit::Extra { .. });
+        let is_extra = permit.is_extra;
         let mut turn = self.take_turn().await?;
         let identity = check.as_ref().map(|check| check.expected);
         if let Some(connection) = self.idle_connection(is_extra, identity) {
@@ -85,20 +84,17 @@
 
     /// Waits for a connection: for a short time for one that is reused if others may be opened.
     async fn acquire_connection(&self) -> Result<Permit, Error> {
-        let acquired = if self.quota.is_some() {
-            let first = (Instant::now() + REUSE_WAIT).min(self.deadline);
-            match with_deadline(first, self.pool.permits().acquire()).await {
-                Some(permit) => Some(Permit::Reused { _permit: permit }),
-                None => with_deadline(self.deadline, self.pool.extra().acquire())
-                    .await
-                    .map(|permit| Permit::Extra { _permit: permit }),
-            }
-        } else {
-            with_deadline(self.deadline, self.pool.permits().acquire())
-                .await
-                .map(|permit| Permit::Reused { _permit: permit })
+        let reused_by = match self.quota {
+            Some(_) => (Instant::now() + REUSE_WAIT).min(self.deadline),
+            None => self.deadline,
         };
-        acquired.ok_or_else(|| self.unsent(CallPhase::Timeout, "no free connection in time"))
+        if let Some(held) = with_deadline(reused_by, self.pool.permits().acquire()).await {
+            return Ok(Permit { _held: held, is_extra: false });
+        }
+        match with_deadline(self.deadline, self.pool.extra().acquire()).await {
+            Some(held) => Ok(Permit { _held: held, is_extra: true }),
+            None => Err(self.unsent(CallPhase::Timeout, "no free connection in time")),
+        }
     }
 
     /// Waits for this call's turn, if it is a command to a peer that has refused a connection
