--- a/src/cell/machine/snapshot.rs
+++ b/src/cell/machine/snapshot.rs
@@ -121,20 +121,17 @@
             return;
         }
         let (taken, last_batch) = (self.now, self.journal.close_last_batch());
+        self.snapshots.requested = false;
         let state = match codec::encode(&self.state) {
-            Ok(state) => Some(state),
+            Ok(state) => state,
             Err(error) => {
                 log::error!("event=journal.base_too_large cause={error:?}");
-                None
+                // The next attempt would take as long and fail as well.
+                self.snapshots.retry_at = self.now.after(self.snapshots.retention.snapshot_age());
+                return;
             }
         };
-        self.snapshots.requested = false;
-        if state.is_none() {
-            // The next attempt would take as long and fail as well.
-            self.snapshots.retry_at = self.now.after(self.snapshots.retention.snapshot_age());
-            return;
-        }
-        self.snapshots.attempt = Some(Attempt { taken, last_batch, state, bytes: 0 });
+        self.snapshots.attempt = Some(Attempt { taken, last_batch, state: Some(state), bytes: 0 });
         self.save_snapshot_once_stored();
     }
 
--- a/src/cell/replay.rs
+++ b/src/cell/replay.rs
@@ -81,13 +81,17 @@
 
     /// Continues at the first record that the store has left.
     pub(super) fn skip_removed(&mut self, first_offset: u64) {
-        let lost = self.lost.get_or_insert_with(|| LostRecords {
-            from: self.next_offset,
-            until: first_offset,
-            open_jobs: self.state.open.clone(),
-            unknown_jobs: BTreeSet::new(),
-        });
-        lost.until = first_offset;
+        match &mut self.lost {
+            Some(lost) => lost.until = first_offset,
+            None => {
+                self.lost = Some(LostRecords {
+                    from: self.next_offset,
+                    until: first_offset,
+                    open_jobs: self.state.open.clone(),
+                    unknown_jobs: BTreeSet::new(),
+                });
+            }
+        }
         self.next_offset = first_offset;
     }
 
