Count probes among the eight connections of an owner

What callers would see: an owner that probed a worker while it sent a burst of commands had up to twelve connections there at once, and left as many when its machine was lost; eight such owners must fit into the 64 that a worker accepts.

Cause: commands, polls and probes were limited each by itself (6, 2 and 5), and nothing limited their sum.

Change: the connections of a process to a worker take one of eight slots, whatever they are for.

--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -129,6 +129,7 @@
     }
 
     async fn open(&self) -> Result<Connection, Error> {
+        let slot = self.acquire_slot().await?;
         let descriptor = self
             .client
             .budget
@@ -136,8 +137,8 @@
             .map_err(|cause| self.unsent(CallPhase::Descriptor, cause))?;
         match with_deadline(self.deadline, Connection::open(self.peer, descriptor)).await {
             Some(Ok(mut connection)) => {
-                if let Some(quota) = &self.quota {
-                    connection.set_established(quota.note_established());
+                if let (Some(quota), Some(slot)) = (&self.quota, slot) {
+                    connection.set_established(quota.note_established(slot));
                 }
                 Ok(connection)
             }
@@ -152,6 +153,15 @@
         }
     }
 
+    /// Waits until this process may open another connection to a peer that limits them.
+    async fn acquire_slot(&self) -> Result<Option<SemaphorePermit>, Error> {
+        let Some(quota) = &self.quota else { return Ok(None) };
+        match with_deadline(self.deadline, quota.slots().acquire()).await {
+            Some(slot) => Ok(Some(slot)),
+            None => Err(self.unsent(CallPhase::Timeout, "no other connection closed in time")),
+        }
+    }
+
     /// Verifies the peer's identity on a new connection, ahead of the request.
     async fn verify_peer(
         &self,
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -70,7 +70,7 @@
     /// ```
     /// use std::rc::Rc;
     /// use oriolefork::http::{Client, Limits, Quotas};
-    /// let quotas = Rc::new(Quotas::default());
+    /// let quotas = Rc::new(Quotas::new(8));
     /// let polls = Client::new(Limits::default()).with_quotas(quotas.clone(), 1);
     /// let commands = Client::new(Limits::default()).with_quotas(quotas, 2);
     /// ```
--- a/src/http/quota.rs
+++ b/src/http/quota.rs
@@ -3,8 +3,9 @@
 //! A peer may limit its connections and keep those of a machine that was lost for as long as it
 //! runs. If each lost machine leaves connections behind, the peer accepts none in the end. What a
 //! machine leaves is what it has open when it is lost, idle connections and calls in flight alike.
-//! Three rules keep that small, and room for the next machine:
+//! Four rules keep that small, and room for the next machine:
 //!
+//! - A process has a limited number of connections to a peer at once, whatever they are used for.
 //! - A connection is kept open after a call only while the peer is known to accept [`RESERVE`] more
 //!   than those kept, or nothing is known yet. Any other request asks the peer to close the
 //!   connection.
@@ -20,7 +21,7 @@
 
 use monoio::time::Instant;
 
-use crate::permit::Semaphore;
+use crate::permit::{Semaphore, SemaphorePermit};
 use crate::telemetry::names;
 
 /// Connections that the peer must accept beyond those that are kept. They are used by short calls
@@ -52,11 +53,12 @@
 ///
 /// ```
 /// use oriolefork::http::Quotas;
-/// let quotas = Quotas::default();
+/// let quotas = Quotas::new(8);
 /// assert!(!quotas.is_scarce("127.0.0.1:9".parse().unwrap()));
 /// ```
-#[derive(Default)]
 pub struct Quotas {
+    /// Maximum number of connections to one peer at once.
+    connections: usize,
     by_peer: RefCell<HashMap<SocketAddr, Rc<Quota>>>,
     prune_at: Cell<usize>,
     /// When the next probe of any peer may begin.
@@ -64,6 +66,17 @@
 }
 
 impl Quotas {
+    /// Knows nothing about any peer yet. The clients that share it have at most `connections` to one
+    /// peer at once, together; further ones wait for one to be closed.
+    pub fn new(connections: usize) -> Self {
+        Self {
+            connections,
+            by_peer: RefCell::default(),
+            prune_at: Cell::default(),
+            probe_slot: Cell::default(),
+        }
+    }
+
     /// Whether the peer has refused a connection, and has not shown since that it accepts enough for
     /// one to be kept.
     pub fn is_scarce(&self, peer: SocketAddr) -> bool {
@@ -83,7 +96,7 @@
     /// ```
     /// use std::time::Duration;
     /// use oriolefork::http::Quotas;
-    /// let (quotas, peer) = (Quotas::default(), "127.0.0.1:9".parse().unwrap());
+    /// let (quotas, peer) = (Quotas::new(8), "127.0.0.1:9".parse().unwrap());
     /// assert!(quotas.next_probe(peer) >= Some(Duration::from_millis(250)));
     /// assert_eq!(quotas.next_probe(peer), None);
     /// ```
@@ -115,7 +128,8 @@
             by_peer.retain(|_, quota| !quota.is_forgotten());
             self.prune_at.set(by_peer.len() * 2);
         }
-        let quota = by_peer.entry(peer).or_insert_with(|| Rc::new(Quota::new(peer))).clone();
+        let new = || Rc::new(Quota::new(peer, self.connections));
+        let quota = by_peer.entry(peer).or_insert_with(new).clone();
         quota.last_used.set(Instant::now());
         quota
     }
@@ -124,6 +138,8 @@
 /// What is known about the connections that one peer accepts.
 pub(super) struct Quota {
     peer: SocketAddr,
+    /// Limits the connections of this process, whether they are in use or idle.
+    slots: Semaphore,
     /// Established connections, in the order in which they were established.
     open: RefCell<Vec<Established>>,
     next_id: Cell<u64>,
@@ -154,10 +170,11 @@
 }
 
 impl Quota {
-    fn new(peer: SocketAddr) -> Self {
+    fn new(peer: SocketAddr, connections: usize) -> Self {
         let now = Instant::now();
         Self {
             peer,
+            slots: Semaphore::new(connections),
             open: RefCell::default(),
             next_id: Cell::new(0),
             accepted: Cell::new(0),
@@ -174,6 +191,11 @@
         }
     }
 
+    /// Semaphore of the connections that this process may have at once.
+    pub(super) const fn slots(&self) -> &Semaphore {
+        &self.slots
+    }
+
     /// Semaphore of the calls that use one connection at a time once the peer has refused one.
     pub(super) const fn turns(&self) -> &Semaphore {
         &self.turns
@@ -189,14 +211,14 @@
         !self.open.borrow().is_empty()
     }
 
-    /// Counts a connection that was established.
-    pub(super) fn note_established(self: &Rc<Self>) -> OpenGuard {
+    /// Counts a connection that was established and takes up `slot`.
+    pub(super) fn note_established(self: &Rc<Self>, slot: SemaphorePermit) -> OpenGuard {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         let mut open = self.open.borrow_mut();
         let beside = open.len() + 1;
         open.push(Established { id, beside });
-        OpenGuard { quota: self.clone(), id }
+        OpenGuard { quota: self.clone(), id, _slot: slot }
     }
 
     /// Records that the peer has answered on a connection, which it has thus accepted.
@@ -275,6 +297,7 @@
 pub(super) struct OpenGuard {
     quota: Rc<Quota>,
     id: u64,
+    _slot: SemaphorePermit,
 }
 
 impl Drop for OpenGuard {
