Reuse a burst's connections until no command waits

Cause: every connection but the kept one was closed after a single call, whoever waited for it.

Evidence: burst_of_commands_reuses_connections fails before, 39 connections for 40 commands.

Change: such a connection carries the commands that wait, one after the other, and is closed once none does. What a lost owner leaves stays the same: the burst's connections were replaced at once before.

--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -19,8 +19,8 @@
 use crate::descriptors::Class;
 use crate::permit::SemaphorePermit;
 
-/// Time for which a call waits for a reused connection before it opens another one, which is closed
-/// afterwards.
+/// Time for which a call waits for a kept connection before it uses another one, which is closed once
+/// no call waits for it.
 const REUSE_WAIT: Duration = Duration::from_millis(25);
 
 /// One call of a client to a peer.
@@ -36,7 +36,7 @@
 /// Permission to use one connection, until dropped.
 struct Permit {
     _held: SemaphorePermit,
-    /// Whether the connection is closed after the request.
+    /// Whether the connection is closed once no call waits for it.
     is_extra: bool,
 }
 
@@ -71,8 +71,8 @@
             let answers_request = check.answers_request;
             let response = self.verify_peer(&mut connection, check).await?;
             if answers_request {
-                if self.keeps_open(&mut connection, is_extra) {
-                    self.return_to_pool(connection);
+                if self.stays_open(&mut connection, is_extra) {
+                    self.return_to_pool(connection, is_extra);
                 }
                 return Ok(response);
             }
@@ -111,10 +111,10 @@
     }
 
     fn idle_connection(&self, is_extra: bool, identity: Option<&str>) -> Option<Connection> {
-        if is_extra {
-            return None;
-        }
-        self.pool.take(self.client.pools.max_idle(), identity)
+        let is_limited = self.quota.is_some();
+        self.pool.take(self.client.pools.max_idle(), |connection| {
+            connection.has_identity(identity) && (!is_limited || connection.is_kept() != is_extra)
+        })
     }
 
     /// Whether this process has connections to the peer.
@@ -122,10 +122,10 @@
         self.quota.as_ref().is_some_and(|quota| quota.is_in_use())
     }
 
-    /// Whether a connection is kept open after the request that is about to be sent on it.
-    fn keeps_open(&self, connection: &mut Connection, is_extra: bool) -> bool {
+    /// Whether a connection stays open after the request that is about to be sent on it.
+    fn stays_open(&self, connection: &mut Connection, is_extra: bool) -> bool {
         let Some(quota) = &self.quota else { return true };
-        !is_extra && quota.keep(connection.kept())
+        if is_extra { self.pool.extra().has_waiting() } else { quota.keep(connection.kept()) }
     }
 
     async fn open(&self) -> Result<Connection, Error> {
@@ -196,8 +196,11 @@
         Ok(received.response)
     }
 
-    /// Returns a connection to the pool after a complete response.
-    fn return_to_pool(&self, connection: Connection) {
+    /// Returns a connection to the pool after a complete response, unless it is needed no more.
+    fn return_to_pool(&self, connection: Connection, is_extra: bool) {
+        if is_extra && !self.pool.extra().has_waiting() {
+            return;
+        }
         self.pool.put(connection);
         self.client.pools.start_sweeping();
     }
@@ -208,9 +211,9 @@
         is_extra: bool,
         request: &mut Request,
     ) -> Result<Response, Error> {
-        let is_kept = self.keeps_open(&mut connection, is_extra);
+        let stays_open = self.stays_open(&mut connection, is_extra);
         if self.quota.is_some() {
-            set_connection_header(request, is_kept);
+            set_connection_header(request, stays_open);
         }
         connection.reset_written();
         let round_trip = round_trip(&mut connection, request, &self.client.limits);
@@ -219,8 +222,8 @@
         match outcome {
             Some(Ok(received)) => {
                 self.note_answered(&connection);
-                if received.reusable && is_kept {
-                    self.return_to_pool(connection);
+                if received.reusable && stays_open {
+                    self.return_to_pool(connection, is_extra);
                 }
                 Ok(received.response)
             }
@@ -286,9 +289,9 @@
     matches!(cause.kind(), io::ErrorKind::ConnectionReset | io::ErrorKind::ConnectionRefused)
 }
 
-/// Asks the peer to close the connection after its response, unless it is kept.
-fn set_connection_header(request: &mut Request, is_kept: bool) {
-    if is_kept {
+/// Asks the peer to close the connection after its response, unless it stays open.
+fn set_connection_header(request: &mut Request, stays_open: bool) {
+    if stays_open {
         request.headers_mut().remove(CONNECTION);
     } else {
         request.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -61,9 +61,10 @@
         Self { budget, class, ..self }
     }
 
-    /// Reuses `reused` connections at most, and keeps only as many open as `quotas` allows, which
-    /// counts them together with those of other clients. The peer is asked to close each other one
-    /// after its response. Connections opened before are closed.
+    /// Keeps at most `reused` connections open while they are not needed, and only as many as
+    /// `quotas` allows, which counts them together with those of other clients. Others carry calls
+    /// that wait, one after the other, and are closed once none waits. Connections opened before are
+    /// closed.
     ///
     /// Commands to a peer that has refused a connection lately are sent one at a time.
     ///
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -114,6 +114,16 @@
         self.established.take()
     }
 
+    /// Whether its peer has passed the check for this identity; `None` if no check is asked for.
+    pub(super) fn has_identity(&self, identity: Option<&str>) -> bool {
+        self.identity.as_deref() == identity
+    }
+
+    /// Whether it is kept open while it is not needed, at a peer that limits its connections.
+    pub(super) const fn is_kept(&self) -> bool {
+        self.kept.is_some()
+    }
+
     /// Whether it is counted as kept open, to be changed before a request.
     pub(super) const fn kept(&mut self) -> &mut Option<KeptGuard> {
         &mut self.kept
@@ -237,17 +247,21 @@
         &self.permits
     }
 
-    /// Semaphore that limits the connections in use that are closed after one request.
+    /// Semaphore that limits the other connections in use, which are closed once nobody waits for
+    /// one of them.
     pub(super) const fn extra(&self) -> &permit::Semaphore {
         &self.extra
     }
 
-    /// Takes the most recently used idle connection with that verified identity. Connections that
-    /// have been idle for `max_idle`, were closed or received unexpected data are dropped.
-    pub(super) fn take(&self, max_idle: Duration, identity: Option<&str>) -> Option<Connection> {
+    /// Takes the most recently used idle connection that `is_usable`. Connections that have been
+    /// idle for `max_idle`, were closed or received unexpected data are dropped.
+    pub(super) fn take(
+        &self,
+        max_idle: Duration,
+        is_usable: impl Fn(&Connection) -> bool,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let matches_identity = |connection: &Connection| connection.identity.as_deref() == identity;
-        while let Some(index) = idle.iter().rposition(matches_identity) {
+        while let Some(index) = idle.iter().rposition(&is_usable) {
             let mut connection = idle.remove(index);
             connection.offer = None;
             if connection.idle_since.elapsed() < max_idle && connection.is_quiet() {
--- a/src/http/quota.rs
+++ b/src/http/quota.rs
@@ -7,8 +7,7 @@
 //!
 //! - A process has a limited number of connections to a peer at once, whatever they are used for.
 //! - A connection is kept open after a call only while the peer is known to accept [`RESERVE`] more
-//!   than those kept, or nothing is known yet. Any other request asks the peer to close the
-//!   connection.
+//!   than those kept, or nothing is known yet. Any other one is closed once no call waits for it.
 //! - While a peer that has refused a connection has not shown that, its connections are *scarce*:
 //!   callers should make short calls only.
 //! - For a while after a refusal, commands use one connection at a time.
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -90,6 +90,11 @@
         self.size - self.shared.free.get()
     }
 
+    /// Whether any caller waits for a permit.
+    pub fn has_waiting(&self) -> bool {
+        self.shared.waiting.borrow().queue.iter().any(|waiter| !waiter.is_closed())
+    }
+
     /// Whether any permit is in use.
     pub fn is_in_use(&self) -> bool {
         self.in_use() > 0
