Probe a worker again soon after an unexpected refusal

What callers saw: nothing broke. One connection reset for another reason than the worker's limit, or closed with a process that came back, made an owner open a connection for each poll and command there for up to ten seconds, and send five polls a second.

Cause: a refusal takes back what the worker had shown, and the next probe came 10 s after the last one.

Change: a worker that had accepted enough and then refuses one is probed after 1 s; others every 10 s as before.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -77,6 +77,7 @@
     /// ```
     #[must_use]
     pub fn with_quotas(self, quotas: Rc<Quotas>, reused: usize) -> Self {
+        quotas.add_client(reused);
         let extra = self.limits.connections.saturating_sub(reused);
         let pools = Rc::new(PoolMap::new(reused, extra, self.limits.idle_timeout / 2));
         Self { pools, quotas: Some(quotas), ..self }
--- a/src/http/quota.rs
+++ b/src/http/quota.rs
@@ -33,9 +33,15 @@
 /// Delay of the first probe of a peer, which leaves time to a new owner's first calls.
 const PROBE_DELAY: Duration = Duration::from_millis(250);
 
-/// Minimum interval between two probes of one peer, and between those of different peers. The latter
-/// keeps an owner of hundreds of peers from probing all of them at once.
+/// Minimum interval between two probes of one peer.
 const PROBE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Delay of a probe of a peer that had accepted enough and then refuses a connection, for which there
+/// may be another reason than its limit.
+const REFUSAL_PROBE_DELAY: Duration = Duration::from_secs(1);
+
+/// Interval between probes of different peers, which keeps an owner of hundreds of them from probing
+/// all at once.
 const PROBE_PACE: Duration = Duration::from_millis(4);
 
 /// Time without a call after which what is known about a peer is forgotten.
@@ -58,6 +64,8 @@
 pub struct Quotas {
     /// Maximum number of connections to one peer at once.
     connections: usize,
+    /// Number of them that the clients would keep.
+    wanted: Cell<usize>,
     by_peer: RefCell<HashMap<SocketAddr, Rc<Quota>>>,
     prune_at: Cell<usize>,
     /// When the next probe of any peer may begin.
@@ -70,12 +78,18 @@
     pub fn new(connections: usize) -> Self {
         Self {
             connections,
+            wanted: Cell::default(),
             by_peer: RefCell::default(),
             prune_at: Cell::default(),
             probe_slot: Cell::default(),
         }
     }
 
+    /// Adds a client that would keep `kept` connections.
+    pub(super) fn add_client(&self, kept: usize) {
+        self.wanted.set(self.wanted.get() + kept);
+    }
+
     /// Whether the peer has refused a connection, and has not shown since that it accepts enough for
     /// one to be kept.
     pub fn is_scarce(&self, peer: SocketAddr) -> bool {
@@ -88,6 +102,11 @@
         by_peer.get(&peer).is_some_and(|quota| quota.known.get() && quota.allows(1))
     }
 
+    /// Whether the peer has accepted as many connections at once as a probe would show.
+    pub fn is_enough(&self, peer: SocketAddr) -> bool {
+        self.by_peer.borrow().get(&peer).is_some_and(|quota| quota.is_enough())
+    }
+
     /// Returns the delay after which more than [`RESERVE`] connections should be used at once, to
     /// show that the peer accepts them; `None` if no probe is due. Probes of different peers follow
     /// one another at intervals.
@@ -118,7 +137,7 @@
 
     /// Records that a probe has ended: what the peer has accepted until now is what is known.
     pub fn note_probed(&self, peer: SocketAddr) {
-        self.of(peer).known.set(true);
+        self.of(peer).note_probed();
     }
 
     pub(super) fn of(&self, peer: SocketAddr) -> Rc<Quota> {
@@ -127,7 +146,7 @@
             by_peer.retain(|_, quota| !quota.is_forgotten());
             self.prune_at.set(by_peer.len() * 2);
         }
-        let new = || Rc::new(Quota::new(peer, self.connections));
+        let new = || Rc::new(Quota::new(peer, self.connections, self.wanted.get()));
         let quota = by_peer.entry(peer).or_insert_with(new).clone();
         quota.last_used.set(Instant::now());
         quota
@@ -139,6 +158,8 @@
     peer: SocketAddr,
     /// Limits the connections of this process, whether they are in use or idle.
     slots: Semaphore,
+    /// Number of connections that the clients would keep.
+    wanted: usize,
     /// Established connections, in the order in which they were established.
     open: RefCell<Vec<Established>>,
     next_id: Cell<u64>,
@@ -169,11 +190,12 @@
 }
 
 impl Quota {
-    fn new(peer: SocketAddr, connections: usize) -> Self {
+    fn new(peer: SocketAddr, connections: usize, wanted: usize) -> Self {
         let now = Instant::now();
         Self {
             peer,
             slots: Semaphore::new(connections),
+            wanted,
             open: RefCell::default(),
             next_id: Cell::new(0),
             accepted: Cell::new(0),
@@ -220,6 +242,20 @@
         OpenGuard { quota: self.clone(), id, _slot: slot }
     }
 
+    /// Records that a probe has ended: what the peer has accepted until now is what is known.
+    fn note_probed(&self) {
+        self.known.set(true);
+        if self.is_enough() {
+            return;
+        }
+        log::info!(
+            "event=http.connections_few peer={} accepted={} needed={}",
+            self.peer,
+            self.accepted.get(),
+            self.wanted + RESERVE
+        );
+    }
+
     /// Records that the peer has answered on a connection, which it has thus accepted.
     ///
     /// It has accepted the connections established before it as well: a refusal of one of them
@@ -242,6 +278,9 @@
             later.for_each(|open| open.beside -= 1);
         }
         let open = self.open.borrow().len();
+        if self.is_enough() {
+            self.next_probe.set(Some(Instant::now() + REFUSAL_PROBE_DELAY));
+        }
         self.accepted.set(self.accepted.get().min(open));
         self.known.set(true);
         self.limited_until.set(Some(Instant::now() + LIMIT_TIME));
@@ -271,6 +310,11 @@
         self.last_used.get().elapsed() > MEMORY_TIME && !self.is_in_use()
     }
 
+    /// Whether the peer has accepted all connections that would be kept, and the reserve.
+    const fn is_enough(&self) -> bool {
+        self.wanted + RESERVE <= self.accepted.get()
+    }
+
     /// Whether the peer accepts enough connections for `kept` to be kept, as far as is known.
     const fn allows(&self, kept: usize) -> bool {
         !self.known.get() || kept + RESERVE <= self.accepted.get()
