--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -82,13 +82,13 @@
         result
     }
 
-    /// Waits for a connection: for a short time for one that is reused if others may be opened.
+    /// Waits for a connection: for a short time for a kept one if others may be opened.
     async fn acquire_connection(&self) -> Result<Permit, Error> {
-        let reused_by = match self.quota {
+        let kept_by = match self.quota {
             Some(_) => (Instant::now() + REUSE_WAIT).min(self.deadline),
             None => self.deadline,
         };
-        if let Some(held) = with_deadline(reused_by, self.pool.permits().acquire()).await {
+        if let Some(held) = with_deadline(kept_by, self.pool.permits().acquire()).await {
             return Ok(Permit { _held: held, is_extra: false });
         }
         match with_deadline(self.deadline, self.pool.extra().acquire()).await {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -61,7 +61,7 @@
         Self { budget, class, ..self }
     }
 
-    /// Keeps at most `reused` connections open while they are not needed, and only as many as
+    /// Keeps at most `kept` connections open while they are not needed, and only as many as
     /// `quotas` allows, which counts them together with those of other clients. Others carry calls
     /// that wait, one after the other, and are closed once none waits. Connections opened before are
     /// closed.
@@ -76,10 +76,10 @@
     /// let commands = Client::new(Limits::default()).with_quotas(quotas, 2);
     /// ```
     #[must_use]
-    pub fn with_quotas(self, quotas: Rc<Quotas>, reused: usize) -> Self {
-        quotas.add_client(reused);
-        let extra = self.limits.connections.saturating_sub(reused);
-        let pools = Rc::new(PoolMap::new(reused, extra, self.limits.idle_timeout / 2));
+    pub fn with_quotas(self, quotas: Rc<Quotas>, kept: usize) -> Self {
+        quotas.add_client(kept);
+        let extra = self.limits.connections.saturating_sub(kept);
+        let pools = Rc::new(PoolMap::new(kept, extra, self.limits.idle_timeout / 2));
         Self { pools, quotas: Some(quotas), ..self }
     }
 
--- a/src/http/quota.rs
+++ b/src/http/quota.rs
@@ -75,6 +75,13 @@
 impl Quotas {
     /// Knows nothing about any peer yet. The clients that share it have at most `connections` to one
     /// peer at once, together; further ones wait for one to be closed.
+    ///
+    /// ```
+    /// use std::rc::Rc;
+    /// use oriolefork::http::{Client, Limits, Quotas};
+    /// let quotas = Rc::new(Quotas::new(8));
+    /// let client = Client::new(Limits::default()).with_quotas(quotas, 1);
+    /// ```
     pub fn new(connections: usize) -> Self {
         Self {
             connections,
@@ -103,6 +110,11 @@
     }
 
     /// Whether the peer has accepted as many connections at once as a probe would show.
+    ///
+    /// ```
+    /// use oriolefork::http::Quotas;
+    /// assert!(!Quotas::new(8).is_enough("127.0.0.1:9".parse().unwrap()));
+    /// ```
     pub fn is_enough(&self, peer: SocketAddr) -> bool {
         self.by_peer.borrow().get(&peer).is_some_and(|quota| quota.is_enough())
     }
--- a/src/permit.rs
+++ b/src/permit.rs
@@ -91,6 +91,10 @@
     }
 
     /// Whether any caller waits for a permit.
+    ///
+    /// ```
+    /// assert!(!oriolefork::permit::Semaphore::new(1).has_waiting());
+    /// ```
     pub fn has_waiting(&self) -> bool {
         self.shared.waiting.borrow().queue.iter().any(|waiter| !waiter.is_closed())
     }
