Note which rules pass over steps that could run

Not logic: what decides is as before. A step left alone by a rule that saves work (a query that seems not worthwhile, no instance for its query, the budget of gangs, reservations for gangs, locality, and three rules about caps) is noted with the rule, since when, the room seen and the room wanted, in one place, cell/machine/deferral.rs. Logs, metrics and explain will read it, and the bound will act there.

What withholds room from a step (withheld.rs) and from a customer's step (CapDecision) is told apart from having none.

--- a/src/cell/machine/caps.rs
+++ b/src/cell/machine/caps.rs
@@ -8,8 +8,9 @@
 use std::collections::HashMap;
 
 use super::Machine;
+use super::deferral::Rule;
 use super::pending::PendingStep;
-use super::policy_query::useful_tasks;
+use super::query_workers::useful_tasks;
 use crate::cell::customer::{Customer, Name};
 use crate::cell::job::{Job, Run, Step, StepKey};
 use crate::planted::{Fault, is_planted};
@@ -38,6 +39,17 @@
     tasks: usize,
 }
 
+/// Whether a waiting step is considered under the cap of its customer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum CapDecision {
+    /// It is.
+    Admitted,
+    /// The cap leaves too little for it.
+    Capped,
+    /// The cap has room for `room` of its tasks, which `rule` withholds from it.
+    PassedOver { rule: Rule, room: f64, wanted: f64 },
+}
+
 /// How a customer's cap restricts a waiting step now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Allowance {
@@ -128,9 +140,14 @@
 
     /// The same if `claimed` of the cap is meant for other steps.
     fn startable_beside(&self, step: &PendingStep, claimed: &Amount) -> usize {
+        self.within_cap(step, &claimed.saturating_add(&self.claimed_by_turn(step)))
+    }
+
+    /// How many of the pending tasks of a step fit under its customer's cap beside `claimed`: all or
+    /// none of a gang.
+    fn within_cap(&self, step: &PendingStep, claimed: &Amount) -> usize {
         let pending = step.pending.len();
-        let claimed = claimed.saturating_add(&self.claimed_by_turn(step));
-        match self.allowance(step, &claimed) {
+        match self.allowance(step, claimed) {
             Allowance::Unlimited => pending,
             Allowance::Unknown => 0,
             Allowance::Tasks(tasks) if step.spec().gang && tasks < pending as u64 => 0,
@@ -175,36 +192,59 @@
         let mut claims: HashMap<Name, Amount> = HashMap::new();
         waiting.retain(|step| {
             let Some(customer) = &step.job.customer else { return true };
-            let may_start = self.claim_from_cap(step, customer, &mut claims);
-            if !may_start {
-                let held = held_back.entry(customer.clone()).or_default();
-                held.steps += 1;
-                held.tasks += step.pending.len();
+            let decision = self.claim_from_cap(step, customer, &mut claims);
+            if decision == CapDecision::Admitted {
+                return true;
+            }
+            if let CapDecision::PassedOver { rule, room, wanted } = decision {
+                self.note_deferral(step, rule, Some(room), wanted);
             }
-            may_start
+            let held = held_back.entry(customer.clone()).or_default();
+            held.steps += 1;
+            held.tasks += step.pending.len();
+            false
         });
         self.held_back = held_back;
         self.log_held_back();
     }
 
-    /// Whether a customer's cap lets a step be considered beside the `claims` of the steps before
-    /// it, to which its own is then added.
+    /// Decides whether a customer's cap lets a step be considered beside the `claims` of the steps
+    /// before it, to which its own is then added.
     pub(super) fn claim_from_cap(
         &self,
         step: &PendingStep,
         customer: &Name,
         claims: &mut HashMap<Name, Amount>,
-    ) -> bool {
+    ) -> CapDecision {
         let claimed = claims.entry(customer.clone()).or_insert(Amount::ZERO);
         let is_near_cap = self.is_near_cap(customer);
         let others = if is_near_cap { *claimed } else { Amount::ZERO };
         let tasks = self.startable_beside(step, &others);
-        let may_start = tasks > 0 && (!is_near_cap || self.is_worth_considering(step, tasks));
-        if may_start {
-            let wanted = step.spec().demand.checked_mul(tasks as u64);
-            *claimed = wanted.map_or(*claimed, |wanted| claimed.saturating_add(&wanted));
+        if tasks == 0 {
+            return self.withheld_by_cap(step);
+        }
+        if is_near_cap && !self.is_worth_considering(step, tasks) {
+            return CapDecision::PassedOver {
+                rule: Rule::CapNotWorthwhile,
+                room: tasks as f64,
+                wanted: useful_tasks(step.pending.len()),
+            };
+        }
+        let wanted = step.spec().demand.checked_mul(tasks as u64);
+        *claimed = wanted.map_or(*claimed, |wanted| claimed.saturating_add(&wanted));
+        CapDecision::Admitted
+    }
+
+    /// Distinguishes a step that does not fit under its customer's cap from one whose room there is
+    /// kept for other steps.
+    fn withheld_by_cap(&self, step: &PendingStep) -> CapDecision {
+        let room = self.within_cap(step, &Amount::ZERO);
+        if room == 0 {
+            return CapDecision::Capped;
         }
-        may_start
+        let rule = if self.startable(step) == 0 { Rule::CapTurn } else { Rule::CapClaim };
+        let wanted = if step.spec().gang { step.pending.len() as f64 } else { 1.0 };
+        CapDecision::PassedOver { rule, room: room as f64, wanted }
     }
 
     /// Whether a customer uses more than half of its cap, in any dimension.
--- /dev/null
+++ b/src/cell/machine/deferral.rs
@@ -0,0 +1,194 @@
+//! Steps that a rule passes over to save work, although they could run.
+//!
+//! Several rules leave a step alone for now: a query to the policy service seems not worthwhile, the
+//! budget of gangs is used up, its workers are reserved for a gang, or it waits for a worker near its
+//! data. Each saves work where steps compete for capacity, and none of them ends by itself. So all
+//! of them are bounded here: a rule that has passed over a step for [`Rule::limit`] no longer applies
+//! to it until one of its tasks has been placed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use super::Machine;
+use super::pending::PendingStep;
+use crate::cell::job::{Id, StepKey};
+use crate::clock::Instant;
+
+/// Longest time for which a rule that saves queries or placements may pass over a step. Together
+/// with a query and a start it stays below the three seconds within which accepted work has to start
+/// beside free workers.
+pub(super) const MAX_DEFERRAL: Duration = Duration::from_secs(1);
+
+/// The same for a turn of a gang at the cap of its customer, during which attempts have to end.
+const MAX_CAP_TURN_DEFERRAL: Duration = Duration::from_secs(5);
+
+/// Time without being passed over after which a step counts as not passed over: longer than a query
+/// and the validity of its tickets.
+const FORGET_AFTER: Duration = Duration::from_secs(3);
+
+/// Rule that passes over a step.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Rule {
+    /// Its eligible workers have room for too few of its tasks to renew their tickets.
+    #[display("query_not_worthwhile")]
+    QueryNotWorthwhile,
+    /// No instance is left to send its query.
+    #[display("no_instance")]
+    NoInstance,
+    /// Other gangs use up the budget of queries about gangs.
+    #[display("gang_budget")]
+    GangBudget,
+    /// Workers that could run it are reserved for gangs.
+    #[display("reservation")]
+    Reservation,
+    /// Only workers away from its data, or in several racks, have room.
+    #[display("locality")]
+    Locality,
+    /// Its customer's cap lets too few of its tasks start to query about them.
+    #[display("cap_not_worthwhile")]
+    CapNotWorthwhile,
+    /// Steps of the same customer that rank before it claim what the cap leaves.
+    #[display("cap_claim")]
+    CapClaim,
+    /// A gang has its turn at the cap of their customer.
+    #[display("cap_turn")]
+    CapTurn,
+}
+
+impl Rule {
+    /// All rules.
+    pub(super) const ALL: [Self; 8] = [
+        Self::QueryNotWorthwhile,
+        Self::NoInstance,
+        Self::GangBudget,
+        Self::Reservation,
+        Self::Locality,
+        Self::CapNotWorthwhile,
+        Self::CapClaim,
+        Self::CapTurn,
+    ];
+
+    /// Longest time for which the rule may pass over a step.
+    pub(super) const fn limit(self) -> Duration {
+        match self {
+            Self::CapTurn => MAX_CAP_TURN_DEFERRAL,
+            _ => MAX_DEFERRAL,
+        }
+    }
+}
+
+/// Why and for how long a rule has passed over a step.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Deferral {
+    /// Since when the rule has passed over it.
+    pub(super) since: Instant,
+    /// When it last did.
+    pub(super) last: Instant,
+    /// From when the rule no longer applies.
+    due: Instant,
+    /// Number of its tasks that could run, as the rule saw it; `None` if that is not known.
+    pub(super) room: Option<f64>,
+    /// Number that the rule wanted.
+    pub(super) wanted: f64,
+}
+
+impl Deferral {
+    /// Whether the rule has passed over the step for as long as it may.
+    pub(super) fn is_overdue(&self, now: Instant) -> bool {
+        now >= self.due
+    }
+
+    fn is_current(&self, now: Instant) -> bool {
+        now.since(self.last) <= FORGET_AFTER
+    }
+}
+
+/// All steps that are passed over, with the rules that do so.
+#[derive(Debug, Default)]
+pub(super) struct Deferrals {
+    by_step: BTreeMap<(StepKey, Rule), Deferral>,
+}
+
+impl Deferrals {
+    /// Notes that `rule` passes over a step that has room for `room` tasks, because it wants room for
+    /// `wanted`.
+    pub(super) fn note(
+        &mut self,
+        step: StepKey,
+        rule: Rule,
+        room: Option<f64>,
+        wanted: f64,
+        now: Instant,
+    ) {
+        let fresh = Deferral { since: now, last: now, due: now.after(rule.limit()), room, wanted };
+        let deferral = self.by_step.entry((step, rule)).or_insert(fresh);
+        let first = if deferral.is_current(now) { *deferral } else { fresh };
+        *deferral = Deferral { since: first.since, due: first.due, ..fresh };
+    }
+
+    /// Whether `rule` has passed over a step for as long as it may.
+    pub(super) fn is_overdue(&self, step: StepKey, rule: Rule, now: Instant) -> bool {
+        let deferral = self.by_step.get(&(step, rule));
+        deferral.is_some_and(|deferral| deferral.is_current(now) && deferral.is_overdue(now))
+    }
+
+    /// Returns the rules that pass over a step now.
+    pub(super) fn of(
+        &self,
+        step: StepKey,
+        now: Instant,
+    ) -> impl Iterator<Item = (Rule, &Deferral)> {
+        let of_step = self.by_step.range((step, Rule::QueryNotWorthwhile)..=(step, Rule::CapTurn));
+        let current = of_step.filter(move |(_, deferral)| deferral.is_current(now));
+        current.map(|((_, rule), deferral)| (*rule, deferral))
+    }
+
+    /// Returns all steps that are passed over now, with the rules.
+    pub(super) fn iter(&self, now: Instant) -> impl Iterator<Item = (StepKey, Rule, &Deferral)> {
+        let current = self.by_step.iter().filter(move |(_, deferral)| deferral.is_current(now));
+        current.map(|((step, rule), deferral)| (*step, *rule, deferral))
+    }
+
+    /// Ends the deferrals of a step of which a task has been placed.
+    pub(super) fn end(&mut self, step: StepKey) {
+        for rule in Rule::ALL {
+            self.by_step.remove(&(step, rule));
+        }
+    }
+
+    /// Removes the deferrals of a job.
+    pub(super) fn forget_job(&mut self, job: Id) {
+        let first = (StepKey::first(job), Rule::QueryNotWorthwhile);
+        let of_job = self.by_step.range(first..).map(|(key, _)| *key);
+        let of_job: Vec<(StepKey, Rule)> = of_job.take_while(|(step, _)| step.job == job).collect();
+        for key in of_job {
+            self.by_step.remove(&key);
+        }
+    }
+
+    /// Removes deferrals of steps that are no longer passed over.
+    pub(super) fn forget_ended(&mut self, now: Instant) {
+        self.by_step.retain(|_, deferral| deferral.is_current(now));
+    }
+}
+
+impl Machine {
+    /// Notes that `rule` passes over a step that has room for `room` tasks, because it wants room for
+    /// `wanted`.
+    pub(super) fn note_deferral(
+        &mut self,
+        step: &PendingStep,
+        rule: Rule,
+        room: Option<f64>,
+        wanted: f64,
+    ) {
+        self.deferrals.note(step.key, rule, room, wanted, self.now);
+    }
+
+    /// Whether `rule` has passed over a step for as long as it may, so that it no longer applies.
+    pub(super) fn is_overdue(&self, step: &PendingStep, rule: Rule) -> bool {
+        self.deferrals.is_overdue(step.key, rule, self.now)
+    }
+}
--- a/src/cell/machine/explain/wait.rs
+++ b/src/cell/machine/explain/wait.rs
@@ -6,6 +6,7 @@
 use derive_more::Display;
 
 use super::super::Machine;
+use super::super::caps::CapDecision;
 use super::super::pending::PendingStep;
 use super::super::rank::Timeliness;
 use super::MAX_EXAMINED_JOBS;
@@ -163,7 +164,10 @@
         for other in before.iter().filter(|other| other.job.customer == step.job.customer) {
             self.claim_from_cap(other, customer, &mut claims);
         }
-        if self.claim_from_cap(step, customer, &mut claims) { self.startable(step) } else { 0 }
+        match self.claim_from_cap(step, customer, &mut claims) {
+            CapDecision::Admitted => self.startable(step),
+            CapDecision::Capped | CapDecision::PassedOver { .. } => 0,
+        }
     }
 
     fn cap_use(&self, step: &PendingStep, startable: usize) -> Option<CapUse> {
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -16,6 +16,7 @@
 mod caps;
 mod commands;
 mod crash;
+mod deferral;
 mod end;
 mod explain;
 mod inactive;
@@ -32,6 +33,7 @@
 mod preemption;
 mod proxy;
 mod proxy_shares;
+mod query_workers;
 mod rank;
 mod recovery;
 mod reservation;
@@ -45,6 +47,7 @@
 mod timer_queue;
 mod tracked_map;
 mod view;
+mod withheld;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -62,6 +65,7 @@
 use self::backlog::BacklogLog;
 use self::cap_turns::CapTurns;
 use self::caps::{CustomerUsage, HeldBack};
+use self::deferral::Deferrals;
 use self::explain::History;
 use self::inactive::InactiveWorkers;
 use self::lost_records::Doubts;
@@ -161,6 +165,8 @@
     /// Jobs whose final phase is not stored yet.
     unstored_ends: BTreeSet<Id>,
     round_jobs: RoundJobs,
+    /// Steps that rules pass over although they could run.
+    deferrals: Deferrals,
     backlog: BacklogLog,
     failure_rate: FailureRate,
     /// Workers on which tasks of a step have failed.
@@ -245,6 +251,7 @@
             doubts: None,
             unstored_ends: BTreeSet::new(),
             round_jobs: RoundJobs::new(now),
+            deferrals: Deferrals::default(),
             backlog: BacklogLog::new(now),
             failure_rate: FailureRate::default(),
             failed_workers: BTreeMap::new(),
@@ -389,7 +396,9 @@
             remove_job(&mut self.failed_workers, id);
             remove_job(&mut self.next_preemption, id);
             self.shares.forget(&id);
+            self.deferrals.forget_job(id);
         }
+        self.deferrals.forget_ended(self.now);
     }
 }
 
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -106,6 +106,9 @@
         if !plan.is_empty() {
             self.apply_plan(step, &plan, views);
         }
+        if plan.is_empty() {
+            self.note_withheld_room(step, views);
+        }
         if left > 0 && !self.has_inactive_for(step) {
             self.preempt_for(step, left, &allowed, views);
         }
@@ -117,16 +120,8 @@
     /// Returns the workers on which the step may be placed now: they match its constraints and hold
     /// a valid ticket if the queue needs one.
     pub(super) fn usable_workers(&self, step: &PendingStep, views: &WorkerViews) -> Vec<usize> {
-        let spec = step.spec();
-        let workers: Vec<usize> = match step.queue.policy {
-            Some(_) => self.ticketed_workers(&step.key, views),
-            None => views.open().collect(),
-        };
-        let fits =
-            |view: &WorkerView| view.matches(&step.queue.service, spec) && view.is_compatible(spec);
-        let mut allowed: Vec<usize> =
-            workers.into_iter().filter(|&at| fits(views.get(at))).collect();
-        if let Some(rack) = &spec.data_rack
+        let mut allowed = self.admitted_workers(step, views);
+        if let Some(rack) = &step.spec().data_rack
             && step.rank.timeliness == Timeliness::OnTime
         {
             let near = |at: &usize| views.get(*at).listed.rack.as_ref() == Some(rack);
@@ -137,6 +132,18 @@
         allowed
     }
 
+    /// The same wherever the step's data is.
+    pub(super) fn admitted_workers(&self, step: &PendingStep, views: &WorkerViews) -> Vec<usize> {
+        let spec = step.spec();
+        let workers: Vec<usize> = match step.queue.policy {
+            Some(_) => self.ticketed_workers(&step.key, views),
+            None => views.open().collect(),
+        };
+        let fits =
+            |view: &WorkerView| view.matches(&step.queue.service, spec) && view.is_compatible(spec);
+        workers.into_iter().filter(|&at| fits(views.get(at))).collect()
+    }
+
     /// Returns the workers that may run the step, including those whose ticket has expired.
     pub(super) fn eligible_workers(&self, step: &PendingStep, views: &WorkerViews) -> Vec<usize> {
         let matches = |at: &usize| views.get(*at).matches(&step.queue.service, step.spec());
@@ -297,6 +304,7 @@
         let numbers = self.run_numbers(step, plan);
         self.note_started_work(step, plan.len());
         self.note_queue_start(step, plan.len());
+        self.deferrals.end(step.key);
         let mut by_worker: BTreeMap<WorkerId, Vec<Run>> = BTreeMap::new();
         let mut all = Vec::new();
         for (&(index, at), number) in plan.iter().zip(numbers) {
--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -3,21 +3,21 @@
 //! The service answers each instance one query at a time, so the owner sends queries through all
 //! instances.
 
-use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::proxy_shares::ProxyShares;
+use super::query_workers::Choice;
 use super::reservation::GangBudget;
-use super::view::{WorkerView, WorkerViews};
+use super::view::WorkerViews;
 use super::{Effect, Machine};
 use crate::cell::dependencies::Eligibility;
 use crate::cell::job::StepKey;
 use crate::cell::queue::PolicyTiming;
 use crate::cell::record::WorkerId;
-use crate::cell::ticket::Tickets;
-use crate::cell::timings::{MAX_POLICY_WORKERS, POLICY_RECHECK_INTERVAL, POLICY_TIMEOUT_MARGIN};
+use crate::cell::timings::{POLICY_RECHECK_INTERVAL, POLICY_TIMEOUT_MARGIN};
 use crate::clock::Instant;
 
 /// Maximum number of queries in flight: one for each instance of a site of 300.
@@ -26,35 +26,6 @@
 /// steps waited, it sent more than a thousand a second.
 pub(super) const MAX_CONCURRENT_QUERIES: usize = 300;
 
-/// Fewest workers in a query, if that many have free capacity: the fixed cost of a query is far
-/// higher than the cost per worker.
-const MIN_QUERY_WORKERS: usize = 10;
-
-/// Number of tasks that the queried workers should have capacity for, as a multiple of the tasks to
-/// place. Counts only workers that are expected to be eligible.
-const WORKER_FACTOR: f64 = 1.5;
-
-/// The same factor for gangs, where each worker counts for at least one task. It is higher because
-/// other tasks are placed on many of the workers before the answer arrives.
-const GANG_FACTOR: f64 = 3.0;
-
-/// Factor by which a query about a gang exceeds the workers expected to suffice. Most of the time
-/// of a query does not depend on the number of workers, and a second query would take that time
-/// again.
-const GANG_QUERY_FACTOR: f64 = 2.0;
-
-/// Share of workers assumed to be eligible before the first answer; the lowest share observed.
-const INITIAL_ELIGIBLE_SHARE: f64 = 0.25;
-
-/// Lower bound of the assumed share: a query names at most 100 workers, so a smaller share cannot
-/// be made up for by naming more.
-const MIN_ELIGIBLE_SHARE: f64 = 0.05;
-
-/// Fraction of a step's tasks, and number of tasks, from which a query about a step that is not a
-/// gang is worth its time.
-const MIN_USEFUL_FRACTION: f64 = 0.25;
-const MIN_USEFUL_TASKS: f64 = 8.0;
-
 /// A query to the policy service about one step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PolicyQuery {
@@ -74,65 +45,6 @@
     pub timeout: Duration,
 }
 
-/// Workers that a query may name.
-#[derive(Default)]
-struct Candidates<'a> {
-    workers: Vec<(&'a WorkerView, f64)>,
-    /// Tasks that they have capacity for in total.
-    slots: f64,
-}
-
-impl<'a> Candidates<'a> {
-    fn add(&mut self, view: &'a WorkerView, slots: f64) {
-        self.workers.push((view, slots));
-        self.slots += slots;
-    }
-
-    /// Chooses the fewest workers with capacity for `wanted` tasks, those with the most free CPU
-    /// first.
-    fn choose(mut self, wanted: f64) -> Vec<WorkerId> {
-        self.workers.sort_by_key(|(view, _)| Reverse(view.free.cpu_millis));
-        let mut chosen = QueryTargets::new(wanted);
-        for (view, here) in self.workers {
-            if chosen.is_enough() {
-                break;
-            }
-            chosen.add(view, here);
-        }
-        chosen.workers
-    }
-}
-
-/// Workers chosen for a query, as few as suffice for the wanted tasks.
-struct QueryTargets {
-    workers: Vec<WorkerId>,
-    /// Tasks that they have capacity for in total.
-    slots: f64,
-    wanted: f64,
-}
-
-impl QueryTargets {
-    const fn new(wanted: f64) -> Self {
-        Self { workers: Vec::new(), slots: 0.0, wanted }
-    }
-
-    fn is_enough(&self) -> bool {
-        let suffices = self.slots >= self.wanted && self.workers.len() >= MIN_QUERY_WORKERS;
-        suffices || self.workers.len() >= MAX_POLICY_WORKERS
-    }
-
-    fn add(&mut self, view: &WorkerView, slots: f64) {
-        self.slots += slots;
-        self.workers.push(view.id.clone());
-    }
-}
-
-/// Number of tasks of a step that is not a gang, with `pending` tasks to place, from which a query
-/// about it is worth its time.
-pub(super) fn useful_tasks(pending: usize) -> f64 {
-    (pending as f64 * MIN_USEFUL_FRACTION).min(MIN_USEFUL_TASKS)
-}
-
 impl Machine {
     /// Sends the query that the step still needs before it can be placed, if there is one.
     pub(super) fn query_policy(
@@ -151,169 +63,52 @@
         }
         shares.note_turn(&step.queue);
         if gang && budget.is_exhausted(step) && !self.has_query_or_tickets(step) {
+            self.note_deferral(step, Rule::GangBudget, None, step.pending.len() as f64);
             return;
         }
-        let Some(proxy) = self.idle_proxy() else { return };
+        let Some(proxy) = self.idle_proxy() else {
+            self.note_no_instance(step);
+            return;
+        };
         let admitted = shares.admits(&step.queue);
         if !admitted && !shares.may_defer() {
+            self.note_no_instance(step);
             return;
         }
         views.sort();
-        let workers = self.query_workers(step, timing, views);
-        if gang && !workers.is_empty() && !self.has_query_or_tickets(step) && !budget.try_take(step)
-        {
+        let workers = match self.query_workers(step, timing, views) {
+            Choice::Workers(workers) => workers,
+            Choice::Nothing => return self.postpone_query(step.key),
+            Choice::NotWorthwhile { room, wanted } => {
+                self.note_deferral(step, Rule::QueryNotWorthwhile, Some(room), wanted);
+                return self.postpone_query(step.key);
+            }
+        };
+        if gang && !self.has_query_or_tickets(step) && !budget.try_take(step) {
+            self.note_deferral(step, Rule::GangBudget, None, step.pending.len() as f64);
             return;
         }
-        if !workers.is_empty() && admitted {
+        if admitted {
             shares.take(&step.queue);
             self.send_query(proxy, step.key, workers, timing);
-        } else if !workers.is_empty() {
+        } else {
             shares.defer_query(step.key, workers, *timing);
-        } else if let Some(tickets) = self.tickets.get_mut(&step.key) {
-            tickets.postpone(now.after(POLICY_RECHECK_INTERVAL));
         }
     }
 
-    /// Returns the workers to query: those with capacity whose eligibility may let the step start.
-    ///
-    /// Guards against needless load on the policy service. On a large site without free capacity,
-    /// steps that could not be placed renewed their tickets all the time; 29 of 30 instances always
-    /// had a query in flight, and new jobs waited for their first answer although capacity became
-    /// free.
-    fn query_workers(
-        &self,
-        step: &PendingStep,
-        timing: &PolicyTiming,
-        views: &WorkerViews,
-    ) -> Vec<WorkerId> {
-        let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
-        if step.spec().gang {
-            return self.gang_query_workers(step, views, tickets);
-        }
-        let wanted = step.pending.len() as f64;
-        let (queried, eligible) = tickets.counts();
-        let expected = timing.time_ms(eligible);
-        let soon = self.now.after(Duration::from_millis(expected.max(0.0) as u64));
-        let mut room = 0.0;
-        let mut expiring = Candidates::default();
-        for (worker, until) in tickets.eligible() {
-            let Some(at) = views.find(worker) else { continue };
-            let slots = self.slots_with_preemption(at, step, views);
-            room += slots;
-            if until <= soon && slots > 0.0 {
-                expiring.add(views.get(at), slots);
-            }
-        }
-        if room - expiring.slots >= wanted {
-            return Vec::new();
-        }
-        if room < wanted && queried < self.workers.len() + self.inactive.len() {
-            let unqueried = self.unqueried_workers(step, views, (wanted - room) * WORKER_FACTOR);
-            if !unqueried.is_empty() {
-                return unqueried;
-            }
-        }
-        if room >= useful_tasks(step.pending.len()) {
-            return expiring.choose(wanted * WORKER_FACTOR);
-        }
-        Vec::new()
-    }
-
-    /// Returns the workers to query for a gang: unqueried ones until the known ones have capacity
-    /// for several times its tasks, even while another query is in flight, so that all tickets are
-    /// valid at the same time. After that, it returns the known workers once no ticket is valid any
-    /// more.
-    ///
-    /// Guards against querying a wide gang in small parts: a query takes as long as a ticket is
-    /// valid, so that the gang never had tickets for all its tasks at once.
-    fn gang_query_workers(
-        &self,
-        step: &PendingStep,
-        views: &WorkerViews,
-        tickets: &Tickets,
-    ) -> Vec<WorkerId> {
-        // Steps that rank behind it are queried first. Otherwise a gang that never fits has its
-        // tickets renewed for as long as it waits, while narrow gangs find no idle instance.
-        if !tickets.has_pending_query() && tickets.expired_within(POLICY_RECHECK_INTERVAL, self.now)
-        {
-            return Vec::new();
-        }
-        let wanted = step.pending.len() as f64 * GANG_FACTOR;
-        let expected_slots = |at: usize| self.slots_with_preemption(at, step, views).max(1.0);
-        let mut known = Candidates::default();
-        for at in tickets.eligible().filter_map(|(worker, _)| views.find(worker)) {
-            known.add(views.get(at), expected_slots(at));
-        }
-        let awaited = tickets.awaiting_answer().filter_map(|worker| views.find(worker));
-        let expected =
-            known.slots + awaited.map(expected_slots).sum::<f64>() * self.eligible_share(step);
-        if expected < wanted {
-            let unqueried =
-                self.unqueried_workers(step, views, (wanted - expected) * GANG_QUERY_FACTOR);
-            if !unqueried.is_empty() {
-                return unqueried;
-            }
+    /// Considers no query about the step for a while.
+    fn postpone_query(&mut self, step: StepKey) {
+        let until = self.now.after(POLICY_RECHECK_INTERVAL);
+        if let Some(tickets) = self.tickets.get_mut(&step) {
+            tickets.postpone(until);
         }
-        if self.has_query_or_tickets(step) {
-            return Vec::new();
-        }
-        known.choose(wanted)
-    }
-
-    /// Returns the share of workers that are expected to be eligible for the step.
-    pub(super) fn eligible_share(&self, step: &PendingStep) -> f64 {
-        let share =
-            self.eligible_shares.get(&step.queue.name).copied().unwrap_or(INITIAL_ELIGIBLE_SHARE);
-        share.max(MIN_ELIGIBLE_SHARE)
     }
 
-    /// Returns workers that have not been queried for the step, those with the most free CPU first,
-    /// until enough of them are expected to be eligible and to have capacity.
-    fn unqueried_workers(
-        &self,
-        step: &PendingStep,
-        views: &WorkerViews,
-        wanted: f64,
-    ) -> Vec<WorkerId> {
-        let Some(tickets) = self.tickets.get(&step.key) else { return Vec::new() };
-        let spec = step.spec();
-        let service = &step.queue.service;
-        let wanted = if spec.same_rack || spec.data_rack.is_some() {
-            f64::INFINITY
-        } else {
-            wanted / self.eligible_share(step)
-        };
-        let mut chosen = QueryTargets::new(wanted);
-        let mut order: Box<dyn Iterator<Item = usize>> = Box::new(views.by_free_cpu());
-        if let Some(min_speed) = self.min_speed(step) {
-            // Those on which the step can be on time come first. A gang needs many workers of like
-            // speed, so that the free capacity decides among them.
-            let mut by_speed: Vec<usize> = order.collect();
-            if spec.gang {
-                by_speed.sort_by_key(|&at| !min_speed.admits(views.get(at)));
-            } else {
-                by_speed.sort_by_key(|&at| min_speed.preference(views.get(at)));
-            }
-            order = Box::new(by_speed.into_iter());
-        }
-        for at in order {
-            if chosen.is_enough() {
-                break;
-            }
-            let view = views.get(at);
-            if !tickets.is_unqueried(&view.id) {
-                continue;
-            }
-            let slots = self.slots_with_preemption(at, step, views);
-            // Capacity for a gang's tasks becomes free on all its workers while they are reserved
-            // for it.
-            if spec.gang && view.matches(service, spec) {
-                chosen.add(view, slots.max(1.0));
-            } else if slots > 0.0 {
-                chosen.add(view, slots);
-            }
+    /// Notes that no instance is left to query about a step, if it has no valid ticket.
+    fn note_no_instance(&mut self, step: &PendingStep) {
+        if !self.has_query_or_tickets(step) {
+            self.note_deferral(step, Rule::NoInstance, None, 1.0);
         }
-        chosen.workers
     }
 
     /// Number of queries that may be sent in addition to those in flight.
--- a/src/cell/machine/proxy_shares.rs
+++ b/src/cell/machine/proxy_shares.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use super::Machine;
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::policy_query::MAX_CONCURRENT_QUERIES;
 use super::rank::Timeliness;
@@ -162,7 +163,10 @@
     /// Sends the deferred queries, as far as instances are idle.
     pub(super) fn send_deferred(&mut self, shares: &mut ProxyShares) {
         for query in std::mem::take(&mut shares.deferred) {
-            let Some(proxy) = self.idle_proxy() else { return };
+            let Some(proxy) = self.idle_proxy() else {
+                self.deferrals.note(query.step, Rule::NoInstance, None, 1.0, self.now);
+                continue;
+            };
             self.send_query(proxy, query.step, query.workers, &query.timing);
             shares.idle = shares.idle.saturating_sub(1);
         }
--- a/src/cell/machine/reservation.rs
+++ b/src/cell/machine/reservation.rs
@@ -107,7 +107,7 @@
             return;
         }
         let spare = (views.count() as f64 * MAX_RESERVED_SHARE) as usize;
-        let spare = spare.saturating_sub(views.reserved());
+        let spare = spare.saturating_sub(views.reserved().len());
         let mut open: Vec<usize> = allowed.to_vec();
         open.retain(|&at| !views.get(at).reserved);
         open.sort_by_key(|&at| Reverse(views.get(at).free.cpu_millis));
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -145,9 +145,9 @@
         self.reserved.push(at);
     }
 
-    /// Number of workers reserved for gangs.
-    pub(super) const fn reserved(&self) -> usize {
-        self.reserved.len()
+    /// Indices of the workers reserved for gangs.
+    pub(super) fn reserved(&self) -> &[usize] {
+        &self.reserved
     }
 
     /// Sorts the workers by free CPU. They are nearly in order from the last time.
