Bound in time what rules pass over

What callers saw: an accepted job with nothing running for seconds beside workers that its policy admits. Cause: a query about known workers went out only if they have room for a quarter of the tasks to place, and nothing ended that. Class: a rule that saves work passes over accepted work without end. Change: each rule has a limit in deferral.rs, after which it no longer applies to the step; queries about overdue steps go first for a bounded share of the instances' time.

--- a/src/cell/machine/activation.rs
+++ b/src/cell/machine/activation.rs
@@ -10,7 +10,6 @@
 
 use super::Machine;
 use super::pending::PendingStep;
-use super::rank::Timeliness;
 use super::view::{WorkerViews, matches, slots_within};
 use crate::cell::dependencies::WorkerInfo;
 use crate::cell::incarnation::WorkerIncarnation;
@@ -229,7 +228,7 @@
         let first = unplaced.iter().take(MAX_EXAMINED_STEPS);
         let others = unplaced.iter().skip(MAX_EXAMINED_STEPS.max(turn)).take(MAX_EXAMINED_STEPS);
         for step in first.chain(others) {
-            if step.spec().same_rack && step.rank.timeliness == Timeliness::OnTime {
+            if step.spec().same_rack && step.needs_locality() {
                 self.activate_rack_for(step, views);
             } else {
                 self.activate_for(step, views);
@@ -265,7 +264,7 @@
             if (near && !is_near(step, &view.listed)) || self.is_refused(step, &view.id) {
                 continue;
             }
-            let slots = view.slots(&step.queue.service, step.spec());
+            let slots = view.slots(step);
             found += match step.spec().max_per_worker {
                 0 => slots,
                 most => slots.min(f64::from(most.saturating_sub(*counts.get(&at).unwrap_or(&0)))),
@@ -296,7 +295,7 @@
         for view in views.open().map(|at| views.get(at)) {
             if !self.is_refused(step, &view.id) {
                 let rack = racks.entry(view.listed.rack.clone()).or_default();
-                rack.slots += view.slots(service, spec);
+                rack.slots += view.slots(step);
             }
         }
         for (id, info) in self.inactive.in_order() {
@@ -377,5 +376,5 @@
 
 /// Whether it does not matter in which rack the step's tasks run.
 fn is_near_anywhere(step: &PendingStep) -> bool {
-    step.rank.timeliness != Timeliness::OnTime || step.spec().data_rack.is_none()
+    !step.needs_locality() || step.spec().data_rack.is_none()
 }
--- a/src/cell/machine/cap_turns.rs
+++ b/src/cell/machine/cap_turns.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use super::Machine;
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::rank::Timeliness;
 use crate::cell::customer::Name;
@@ -53,6 +54,9 @@
 impl Machine {
     /// Room under the cap of a step's customer that is meant for another step.
     pub(super) fn claimed_by_turn(&self, step: &PendingStep) -> Amount {
+        if step.overdue.contains(Rule::CapTurn) {
+            return Amount::ZERO;
+        }
         let turns = step.job.customer.as_ref().and_then(|name| self.cap_turns.get(name));
         let turn = turns.and_then(|turns| turns.current.as_ref());
         turn.filter(|turn| turn.step != step.key).map_or(Amount::ZERO, |turn| turn.claim)
--- a/src/cell/machine/caps.rs
+++ b/src/cell/machine/caps.rs
@@ -218,7 +218,8 @@
     ) -> CapDecision {
         let claimed = claims.entry(customer.clone()).or_insert(Amount::ZERO);
         let is_near_cap = self.is_near_cap(customer);
-        let others = if is_near_cap { *claimed } else { Amount::ZERO };
+        let counts_others = is_near_cap && !step.overdue.contains(Rule::CapClaim);
+        let others = if counts_others { *claimed } else { Amount::ZERO };
         let tasks = self.startable_beside(step, &others);
         if tasks == 0 {
             return self.withheld_by_cap(step);
@@ -258,6 +259,7 @@
     /// one.
     fn is_worth_considering(&self, step: &PendingStep, tasks: usize) -> bool {
         step.queue.policy.is_none()
+            || step.overdue.contains(Rule::CapNotWorthwhile)
             || self.has_query_or_tickets(step)
             || tasks as f64 >= useful_tasks(step.pending.len())
     }
--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -16,14 +16,20 @@
 use crate::cell::job::{Id, StepKey};
 use crate::clock::Instant;
 
-/// Longest time for which a rule that saves queries or placements may pass over a step. Together
-/// with a query and a start it stays below the three seconds within which accepted work has to start
-/// beside free workers.
-pub(super) const MAX_DEFERRAL: Duration = Duration::from_secs(1);
+/// Longest time for which a rule may pass over a step that has to be queried about afterwards.
+/// Together with the query and the start it stays below the three seconds within which accepted work
+/// has to start beside free workers.
+const MAX_QUERY_DEFERRAL: Duration = Duration::from_secs(1);
+
+/// The same for a rule after which the step is placed at once.
+const MAX_PLACEMENT_DEFERRAL: Duration = Duration::from_secs(2);
 
 /// The same for a turn of a gang at the cap of its customer, during which attempts have to end.
 const MAX_CAP_TURN_DEFERRAL: Duration = Duration::from_secs(5);
 
+/// Share of the instances' time that queries about overdue steps may take before all others.
+const OVERDUE_SHARE: f64 = 1.0 / 8.0;
+
 /// Time without being passed over after which a step counts as not passed over: longer than a query
 /// and the validity of its tickets.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
@@ -74,9 +80,46 @@
     pub(super) const fn limit(self) -> Duration {
         match self {
             Self::CapTurn => MAX_CAP_TURN_DEFERRAL,
-            _ => MAX_DEFERRAL,
+            Self::Reservation | Self::Locality => MAX_PLACEMENT_DEFERRAL,
+            Self::QueryNotWorthwhile
+            | Self::NoInstance
+            | Self::GangBudget
+            | Self::CapNotWorthwhile
+            | Self::CapClaim => MAX_QUERY_DEFERRAL,
+        }
+    }
+
+    /// Whether it passes over queries to the policy service.
+    const fn concerns_queries(self) -> bool {
+        matches!(self, Self::QueryNotWorthwhile | Self::NoInstance | Self::GangBudget)
+    }
+}
+
+/// The rules that have passed over a step for as long as they may.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Overdue {
+    rules: u8,
+    /// Since when a rule has passed over queries about the step.
+    query_since: Option<Instant>,
+}
+
+impl Overdue {
+    fn add(&mut self, rule: Rule, since: Instant) {
+        self.rules |= 1 << rule as u8;
+        if rule.concerns_queries() {
+            self.query_since = self.query_since.into_iter().chain([since]).min();
         }
     }
+
+    /// Whether `rule` no longer applies to the step.
+    pub(super) const fn contains(self, rule: Rule) -> bool {
+        self.rules & 1 << rule as u8 != 0
+    }
+
+    /// Since when a rule that no longer applies has passed over queries about the step.
+    pub(super) const fn query_since(self) -> Option<Instant> {
+        self.query_since
+    }
 }
 
 /// Why and for how long a rule has passed over a step.
@@ -109,6 +152,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Deferrals {
     by_step: BTreeMap<(StepKey, Rule), Deferral>,
+    /// When a query about an overdue step may next go before all others.
+    next_turn: Instant,
 }
 
 impl Deferrals {
@@ -128,10 +173,36 @@
         *deferral = Deferral { since: first.since, due: first.due, ..fresh };
     }
 
-    /// Whether `rule` has passed over a step for as long as it may.
-    pub(super) fn is_overdue(&self, step: StepKey, rule: Rule, now: Instant) -> bool {
-        let deferral = self.by_step.get(&(step, rule));
-        deferral.is_some_and(|deferral| deferral.is_current(now) && deferral.is_overdue(now))
+    /// Returns the rules that have passed over a step for as long as they may.
+    pub(super) fn overdue(&self, step: StepKey, now: Instant) -> Overdue {
+        let mut overdue = Overdue::default();
+        for (rule, deferral) in self.of(step, now) {
+            if deferral.is_overdue(now) {
+                overdue.add(rule, deferral.since);
+            }
+        }
+        overdue
+    }
+
+    /// Whether a query about an overdue step may go before all others now.
+    pub(super) fn has_turn(&self, now: Instant) -> bool {
+        now >= self.next_turn
+    }
+
+    /// Notes that a query about an overdue step, which takes `took`, went before all others, while
+    /// `instances` could send queries.
+    pub(super) fn take_turn(&mut self, took: Duration, instances: usize, now: Instant) {
+        self.next_turn = now.after(took.div_f64(instances.max(1) as f64 * OVERDUE_SHARE));
+    }
+
+    /// Notes that a query about an overdue step was sent, so that the rules about queries apply to
+    /// it again until they have passed over it for as long as they may.
+    pub(super) fn restart_queries(&mut self, step: StepKey, now: Instant) {
+        for rule in Rule::ALL.into_iter().filter(|rule| rule.concerns_queries()) {
+            if let Some(deferral) = self.by_step.get_mut(&(step, rule)) {
+                deferral.due = now.after(rule.limit());
+            }
+        }
     }
 
     /// Returns the rules that pass over a step now.
@@ -186,9 +257,4 @@
     ) {
         self.deferrals.note(step.key, rule, room, wanted, self.now);
     }
-
-    /// Whether `rule` has passed over a step for as long as it may, so that it no longer applies.
-    pub(super) fn is_overdue(&self, step: &PendingStep, rule: Rule) -> bool {
-        self.deferrals.is_overdue(step.key, rule, self.now)
-    }
 }
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -26,6 +26,7 @@
 mod lost_records;
 mod message;
 mod outcome_stats;
+mod overdue_query;
 mod pending;
 mod place;
 mod policy_query;
--- /dev/null
+++ b/src/cell/machine/overdue_query.rs
@@ -0,0 +1,85 @@
+//! Queries about steps that rules have passed over for as long as they may.
+
+use std::time::Duration;
+
+use super::Machine;
+use super::pending::PendingStep;
+use super::proxy_shares::ProxyShares;
+use super::reservation::GangBudget;
+use super::view::WorkerViews;
+use crate::clock::Instant;
+
+/// Maximum number of overdue steps that are examined first in one round.
+const MAX_EXAMINED: usize = 16;
+
+impl Machine {
+    /// Queries about the steps that have been passed over for longest, before all others.
+    ///
+    /// On a full site these queries take a bounded share of the instances' time, since most of their
+    /// steps find the room taken when the answer arrives.
+    pub(super) fn query_overdue(
+        &mut self,
+        waiting: &[PendingStep],
+        views: &mut WorkerViews,
+        shares: &mut ProxyShares,
+        budget: &mut GangBudget,
+    ) {
+        if !self.deferrals.has_turn(self.now) || self.idle_proxy().is_none() {
+            return;
+        }
+        let overdue = waiting.iter().filter(|step| self.may_query(step));
+        let overdue = overdue.filter_map(|step| Some((step.overdue.query_since()?, step)));
+        let mut overdue: Vec<(Instant, &PendingStep)> = overdue.collect();
+        overdue.sort_by_key(|(since, step)| (*since, step.key));
+        for (_, step) in overdue.into_iter().take(MAX_EXAMINED) {
+            let Some(step) = self.startable_part(step) else { continue };
+            let Some(timing) = step.queue.policy else { continue };
+            if !self.waives_query_rules(&step, views) {
+                continue;
+            }
+            let sent = self.last_query;
+            self.query_policy(&step, &timing, views, shares, budget, true);
+            let query = self.queries.get(&self.last_query).filter(|query| query.number > sent);
+            if let Some(query) = query {
+                let took = timing.time_ms(query.workers.len()).max(0.0) as u64;
+                let took = Duration::from_millis(took);
+                self.deferrals.take_turn(took, shares.fresh(), self.now);
+                return;
+            }
+        }
+    }
+
+    /// Whether the rules about queries no longer apply to a step. For a gang they apply again if it
+    /// would find no room now.
+    pub(super) fn waives_query_rules(&mut self, step: &PendingStep, views: &WorkerViews) -> bool {
+        if step.overdue.query_since().is_none() {
+            return false;
+        }
+        let waived = !step.spec().gang || self.gang_fits(step, views);
+        if !waived {
+            self.deferrals.restart_queries(step.key, self.now);
+        }
+        waived
+    }
+
+    /// Whether a gang would find room now, as far as the owner knows which workers are eligible.
+    fn gang_fits(&self, step: &PendingStep, views: &WorkerViews) -> bool {
+        let wanted = step.pending.len() as f64;
+        let share = self.eligible_share(step);
+        let tickets = self.tickets.get(&step.key);
+        let mut room = 0.0;
+        for at in views.open() {
+            let id = &views.get(at).id;
+            let chance = match tickets {
+                Some(tickets) if tickets.is_eligible(id) => 1.0,
+                Some(tickets) if tickets.is_refused(id) => 0.0,
+                _ => share,
+            };
+            room += chance * self.slots_with_preemption(at, step, views);
+            if room >= wanted {
+                return true;
+            }
+        }
+        false
+    }
+}
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -7,6 +7,7 @@
 use super::Machine;
 use super::attempts::FailureReason;
 use super::caps::Charge;
+use super::deferral::{Overdue, Rule};
 use super::rank::{Rank, Timeliness, long_running_rank};
 use crate::cell::job::{Id, Job, Step, StepKey, TaskKey};
 use crate::cell::queue::Queue;
@@ -32,6 +33,8 @@
     pub(super) pending: Vec<u32>,
     /// Those of the pending tasks that are suspected of crashing their workers.
     pub(super) suspects: BTreeSet<u32>,
+    /// Rules that no longer apply to it.
+    pub(super) overdue: Overdue,
 }
 
 impl PendingStep {
@@ -45,6 +48,11 @@
         Self { pending, ..self.clone() }
     }
 
+    /// Whether it still waits for workers near its data, or for a single rack, if it asks for them.
+    pub(super) fn needs_locality(&self) -> bool {
+        self.rank.timeliness == Timeliness::OnTime && !self.overdue.contains(Rule::Locality)
+    }
+
     /// What each of its tasks counts for its customer's cap.
     pub(super) fn charge(&self) -> Option<Charge> {
         Charge::of(&self.job, self.spec())
@@ -163,7 +171,8 @@
                 let (job, queue) = (entry.job.clone(), queue.clone());
                 let is_suspect = |index: &u32| step.tasks[*index as usize].crash_score.is_suspect();
                 let suspects = pending.iter().copied().filter(is_suspect).collect();
-                waiting.push(PendingStep { key, job, queue, rank, pending, suspects });
+                let overdue = self.deferrals.overdue(key, self.now);
+                waiting.push(PendingStep { key, job, queue, rank, pending, suspects, overdue });
             }
         }
         None
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -1,5 +1,6 @@
 //! Placement rounds: which task runs on which worker.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -75,30 +76,32 @@
         self.log_backlog(waiting, views, full_scan);
         let mut budget = self.budget(waiting, views);
         let mut shares = self.proxy_shares(waiting, views);
+        self.query_overdue(waiting, views, &mut shares, &mut budget);
         for step in waiting {
-            let startable = self.startable(step);
-            if startable == 0 {
-                continue;
-            }
-            let first;
-            let step = if startable < step.pending.len() {
-                first = step.first(startable);
-                &first
-            } else {
-                step
-            };
+            let Some(step) = self.startable_part(step) else { continue };
+            let step = &*step;
             // Jobs that will be late query the policy service after all that can be on time.
             if step.rank.timeliness != Timeliness::OnTime && shares.on_time_first() {
                 self.send_deferred(&mut shares);
             }
             if let Some(timing) = &step.queue.policy {
-                self.query_policy(step, timing, views, &mut shares, &mut budget);
+                let waived = shares.has_spare() && self.waives_query_rules(step, views);
+                self.query_policy(step, timing, views, &mut shares, &mut budget, waived);
             }
             self.place_step(step, views);
         }
         self.send_deferred(&mut shares);
     }
 
+    /// Returns the step with those of its pending tasks that its customer's cap lets start now.
+    pub(super) fn startable_part<'a>(&self, step: &'a PendingStep) -> Option<Cow<'a, PendingStep>> {
+        match self.startable(step) {
+            0 => None,
+            count if count < step.pending.len() => Some(Cow::Owned(step.first(count))),
+            _ => Some(Cow::Borrowed(step)),
+        }
+    }
+
     fn place_step(&mut self, step: &PendingStep, views: &mut WorkerViews) {
         let allowed = self.usable_workers(step, views);
         let plan = self.plan(step, &allowed, views);
@@ -122,7 +125,7 @@
     pub(super) fn usable_workers(&self, step: &PendingStep, views: &WorkerViews) -> Vec<usize> {
         let mut allowed = self.admitted_workers(step, views);
         if let Some(rack) = &step.spec().data_rack
-            && step.rank.timeliness == Timeliness::OnTime
+            && step.needs_locality()
         {
             let near = |at: &usize| views.get(*at).listed.rack.as_ref() == Some(rack);
             if allowed.iter().any(near) {
@@ -179,7 +182,7 @@
                     return plan;
                 }
             }
-            if step.rank.timeliness == Timeliness::OnTime {
+            if step.needs_locality() {
                 return Plan::new();
             }
         }
@@ -203,7 +206,7 @@
             if plan.len() == step.pending.len() { plan } else { Plan::new() }
         };
         let Some(min_speed) = min_speed else { return fit(allowed) };
-        let slots = |at: &usize| views.get(*at).slots(&step.queue.service, step.spec());
+        let slots = |at: &usize| views.get(*at).slots(step);
         let narrowed = |is: &dyn Fn(&WorkerView) -> bool| {
             let workers: Vec<usize> =
                 allowed.iter().copied().filter(|&at| is(views.get(at))).collect();
@@ -234,7 +237,7 @@
         let failed = self.failed_workers.get(&step.key);
         let mut free: BTreeMap<usize, Amount> = allowed
             .iter()
-            .filter(|&&at| !views.get(at).reserved)
+            .filter(|&&at| !views.get(at).is_withheld(step))
             .map(|&at| (at, views.get(at).free))
             .collect();
         let mut counts = self.spread_counts(step, views);
--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -46,7 +46,8 @@
 }
 
 impl Machine {
-    /// Sends the query that the step still needs before it can be placed, if there is one.
+    /// Sends the query that the step still needs before it can be placed, if there is one. With
+    /// `waived`, the rules that pass over queries do not apply.
     pub(super) fn query_policy(
         &mut self,
         step: &PendingStep,
@@ -54,6 +55,7 @@
         views: &mut WorkerViews,
         shares: &mut ProxyShares,
         budget: &mut GangBudget,
+        waived: bool,
     ) {
         let now = self.now;
         let gang = step.spec().gang;
@@ -62,7 +64,8 @@
             return;
         }
         shares.note_turn(&step.queue);
-        if gang && budget.is_exhausted(step) && !self.has_query_or_tickets(step) {
+        let budgeted = gang && !self.has_query_or_tickets(step);
+        if budgeted && !waived && budget.is_exhausted(step) {
             self.note_deferral(step, Rule::GangBudget, None, step.pending.len() as f64);
             return;
         }
@@ -70,13 +73,13 @@
             self.note_no_instance(step);
             return;
         };
-        let admitted = shares.admits(&step.queue);
+        let admitted = waived || shares.admits(&step.queue);
         if !admitted && !shares.may_defer() {
             self.note_no_instance(step);
             return;
         }
         views.sort();
-        let workers = match self.query_workers(step, timing, views) {
+        let workers = match self.query_workers(step, timing, views, waived) {
             Choice::Workers(workers) => workers,
             Choice::Nothing => return self.postpone_query(step.key),
             Choice::NotWorthwhile { room, wanted } => {
@@ -84,10 +87,13 @@
                 return self.postpone_query(step.key);
             }
         };
-        if gang && !self.has_query_or_tickets(step) && !budget.try_take(step) {
+        if budgeted && !waived && !budget.try_take(step) {
             self.note_deferral(step, Rule::GangBudget, None, step.pending.len() as f64);
             return;
         }
+        if waived {
+            self.deferrals.restart_queries(step.key, self.now);
+        }
         if admitted {
             shares.take(&step.queue);
             self.send_query(proxy, step.key, workers, timing);
--- a/src/cell/machine/preemption.rs
+++ b/src/cell/machine/preemption.rs
@@ -101,14 +101,13 @@
         views: &WorkerViews,
     ) -> f64 {
         let view = views.get(at);
-        let (service, spec) = (&step.queue.service, step.spec());
         if step.rank.timeliness != Timeliness::OnTime {
-            return view.slots(service, spec);
+            return view.slots(step);
         }
         let room = self
             .preemptible(at, step, views)
             .fold(view.free, |room, yielding| room.saturating_add(&yielding.victim.demand));
-        view.slots_for(&room, service, spec)
+        view.slots_for(&room, step)
     }
 
     /// Returns the attempts on a worker that may be preempted for the step.
--- a/src/cell/machine/proxy_shares.rs
+++ b/src/cell/machine/proxy_shares.rs
@@ -50,7 +50,9 @@
     queues: Vec<QueueShare>,
     /// Whether most CPU is free.
     mostly_free: bool,
-    /// Instances without a query in flight.
+    /// Instances that can send queries.
+    fresh: usize,
+    /// Those without a query in flight.
     idle: usize,
     /// Queries that wait for instances that other queues leave.
     deferred: Vec<DeferredQuery>,
@@ -78,6 +80,17 @@
         !self.mostly_free
     }
 
+    /// Whether instances are left that new jobs do not need soon: most of the CPU is free, or most
+    /// instances are idle.
+    pub(super) const fn has_spare(&self) -> bool {
+        self.mostly_free || self.idle * 2 > self.fresh
+    }
+
+    /// Number of instances that can send queries.
+    pub(super) const fn fresh(&self) -> usize {
+        self.fresh
+    }
+
     /// Notes that a step has its turn.
     pub(super) fn note_turn(&mut self, queue: &Queue) {
         if let Some(share) = self.share(queue) {
@@ -149,11 +162,11 @@
         allot(&mut queues, fresh, if mostly_free { 1.0 } else { SHARE_OF_NEXT_PRIORITY });
         let idle = self.proxies.values().filter(|proxy| proxy.is_idle(self.now)).count();
         let idle = idle.min(self.spare_queries());
-        ProxyShares { queues, mostly_free, idle, deferred: Vec::new() }
+        ProxyShares { queues, mostly_free, fresh, idle, deferred: Vec::new() }
     }
 
     /// Whether a step may need a query.
-    fn may_query(&self, step: &PendingStep) -> bool {
+    pub(super) fn may_query(&self, step: &PendingStep) -> bool {
         let tickets = self.tickets.get(&step.key);
         step.queue.policy.is_some()
             && tickets
--- a/src/cell/machine/query_workers.rs
+++ b/src/cell/machine/query_workers.rs
@@ -119,6 +119,7 @@
 
 impl Machine {
     /// Chooses the workers to query: those with capacity whose eligibility may let the step start.
+    /// With `waived`, renewing the ticket for a single task is worthwhile.
     ///
     /// Guards against needless load on the policy service. On a large site without free capacity,
     /// steps that could not be placed renewed their tickets all the time; 29 of 30 instances always
@@ -129,6 +130,7 @@
         step: &PendingStep,
         timing: &PolicyTiming,
         views: &WorkerViews,
+        waived: bool,
     ) -> Choice {
         let Some(tickets) = self.tickets.get(&step.key) else { return Choice::Nothing };
         if step.spec().gang {
@@ -158,7 +160,7 @@
             }
         }
         let useful = useful_tasks(step.pending.len());
-        if room >= useful {
+        if room >= useful || waived && expiring.slots >= 1.0 {
             return Choice::of(expiring.choose(wanted * WORKER_FACTOR));
         }
         if expiring.slots < 1.0 {
--- a/src/cell/machine/reservation.rs
+++ b/src/cell/machine/reservation.rs
@@ -121,7 +121,7 @@
             if slots >= wanted * RESERVE_FACTOR {
                 break;
             }
-            slots += views.get(at).slots(&step.queue.service, step.spec()).max(1.0);
+            slots += views.get(at).slots(step).max(1.0);
             reserved.push(at);
         }
         if slots >= wanted && reserved.len() <= spare {
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -10,6 +10,7 @@
 
 use super::Machine;
 use super::crash::StartingTasks;
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::timer_queue::TimerQueue;
 use crate::cell::dependencies::WorkerInfo;
@@ -215,16 +216,23 @@
     }
 
     /// Number of the step's tasks that fit on the worker now.
-    pub(super) fn slots(&self, service: &str, step: &Step) -> f64 {
-        self.slots_for(&self.free, service, step)
+    pub(super) fn slots(&self, step: &PendingStep) -> f64 {
+        self.slots_for(&self.free, step)
     }
 
     /// Number of the step's tasks that would fit if the worker had `room` free.
-    pub(super) fn slots_for(&self, room: &Amount, service: &str, step: &Step) -> f64 {
-        if self.reserved || !self.matches(service, step) || !self.is_compatible(step) {
+    pub(super) fn slots_for(&self, room: &Amount, step: &PendingStep) -> f64 {
+        let (service, spec) = (&step.queue.service, step.spec());
+        let usable = self.matches(service, spec) && self.is_compatible(spec);
+        if !usable || self.is_withheld(step) {
             return 0.0;
         }
-        slots_within(room, step)
+        slots_within(room, spec)
+    }
+
+    /// Whether the worker is reserved for a gang, which still excludes the step.
+    pub(super) const fn is_withheld(&self, step: &PendingStep) -> bool {
+        self.reserved && !step.overdue.contains(Rule::Reservation)
     }
 
     /// Whether the worker belongs to `service` and has the label that the step requires.
--- a/src/cell/machine/withheld.rs
+++ b/src/cell/machine/withheld.rs
@@ -3,7 +3,6 @@
 use super::Machine;
 use super::deferral::Rule;
 use super::pending::PendingStep;
-use super::rank::Timeliness;
 use super::view::{WorkerViews, slots_within};
 
 impl Machine {
@@ -60,12 +59,12 @@
     fn distant_room(&self, step: &PendingStep, views: &WorkerViews, needed: f64) -> Option<f64> {
         let spec = step.spec();
         let is_local = spec.data_rack.is_some() || spec.same_rack;
-        if !is_local || step.rank.timeliness != Timeliness::OnTime {
+        if !is_local || !step.needs_locality() {
             return None;
         }
         let mut room = 0.0;
         for at in self.admitted_workers(step, views) {
-            room += views.get(at).slots(&step.queue.service, spec);
+            room += views.get(at).slots(step);
             if room >= needed {
                 return Some(room);
             }
