Query first about overdue steps of which nothing runs

The one that has been due for longest goes first, and while most CPU is free they may take half of the instances' time. The trace of the reproduction showed idle_askers=0 for ten seconds, and the oldest steps taking each turn again.

--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -27,8 +27,10 @@
 /// The same for a turn of a gang at the cap of its customer, during which attempts have to end.
 const MAX_CAP_TURN_DEFERRAL: Duration = Duration::from_secs(5);
 
-/// Share of the instances' time that queries about overdue steps may take before all others.
+/// Share of the instances' time that queries about overdue steps may take before all others: on a
+/// full site, where most of them find the room taken when the answer arrives, and on a mostly free one.
 const OVERDUE_SHARE: f64 = 1.0 / 8.0;
+const OVERDUE_SHARE_MOSTLY_FREE: f64 = 1.0 / 2.0;
 
 /// Time without being passed over after which a step counts as not passed over: longer than a query
 /// and the validity of its tickets.
@@ -99,15 +101,15 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Overdue {
     rules: u8,
-    /// Since when a rule has passed over queries about the step.
-    query_since: Option<Instant>,
+    /// From when a rule may no longer pass over queries about the step.
+    query_due: Option<Instant>,
 }
 
 impl Overdue {
-    fn add(&mut self, rule: Rule, since: Instant) {
+    fn add(&mut self, rule: Rule, due: Instant) {
         self.rules |= 1 << rule as u8;
         if rule.concerns_queries() {
-            self.query_since = self.query_since.into_iter().chain([since]).min();
+            self.query_due = self.query_due.into_iter().chain([due]).min();
         }
     }
 
@@ -116,9 +118,9 @@
         self.rules & 1 << rule as u8 != 0
     }
 
-    /// Since when a rule that no longer applies has passed over queries about the step.
-    pub(super) const fn query_since(self) -> Option<Instant> {
-        self.query_since
+    /// From when a rule may no longer pass over queries about the step; `None` if it still may.
+    pub(super) const fn query_due(self) -> Option<Instant> {
+        self.query_due
     }
 }
 
@@ -178,7 +180,7 @@
         let mut overdue = Overdue::default();
         for (rule, deferral) in self.of(step, now) {
             if deferral.is_overdue(now) {
-                overdue.add(rule, deferral.since);
+                overdue.add(rule, deferral.due);
             }
         }
         overdue
@@ -191,8 +193,15 @@
 
     /// Notes that a query about an overdue step, which takes `took`, went before all others, while
     /// `instances` could send queries.
-    pub(super) fn take_turn(&mut self, took: Duration, instances: usize, now: Instant) {
-        self.next_turn = now.after(took.div_f64(instances.max(1) as f64 * OVERDUE_SHARE));
+    pub(super) fn take_turn(
+        &mut self,
+        took: Duration,
+        instances: usize,
+        mostly_free: bool,
+        now: Instant,
+    ) {
+        let share = if mostly_free { OVERDUE_SHARE_MOSTLY_FREE } else { OVERDUE_SHARE };
+        self.next_turn = now.after(took.div_f64(instances.max(1) as f64 * share));
     }
 
     /// Notes that a query about an overdue step was sent, so that the rules about queries apply to
--- a/src/cell/machine/overdue_query.rs
+++ b/src/cell/machine/overdue_query.rs
@@ -13,10 +13,8 @@
 const MAX_EXAMINED: usize = 16;
 
 impl Machine {
-    /// Queries about the steps that have been passed over for longest, before all others.
-    ///
-    /// On a full site these queries take a bounded share of the instances' time, since most of their
-    /// steps find the room taken when the answer arrives.
+    /// Queries about steps of which nothing runs and that have been passed over for longest, before
+    /// all others and for a bounded share of the instances' time.
     pub(super) fn query_overdue(
         &mut self,
         waiting: &[PendingStep],
@@ -27,10 +25,10 @@
         if !self.deferrals.has_turn(self.now) || self.idle_proxy().is_none() {
             return;
         }
-        let overdue = waiting.iter().filter(|step| self.may_query(step));
-        let overdue = overdue.filter_map(|step| Some((step.overdue.query_since()?, step)));
+        let overdue = waiting.iter().filter(|step| step.stalled && self.may_query(step));
+        let overdue = overdue.filter_map(|step| Some((step.overdue.query_due()?, step)));
         let mut overdue: Vec<(Instant, &PendingStep)> = overdue.collect();
-        overdue.sort_by_key(|(since, step)| (*since, step.key));
+        overdue.sort_by_key(|(due, step)| (*due, step.key));
         for (_, step) in overdue.into_iter().take(MAX_EXAMINED) {
             let Some(step) = self.startable_part(step) else { continue };
             let Some(timing) = step.queue.policy else { continue };
@@ -43,7 +41,8 @@
             if let Some(query) = query {
                 let took = timing.time_ms(query.workers.len()).max(0.0) as u64;
                 let took = Duration::from_millis(took);
-                self.deferrals.take_turn(took, shares.fresh(), self.now);
+                let mostly_free = !shares.on_time_first();
+                self.deferrals.take_turn(took, shares.fresh(), mostly_free, self.now);
                 return;
             }
         }
@@ -52,7 +51,7 @@
     /// Whether the rules about queries no longer apply to a step. For a gang they apply again if it
     /// would find no room now.
     pub(super) fn waives_query_rules(&mut self, step: &PendingStep, views: &WorkerViews) -> bool {
-        if step.overdue.query_since().is_none() {
+        if step.overdue.query_due().is_none() || !self.may_query(step) {
             return false;
         }
         let waived = !step.spec().gang || self.gang_fits(step, views);
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -33,6 +33,8 @@
     pub(super) pending: Vec<u32>,
     /// Those of the pending tasks that are suspected of crashing their workers.
     pub(super) suspects: BTreeSet<u32>,
+    /// Whether nothing of it runs; a long-running step misses each of its tasks.
+    pub(super) stalled: bool,
     /// Rules that no longer apply to it.
     pub(super) overdue: Overdue,
 }
@@ -171,8 +173,18 @@
                 let (job, queue) = (entry.job.clone(), queue.clone());
                 let is_suspect = |index: &u32| step.tasks[*index as usize].crash_score.is_suspect();
                 let suspects = pending.iter().copied().filter(is_suspect).collect();
+                let stalled = spec.long_running || !step.is_live();
                 let overdue = self.deferrals.overdue(key, self.now);
-                waiting.push(PendingStep { key, job, queue, rank, pending, suspects, overdue });
+                waiting.push(PendingStep {
+                    key,
+                    job,
+                    queue,
+                    rank,
+                    pending,
+                    suspects,
+                    stalled,
+                    overdue,
+                });
             }
         }
         None
