Give no turn at a cap to a gang that never fits, and keep reservations for overdue queries

A gang that does not fit beside its customer's long-running attempts held the turn, and the customer's other steps waited without end (step_starts_beside_the_turn_of_a_gang_that_never_fits_into_the_cap). Queries about overdue steps named workers that the next gang reserved again (small_tasks_are_placed_beside_waiting_gangs, three of 40 not placed): reservations now last until the next round places steps.

--- a/src/cell/machine/activation.rs
+++ b/src/cell/machine/activation.rs
@@ -283,7 +283,7 @@
     }
 
     /// Whether the policy service has answered that the worker may not run the step.
-    fn is_refused(&self, step: &PendingStep, worker: &str) -> bool {
+    pub(super) fn is_refused(&self, step: &PendingStep, worker: &str) -> bool {
         self.tickets.get(&step.key).is_some_and(|tickets| tickets.is_refused(worker))
     }
 
--- a/src/cell/machine/cap_turns.rs
+++ b/src/cell/machine/cap_turns.rs
@@ -76,6 +76,11 @@
                 continue;
             }
             let step = waiting.iter().find(|step| step.key == turn.step);
+            if step.is_some_and(|step| !self.will_fit_into_cap(step)) {
+                turns.current = None;
+                turns.next = Some(now.after(PAUSE));
+                continue;
+            }
             if step.is_some_and(|step| self.startable(step) > 0) {
                 let since = *turn.room_since.get_or_insert(now);
                 if now.since(since) > ROOM_HELD {
--- a/src/cell/machine/caps.rs
+++ b/src/cell/machine/caps.rs
@@ -21,12 +21,22 @@
 pub struct Charge {
     customer: Name,
     demand: Amount,
+    /// Whether the attempt belongs to a long-running step.
+    lasting: bool,
 }
 
 /// Resources that each customer's attempts use.
 #[derive(Debug, Default)]
 pub(super) struct CustomerUsage {
-    by_customer: HashMap<Name, Amount>,
+    by_customer: HashMap<Name, Usage>,
+}
+
+/// Resources that one customer's attempts use.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    all: Amount,
+    /// What those of long-running steps use, which do not end by themselves.
+    lasting: Amount,
 }
 
 /// Customers with a log line of their own, those with the most waiting steps.
@@ -64,7 +74,8 @@
 impl Charge {
     /// What an attempt of `step` counts. Opportunistic tasks count too: they use what others leave.
     pub(super) fn of(job: &Job, step: &Step) -> Option<Self> {
-        Some(Self { customer: job.customer.clone()?, demand: step.demand })
+        let customer = job.customer.clone()?;
+        Some(Self { customer, demand: step.demand, lasting: step.long_running })
     }
 
     pub(super) const fn customer(&self) -> &Name {
@@ -85,14 +96,20 @@
 impl CustomerUsage {
     pub(super) fn add(&mut self, charge: Option<&Charge>) {
         let Some(charge) = charge else { return };
-        let usage = self.by_customer.entry(charge.customer.clone()).or_insert(Amount::ZERO);
-        *usage = usage.saturating_add(&charge.demand);
+        let usage = self.by_customer.entry(charge.customer.clone()).or_default();
+        usage.all = usage.all.saturating_add(&charge.demand);
+        if charge.lasting {
+            usage.lasting = usage.lasting.saturating_add(&charge.demand);
+        }
     }
 
     pub(super) fn release(&mut self, charge: Option<&Charge>) {
         let Some(charge) = charge else { return };
         if let Some(usage) = self.by_customer.get_mut(&charge.customer) {
-            *usage = usage.saturating_sub(&charge.demand);
+            usage.all = usage.all.saturating_sub(&charge.demand);
+            if charge.lasting {
+                usage.lasting = usage.lasting.saturating_sub(&charge.demand);
+            }
         }
     }
 
@@ -102,7 +119,11 @@
     }
 
     fn of(&self, customer: &str) -> Amount {
-        self.by_customer.get(customer).copied().unwrap_or(Amount::ZERO)
+        self.by_customer.get(customer).map_or(Amount::ZERO, |usage| usage.all)
+    }
+
+    fn lasting(&self, customer: &str) -> Amount {
+        self.by_customer.get(customer).map_or(Amount::ZERO, |usage| usage.lasting)
     }
 }
 
@@ -129,13 +150,22 @@
         self.startable_beside(step, &Amount::ZERO)
     }
 
-    /// Whether a step would start if its customer used nothing.
+    /// Whether a step does not fit under its customer's cap now and will once those of the customer's
+    /// attempts have ended that do so by themselves.
     pub(super) fn waits_for_cap(&self, step: &PendingStep) -> bool {
+        self.startable(step) == 0 && self.will_fit_into_cap(step)
+    }
+
+    /// Whether a step fits under its customer's cap beside the customer's long-running attempts.
+    pub(super) fn will_fit_into_cap(&self, step: &PendingStep) -> bool {
         let customer = self.customer(step.job.customer.as_deref());
-        let could_run = customer.is_some_and(|customer| {
-            customer.could_run(&step.spec().demand, (step.pending.len() as u64).saturating_sub(1))
-        });
-        could_run && self.startable(step) == 0
+        customer.is_some_and(|customer| {
+            let tasks = step.pending.len() as u64;
+            let lasting = self.usage.lasting(&customer.name);
+            // One task may go beyond the cap while nothing of the customer runs.
+            let beyond = u64::from(lasting.is_zero());
+            customer.cap.count(&lasting, &step.spec().demand).saturating_add(beyond) >= tasks
+        })
     }
 
     /// The same if `claimed` of the cap is meant for other steps.
@@ -301,7 +331,7 @@
     /// afterwards.
     pub(super) fn is_above_cap(&self, run: &Run) -> bool {
         let charge = self.runs.get(run).and_then(|active| active.charge.as_ref());
-        let Some(Charge { customer: name, demand }) = charge else { return false };
+        let Some(Charge { customer: name, demand, .. }) = charge else { return false };
         let Some(customer) = self.customer(Some(name)) else { return false };
         let usage = self.usage.of(name);
         if !customer.cap.is_exceeded_by(&usage) || is_planted(Fault::CapIgnored) {
--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -16,13 +16,9 @@
 use crate::cell::job::{Id, StepKey};
 use crate::clock::Instant;
 
-/// Longest time for which a rule may pass over a step that has to be queried about afterwards.
-/// Together with the query and the start it stays below the three seconds within which accepted work
-/// has to start beside free workers.
-const MAX_QUERY_DEFERRAL: Duration = Duration::from_secs(1);
-
-/// The same for a rule after which the step is placed at once.
-const MAX_PLACEMENT_DEFERRAL: Duration = Duration::from_secs(2);
+/// Longest time for which a rule may pass over a step. Together with two queries and the start it
+/// stays below the three seconds within which accepted work has to start beside free workers.
+const MAX_DEFERRAL: Duration = Duration::from_secs(1);
 
 /// The same for a turn of a gang at the cap of its customer, during which attempts have to end.
 const MAX_CAP_TURN_DEFERRAL: Duration = Duration::from_secs(5);
@@ -82,12 +78,7 @@
     pub(super) const fn limit(self) -> Duration {
         match self {
             Self::CapTurn => MAX_CAP_TURN_DEFERRAL,
-            Self::Reservation | Self::Locality => MAX_PLACEMENT_DEFERRAL,
-            Self::QueryNotWorthwhile
-            | Self::NoInstance
-            | Self::GangBudget
-            | Self::CapNotWorthwhile
-            | Self::CapClaim => MAX_QUERY_DEFERRAL,
+            _ => MAX_DEFERRAL,
         }
     }
 
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -59,7 +59,6 @@
         self.refresh_views(&mut views, &waiting);
         self.place_steps(&waiting, &mut views, full_scan);
         self.extend_active_workers(&waiting, &views);
-        views.end_round();
         self.views = views;
     }
 
@@ -77,6 +76,7 @@
         let mut budget = self.budget(waiting, views);
         let mut shares = self.proxy_shares(waiting, views);
         self.query_overdue(waiting, views, &mut shares, &mut budget);
+        views.release_reserved();
         for step in waiting {
             let Some(step) = self.startable_part(step) else { continue };
             let step = &*step;
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -33,7 +33,7 @@
     free_cpu_millis: u64,
     /// Whether it may be given new tasks.
     open: bool,
-    /// Reserved for a gang of higher rank in this round.
+    /// Reserved for a gang of higher rank, in this round or until it begins to place steps.
     pub(super) reserved: bool,
     /// Whether the worker left its latest commands unanswered.
     pub(super) unresponsive: bool,
@@ -140,7 +140,7 @@
         positions.iter().map(|&at| self.all[at].listed.rack.clone()).collect()
     }
 
-    /// Reserves a worker for a gang for the rest of the round.
+    /// Reserves a worker for a gang until the next round places steps.
     pub(super) fn reserve(&mut self, at: usize) {
         self.all[at].reserved = true;
         self.reserved.push(at);
@@ -174,8 +174,8 @@
         self.open.add(&self.all[at]);
     }
 
-    /// Releases the reservations of the round.
-    pub(super) fn end_round(&mut self) {
+    /// Releases the reservations of the last round.
+    pub(super) fn release_reserved(&mut self) {
         for at in std::mem::take(&mut self.reserved) {
             self.all[at].reserved = false;
         }
@@ -309,6 +309,7 @@
     fn rebuild_views(&self, views: &mut WorkerViews) {
         let all = self.workers.values().map(|worker| self.view(worker, views.options));
         views.all = all.collect();
+        views.reserved.clear();
         let positions = self.workers.keys().cloned().enumerate();
         views.positions = positions.map(|(at, id)| (id, at)).collect();
         views.by_free_cpu = (0..views.all.len()).collect();
--- a/src/cell/machine/withheld.rs
+++ b/src/cell/machine/withheld.rs
@@ -40,18 +40,14 @@
     }
 
     /// Number of the step's tasks that would fit on a worker if it were not reserved; zero if the
-    /// step is not known to be eligible there.
+    /// policy service has refused it.
     fn unreserved_slots(&self, step: &PendingStep, at: usize, views: &WorkerViews) -> f64 {
         let view = views.get(at);
         let slots = slots_within(&view.free, step.spec());
         let fits = slots > 0.0
             && view.matches(&step.queue.service, step.spec())
             && view.is_compatible(step.spec());
-        let is_eligible = || {
-            let tickets = self.tickets.get(&step.key);
-            step.queue.policy.is_none() || tickets.is_some_and(|all| all.is_eligible(&view.id))
-        };
-        if fits && is_eligible() { slots } else { 0.0 }
+        if fits && !self.is_refused(step, &view.id) { slots } else { 0.0 }
     }
 
     /// Number of the step's tasks that would fit on workers away from its data, or in several racks,
