Renew expiring tickets with each query about further workers

What callers saw: steps with free eligible workers waited, while the owner asked about others one by one as they became free: 140 of 300 queries named a single worker, each for the fixed 410 ms of an answer, and no instance was left. Now such a query renews the tickets that expire, too.

--- a/src/cell/machine/query_workers.rs
+++ b/src/cell/machine/query_workers.rs
@@ -121,6 +121,9 @@
     /// Chooses the workers to query: those with capacity whose eligibility may let the step start.
     /// With `waived`, renewing the ticket for a single task is worthwhile.
     ///
+    /// A query about further workers also renews the tickets that expire. Guards against eligible
+    /// workers that stay free while others are queried about, one after another as they become free.
+    ///
     /// Guards against needless load on the policy service. On a large site without free capacity,
     /// steps that could not be placed renewed their tickets all the time; 29 of 30 instances always
     /// had a query in flight, and new jobs waited for their first answer although capacity became
@@ -154,9 +157,11 @@
             return Choice::Nothing;
         }
         if room < wanted && queried < self.workers.len() + self.inactive.len() {
-            let unqueried = self.unqueried_workers(step, views, (wanted - room) * WORKER_FACTOR);
-            if !unqueried.is_empty() {
-                return Choice::Workers(unqueried);
+            let mut workers = self.unqueried_workers(step, views, (wanted - room) * WORKER_FACTOR);
+            if !workers.is_empty() {
+                workers.extend(expiring.choose(wanted * WORKER_FACTOR));
+                workers.truncate(MAX_POLICY_WORKERS);
+                return Choice::Workers(workers);
             }
         }
         let useful = useful_tasks(step.pending.len());
