Report which rule passes over a step, in the log, the metrics and explain

Cause: a step that a rule passes over wrote no line, counted in no metric, and explain gave the reason below it ("its tickets have expired"), so that an on-call engineer could not tell why it had nothing running.

Change: machine/passed_over.rs logs steps.passed_over once a second, and step.passed_over for the eight steps passed over for longest; both only while there are such steps. Two gauges by rule, 16 series. A wait in explain lists passed_over, and its reason is the rule that has passed over the step for longest if the step waits for that: not while a query is in flight, if the tasks don't fit, or if the rule last did so more than a second ago. The command line prints the list. No decision of the owner changes. wait.rs is split (reason.rs).

Each keeps its assertions under the new name (wait_for_instance, wait_for_reserved_worker, the first half of wait_for_tickets), and the former reasons are tested in states where no rule passes over the step.

--- a/src/cell/explain/mod.rs
+++ b/src/cell/explain/mod.rs
@@ -3,11 +3,13 @@
 //! Reports travel between instances as JSON text inside a [`Reply`], so that fields can be added
 //! without breaking instances of other versions. They contain names of customers, never keys.
 
+mod deferral;
 mod rate_limit;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+pub use deferral::Deferral;
 pub use rate_limit::RateLimit;
 use serde::{Deserialize, Serialize};
 
@@ -105,10 +107,13 @@
     pub step: String,
     /// Tasks that wait.
     pub tasks: usize,
-    /// Name of the reason.
+    /// Name of the reason, or of the rule that has passed over the step for longest if the step
+    /// waits for that.
     pub reason: String,
     /// The reason with its figures, in one sentence.
     pub cause: String,
+    /// Rules that pass over the step, the one that has done so for longest first.
+    pub passed_over: Vec<Deferral>,
     /// Value that the job can still earn: `on_time`, `late`, `excess` or `worthless`.
     pub class: Option<String>,
     /// Priority of its queue; zero is the highest.
--- a/src/cell/machine/backlog.rs
+++ b/src/cell/machine/backlog.rs
@@ -23,13 +23,15 @@
     next: Instant,
     /// When the next lines about customers at their caps are due.
     next_capped: Instant,
+    /// When the next lines about steps that are passed over are due.
+    next_passed_over: Instant,
     /// Placement rounds since the last line.
     rounds: u32,
 }
 
 impl BacklogLog {
     pub(super) const fn new(now: Instant) -> Self {
-        Self { next: now, next_capped: now, rounds: 0 }
+        Self { next: now, next_capped: now, next_passed_over: now, rounds: 0 }
     }
 
     /// Whether lines about customers at their caps are due; the next ones then wait.
@@ -40,6 +42,15 @@
         }
         is_due
     }
+
+    /// The same for lines about steps that are passed over.
+    pub(super) fn take_passed_over_turn(&mut self, now: Instant) -> bool {
+        let is_due = now >= self.next_passed_over;
+        if is_due {
+            self.next_passed_over = now.after(LOG_INTERVAL);
+        }
+        is_due
+    }
 }
 
 impl Machine {
--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -145,6 +145,11 @@
         current.map(|((_, rule), deferral)| (*rule, deferral))
     }
 
+    /// Whether no step has been passed over lately.
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_step.is_empty()
+    }
+
     /// Returns all steps that are passed over now, with the rules.
     pub(super) fn iter(&self, now: Instant) -> impl Iterator<Item = (StepKey, Rule, &Deferral)> {
         let current = self.by_step.iter().filter(move |(_, deferral)| deferral.is_current(now));
--- a/src/cell/machine/explain/job.rs
+++ b/src/cell/machine/explain/job.rs
@@ -2,7 +2,7 @@
 
 use super::super::{ActiveRun, Machine, Stage};
 use super::history::{JobHistory, PastAttempt, RefusedCall};
-use super::wait::Reason;
+use super::reason::Reason;
 use crate::cell::explain::{Attempt, JobReport, Refusal, RunningAttempt, Wait};
 use crate::cell::job::{Id, Run, StepKey};
 use crate::cell::state::{JobState, StepState};
--- a/src/cell/machine/explain/metrics.rs
+++ b/src/cell/machine/explain/metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics by customer, queue and reason, in the Prometheus text format.
+//! Metrics by customer, queue, reason and rule, in the Prometheus text format.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -23,7 +23,7 @@
 }
 
 impl Machine {
-    /// Writes the metrics of the cell by customer, queue and reason. The number of series is
+    /// Writes the metrics of the cell by customer, queue, reason and rule. The number of series is
     /// bounded, whatever the number of customers and queues.
     pub fn metrics(&self) -> String {
         let mut out = String::new();
@@ -36,6 +36,7 @@
         names::CELL_REFUSED.write(&mut out, "reason", refusals);
         let returned = self.history.returned as f64;
         names::CELL_RETURNED.write(&mut out, "outcome", [("accepted", returned)]);
+        self.write_passed_over(&mut out);
         let counts = |gauge: Gauge, label, counts: BTreeMap<String, usize>, out: &mut String| {
             gauge.write(out, label, counts.iter().map(|(name, count)| (&**name, *count as f64)));
         };
@@ -44,6 +45,15 @@
         out
     }
 
+    fn write_passed_over(&self, out: &mut String) {
+        let by_rule = self.passed_over_by_rule();
+        let by_rule = by_rule.map(|(rule, total)| (rule.to_string(), total));
+        let steps = by_rule.iter().map(|(rule, total)| (&**rule, total.steps as f64));
+        names::CELL_PASSED_OVER.write(out, "rule", steps);
+        let longest = by_rule.iter().map(|(rule, total)| (&**rule, total.longest.as_secs_f64()));
+        names::CELL_PASSED_OVER_LONGEST.write(out, "rule", longest);
+    }
+
     fn write_customers(&self, out: &mut String) {
         let CustomersReport { customers, rest, configured, .. } = self.customers_report();
         if !configured {
--- a/src/cell/machine/explain/mod.rs
+++ b/src/cell/machine/explain/mod.rs
@@ -5,7 +5,8 @@
 //! | File | Contents |
 //! |---|---|
 //! | `job.rs` | the report about one job |
-//! | `wait.rs` | why a step waits |
+//! | `wait.rs`, `reason.rs` | why a step waits, and the names of the reasons |
+//! | `passed_over.rs` | rules that pass over a step |
 //! | `capacity.rs` | workers that could run a step, and when capacity becomes free |
 //! | `customers.rs`, `workers.rs` | the reports about customers and workers |
 //! | `metrics.rs` | metrics by customer, queue and reason |
@@ -18,6 +19,8 @@
 mod history;
 mod job;
 mod metrics;
+mod passed_over;
+mod reason;
 mod wait;
 mod workers;
 
--- a/src/cell/machine/explain/wait.rs
+++ b/src/cell/machine/explain/wait.rs
@@ -3,13 +3,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use derive_more::Display;
-
 use super::super::Machine;
 use super::super::caps::CapDecision;
 use super::super::pending::PendingStep;
 use super::super::rank::Timeliness;
 use super::MAX_EXAMINED_JOBS;
+use super::passed_over::Situation;
+use super::reason::Reason;
 use crate::cell::customer::Name;
 use crate::cell::explain::{CapUse, Capacity, Order, PolicyState, Query, Wait};
 use crate::cell::job::Id;
@@ -20,68 +20,6 @@
 /// Queries in flight that are listed for a step.
 const MAX_QUERIES: usize = 4;
 
-/// What a step waits for.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(super) enum Reason {
-    /// The job's queue is not in the configuration.
-    #[display("queue_unknown")]
-    QueueUnknown,
-    /// Its occurrence is not due.
-    #[display("not_due")]
-    NotDue,
-    /// An earlier step of the job has not ended.
-    #[display("earlier_step")]
-    EarlierStep,
-    /// Members of an earlier attempt of the gang have not ended.
-    #[display("earlier_attempt")]
-    EarlierAttempt,
-    /// Its customer is not in the configuration.
-    #[display("customer_unknown")]
-    CustomerUnknown,
-    /// The cap of its customer.
-    #[display("cap")]
-    Cap,
-    /// No listed worker has the service, the label and the size.
-    #[display("no_worker")]
-    NoWorker,
-    /// No query to the policy service has been sent.
-    #[display("policy_query")]
-    PolicyQuery,
-    /// The policy service has not answered.
-    #[display("policy_answer")]
-    PolicyAnswer,
-    /// The policy service allows too few workers.
-    #[display("eligible_workers")]
-    EligibleWorkers,
-    /// Its tickets have expired.
-    #[display("tickets")]
-    Tickets,
-    /// Too little free capacity, which workers that drain would have.
-    #[display("leaving_workers")]
-    LeavingWorkers,
-    /// Too little free capacity, which workers that are unavailable would have.
-    #[display("unavailable_workers")]
-    UnavailableWorkers,
-    /// Workers are being activated.
-    #[display("activation")]
-    Activation,
-    /// Too little free capacity, and its customer is beyond its share.
-    #[display("share")]
-    Share,
-    /// Too little free capacity, and the job has no value left.
-    #[display("worthless")]
-    Worthless,
-    /// Too little free capacity.
-    #[display("capacity")]
-    Capacity,
-    /// Steps that rank before it take the capacity.
-    #[display("rank")]
-    Rank,
-    /// Nothing: the next round places it.
-    #[display("next_round")]
-    NextRound,
-}
-
 /// Waiting steps in order of rank.
 pub(super) struct Examined {
     steps: Vec<PendingStep>,
@@ -114,17 +52,25 @@
     /// Explains why a step waits whose earlier steps are done.
     pub(super) fn wait_of(&self, step: &PendingStep, examined: &Examined) -> Wait {
         let order = examined.order(step);
-        let startable = self.startable_after(step, examined.before(step));
+        let decision = self.cap_decision(step, examined.before(step));
+        let startable = match decision {
+            CapDecision::Admitted => self.startable(step),
+            CapDecision::Capped | CapDecision::PassedOver { .. } => 0,
+        };
         let needed = if step.spec().gang { step.pending.len() } else { 1 };
         let capacity = self.capacity_for(step, needed);
         let policy = step.queue.policy.map(|_| self.policy_state(step));
         let (reason, cause) = self.reason(step, startable, &capacity, policy.as_ref(), &order);
+        let situation = Situation { reason, decision, policy: policy.as_ref() };
+        let rule = self.rule_waited_for(step.key, &situation, &cause);
+        let (name, cause) = rule.unwrap_or_else(|| (reason.to_string(), cause));
         Wait {
             step: step_name(step),
             tasks: step.pending.len(),
-            reason: reason.to_string(),
+            reason: name,
             cause,
-            class: Some(class_name(step.rank.timeliness).to_owned()),
+            passed_over: self.deferrals_of(step.key),
+            class: Some(step.rank.timeliness.name().to_owned()),
             priority: Some(step.queue.priority),
             slack_ms: self.slack_of(step),
             order: Some(order),
@@ -157,17 +103,14 @@
         Examined { steps, partial: self.state.open.len() > MAX_EXAMINED_JOBS }
     }
 
-    /// Tasks of a step that its customer's cap lets start now, beside the steps that come before it.
-    fn startable_after(&self, step: &PendingStep, before: &[PendingStep]) -> usize {
-        let Some(customer) = &step.job.customer else { return step.pending.len() };
+    /// Whether the cap of its customer lets a step be considered beside the steps `before` it.
+    fn cap_decision(&self, step: &PendingStep, before: &[PendingStep]) -> CapDecision {
+        let Some(customer) = &step.job.customer else { return CapDecision::Admitted };
         let mut claims: HashMap<Name, Amount> = HashMap::new();
         for other in before.iter().filter(|other| other.job.customer == step.job.customer) {
             self.claim_from_cap(other, customer, &mut claims);
         }
-        match self.claim_from_cap(step, customer, &mut claims) {
-            CapDecision::Admitted => self.startable(step),
-            CapDecision::Capped | CapDecision::PassedOver { .. } => 0,
-        }
+        self.claim_from_cap(step, customer, &mut claims)
     }
 
     fn cap_use(&self, step: &PendingStep, startable: usize) -> Option<CapUse> {
@@ -363,15 +306,6 @@
     format!("{}.{}", step.key.occurrence, step.key.step)
 }
 
-const fn class_name(timeliness: Timeliness) -> &'static str {
-    match timeliness {
-        Timeliness::OnTime => "on_time",
-        Timeliness::Late => "late",
-        Timeliness::Excess => "excess",
-        Timeliness::Worthless => "worthless",
-    }
-}
-
 fn policy_reason(policy: &PolicyState, order: &Order) -> (Reason, String) {
     if let Some(query) = policy.queries.first() {
         let cause = format!(
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -26,6 +26,7 @@
 mod lost_records;
 mod message;
 mod outcome_stats;
+mod passed_over;
 mod pending;
 mod place;
 mod policy_query;
@@ -343,6 +344,7 @@
         done(OwnerActivity::Upkeep);
         if self.now >= self.next_round && (self.needs_placement || self.now >= self.round_by) {
             self.place();
+            self.log_passed_over();
             done(OwnerActivity::Placement);
         }
         self.take_snapshot_when_due();
--- a/src/cell/machine/rank.rs
+++ b/src/cell/machine/rank.rs
@@ -41,6 +41,18 @@
     Worthless,
 }
 
+impl Timeliness {
+    /// Name in reports and log lines.
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::OnTime => "on_time",
+            Self::Late => "late",
+            Self::Excess => "excess",
+            Self::Worthless => "worthless",
+        }
+    }
+}
+
 impl Machine {
     /// Computes the rank of a step whose job arrived at `accepted`, in milliseconds on the wall
     /// clock.
--- a/src/cli/command/cell.rs
+++ b/src/cli/command/cell.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use crate::cell::explain::{
-    Attempt, Customer, CustomersReport, JobReport, Office, RunningAttempt, Wait, Worker,
+    Attempt, Customer, CustomersReport, Deferral, JobReport, Office, RunningAttempt, Wait, Worker,
     WorkersReport,
 };
 use crate::cell::job::Id;
@@ -175,6 +175,7 @@
             span(capacity.list_age_ms)
         );
     }
+    wait.passed_over.iter().for_each(|deferral| text += &deferral_text(deferral));
     if let Some(cap) = wait.cap {
         text += &format!("\n  cap: {} of {}", cap.used, cap_text(&cap.cap));
     }
@@ -190,6 +191,17 @@
     text + "\n"
 }
 
+fn deferral_text(deferral: &Deferral) -> String {
+    let room = deferral.room.map_or_else(|| "unknown".to_owned(), |room| format!("for {room}"));
+    format!(
+        "\n  passed over by {} for {}{}: room {room}, {} wanted",
+        clean(&deferral.rule),
+        span(deferral.since_ms),
+        if deferral.overdue { ", which is longer than it may" } else { "" },
+        deferral.wanted
+    )
+}
+
 fn running_text(running: &[RunningAttempt], count: usize) -> String {
     if running.is_empty() {
         return String::new();
--- a/tests/logic/cell/explain/mod.rs
+++ b/tests/logic/cell/explain/mod.rs
@@ -3,6 +3,7 @@
 
 mod bounds;
 mod outcomes;
+mod passed_over;
 mod waits;
 
 use std::rc::Rc;
--- a/tests/logic/cell/explain/waits.rs
+++ b/tests/logic/cell/explain/waits.rs
@@ -5,7 +5,7 @@
 use oriolefork::cell::caller::Caller;
 use oriolefork::cell::dependencies::{Eligibility, RosterUpdate, WorkerError, WorkerInfo};
 use oriolefork::cell::explain::Wait;
-use oriolefork::cell::job::{Job, Schedule, Step};
+use oriolefork::cell::job::{Job, RunOutcome, Schedule, Step};
 use oriolefork::cell::machine::{Call, Message};
 use oriolefork::cell::queue::{PolicyTiming, QueueConfig};
 use oriolefork::cell::timings::Timings;
@@ -119,12 +119,26 @@
     wait(&harness, "worthless");
 }
 
+/// The query about a step failed, and no round has sent the next one yet.
 #[test]
 fn wait_for_policy_query() {
     let mut harness = policy_owner(1);
+    harness.see_instance(1);
     submit_step(&mut harness, JOB, step(1, cores(1)));
+    let query = harness.drain_queries().pop().expect("a query").number;
+    harness.deliver(Message::PolicyAnswered { query, eligibility: None });
     let policy = wait(&harness, "policy_query").policy.expect("figures");
+    assert_eq!((policy.answered, policy.instances), (0, 1));
+}
+
+#[test]
+fn wait_for_instance() {
+    let mut harness = policy_owner(1);
+    submit_step(&mut harness, JOB, step(1, cores(1)));
+    let wait = wait(&harness, "no_instance");
+    let policy = wait.policy.expect("figures");
     assert_eq!((policy.answered, policy.instances), (0, 0));
+    assert!(wait.cause.contains("the policy service has not been asked"), "{}", wait.cause);
 }
 
 #[test]
@@ -151,7 +165,8 @@
     assert_eq!((policy.answered, policy.eligible), (1, 0));
 }
 
-/// The tickets of a step expire while its worker gets no tasks, and no instance can ask again.
+/// The tickets of a step expire while its worker gets no tasks, and no instance can ask again until
+/// one is seen. The step then waits for the answer, although it was passed over a moment ago.
 #[test]
 fn wait_for_tickets() {
     let mut harness = policy_owner(1);
@@ -162,8 +177,14 @@
     harness.allow_all(&query);
     harness.advance(2_000);
     relist(&mut harness, |_| {});
-    let policy = wait(&harness, "tickets").policy.expect("figures");
+    let no_instance = wait(&harness, "no_instance");
+    let policy = no_instance.policy.expect("figures");
     assert_eq!((policy.eligible, policy.tickets), (1, 0));
+    assert!(no_instance.cause.contains("0 of them with a valid ticket"), "{}", no_instance.cause);
+    harness.see_instance(1);
+    harness.advance(60);
+    let policy = wait(&harness, "tickets").policy.expect("figures");
+    assert_eq!((policy.eligible, policy.tickets, policy.queries.len()), (1, 0, 1));
 }
 
 #[test]
@@ -208,13 +229,28 @@
 
 /// A gang of higher rank cannot be placed yet and has the workers reserved.
 #[test]
-fn wait_for_rank() {
+fn wait_for_reserved_worker() {
     let mut harness = OwnerHarness::new(20);
     harness.start_job(1, Step { estimate_ms: 5_000, ..step(18, cores(8)) });
     submit_step(&mut harness, 3, Step { gang: true, ..step(3, cores(8)) });
     submit_step(&mut harness, JOB, step(1, cores(4)));
-    let wait = wait(&harness, "rank");
+    let wait = wait(&harness, "reservation");
     assert!(wait.order.is_some_and(|order| (order.place, order.tasks_before) == (2, 3)));
+    assert_eq!((wait.passed_over[0].room, wait.passed_over[0].wanted), (Some(1.0), 1.0));
+    assert!(wait.cause.contains("1 steps with 3 tasks on 24 cores rank before it"), "{wait:?}");
+}
+
+/// A worker becomes free, and a step of higher rank will take it in the next round.
+#[test]
+fn wait_for_rank() {
+    let mut harness = OwnerHarness::new(1);
+    let run = harness.start_job(1, Step { estimate_ms: 5_000, ..step(1, cores(8)) })[0].1.run;
+    submit_step(&mut harness, 3, step(1, cores(8)));
+    submit_step(&mut harness, JOB, step(1, cores(4)));
+    harness.report(0, &[], &[(1, run, RunOutcome::Succeeded)]);
+    let wait = wait(&harness, "rank");
+    assert!(wait.order.is_some_and(|order| (order.place, order.tasks_before) == (2, 1)));
+    assert!(wait.passed_over.is_empty(), "{wait:?}");
 }
 
 #[test]
@@ -233,11 +269,7 @@
     let gang = Step { gang: true, ..step(2, cores(2)) };
     let starts = harness.start_job(JOB, gang);
     let failed = starts[0].1.run;
-    harness.report(
-        0,
-        &[starts[1].1.run],
-        &[(1, failed, oriolefork::cell::job::RunOutcome::Failed)],
-    );
+    harness.report(0, &[starts[1].1.run], &[(1, failed, RunOutcome::Failed)]);
     harness.advance(10);
     wait(&harness, "earlier_attempt");
 }
--- a/tests/process/cli/cell.rs
+++ b/tests/process/cli/cell.rs
@@ -8,7 +8,7 @@
 use futures_util::future::{LocalBoxFuture, ready};
 use http::StatusCode;
 use oriolefork::cell::explain::{
-    Customer, CustomersReport, JobReport, Wait, Worker, WorkersReport,
+    Customer, CustomersReport, Deferral, JobReport, Wait, Worker, WorkersReport,
 };
 use oriolefork::http::{Handler, Request, Response};
 use test_case::test_case;
@@ -46,6 +46,13 @@
         tasks: 3,
         reason: "cap".to_owned(),
         earliest_start_ms: Some(1_200),
+        passed_over: vec![Deferral {
+            rule: "reservation".to_owned(),
+            since_ms: 840,
+            room: Some(2.0),
+            wanted: 1.0,
+            overdue: true,
+        }],
         ..Wait::default()
     };
     JobReport {
@@ -76,6 +83,7 @@
 
 #[test_case(&["explain", WAITING], 0, "why:  step 0.1 waits (cap)"; "explain")]
 #[test_case(&["explain", WAITING], 0, "3 tasks wait for cap"; "explain_wait")]
+#[test_case(&["explain", WAITING], 0, "passed over by reservation for 840ms, which is longer than it may: room for 2, 1 wanted"; "explain_passed_over")]
 #[test_case(&["customers"], 0, "50 %"; "customers")]
 #[test_case(&["workers"], 0, "quarantined"; "workers")]
 #[test_case(&["explain", UNKNOWN], 6, "not known"; "unknown")]
