--- /dev/null
+++ b/src/cell/machine/forget.rs
@@ -0,0 +1,31 @@
+//! Removes the state of jobs that ended a while ago.
+
+use std::collections::BTreeMap;
+
+use super::Machine;
+use crate::cell::job::{Id, StepKey};
+
+impl Machine {
+    /// Removes what is kept for jobs whose retention is over.
+    pub(super) fn forget(&mut self) {
+        let gone = self.state.remove_expired(self.unix, self.timings.status_retention);
+        self.admission.forget_gone(self.now);
+        for id in gone {
+            remove_job(&mut self.tickets, id);
+            remove_job(&mut self.failed_workers, id);
+            remove_job(&mut self.next_preemption, id);
+            self.shares.forget(&id);
+            self.deferrals.forget_job(id);
+        }
+        self.deferrals.forget_ended(self.now);
+    }
+}
+
+/// Removes the entries of a job's steps.
+pub(super) fn remove_job<T>(kept: &mut BTreeMap<StepKey, T>, job: Id) {
+    let steps = kept.range(StepKey::first(job)..).map(|(step, _)| *step);
+    let steps: Vec<StepKey> = steps.take_while(|step| step.job == job).collect();
+    for step in steps {
+        kept.remove(&step);
+    }
+}
--- a/src/cell/machine/journal_queue.rs
+++ b/src/cell/machine/journal_queue.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::{Answer, CallId, Effect, Machine, Stage, remove_job};
+use super::forget::remove_job;
+use super::{Answer, CallId, Effect, Machine, Stage};
 use crate::cell::dependencies::AppendError;
 use crate::cell::job::{Id, Phase, Run, RunOutcome};
 use crate::cell::record::{Batch, Record, WorkerId};
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -19,6 +19,7 @@
 mod deferral;
 mod end;
 mod explain;
+mod forget;
 mod inactive;
 mod journal_queue;
 mod lookup;
@@ -389,26 +390,4 @@
         self.now = self.now.max(now);
         self.unix = unix;
     }
-
-    fn forget(&mut self) {
-        let gone = self.state.remove_expired(self.unix, self.timings.status_retention);
-        self.admission.forget_gone(self.now);
-        for id in gone {
-            remove_job(&mut self.tickets, id);
-            remove_job(&mut self.failed_workers, id);
-            remove_job(&mut self.next_preemption, id);
-            self.shares.forget(&id);
-            self.deferrals.forget_job(id);
-        }
-        self.deferrals.forget_ended(self.now);
-    }
-}
-
-/// Removes the entries of a job's steps.
-fn remove_job<T>(kept: &mut BTreeMap<StepKey, T>, job: Id) {
-    let steps = kept.range(StepKey::first(job)..).map(|(step, _)| *step);
-    let steps: Vec<StepKey> = steps.take_while(|step| step.job == job).collect();
-    for step in steps {
-        kept.remove(&step);
-    }
 }
