--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -100,6 +100,11 @@
         now >= self.due
     }
 
+    /// Time for which the rule has passed over the step, until it last did.
+    pub(super) fn lasted(&self) -> Duration {
+        self.last.since(self.since)
+    }
+
     fn is_current(&self, now: Instant) -> bool {
         now.since(self.last) <= FORGET_AFTER
     }
--- a/src/cell/machine/explain/passed_over.rs
+++ b/src/cell/machine/explain/passed_over.rs
@@ -1,5 +1,6 @@
 //! Which rules pass over a step, and whether that is what the step waits for.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::super::Machine;
@@ -74,7 +75,7 @@
     pub(super) fn deferrals_of(&self, step: StepKey) -> Vec<Deferral> {
         let reported = self.deferrals_by_age(step).into_iter().map(|(rule, deferral)| Deferral {
             rule: rule.to_string(),
-            since_ms: millis(self.now.since(deferral.since)),
+            since_ms: millis(deferral.lasted()),
             room: deferral.room,
             wanted: deferral.wanted,
             overdue: deferral.is_overdue(self.now),
@@ -98,7 +99,7 @@
         let sentence = format!(
             "{} ({rule} has passed over it for {} ms: room {room}, {} wanted); {cause}",
             rule_text(rule),
-            millis(self.now.since(deferral.since)),
+            millis(deferral.lasted()),
             deferral.wanted
         );
         Some((rule.to_string(), sentence))
@@ -106,7 +107,7 @@
 
     fn deferrals_by_age(&self, step: StepKey) -> Vec<(Rule, &deferral::Deferral)> {
         let mut deferrals: Vec<_> = self.deferrals.of(step, self.now).collect();
-        deferrals.sort_by_key(|(_, deferral)| deferral.since);
+        deferrals.sort_by_key(|(_, deferral)| Reverse(deferral.lasted()));
         deferrals
     }
 }
--- a/src/cell/machine/passed_over.rs
+++ b/src/cell/machine/passed_over.rs
@@ -1,5 +1,6 @@
 //! Reports how many steps each rule passes over and for how long, and logs it once a second.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use super::Machine;
@@ -26,7 +27,7 @@
         for (_, rule, deferral) in self.open_deferrals() {
             let (_, total) = &mut by_rule[rule as usize];
             total.steps += 1;
-            total.longest = total.longest.max(self.now.since(deferral.since));
+            total.longest = total.longest.max(deferral.lasted());
         }
         by_rule
     }
@@ -52,7 +53,7 @@
         let summary = format!(
             "event=steps.passed_over steps={} longest_ms={} {}",
             oldest.len(),
-            millis(self.now.since(first.since)),
+            millis(first.lasted()),
             counts.join(" ")
         );
         let detailed = oldest.iter().take(MAX_DETAILED_STEPS);
@@ -70,7 +71,7 @@
             "event=step.passed_over step={} rule={rule} waited_ms={} room={room} wanted={} \
              eligible={} tickets={} tasks={} class={}",
             step.key,
-            millis(self.now.since(deferral.since)),
+            millis(deferral.lasted()),
             deferral.wanted,
             tickets.map_or(0, |tickets| tickets.counts().1),
             tickets.map_or(0, |tickets| tickets.with_valid_ticket(self.now).count()),
@@ -83,9 +84,9 @@
     /// longest time first.
     fn longest_passed_over(&self) -> Vec<(StepKey, Rule, &Deferral)> {
         let mut steps: Vec<(StepKey, Rule, &Deferral)> = self.open_deferrals().collect();
-        steps.sort_by_key(|(step, _, deferral)| (*step, deferral.since));
+        steps.sort_by_key(|(step, _, deferral)| (*step, Reverse(deferral.lasted())));
         steps.dedup_by_key(|(step, ..)| *step);
-        steps.sort_by_key(|(_, _, deferral)| deferral.since);
+        steps.sort_by_key(|(_, _, deferral)| Reverse(deferral.lasted()));
         steps
     }
 
--- a/src/cli/command/cell.rs
+++ b/src/cli/command/cell.rs
@@ -194,11 +194,11 @@
 fn deferral_text(deferral: &Deferral) -> String {
     let room = deferral.room.map_or_else(|| "unknown".to_owned(), |room| format!("for {room}"));
     format!(
-        "\n  passed over by {} for {}{}: room {room}, {} wanted",
+        "\n  passed over by {} for {}: room {room}, {} wanted{}",
         clean(&deferral.rule),
         span(deferral.since_ms),
-        if deferral.overdue { ", which is longer than it may" } else { "" },
-        deferral.wanted
+        deferral.wanted,
+        if deferral.overdue { "; its limit is reached" } else { "" }
     )
 }
 
