--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -136,6 +136,11 @@
         now >= self.due
     }
 
+    /// Time for which the rule has passed over the step, until it last did.
+    pub(super) fn lasted(&self) -> Duration {
+        self.last.since(self.since)
+    }
+
     fn is_current(&self, now: Instant) -> bool {
         now.since(self.last) <= FORGET_AFTER
     }
@@ -216,6 +221,11 @@
         current.map(|((_, rule), deferral)| (*rule, deferral))
     }
 
+    /// Whether no step has been passed over lately.
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_step.is_empty()
+    }
+
     /// Returns all steps that are passed over now, with the rules.
     pub(super) fn iter(&self, now: Instant) -> impl Iterator<Item = (StepKey, Rule, &Deferral)> {
         let current = self.by_step.iter().filter(move |(_, deferral)| deferral.is_current(now));
