Keep no answers about workers that left while they were queried

Cause: a worker is forgotten when it has gone, but a query about it may be in flight. The answer was then recorded, and nothing removed it again. counts() exceeded the listed workers that were queried, so that `queried < listed` in query_workers.rs was false although a new worker had never been named, and a step that only the new worker may run was never queried about it.

Change: Tickets::forget also ends the wait for an answer about the worker, and record_answer keeps answers only about workers that still wait for one. A query is no longer pending once all its workers are forgotten.

--- a/src/cell/ticket.rs
+++ b/src/cell/ticket.rs
@@ -36,7 +36,11 @@
         self.queried.extend(workers.iter().cloned());
     }
 
-    /// Records the answer to a query about `workers`; `None` when there was none.
+    /// Records the answer to a query about `workers`; `None` when there was none. Nothing is kept
+    /// about workers that were forgotten in the meantime.
+    ///
+    /// Guards against answers about departed workers that are counted with those about listed ones:
+    /// all workers would seem queried, and the step would never be queried about a new one.
     pub fn record_answer(
         &mut self,
         workers: &[WorkerId],
@@ -44,17 +48,16 @@
         valid: Duration,
         now: Instant,
     ) {
-        for worker in workers {
-            self.queried.remove(worker);
-        }
+        let mut known: BTreeSet<&WorkerId> = BTreeSet::new();
+        known.extend(workers.iter().filter(|worker| self.queried.remove(*worker)));
         let Some(eligibility) = eligibility else { return };
         let valid = eligibility.valid_ms.map_or(valid, Duration::from_millis);
         let until = now.after(valid).before(TICKET_MARGIN);
         self.last_expiry = self.last_expiry.max(until);
-        for (worker, text) in &eligibility.workers {
+        for (worker, text) in eligibility.workers.iter().filter(|(id, _)| known.contains(id)) {
             self.eligible.insert(worker.clone(), Ticket { token: text.clone(), expires_at: until });
         }
-        for worker in workers {
+        for worker in known {
             if !self.eligible.contains_key(worker) {
                 self.refused.insert(worker.clone());
             }
@@ -122,6 +125,7 @@
 
     /// Removes a worker incarnation that has ended.
     pub fn forget(&mut self, worker: &str) {
+        self.queried.remove(worker);
         self.eligible.remove(worker);
         self.refused.remove(worker);
     }
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -25,6 +25,7 @@
 mod overload;
 mod passed_over;
 mod passed_over_caps;
+mod passed_over_departures;
 mod passed_over_gangs;
 mod passed_over_locality;
 mod placement;
--- a/tests/logic/cell/ticket.rs
+++ b/tests/logic/cell/ticket.rs
@@ -65,3 +65,20 @@
     assert_eq!(tickets.valid_ticket("w1", at(200)), None);
     assert!(tickets.is_eligible("w1"));
 }
+
+/// Workers leave while a query about them is in flight. The answer about them must not count as one
+/// about a worker that is left.
+#[test]
+fn answer_about_a_forgotten_worker_is_not_kept() {
+    let mut tickets = Tickets::default();
+    let workers = ["w1".into(), "w2".into(), "w3".into()];
+    tickets.mark_queried(&workers);
+    tickets.forget("w1");
+    tickets.forget("w2");
+    let allowed = Eligibility { workers: vec![("w1".into(), "t1".to_owned())], valid_ms: None };
+    tickets.record_answer(&workers, Some(&allowed), VALID, at(100));
+    assert!(!tickets.is_eligible("w1"));
+    assert!(!tickets.is_refused("w2"));
+    assert_eq!(tickets.counts(), (1, 0));
+    assert!(!tickets.has_pending_query());
+}
