Place the other tasks of a step whose suspected task no worker admits

Cause: best_fit stopped at the first task that no worker admits. A task that may have crashed its worker is admitted only where nothing of another job is starting; the other tasks of its step, which may start anywhere, waited behind it. Where some task is always starting, that has no end.

Change: suspected tasks for which no worker is found are passed over, and the others are placed. A task that is not suspected and finds no worker still ends the search: a worker that admits a suspected task admits it as well. A gang is placed whole or not at all as before.

--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -239,7 +239,12 @@
             .collect();
         let mut counts = self.spread_counts(step, views);
         let mut plan = Plan::new();
+        let mut suspects_fit = true;
         for &index in &step.pending {
+            let is_suspect = step.suspects.contains(&index);
+            if is_suspect && !suspects_fit {
+                continue;
+            }
             let best = free
                 .iter()
                 .filter(|(at, room)| {
@@ -256,7 +261,7 @@
                     let left = leftover(room, &demand, &view.listed.capacity);
                     // Prefers the emptiest worker, because a crash also loses what runs beside the
                     // task.
-                    let left = if step.suspects.contains(&index) { -left } else { left };
+                    let left = if is_suspect { -left } else { left };
                     let penalty = failed_cost + unresponsive_cost;
                     // With speeds, a worker with a penalty comes after those of all speeds.
                     let order =
@@ -271,7 +276,14 @@
                         .then(one.0.1.cmp(&preference))
                         .then(one.1.total_cmp(&other.1))
                 });
-            let Some((_, _, at)) = best else { break };
+            let Some((_, _, at)) = best else {
+                // Workers on which other tasks are starting admit no suspected ones.
+                if is_suspect {
+                    suspects_fit = false;
+                    continue;
+                }
+                break;
+            };
             if let Some(room) = free.get_mut(&at) {
                 *room = room.saturating_sub(&demand);
             }
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -28,6 +28,7 @@
 mod passed_over_departures;
 mod passed_over_gangs;
 mod passed_over_locality;
+mod passed_over_suspects;
 mod placement;
 mod policy_queries;
 mod policy_site;
