Reproduce waits beside free workers that no listed rule explains

Room of tasks that are not preempted, and full workers of a gang, count as room, so that free workers are never queried about. Inactive workers are activated by turns that are limited in size and time. Workers are held back after failures (4 s) and after refused start commands (up to 8 s). A query through an instance that hangs holds its step until it times out. In src/placement, jobs of one class wait for a reason that concerns the first of them, hard reservations have no end, and the delay between attempts doubles to 4 s.

--- a/tests/logic/cell/passed_over_gangs.rs
+++ b/tests/logic/cell/passed_over_gangs.rs
@@ -94,3 +94,28 @@
     assert_eq!(site.waiting(1..61), 60, "no gang fits");
     assert_eq!(site.started(NARROW), 1, "not started, queries: {}", site.queries);
 }
+
+/// A gang has been queried about as many eligible workers as seem enough, and all of them are full.
+/// Each still counts for a member, so that the gang is never queried about workers that become free.
+#[test]
+fn gang_is_queried_about_free_workers_beside_full_ones_that_it_knows() {
+    const OCCUPIED_MS: u64 = 3_000;
+    let mut site = PolicySite::new(60, 9, &[GANGS, SMALL], 1_000);
+    site.allowed = Some((0..8).chain(56..60).collect());
+    let fill = |rack: u64| {
+        let label = Some(format!("r{rack}"));
+        Step { required_label: label, estimate_ms: 1, ..model::step(4, cores(8)) }
+    };
+    site.run_ms = Some(OCCUPIED_MS);
+    (6..15).for_each(|rack| site.submit(rack, QUEUE, fill(rack)));
+    site.elapse(100);
+    site.run_ms = None;
+    site.submit(NARROW, GANGS.0, gang(2));
+    site.elapse(100);
+    (0..6).for_each(|rack| site.submit(100 + rack, QUEUE, fill(rack)));
+    site.elapse(OCCUPIED_MS);
+    assert!((6..15).all(|number| site.is_done(number)), "workers w24 to w59 are free");
+    assert!((100..106).all(|number| site.started(number) == 4), "the others are full");
+    site.elapse(BOUND_MS);
+    assert_eq!(site.started(NARROW), 2, "not started, queries: {}", site.queries);
+}
--- a/tests/logic/placement/mod.rs
+++ b/tests/logic/placement/mod.rs
@@ -5,6 +5,7 @@
 mod gang;
 mod health;
 mod history;
+mod passed_over;
 mod preset;
 mod risk;
 mod spread;
