--- a/tests/logic/cell/passed_over_pauses.rs
+++ b/tests/logic/cell/passed_over_pauses.rs
@@ -5,7 +5,7 @@
 use oriolefork::cell::machine::{Call, Message};
 use oriolefork::cell::queue::PolicyTiming;
 
-use super::harness::OwnerHarness;
+use super::harness::{OwnerHarness, WORKER_CLOCK_MS};
 use super::model::{self, cores};
 
 /// Time within which a step starts where it could run, in milliseconds.
@@ -86,3 +86,41 @@
     }
     assert!(!harness.drain_queries().is_empty(), "no second query in {BOUND_MS} ms");
 }
+
+/// The only worker carries out commands and its answers are lost, also those to the stops. It is used
+/// again soon after it can be heard.
+#[test]
+fn step_starts_once_its_only_worker_answers_commands_again() {
+    let mut harness = OwnerHarness::new(1);
+    harness.call(JOB, Call::Submit(model::job(JOB, model::step(1, cores(1)))));
+    let lost = || WorkerError::Unknown("lost".to_owned());
+    let mut stops = 0;
+    while stops < 60 {
+        harness.complete_appends();
+        for start in harness.drain_starts() {
+            harness.answer_start(&start, Err(lost()));
+        }
+        for run in harness.drain_stops() {
+            stops += 1;
+            let outcome = Err(lost());
+            harness.deliver(Message::Stopped { worker: "w0".into(), run, outcome });
+        }
+        harness.advance(10);
+        harness.report(0, &[], &[]);
+        assert!(harness.now < 60_000, "{stops} stops");
+    }
+    assert_eq!(harness.machine.runs.len(), 1, "the attempt is being stopped");
+    let end = harness.now + BOUND_MS;
+    let mut started = false;
+    while harness.now < end {
+        harness.advance(10);
+        harness.complete_appends();
+        started |= !harness.drain_starts().is_empty();
+        for run in harness.drain_stops() {
+            let outcome = Ok(WORKER_CLOCK_MS + harness.now);
+            harness.deliver(Message::Stopped { worker: "w0".into(), run, outcome });
+        }
+        harness.report(0, &[], &[]);
+    }
+    assert!(started, "no start command after {stops} stops without an answer");
+}
--- a/tests/logic/placement/passed_over.rs
+++ b/tests/logic/placement/passed_over.rs
@@ -75,3 +75,24 @@
     engine.withdraw(job_of("big"));
     assert_eq!(started_within(&mut engine, 6, &["small"]), ["small"]);
 }
+
+// A gang has a reservation until second 100. Twenty jobs of one class are waiting, and only the last
+// ends before that.
+#[test]
+fn decide_backfills_the_last_job_of_a_long_class() {
+    let mut engine = engine(2);
+    engine.enqueue(with_run_time(100, request("busy", Kind::Batch, 1, cores(4))));
+    decide(&mut engine, 0);
+    engine.enqueue(request("gang", Kind::Gang, 2, cores(4)));
+    assert!(decide(&mut engine, 1).is_empty());
+    for number in 0..20 {
+        let long = with_run_time(500, request(&format!("long-{number}"), Kind::Batch, 1, cores(1)));
+        engine.enqueue(long);
+    }
+    let queued = oriolefork::clock::Instant::from_millis(1_500);
+    engine.enqueue(Request {
+        queued,
+        ..with_run_time(50, request("short", Kind::Batch, 1, cores(1)))
+    });
+    assert_eq!(started_within(&mut engine, 2, &["short"]), ["short"]);
+}
