--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -38,6 +38,9 @@
     /// Its eligible workers have room for too few of its tasks to renew their tickets.
     #[display("query_not_worthwhile")]
     QueryNotWorthwhile,
+    /// Tasks on its eligible workers are expected to make room for it.
+    #[display("expected_room")]
+    ExpectedRoom,
     /// No instance is left to send its query.
     #[display("no_instance")]
     NoInstance,
@@ -50,6 +53,10 @@
     /// Only workers away from its data, or in several racks, have room.
     #[display("locality")]
     Locality,
+    /// Its task is suspected of crashing workers, and tasks of other jobs are starting on all workers
+    /// with room for it.
+    #[display("isolation")]
+    Isolation,
     /// Its customer's cap lets too few of its tasks start to query about them.
     #[display("cap_not_worthwhile")]
     CapNotWorthwhile,
@@ -63,12 +70,14 @@
 
 impl Rule {
     /// All rules.
-    pub(super) const ALL: [Self; 8] = [
+    pub(super) const ALL: [Self; 10] = [
         Self::QueryNotWorthwhile,
+        Self::ExpectedRoom,
         Self::NoInstance,
         Self::GangBudget,
         Self::Reservation,
         Self::Locality,
+        Self::Isolation,
         Self::CapNotWorthwhile,
         Self::CapClaim,
         Self::CapTurn,
@@ -84,14 +93,17 @@
 
     /// Whether it passes over queries to the policy service.
     const fn concerns_queries(self) -> bool {
-        matches!(self, Self::QueryNotWorthwhile | Self::NoInstance | Self::GangBudget)
+        matches!(
+            self,
+            Self::QueryNotWorthwhile | Self::ExpectedRoom | Self::NoInstance | Self::GangBudget
+        )
     }
 }
 
 /// The rules that have passed over a step for as long as they may.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Overdue {
-    rules: u8,
+    rules: u16,
     /// From when a rule may no longer pass over queries about the step.
     query_due: Option<Instant>,
 }
--- a/src/cell/machine/explain/metrics.rs
+++ b/src/cell/machine/explain/metrics.rs
@@ -50,8 +50,8 @@
         let by_rule = by_rule.map(|(rule, total)| (rule.to_string(), total));
         let steps = by_rule.iter().map(|(rule, total)| (&**rule, total.steps as f64));
         names::CELL_PASSED_OVER.write(out, "rule", steps);
-        let longest = by_rule.iter().map(|(rule, total)| (&**rule, total.longest.as_secs_f64()));
-        names::CELL_PASSED_OVER_LONGEST.write(out, "rule", longest);
+        let longest = by_rule.iter().map(|(_, total)| total.longest).max().unwrap_or_default();
+        names::CELL_PASSED_OVER_LONGEST.write(out, "rule", [("any", longest.as_secs_f64())]);
     }
 
     fn write_customers(&self, out: &mut String) {
--- a/src/cell/machine/explain/passed_over.rs
+++ b/src/cell/machine/explain/passed_over.rs
@@ -34,6 +34,7 @@
             Rule::QueryNotWorthwhile => {
                 !is_queried && (self.reason == Reason::Tickets || self.lacks_capacity())
             }
+            Rule::ExpectedRoom => !is_queried && self.lacks_capacity(),
             Rule::NoInstance | Rule::GangBudget => {
                 let wants_query = [Reason::PolicyQuery, Reason::EligibleWorkers, Reason::Tickets];
                 !is_queried && wants_query.contains(&self.reason)
@@ -43,7 +44,7 @@
                 let is_unqueried = self.reason == Reason::Tickets && !is_queried;
                 is_unqueried || self.fits()
             }
-            Rule::Locality => self.fits(),
+            Rule::Locality | Rule::Isolation => self.fits(),
             Rule::CapNotWorthwhile | Rule::CapClaim | Rule::CapTurn => {
                 self.reason == Reason::Cap
                     && matches!(self.decision, CapDecision::PassedOver { .. })
@@ -118,10 +119,18 @@
             "its eligible workers have room for too few of its tasks to query the policy service \
              about them again"
         }
+        Rule::ExpectedRoom => {
+            "tasks on its eligible workers are expected to make room for it, so that the policy \
+             service is not queried about others"
+        }
         Rule::NoInstance => "no instance is left to send its query to the policy service",
         Rule::GangBudget => "other gangs use up the budget of queries about gangs",
         Rule::Reservation => "workers that could run it are reserved for gangs",
         Rule::Locality => "only workers away from its data, or in several racks, have room",
+        Rule::Isolation => {
+            "its tasks are suspected of crashing workers, and tasks of other jobs are starting on \
+             all workers with room"
+        }
         Rule::CapNotWorthwhile => {
             "the cap of its customer lets too few of its tasks start to query about them"
         }
--- a/src/cell/machine/inactive.rs
+++ b/src/cell/machine/inactive.rs
@@ -80,13 +80,14 @@
         Some(worker)
     }
 
-    /// Removes all workers but those in `listed`.
-    pub(super) fn retain_listed(&mut self, listed: &BTreeSet<&WorkerId>) {
+    /// Removes all workers but those in `listed`, and returns them.
+    pub(super) fn retain_listed(&mut self, listed: &BTreeSet<&WorkerId>) -> Vec<WorkerId> {
         let unlisted = self.workers.keys().filter(|id| !listed.contains(id));
         let unlisted: Vec<WorkerId> = unlisted.cloned().collect();
-        for id in unlisted {
-            self.remove(&id);
+        for id in &unlisted {
+            self.remove(id);
         }
+        unlisted
     }
 
     /// Returns all incarnations of the worker that the list names `entry`.
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -44,9 +44,15 @@
         &self.job.steps[self.key.step as usize]
     }
 
-    /// The step with the first `count` of its pending tasks only.
+    /// The step with `count` of its pending tasks only, those first that are not suspected of
+    /// crashing their workers.
+    ///
+    /// Guards against a task that no worker admits and that keeps the place of all others under the
+    /// cap of their customer.
     pub(super) fn first(&self, count: usize) -> Self {
-        let pending = self.pending[..count].to_vec();
+        let mut pending = self.pending.clone();
+        pending.sort_by_key(|index| self.suspects.contains(index));
+        pending.truncate(count);
         Self { pending, ..self.clone() }
     }
 
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -77,6 +77,7 @@
         let mut shares = self.proxy_shares(waiting, views);
         self.query_overdue(waiting, views, &mut shares, &mut budget);
         views.release_reserved();
+        self.reserve_for_suspects(waiting, views);
         for step in waiting {
             let Some(step) = self.startable_part(step) else { continue };
             let step = &*step;
--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -82,8 +82,8 @@
         let workers = match self.query_workers(step, timing, views, waived) {
             Choice::Workers(workers) => workers,
             Choice::Nothing => return self.postpone_query(step.key),
-            Choice::NotWorthwhile { room, wanted } => {
-                self.note_deferral(step, Rule::QueryNotWorthwhile, Some(room), wanted);
+            Choice::PassedOver { rule, room, wanted } => {
+                self.note_deferral(step, rule, room, wanted);
                 return self.postpone_query(step.key);
             }
         };
--- a/src/cell/machine/query_workers.rs
+++ b/src/cell/machine/query_workers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Machine;
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::view::{WorkerView, WorkerViews};
 use crate::cell::queue::PolicyTiming;
@@ -46,9 +47,9 @@
     Workers(Vec<WorkerId>),
     /// Nothing: the step holds the tickets that it needs, or fits nowhere.
     Nothing,
-    /// Nothing, although workers whose tickets expire have room for `room` of its tasks: a query is
-    /// worthwhile from `wanted` on.
-    NotWorthwhile { room: f64, wanted: f64 },
+    /// Nothing, because `rule` passes over the step, for which it sees room for `room` of its tasks
+    /// and wants room for `wanted`.
+    PassedOver { rule: Rule, room: Option<f64>, wanted: f64 },
 }
 
 impl Choice {
@@ -137,24 +138,34 @@
     ) -> Choice {
         let Some(tickets) = self.tickets.get(&step.key) else { return Choice::Nothing };
         if step.spec().gang {
-            return Choice::of(self.gang_query_workers(step, views, tickets));
+            return self.gang_query_workers(step, views, tickets, waived);
         }
         let wanted = step.pending.len() as f64;
         let (queried, eligible) = tickets.counts();
         let expected = timing.time_ms(eligible);
         let soon = self.now.after(Duration::from_millis(expected.max(0.0) as u64));
-        let mut room = 0.0;
+        // Room that is free, and room that tasks on the workers may make for the step.
+        let (mut free, mut room) = (0.0, 0.0);
+        let relies_on_preemption = !(waived && step.overdue.contains(Rule::ExpectedRoom));
         let mut expiring = Candidates::default();
         for (worker, until) in tickets.eligible() {
             let Some(at) = views.find(worker) else { continue };
-            let slots = self.slots_with_preemption(at, step, views);
+            free += views.get(at).slots(step);
+            let slots = if relies_on_preemption {
+                self.slots_with_preemption(at, step, views)
+            } else {
+                views.get(at).slots(step)
+            };
             room += slots;
             if until <= soon && slots > 0.0 {
                 expiring.add(views.get(at), slots);
             }
         }
         if room - expiring.slots >= wanted {
-            return Choice::Nothing;
+            if free >= 1.0 {
+                return Choice::Nothing;
+            }
+            return Choice::PassedOver { rule: Rule::ExpectedRoom, room: Some(free), wanted };
         }
         if room < wanted && queried < self.workers.len() + self.inactive.len() {
             let mut workers = self.unqueried_workers(step, views, (wanted - room) * WORKER_FACTOR);
@@ -171,7 +182,7 @@
         if expiring.slots < 1.0 {
             return Choice::Nothing;
         }
-        Choice::NotWorthwhile { room, wanted: useful }
+        Choice::PassedOver { rule: Rule::QueryNotWorthwhile, room: Some(room), wanted: useful }
     }
 
     /// Returns the workers to query for a gang: unqueried ones until the known ones have capacity
@@ -186,17 +197,22 @@
         step: &PendingStep,
         views: &WorkerViews,
         tickets: &Tickets,
-    ) -> Vec<WorkerId> {
+        waived: bool,
+    ) -> Choice {
         // Steps that rank behind it are queried first. Otherwise a gang that never fits has its
         // tickets renewed for as long as it waits, while narrow gangs find no idle instance.
         if !tickets.has_pending_query() && tickets.expired_within(POLICY_RECHECK_INTERVAL, self.now)
         {
-            return Vec::new();
+            return Choice::Nothing;
         }
-        let wanted = step.pending.len() as f64 * GANG_FACTOR;
-        let expected_slots = |at: usize| self.slots_with_preemption(at, step, views).max(1.0);
+        let pending = step.pending.len() as f64;
+        let wanted = pending * GANG_FACTOR;
+        let least = if waived && step.overdue.contains(Rule::ExpectedRoom) { 0.0 } else { 1.0 };
+        let expected_slots = |at: usize| self.slots_with_preemption(at, step, views).max(least);
         let mut known = Candidates::default();
+        let mut free = 0.0;
         for at in tickets.eligible().filter_map(|(worker, _)| views.find(worker)) {
+            free += views.get(at).slots(step);
             known.add(views.get(at), expected_slots(at));
         }
         let awaited = tickets.awaiting_answer().filter_map(|worker| views.find(worker));
@@ -206,13 +222,16 @@
             let unqueried =
                 self.unqueried_workers(step, views, (wanted - expected) * GANG_QUERY_FACTOR);
             if !unqueried.is_empty() {
-                return unqueried;
+                return Choice::Workers(unqueried);
             }
         }
         if self.has_query_or_tickets(step) {
-            return Vec::new();
+            if expected >= wanted && free < pending {
+                return Choice::PassedOver { rule: Rule::ExpectedRoom, room: Some(free), wanted };
+            }
+            return Choice::Nothing;
         }
-        known.choose(wanted)
+        Choice::of(known.choose(wanted))
     }
 
     /// Returns the share of workers that are expected to be eligible for the step.
--- a/src/cell/machine/roster.rs
+++ b/src/cell/machine/roster.rs
@@ -19,7 +19,9 @@
             let missing: Vec<WorkerId> =
                 self.workers.keys().filter(|id| !present.contains(id)).cloned().collect();
             missing.iter().for_each(|id| self.mark_unlisted(id));
-            self.inactive.retain_listed(&present);
+            for id in self.inactive.retain_listed(&present) {
+                self.forget_tickets(&id);
+            }
             self.dead_workers.retain(|id| present.contains(id));
         }
         self.is_list_complete = !roster.has_more;
@@ -96,6 +98,7 @@
         incarnations.iter().for_each(|id| self.mark_unlisted(id));
         for id in self.inactive.incarnations(entry) {
             self.inactive.remove(&id);
+            self.forget_tickets(&id);
         }
         self.dead_workers.retain(|id| WorkerIncarnation::parse(id).listed_name != entry);
     }
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -232,7 +232,8 @@
 
     /// Whether the worker is reserved for a gang, which still excludes the step.
     pub(super) const fn is_withheld(&self, step: &PendingStep) -> bool {
-        self.reserved && !step.overdue.contains(Rule::Reservation)
+        let waives = [Rule::Reservation, Rule::Isolation];
+        self.reserved && !(step.overdue.contains(waives[0]) || step.overdue.contains(waives[1]))
     }
 
     /// Whether the worker belongs to `service` and has the label that the step requires.
--- a/src/cell/machine/withheld.rs
+++ b/src/cell/machine/withheld.rs
@@ -12,11 +12,38 @@
         if let Some(room) = self.reserved_room(step, views, needed) {
             self.note_deferral(step, Rule::Reservation, Some(room), needed);
         }
+        if let Some(room) = self.room_beside_others(step, views) {
+            self.note_deferral(step, Rule::Isolation, Some(room), needed);
+        }
         if let Some(room) = self.distant_room(step, views, needed) {
             self.note_deferral(step, Rule::Locality, Some(room), needed);
         }
     }
 
+    /// Reserves a worker for each step whose task could not start alone for as long as it may wait for
+    /// that: what is starting there will soon have started, and nothing else starts until then.
+    pub(super) fn reserve_for_suspects(&self, waiting: &[PendingStep], views: &mut WorkerViews) {
+        for step in waiting.iter().filter(|step| step.overdue.contains(Rule::Isolation)) {
+            let allowed = self.usable_workers(step, views).into_iter();
+            let with_room = allowed.filter(|&at| views.get(at).slots(step) >= 1.0);
+            let roomiest = with_room.max_by_key(|&at| views.get(at).free.cpu_millis);
+            if let Some(at) = roomiest.filter(|&at| !views.get(at).reserved) {
+                views.reserve(at);
+            }
+        }
+    }
+
+    /// Number of the step's tasks that fit on workers on which tasks of other jobs are starting, if
+    /// all of its tasks are suspected of crashing their workers.
+    fn room_beside_others(&self, step: &PendingStep, views: &WorkerViews) -> Option<f64> {
+        if step.suspects.len() < step.pending.len() {
+            return None;
+        }
+        let allowed = self.usable_workers(step, views).into_iter();
+        let room: f64 = allowed.map(|at| views.get(at).slots(step)).sum();
+        (room >= 1.0).then_some(room)
+    }
+
     /// Number of the step's tasks that would fit without the reservations of this round, if it needs
     /// no more than that to start.
     fn reserved_room(&self, step: &PendingStep, views: &WorkerViews, needed: f64) -> Option<f64> {
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -114,7 +114,7 @@
     CELL_PASSED_OVER: Gauge = "oriolefork_cell_passed_over_steps",
         "Waiting steps that a rule passes over although they could run, by rule; written by the owner.";
     CELL_PASSED_OVER_LONGEST: Gauge = "oriolefork_cell_passed_over_longest_seconds",
-        "Longest time for which a rule has passed over a waiting step, by rule; written by the owner.";
+        "Longest time for which any rule has passed over a waiting step; written by the owner.";
     CELL_WORKER_CONDITION: Gauge = "oriolefork_cell_worker_conditions",
         "Active workers by condition; a worker can have several; written by the owner.";
     CELL_WORKER_SPEED: Gauge = "oriolefork_cell_worker_speeds",
