Limit the use of reserved workers by overdue steps on a full site

Now a step of which nothing runs takes one task there, and on a full site one more step from time to time. Overdue steps that were examined in vain go behind the others.

--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -28,6 +28,11 @@
 const OVERDUE_SHARE: f64 = 1.0 / 8.0;
 const OVERDUE_SHARE_MOSTLY_FREE: f64 = 1.0 / 2.0;
 
+/// Interval between two permissions to use reserved workers on a full site, and how long each lasts:
+/// longer than a query.
+const OVERRIDE_INTERVAL: Duration = Duration::from_millis(250);
+const OVERRIDE_TIME: Duration = Duration::from_secs(2);
+
 /// Time without being passed over after which a step counts as not passed over: longer than a query
 /// and the validity of its tickets.
 const FORGET_AFTER: Duration = Duration::from_secs(3);
@@ -104,7 +109,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Overdue {
     rules: u16,
-    /// From when a rule may no longer pass over queries about the step.
+    /// From when a rule that saw room may no longer pass over queries about the step, and from when
+    /// any rule.
+    room_due: Option<Instant>,
     query_due: Option<Instant>,
 }
 
@@ -114,6 +121,14 @@
         if rule.concerns_queries() {
             self.query_due = self.query_due.into_iter().chain([due]).min();
         }
+        if rule.concerns_queries() && rule != Rule::NoInstance {
+            self.room_due = self.room_due.into_iter().chain([due]).min();
+        }
+    }
+
+    /// Lets `rule` apply again.
+    pub(super) const fn remove(&mut self, rule: Rule) {
+        self.rules &= !(1 << rule as u16);
     }
 
     /// Whether `rule` no longer applies to the step.
@@ -121,9 +136,11 @@
         self.rules & 1 << rule as u8 != 0
     }
 
-    /// From when a rule may no longer pass over queries about the step; `None` if it still may.
-    pub(super) const fn query_due(self) -> Option<Instant> {
-        self.query_due
+    /// From when a rule may no longer pass over queries about the step; `None` if it still may. That
+    /// no instance is left counts only while most of the CPU is free: on a full site, the time of the
+    /// policy service goes to others by rank as the room does.
+    pub(super) const fn query_due(self, mostly_free: bool) -> Option<Instant> {
+        if mostly_free { self.query_due } else { self.room_due }
     }
 }
 
@@ -164,6 +181,12 @@
     by_step: BTreeMap<(StepKey, Rule), Deferral>,
     /// When a query about an overdue step may next go before all others.
     next_turn: Instant,
+    /// When overdue steps were last examined first and did not need a query.
+    examined: BTreeMap<StepKey, Instant>,
+    /// Steps that may use reserved workers, with the ends of these permissions.
+    overrides: BTreeMap<StepKey, Instant>,
+    /// When a step may next be given such a permission on a full site.
+    next_override: Instant,
 }
 
 impl Deferrals {
@@ -212,6 +235,35 @@
         self.next_turn = now.after(took.div_f64(instances.max(1) as f64 * share));
     }
 
+    /// Notes that an overdue step was examined first and needed no query.
+    pub(super) fn note_examined(&mut self, step: StepKey, now: Instant) {
+        self.examined.insert(step, now);
+    }
+
+    /// When an overdue step that has been due since `due` may be examined first, in relation to
+    /// others: those without need of a query go behind the others.
+    pub(super) fn place_in_line(&self, step: StepKey, due: Instant) -> Instant {
+        self.examined.get(&step).map_or(due, |examined| due.max(*examined))
+    }
+
+    /// Whether an overdue step may use reserved workers. While most of the CPU is free, each may;
+    /// otherwise one more from time to time.
+    ///
+    /// Guards against a full site on which each step that waits is overdue, and takes what becomes
+    /// free on the workers that are reserved for a gang.
+    pub(super) fn may_override(&mut self, step: StepKey, mostly_free: bool, now: Instant) -> bool {
+        let granted = self.overrides.get(&step).is_some_and(|until| now < *until);
+        if mostly_free || granted {
+            return true;
+        }
+        if now < self.next_override {
+            return false;
+        }
+        self.next_override = now.after(OVERRIDE_INTERVAL);
+        self.overrides.insert(step, now.after(OVERRIDE_TIME));
+        true
+    }
+
     /// Notes that a query about an overdue step was sent, so that the rules about queries apply to
     /// it again until they have passed over it for as long as they may.
     pub(super) fn restart_queries(&mut self, step: StepKey, now: Instant) {
@@ -249,6 +301,8 @@
         for rule in Rule::ALL {
             self.by_step.remove(&(step, rule));
         }
+        self.examined.remove(&step);
+        self.overrides.remove(&step);
     }
 
     /// Removes the deferrals of a job.
@@ -264,6 +318,8 @@
     /// Removes deferrals of steps that are no longer passed over.
     pub(super) fn forget_ended(&mut self, now: Instant) {
         self.by_step.retain(|_, deferral| deferral.is_current(now));
+        self.examined.retain(|_, examined| now.since(*examined) <= FORGET_AFTER);
+        self.overrides.retain(|_, until| now < *until);
     }
 }
 
--- a/src/cell/machine/overdue_query.rs
+++ b/src/cell/machine/overdue_query.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::Machine;
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::proxy_shares::ProxyShares;
 use super::reservation::GangBudget;
@@ -10,7 +11,7 @@
 use crate::clock::Instant;
 
 /// Maximum number of overdue steps that are examined first in one round.
-const MAX_EXAMINED: usize = 16;
+const MAX_EXAMINED: usize = 32;
 
 impl Machine {
     /// Queries about steps of which nothing runs and that have been passed over for longest, before
@@ -26,13 +27,17 @@
             return;
         }
         let overdue = waiting.iter().filter(|step| step.stalled && self.may_query(step));
-        let overdue = overdue.filter_map(|step| Some((step.overdue.query_due()?, step)));
+        let mostly_free = shares.mostly_free();
+        let overdue = overdue.filter_map(|step| {
+            let due = step.overdue.query_due(mostly_free)?;
+            Some((self.deferrals.place_in_line(step.key, due), step))
+        });
         let mut overdue: Vec<(Instant, &PendingStep)> = overdue.collect();
         overdue.sort_by_key(|(due, step)| (*due, step.key));
         for (_, step) in overdue.into_iter().take(MAX_EXAMINED) {
             let Some(step) = self.startable_part(step) else { continue };
             let Some(timing) = step.queue.policy else { continue };
-            if !self.waives_query_rules(&step, views) {
+            if !self.waives_query_rules(&step, views, mostly_free) {
                 continue;
             }
             let sent = self.last_query;
@@ -41,17 +46,34 @@
             if let Some(query) = query {
                 let took = timing.time_ms(query.workers.len()).max(0.0) as u64;
                 let took = Duration::from_millis(took);
-                let mostly_free = !shares.on_time_first();
                 self.deferrals.take_turn(took, shares.fresh(), mostly_free, self.now);
                 return;
             }
+            self.deferrals.note_examined(step.key, self.now);
+        }
+    }
+
+    /// Lets reservations apply again to overdue steps that have no permission to use reserved workers.
+    pub(super) fn limit_overrides(&mut self, waiting: &mut [PendingStep], views: &WorkerViews) {
+        let mostly_free = views.is_mostly_free();
+        for step in waiting.iter_mut().filter(|step| step.overdue.contains(Rule::Reservation)) {
+            let permitted =
+                step.stalled && self.deferrals.may_override(step.key, mostly_free, self.now);
+            if !permitted {
+                step.overdue.remove(Rule::Reservation);
+            }
         }
     }
 
     /// Whether the rules about queries no longer apply to a step. For a gang they apply again if it
     /// would find no room now.
-    pub(super) fn waives_query_rules(&mut self, step: &PendingStep, views: &WorkerViews) -> bool {
-        if step.overdue.query_due().is_none() || !self.may_query(step) {
+    pub(super) fn waives_query_rules(
+        &mut self,
+        step: &PendingStep,
+        views: &WorkerViews,
+        mostly_free: bool,
+    ) -> bool {
+        if step.overdue.query_due(mostly_free).is_none() || !self.may_query(step) {
             return false;
         }
         let waived = !step.spec().gang || self.gang_fits(step, views);
--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -57,6 +57,7 @@
         self.refresh_speeds();
         let mut views = std::mem::take(&mut self.views);
         self.refresh_views(&mut views, &waiting);
+        self.limit_overrides(&mut waiting, &views);
         self.place_steps(&waiting, &mut views, full_scan);
         self.extend_active_workers(&waiting, &views);
         self.views = views;
@@ -86,7 +87,8 @@
                 self.send_deferred(&mut shares);
             }
             if let Some(timing) = &step.queue.policy {
-                let waived = shares.has_spare() && self.waives_query_rules(step, views);
+                let waived = shares.has_spare()
+                    && self.waives_query_rules(step, views, shares.mostly_free());
                 self.query_policy(step, timing, views, &mut shares, &mut budget, waived);
             }
             self.place_step(step, views);
@@ -291,6 +293,10 @@
             if let Some(room) = free.get_mut(&at) {
                 *room = room.saturating_sub(&demand);
             }
+            // One task is enough for a step that may use workers reserved for others.
+            if !spec.gang && views.get(at).reserved {
+                free.retain(|&at, _| !views.get(at).reserved);
+            }
             *counts.entry(at).or_insert(0) += 1;
             plan.push((index, at));
         }
--- a/src/cell/machine/proxy_shares.rs
+++ b/src/cell/machine/proxy_shares.rs
@@ -24,12 +24,6 @@
 /// capacity is free.
 const SHARE_OF_NEXT_PRIORITY: f64 = 1.0 / 2.0;
 
-/// Share of free CPU above which all queues are entitled to equal shares; below it, waiting steps
-/// may be waiting for capacity. Without equal shares, of 40 small jobs that waited beside gangs
-/// without capacity, 12 that could be on time and all late ones had no query within 3 s (in the
-/// test `starvation`); with them, all have one.
-const MOSTLY_FREE: f64 = 0.5;
-
 /// A query that waits until the other queues have had their share.
 pub(super) struct DeferredQuery {
     step: StepKey,
@@ -80,6 +74,11 @@
         !self.mostly_free
     }
 
+    /// Whether most of the CPU is free.
+    pub(super) const fn mostly_free(&self) -> bool {
+        self.mostly_free
+    }
+
     /// Whether instances are left that new jobs do not need soon: most of the CPU is free, or most
     /// instances are idle.
     pub(super) const fn has_spare(&self) -> bool {
@@ -144,7 +143,7 @@
 impl Machine {
     /// Shares the instances among the queues of the `waiting` steps.
     pub(super) fn proxy_shares(&self, waiting: &[PendingStep], views: &WorkerViews) -> ProxyShares {
-        let mostly_free = views.free_share() > MOSTLY_FREE;
+        let mostly_free = views.is_mostly_free();
         let mut queues: Vec<QueueShare> = Vec::new();
         let counted =
             |step: &&PendingStep| mostly_free || step.rank.timeliness == Timeliness::OnTime;
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -23,6 +23,12 @@
 /// Resolution of the clock.
 const CLOCK_TICK: Duration = Duration::from_millis(1);
 
+/// Share of free CPU above which all queues are entitled to equal shares; below it, waiting steps
+/// may be waiting for capacity. Without equal shares, of 40 small jobs that waited beside gangs
+/// without capacity, 12 that could be on time and all late ones had no query within 3 s (in the
+/// test `starvation`); with them, all have one.
+const MOSTLY_FREE: f64 = 0.5;
+
 /// State of a worker in a placement round.
 #[derive(Debug)]
 pub(super) struct WorkerView {
@@ -111,6 +117,11 @@
         self.open.free_cpu_millis as f64 / self.open.cpu_millis.max(1) as f64
     }
 
+    /// Whether most of their CPU is free at the start of the round.
+    pub(super) fn is_mostly_free(&self) -> bool {
+        self.free_share() > MOSTLY_FREE
+    }
+
     /// Their CPU that is free at the start of the round, in thousandths of a core.
     pub(super) const fn free_cpu_millis(&self) -> u64 {
         self.open.free_cpu_millis
