--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -31,6 +31,7 @@
 mod passed_over_locality;
 mod passed_over_pauses;
 mod passed_over_preemption;
+mod passed_over_review;
 mod passed_over_suspects;
 mod placement;
 mod policy_queries;
