--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -109,9 +109,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Overdue {
     rules: u16,
-    /// From when a rule that saw room may no longer pass over queries about the step, and from when
-    /// any rule.
-    room_due: Option<Instant>,
+    /// From when a rule may no longer pass over queries about the step.
     query_due: Option<Instant>,
 }
 
@@ -121,9 +119,6 @@
         if rule.concerns_queries() {
             self.query_due = self.query_due.into_iter().chain([due]).min();
         }
-        if rule.concerns_queries() && rule != Rule::NoInstance {
-            self.room_due = self.room_due.into_iter().chain([due]).min();
-        }
     }
 
     /// Lets `rule` apply again.
@@ -136,11 +131,9 @@
         self.rules & 1 << rule as u8 != 0
     }
 
-    /// From when a rule may no longer pass over queries about the step; `None` if it still may. That
-    /// no instance is left counts only while most of the CPU is free: on a full site, the time of the
-    /// policy service goes to others by rank as the room does.
-    pub(super) const fn query_due(self, mostly_free: bool) -> Option<Instant> {
-        if mostly_free { self.query_due } else { self.room_due }
+    /// From when a rule may no longer pass over queries about the step; `None` if it still may.
+    pub(super) const fn query_due(self) -> Option<Instant> {
+        self.query_due
     }
 }
 
--- a/src/cell/machine/overdue_query.rs
+++ b/src/cell/machine/overdue_query.rs
@@ -27,9 +27,8 @@
             return;
         }
         let overdue = waiting.iter().filter(|step| step.stalled && self.may_query(step));
-        let mostly_free = shares.mostly_free();
         let overdue = overdue.filter_map(|step| {
-            let due = step.overdue.query_due(mostly_free)?;
+            let due = step.overdue.query_due()?;
             Some((self.deferrals.place_in_line(step.key, due), step))
         });
         let mut overdue: Vec<(Instant, &PendingStep)> = overdue.collect();
@@ -37,7 +36,7 @@
         for (_, step) in overdue.into_iter().take(MAX_EXAMINED) {
             let Some(step) = self.startable_part(step) else { continue };
             let Some(timing) = step.queue.policy else { continue };
-            if !self.waives_query_rules(&step, views, mostly_free) {
+            if !self.waives_query_rules(&step, views) {
                 continue;
             }
             let sent = self.last_query;
@@ -46,6 +45,7 @@
             if let Some(query) = query {
                 let took = timing.time_ms(query.workers.len()).max(0.0) as u64;
                 let took = Duration::from_millis(took);
+                let mostly_free = shares.mostly_free();
                 self.deferrals.take_turn(took, shares.fresh(), mostly_free, self.now);
                 return;
             }
@@ -67,13 +67,8 @@
 
     /// Whether the rules about queries no longer apply to a step. For a gang they apply again if it
     /// would find no room now.
-    pub(super) fn waives_query_rules(
-        &mut self,
-        step: &PendingStep,
-        views: &WorkerViews,
-        mostly_free: bool,
-    ) -> bool {
-        if step.overdue.query_due(mostly_free).is_none() || !self.may_query(step) {
+    pub(super) fn waives_query_rules(&mut self, step: &PendingStep, views: &WorkerViews) -> bool {
+        if step.overdue.query_due().is_none() || !self.may_query(step) {
             return false;
         }
         let waived = !step.spec().gang || self.gang_fits(step, views);
@@ -83,20 +78,16 @@
         waived
     }
 
-    /// Whether a gang would find room now, as far as the owner knows which workers are eligible.
+    /// Whether a gang would find room now, unless the policy service refuses workers that it has not
+    /// answered about.
     fn gang_fits(&self, step: &PendingStep, views: &WorkerViews) -> bool {
         let wanted = step.pending.len() as f64;
-        let share = self.eligible_share(step);
-        let tickets = self.tickets.get(&step.key);
         let mut room = 0.0;
         for at in views.open() {
-            let id = &views.get(at).id;
-            let chance = match tickets {
-                Some(tickets) if tickets.is_eligible(id) => 1.0,
-                Some(tickets) if tickets.is_refused(id) => 0.0,
-                _ => share,
-            };
-            room += chance * self.slots_with_preemption(at, step, views);
+            if self.is_refused(step, &views.get(at).id) {
+                continue;
+            }
+            room += self.slots_with_preemption(at, step, views);
             if room >= wanted {
                 return true;
             }
