Keep the budget of gangs on a full site

On a full site instances are idle because of the budget, which keeps room together for wide gangs. Overdue gangs go beyond it only in their turn then, and in their rank only while most CPU is free.

--- a/src/cell/machine/place.rs
+++ b/src/cell/machine/place.rs
@@ -87,7 +87,8 @@
                 self.send_deferred(&mut shares);
             }
             if let Some(timing) = &step.queue.policy {
-                let waived = shares.has_spare() && self.waives_query_rules(step, views);
+                let spare = shares.has_spare_for(step);
+                let waived = spare && self.waives_query_rules(step, views);
                 self.query_policy(step, timing, views, &mut shares, &mut budget, waived);
             }
             self.place_step(step, views);
--- a/src/cell/machine/proxy_shares.rs
+++ b/src/cell/machine/proxy_shares.rs
@@ -79,10 +79,11 @@
         self.mostly_free
     }
 
-    /// Whether instances are left that new jobs do not need soon: most of the CPU is free, or most
-    /// instances are idle.
-    pub(super) const fn has_spare(&self) -> bool {
-        self.mostly_free || self.idle * 2 > self.fresh
+    /// Whether instances are left for an overdue step that new jobs do not need soon: most of the CPU
+    /// is free, or most instances are idle. On a full site, instances are idle because of the budget of
+    /// gangs, which keeps room together for wide ones.
+    pub(super) fn has_spare_for(&self, step: &PendingStep) -> bool {
+        self.mostly_free || !step.spec().gang && self.idle * 2 > self.fresh
     }
 
     /// Number of instances that can send queries.
