--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -30,7 +30,7 @@
 
 /// Interval between two permissions to use reserved workers on a full site, and how long each lasts:
 /// longer than a query.
-const OVERRIDE_INTERVAL: Duration = Duration::from_millis(250);
+const OVERRIDE_INTERVAL: Duration = Duration::from_secs(1);
 const OVERRIDE_TIME: Duration = Duration::from_secs(2);
 
 /// Time without being passed over after which a step counts as not passed over: longer than a query
