Play random histories with a policy service that allows few workers

Change: the simulation answers policy queries after the service's response time, loses some answers while faults are drawn, and allows each step a fixed set of workers. While nothing is disturbed it checks, from its own workers, that no accepted step waits for more than three seconds beside workers that may run it and are free. Jobs and calls move to a file of their own. The histories are in policy_histories.rs.

--- a/tests/logic/cell/histories.rs
+++ b/tests/logic/cell/histories.rs
@@ -9,7 +9,7 @@
 /// Default number of seeds.
 const SEEDS: u64 = 8;
 
-const NO_FAULTS: Faults = Faults {
+pub(super) const NO_FAULTS: Faults = Faults {
     delayed_calls: 0.0,
     lost_append_answers: 0.0,
     takeover_ms: 0,
@@ -24,6 +24,9 @@
     own_timeouts: false,
     failing_interval: 11,
     cap_ms: 0,
+    policy: false,
+    lost_policy_answers: 0.0,
+    active_workers: 0,
 };
 
 const CRASHING_TASKS_OF_OWNERS_KILLED: Faults = Faults {
@@ -47,7 +50,7 @@
     ..NO_FAULTS
 };
 
-fn seeds() -> u64 {
+pub(super) fn seeds() -> u64 {
     std::env::var("ORIOLEFORK_CELL_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(SEEDS)
 }
 
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -25,6 +25,7 @@
 mod overload;
 mod passed_over;
 mod placement;
+mod policy_histories;
 mod policy_queries;
 mod policy_site;
 mod polls;
--- a/tests/logic/cell/simulation/caps.rs
+++ b/tests/logic/cell/simulation/caps.rs
@@ -10,6 +10,7 @@
 use oriolefork::resource::Limit;
 use rand::Rng;
 
+use super::policy::Policy;
 use super::{Event, Simulation};
 use crate::cell::model;
 
@@ -39,7 +40,7 @@
 
     /// The present configuration.
     pub(super) fn config(&self) -> Rc<QueueConfig> {
-        let base = model::queue_config();
+        let base = self.policy.as_ref().map_or_else(model::queue_config, Policy::config);
         let Some((_, caps)) = self.caps.versions.last() else { return base };
         let customer = |(name, cap): (&&str, &u64)| Customer {
             name: (**name).into(),
@@ -106,6 +107,11 @@
         );
     }
 
+    /// The present cap of a customer in thousandths of a core.
+    pub(super) fn cap_millis(&self, customer: usize) -> u64 {
+        self.caps.versions.last().map_or(u64::MAX, |(_, caps)| caps[customer] * 1_000)
+    }
+
     /// The highest cap of a customer that may have been in force at an owner since `sent`.
     fn highest_cap(&self, customer: usize, sent: u64) -> u64 {
         let from = sent.saturating_sub(CONFIG_MS);
@@ -117,7 +123,8 @@
     }
 }
 
-fn customer_of(job: &Id) -> usize {
+/// The number of the customer of a job.
+pub(super) fn customer_of(job: &Id) -> usize {
     let digits = job.to_string();
     u64::from_str_radix(&digits, 16).expect("hexadecimal digits") as usize % CUSTOMERS.len()
 }
--- a/tests/logic/cell/simulation/faults.rs
+++ b/tests/logic/cell/simulation/faults.rs
@@ -172,8 +172,10 @@
         self.sequence = self.claims * 1_000_000;
         let end = self.journal.len() as u64;
         let config = self.draw_config();
-        let machine =
-            Machine::new(state, self.sequence, end, config, Timings::default(), now, unix);
+        let most = self.faults.active_workers;
+        let timings =
+            Timings { max_active_workers: (most > 0).then_some(most), ..Timings::default() };
+        let machine = Machine::new(state, self.sequence, end, config, timings, now, unix);
         self.owners.push(Owner { machine, alive: true });
         self.publish_roster();
     }
--- a/tests/logic/cell/simulation/invariants.rs
+++ b/tests/logic/cell/simulation/invariants.rs
@@ -70,6 +70,7 @@
             "{now}: {run} raises the allocation of {worker} to {used}, above its {limit}"
         );
         self.check_cap(run, sent);
+        self.check_allowed(worker, &run);
         for (other, upstream) in &self.workers {
             let other_run = upstream
                 .runs
--- a/tests/logic/cell/simulation/mod.rs
+++ b/tests/logic/cell/simulation/mod.rs
@@ -5,11 +5,14 @@
 //! Safety is checked at each start; what must happen eventually is checked after the faults have
 //! ended.
 
+mod calls;
 mod caps;
 mod faults;
 mod invariants;
 mod journal;
 mod ledger;
+pub mod policy;
+mod waiting;
 mod worker_calls;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -17,14 +20,17 @@
 use bytes::Bytes;
 use oriolefork::cell::Epoch;
 use oriolefork::cell::dependencies::{JournalSnapshot, PollRequest, StartCommand};
-use oriolefork::cell::job::{Id, Job, Run, TaskKey};
-use oriolefork::cell::machine::{Answer, Call, Effect, Machine, Message};
+use oriolefork::cell::job::{Id, Run, TaskKey};
+use oriolefork::cell::machine::{Effect, Machine, Message};
 use oriolefork::clock::{Instant, Unix};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use self::calls::SubmittedJob;
 use self::caps::Caps;
 use self::ledger::Ledger;
+use self::policy::Policy;
+use self::waiting::WaitingSteps;
 use super::model;
 use super::upstream::Upstream;
 
@@ -69,6 +75,13 @@
     /// Mean interval between changes of the customers' caps, in milliseconds; zero for a site
     /// without customers.
     pub cap_ms: u64,
+    /// Whether the policy service allows each step only a few workers.
+    pub policy: bool,
+    /// Fraction of queries to the policy service that get no answer, and of those whose answer is
+    /// late.
+    pub lost_policy_answers: f64,
+    /// Number of workers that an owner polls without need; zero for no limit.
+    pub active_workers: usize,
 }
 
 enum WorkerCall {
@@ -101,26 +114,14 @@
     alive: bool,
 }
 
-/// A submitted job and what is expected of it.
-struct SubmittedJob {
-    job: Job,
-    /// Time of submission, in milliseconds.
-    at: u64,
-    accepted: bool,
-    /// Whether cancellation was requested; an unanswered request may or may not be executed.
-    cancel_asked: bool,
-    cancelled_at: Option<u64>,
-    fails: bool,
-    /// Whether its first task crashes each worker that starts it.
-    crashes_workers: bool,
-}
-
 pub struct Simulation {
     pub now: u64,
     rng: StdRng,
     faults: Faults,
     faults_ended: bool,
     caps: Caps,
+    policy: Option<Policy>,
+    waiting: WaitingSteps,
     owners: Vec<Owner>,
     journal: Vec<Bytes>,
     epoch: Epoch,
@@ -168,6 +169,8 @@
             faults,
             faults_ended: false,
             caps: Caps::default(),
+            policy: faults.policy.then(|| Policy::new(seed)),
+            waiting: WaitingSteps::default(),
             owners: Vec::new(),
             journal: Vec::new(),
             epoch: Epoch(0),
@@ -208,8 +211,18 @@
         }
     }
 
-    /// Ends all faults and advances the clock.
+    /// Ends all faults, if they have not ended yet, and advances the clock.
     pub fn settle(&mut self, span_ms: u64) {
+        if !self.faults_ended {
+            self.end_faults();
+        }
+        let end = self.now + span_ms;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn end_faults(&mut self) {
         self.faults_ended = true;
         self.store_down = false;
         if self.has_customers() {
@@ -222,62 +235,11 @@
         if !self.owners.last().is_some_and(|owner| owner.alive) {
             self.take_over();
         }
-        let end = self.now + span_ms;
-        while self.now < end {
-            self.step();
-        }
-    }
-
-    pub fn submit(&mut self, job: Job, fails: bool, crashes_workers: bool) {
-        let id = job.id;
-        let submitted = SubmittedJob {
-            job: job.clone(),
-            at: self.now,
-            accepted: false,
-            cancel_asked: false,
-            cancelled_at: None,
-            fails,
-            crashes_workers: crashes_workers && self.faults.crashing_tasks,
-        };
-        self.jobs.insert(id, submitted);
-        self.call_owner(id, Call::Submit(job));
-    }
-
-    pub fn cancel(&mut self, number: u64) {
-        let id = model::id(number);
-        if let Some(submitted) = self.jobs.get_mut(&id) {
-            submitted.cancel_asked = true;
-        }
-        self.call_owner(id, Call::Cancel(id));
-    }
-
-    /// Returns the share of the jobs of which a task started within `limit` milliseconds after their
-    /// submission.
-    pub fn share_started_within(&self, limit: u64) -> f64 {
-        let on_time = |(id, submitted): &(&Id, &SubmittedJob)| {
-            self.ledger.first_start(**id).is_some_and(|at| at <= submitted.at + limit)
-        };
-        self.jobs.iter().filter(on_time).count() as f64 / self.jobs.len() as f64
-    }
-
-    /// Returns the number of jobs that were accepted and not cancelled.
-    pub fn accepted(&self) -> u64 {
-        let kept =
-            |submitted: &&SubmittedJob| submitted.accepted && submitted.cancelled_at.is_none();
-        self.jobs.values().filter(kept).count() as u64
-    }
-
-    fn call_owner(&mut self, id: Id, call: Call) {
-        let owner = self.owners.len() - 1;
-        self.next_call += 1;
-        let number = self.next_call;
-        self.calls.insert((owner, number), id);
-        let message = Message::Call { id: number, call, caller: self.caller_of(&id) };
-        self.schedule(1, Event::Owner { owner, message });
     }
 
     fn step(&mut self) {
         self.now += STEP_MS;
+        self.announce_instances();
         self.expire_leases();
         while let Some(entry) = self.events.first_entry()
             && entry.key().0 <= self.now
@@ -294,6 +256,7 @@
                 self.execute_effect(number, effect);
             }
         }
+        self.check_waiting();
     }
 
     fn clocks(&self) -> (Instant, Unix) {
@@ -330,7 +293,7 @@
                 let call = WorkerCall::Stop(run, self.owners[owner].machine.epoch);
                 self.send_call(owner, worker.to_string(), call, delay, timeout);
             }
-            Effect::QueryPolicy(_) => {}
+            Effect::QueryPolicy(query) => self.answer_query(owner, &query),
             Effect::Reply { id, answer } => self.handle_answer(owner, id, answer),
             Effect::Save(snapshot) => {
                 self.saved = Some(snapshot);
@@ -360,15 +323,6 @@
             Event::Restart { number } => self.restart(number),
         }
     }
-
-    fn handle_answer(&mut self, owner: usize, call: u64, answer: Answer) {
-        let Some(id) = self.calls.remove(&(owner, call)) else { return };
-        if answer == Answer::Accepted
-            && let Some(submitted) = self.jobs.get_mut(&id)
-        {
-            submitted.accepted = true;
-        }
-    }
 }
 
 /// Returns the name of a worker's incarnation: names with `@` keep the worker's own name across
--- a/tests/logic/cell/simulation/worker_calls.rs
+++ b/tests/logic/cell/simulation/worker_calls.rs
@@ -112,6 +112,7 @@
                 let started = upstream.start(start, demand, now);
                 if started == Ok(true) {
                     self.ledger.record_start(start.run, now);
+                    self.waiting.note_start(&start.run);
                     self.check_start(worker, start, sent);
                     self.begin_run(worker, start);
                 }
@@ -135,6 +136,9 @@
         if self.jobs[&run.task.step.job].crashes_workers && run.task.index == 0 {
             return self.schedule(CRASH_MS, Event::Crash { worker: worker.to_owned(), run });
         }
+        if step.long_running {
+            return;
+        }
         let duration = self.rng.random_range(50..800);
         if !step.gang {
             return self.schedule(duration, Event::Finish { worker: worker.to_owned(), run });
--- a/tests/logic/cell/upstream.rs
+++ b/tests/logic/cell/upstream.rs
@@ -87,6 +87,11 @@
         )
     }
 
+    /// Whether commands reach it and are answered.
+    pub const fn takes_commands(&self) -> bool {
+        self.reachable && !self.answers_lost && !self.resets_commands
+    }
+
     pub fn allocated(&self) -> Amount {
         self.runs.values().fold(Amount::ZERO, |sum, demand| Amount {
             cpu_millis: sum.cpu_millis + demand.cpu_millis,
