Keep histories that show steps passed over, and read lists of workers again

Wide steps on one worker ended after the fixed time of the end phase.

Change: owners read the list again with each sighting of the instances. The end phase lasts until all jobs have ended, by at most two minutes. Half of the long-running steps need large workers' shares.

--- a/tests/logic/cell/policy_histories.rs
+++ b/tests/logic/cell/policy_histories.rs
@@ -24,11 +24,16 @@
 const JOB_INTERVAL_MS: u64 = 200;
 const LATER_JOB_INTERVAL_MS: u64 = 600;
 
-/// Times without faults, in milliseconds: with long-running tasks, without them, and without jobs that
-/// no workers can hold.
+/// Times without faults, in milliseconds, with long-running tasks and without them.
 const RUN_MS: u64 = 20_000;
-const END_MS: u64 = 25_000;
-const CANCELLED_MS: u64 = 3_000;
+const SHORT_RUN_MS: u64 = 8_000;
+
+/// Time within which all jobs that the workers can hold end, in milliseconds: the tasks of three wide
+/// steps on one worker, each with a query.
+const DONE_MS: u64 = 120_000;
+
+/// Time within which the owner acknowledges all ends to the workers, in milliseconds.
+const ACKNOWLEDGED_MS: u64 = 3_000;
 
 const POLICY: Faults = Faults { policy: true, failing_interval: u64::MAX, ..NO_FAULTS };
 
@@ -56,7 +61,8 @@
             let last = Step { depends_on: vec![1], gang: true, ..step(2..4, 1..5) };
             vec![first, Step { depends_on: vec![0], ..later }, last]
         }
-        13 | 14 => vec![Step { long_running: true, ..step(2..7, 1..13) }],
+        13 => vec![Step { long_running: true, ..step(2..7, 1..6) }],
+        14 => vec![Step { long_running: true, ..step(2..7, 6..15) }],
         _ => vec![Step { required_label: Some(rack(number)), ..step(2..9, 2..9) }],
     };
     let queue = [SLOW, SLOW, SLOW, FAST, FAST, model::QUEUE][rng.random_range(0..6)];
@@ -82,9 +88,10 @@
     }
     simulation.settle(RUN_MS);
     simulation.cancel_where(|_, job| job.steps.iter().any(|step| step.long_running));
-    simulation.settle(END_MS);
+    simulation.settle(SHORT_RUN_MS);
     simulation.cancel_where(|simulation, job| !simulation.holds(job));
-    simulation.settle(CANCELLED_MS);
+    simulation.settle_until_done(DONE_MS);
+    simulation.settle(ACKNOWLEDGED_MS);
     let waits = simulation.check_no_step_passed_over();
     simulation.check_end();
     waits
@@ -120,3 +127,16 @@
     let waits: u64 = (1..=seeds()).map(|seed| run_history(seed, faults)).sum();
     assert!(waits > 0, "no step waited beside free workers");
 }
+
+/// Steps that a rule passed over until an unrelated change: gangs beside gangs that never fit, on one
+/// of several racks, and on reserved workers; a step that is not queried about while the remaining
+/// workers are reserved; steps behind claims on their customer's cap.
+#[test_case(3, POLICY; "gangs_beside_gangs_that_never_fit")]
+#[test_case(
+    14, Faults { worker_ms: 500, one_way_cuts: true, ..POLICY };
+    "step_whose_unqueried_workers_are_reserved"
+)]
+#[test_case(8, Faults { cap_ms: 1_200, ..POLICY }; "steps_behind_claims_on_their_cap")]
+fn passed_over_step_starts(seed: u64, faults: Faults) {
+    run_history(seed, faults);
+}
--- a/tests/logic/cell/simulation/faults.rs
+++ b/tests/logic/cell/simulation/faults.rs
@@ -133,22 +133,27 @@
     }
 
     pub(super) fn publish_roster(&mut self) {
+        let roster = self.roster();
+        for owner in 0..self.owners.len() {
+            let delay = self.rng.random_range(5..400);
+            let message = Message::WorkersChanged(roster.clone());
+            self.schedule(delay, Event::Owner { owner, message });
+        }
+    }
+
+    /// The complete list of workers.
+    pub(super) fn roster(&self) -> RosterUpdate {
         let present = self.incarnations.iter().map(|(number, incarnation)| {
             let name = name(*number, *incarnation);
             let capacity =
                 self.workers.get(&name).map_or(model::cores(CORES), |upstream| upstream.capacity);
             (name.into(), Rc::new(model::listed(*number, capacity)))
         });
-        let roster = RosterUpdate {
+        RosterUpdate {
             changed: present.collect(),
             removed: Vec::new(),
             is_complete: true,
             ..RosterUpdate::default()
-        };
-        for owner in 0..self.owners.len() {
-            let delay = self.rng.random_range(5..400);
-            let message = Message::WorkersChanged(roster.clone());
-            self.schedule(delay, Event::Owner { owner, message });
         }
     }
 
--- a/tests/logic/cell/simulation/policy.rs
+++ b/tests/logic/cell/simulation/policy.rs
@@ -29,7 +29,7 @@
 /// Number of instances that can send queries.
 const INSTANCES: u16 = 9;
 
-/// Interval at which the owners see each instance, in milliseconds.
+/// Interval at which the owners see each instance and read the list of workers, in milliseconds.
 const SEEN_INTERVAL_MS: u64 = 300;
 
 /// Maximum delay of an answer beyond the stated response time, in milliseconds.
@@ -105,18 +105,21 @@
         );
     }
 
-    /// Lets each owner see the instances that can send queries.
+    /// Lets each owner see the instances that can send queries, and read the list of workers. An
+    /// earlier list that arrives late is replaced by the next one.
     pub(super) fn announce_instances(&mut self) {
         if self.policy.is_none() || !self.now.is_multiple_of(SEEN_INTERVAL_MS) {
             return;
         }
         let (now, unix) = self.clocks();
+        let roster = self.roster();
         for owner in self.owners.iter_mut().filter(|owner| owner.alive) {
             for number in 1..=INSTANCES {
                 let peer = ([127, 0, 0, 1], number).into();
                 let message = Message::InstanceSeen { peer, cpu_millis: 1, domain: "hall".into() };
                 owner.machine.handle(message, now, unix);
             }
+            owner.machine.handle(Message::WorkersChanged(roster.clone()), now, unix);
         }
     }
 
--- a/tests/logic/cell/simulation/waiting.rs
+++ b/tests/logic/cell/simulation/waiting.rs
@@ -139,6 +139,21 @@
         self.waiting.checked
     }
 
+    /// Advances the clock until all accepted jobs have ended, by at most `limit_ms`.
+    pub fn settle_until_done(&mut self, limit_ms: u64) {
+        let end = self.now + limit_ms;
+        while self.now < end && !self.is_done() {
+            self.settle(CHECK_INTERVAL_MS);
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        let state = &self.owners.last().expect("an owner").machine.state;
+        let accepted = self.jobs.iter().filter(|(_, submitted)| submitted.accepted);
+        let mut entries = accepted.map(|(id, _)| state.jobs.get(id));
+        entries.all(|entry| entry.is_none_or(|entry| entry.phase().is_final()))
+    }
+
     fn record_usage(&mut self) {
         let now = self.now;
         let mut record = Record {
