--- a/src/cell/machine/cap_turns.rs
+++ b/src/cell/machine/cap_turns.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use super::Machine;
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::rank::Timeliness;
 use crate::cell::customer::Name;
@@ -53,6 +54,9 @@
 impl Machine {
     /// Room under the cap of a step's customer that is meant for another step.
     pub(super) fn claimed_by_turn(&self, step: &PendingStep) -> Amount {
+        if step.overdue.contains(Rule::CapTurn) {
+            return Amount::ZERO;
+        }
         let turns = step.job.customer.as_ref().and_then(|name| self.cap_turns.get(name));
         let turn = turns.and_then(|turns| turns.current.as_ref());
         turn.filter(|turn| turn.step != step.key).map_or(Amount::ZERO, |turn| turn.claim)
@@ -72,6 +76,11 @@
                 continue;
             }
             let step = waiting.iter().find(|step| step.key == turn.step);
+            if step.is_some_and(|step| !self.will_fit_into_cap(step)) {
+                turns.current = None;
+                turns.next = Some(now.after(PAUSE));
+                continue;
+            }
             if step.is_some_and(|step| self.startable(step) > 0) {
                 let since = *turn.room_since.get_or_insert(now);
                 if now.since(since) > ROOM_HELD {
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -10,6 +10,7 @@
 
 use super::Machine;
 use super::crash::StartingTasks;
+use super::deferral::Rule;
 use super::pending::PendingStep;
 use super::timer_queue::TimerQueue;
 use crate::cell::dependencies::WorkerInfo;
@@ -32,7 +33,7 @@
     free_cpu_millis: u64,
     /// Whether it may be given new tasks.
     open: bool,
-    /// Reserved for a gang of higher rank in this round.
+    /// Reserved for a gang of higher rank, in this round or until it begins to place steps.
     pub(super) reserved: bool,
     /// Whether the worker left its latest commands unanswered.
     pub(super) unresponsive: bool,
@@ -139,7 +140,7 @@
         positions.iter().map(|&at| self.all[at].listed.rack.clone()).collect()
     }
 
-    /// Reserves a worker for a gang for the rest of the round.
+    /// Reserves a worker for a gang until the next round places steps.
     pub(super) fn reserve(&mut self, at: usize) {
         self.all[at].reserved = true;
         self.reserved.push(at);
@@ -173,8 +174,8 @@
         self.open.add(&self.all[at]);
     }
 
-    /// Releases the reservations of the round.
-    pub(super) fn end_round(&mut self) {
+    /// Releases the reservations of the last round.
+    pub(super) fn release_reserved(&mut self) {
         for at in std::mem::take(&mut self.reserved) {
             self.all[at].reserved = false;
         }
@@ -215,16 +216,23 @@
     }
 
     /// Number of the step's tasks that fit on the worker now.
-    pub(super) fn slots(&self, service: &str, step: &Step) -> f64 {
-        self.slots_for(&self.free, service, step)
+    pub(super) fn slots(&self, step: &PendingStep) -> f64 {
+        self.slots_for(&self.free, step)
     }
 
     /// Number of the step's tasks that would fit if the worker had `room` free.
-    pub(super) fn slots_for(&self, room: &Amount, service: &str, step: &Step) -> f64 {
-        if self.reserved || !self.matches(service, step) || !self.is_compatible(step) {
+    pub(super) fn slots_for(&self, room: &Amount, step: &PendingStep) -> f64 {
+        let (service, spec) = (&step.queue.service, step.spec());
+        let usable = self.matches(service, spec) && self.is_compatible(spec);
+        if !usable || self.is_withheld(step) {
             return 0.0;
         }
-        slots_within(room, step)
+        slots_within(room, spec)
+    }
+
+    /// Whether the worker is reserved for a gang, which still excludes the step.
+    pub(super) const fn is_withheld(&self, step: &PendingStep) -> bool {
+        self.reserved && !step.overdue.contains(Rule::Reservation)
     }
 
     /// Whether the worker belongs to `service` and has the label that the step requires.
@@ -301,6 +309,7 @@
     fn rebuild_views(&self, views: &mut WorkerViews) {
         let all = self.workers.values().map(|worker| self.view(worker, views.options));
         views.all = all.collect();
+        views.reserved.clear();
         let positions = self.workers.keys().cloned().enumerate();
         views.positions = positions.map(|(at, id)| (id, at)).collect();
         views.by_free_cpu = (0..views.all.len()).collect();
