--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -34,6 +34,7 @@
 mod passed_over_review;
 mod passed_over_suspects;
 mod placement;
+mod policy_histories;
 mod policy_queries;
 mod policy_site;
 mod polls;
--- a/tests/logic/cell/simulation/faults.rs
+++ b/tests/logic/cell/simulation/faults.rs
@@ -133,22 +133,27 @@
     }
 
     pub(super) fn publish_roster(&mut self) {
+        let roster = self.roster();
+        for owner in 0..self.owners.len() {
+            let delay = self.rng.random_range(5..400);
+            let message = Message::WorkersChanged(roster.clone());
+            self.schedule(delay, Event::Owner { owner, message });
+        }
+    }
+
+    /// The complete list of workers.
+    pub(super) fn roster(&self) -> RosterUpdate {
         let present = self.incarnations.iter().map(|(number, incarnation)| {
             let name = name(*number, *incarnation);
             let capacity =
                 self.workers.get(&name).map_or(model::cores(CORES), |upstream| upstream.capacity);
             (name.into(), Rc::new(model::listed(*number, capacity)))
         });
-        let roster = RosterUpdate {
+        RosterUpdate {
             changed: present.collect(),
             removed: Vec::new(),
             is_complete: true,
             ..RosterUpdate::default()
-        };
-        for owner in 0..self.owners.len() {
-            let delay = self.rng.random_range(5..400);
-            let message = Message::WorkersChanged(roster.clone());
-            self.schedule(delay, Event::Owner { owner, message });
         }
     }
 
@@ -172,8 +177,10 @@
         self.sequence = self.claims * 1_000_000;
         let end = self.journal.len() as u64;
         let config = self.draw_config();
-        let machine =
-            Machine::new(state, self.sequence, end, config, Timings::default(), now, unix);
+        let most = self.faults.active_workers;
+        let timings =
+            Timings { max_active_workers: (most > 0).then_some(most), ..Timings::default() };
+        let machine = Machine::new(state, self.sequence, end, config, timings, now, unix);
         self.owners.push(Owner { machine, alive: true });
         self.publish_roster();
     }
