Restart the limits of queries only after an answer that helps

What callers saw: a step of which few workers are allowed waited another second after each answer that allowed none. Cause: each query about an overdue step began all limits anew. Now only an answer that allows a worker does. Evidence: step_is_queried_again_at_once_after_an_answer_that_allows_nothing with two instances failed before and passes.

--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -257,8 +257,8 @@
         true
     }
 
-    /// Notes that a query about an overdue step was sent, so that the rules about queries apply to
-    /// it again until they have passed over it for as long as they may.
+    /// Lets the rules about queries apply to a step again until they have passed over it for as long as
+    /// they may. Called when a query has allowed a worker, or would not help.
     pub(super) fn restart_queries(&mut self, step: StepKey, now: Instant) {
         for rule in Rule::ALL.into_iter().filter(|rule| rule.concerns_queries()) {
             if let Some(deferral) = self.by_step.get_mut(&(step, rule)) {
--- a/src/cell/machine/policy_query.rs
+++ b/src/cell/machine/policy_query.rs
@@ -91,9 +91,6 @@
             self.note_deferral(step, Rule::GangBudget, None, step.pending.len() as f64);
             return;
         }
-        if waived {
-            self.deferrals.restart_queries(step.key, self.now);
-        }
         if admitted {
             shares.take(&step.queue);
             self.send_query(proxy, step.key, workers, timing);
@@ -182,6 +179,9 @@
             let (step, proxy) = (query.step, query.proxy);
             log::warn!("event=advice.failed step={step} asker={proxy} question={number}");
         }
+        if eligibility.is_some_and(|eligibility| !eligibility.workers.is_empty()) {
+            self.deferrals.restart_queries(query.step, self.now);
+        }
         if let Some(tickets) = self.tickets.get_mut(&query.step) {
             tickets.record_answer(&query.workers, eligibility, query.ticket_lifetime, self.now);
             let tally = tickets.counts();
