--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -115,7 +115,7 @@
 
 impl Overdue {
     fn add(&mut self, rule: Rule, due: Instant) {
-        self.rules |= 1 << rule as u8;
+        self.rules |= 1 << rule as u16;
         if rule.concerns_queries() {
             self.query_due = self.query_due.into_iter().chain([due]).min();
         }
@@ -128,7 +128,7 @@
 
     /// Whether `rule` no longer applies to the step.
     pub(super) const fn contains(self, rule: Rule) -> bool {
-        self.rules & 1 << rule as u8 != 0
+        self.rules & (1 << rule as u16) != 0
     }
 
     /// From when a rule may no longer pass over queries about the step; `None` if it still may.
@@ -233,8 +233,8 @@
         self.examined.insert(step, now);
     }
 
-    /// When an overdue step that has been due since `due` may be examined first, in relation to
-    /// others: those without need of a query go behind the others.
+    /// Sort key of an overdue step that has been due since `due`, the first to be examined first: those
+    /// that were examined in vain go behind the others.
     pub(super) fn place_in_line(&self, step: StepKey, due: Instant) -> Instant {
         self.examined.get(&step).map_or(due, |examined| due.max(*examined))
     }
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -39,7 +39,7 @@
     free_cpu_millis: u64,
     /// Whether it may be given new tasks.
     open: bool,
-    /// Reserved for a gang of higher rank, in this round or until it begins to place steps.
+    /// Reserved for a step of higher rank, in this round or until it begins to place steps.
     pub(super) reserved: bool,
     /// Whether the worker left its latest commands unanswered.
     pub(super) unresponsive: bool,
@@ -151,13 +151,13 @@
         positions.iter().map(|&at| self.all[at].listed.rack.clone()).collect()
     }
 
-    /// Reserves a worker for a gang until the next round places steps.
+    /// Reserves a worker until the next round places steps.
     pub(super) fn reserve(&mut self, at: usize) {
         self.all[at].reserved = true;
         self.reserved.push(at);
     }
 
-    /// Indices of the workers reserved for gangs.
+    /// Indices of the reserved workers.
     pub(super) fn reserved(&self) -> &[usize] {
         &self.reserved
     }
@@ -241,10 +241,11 @@
         slots_within(room, spec)
     }
 
-    /// Whether the worker is reserved for a gang, which still excludes the step.
+    /// Whether the worker is reserved for another step, which still excludes this one.
     pub(super) const fn is_withheld(&self, step: &PendingStep) -> bool {
-        let waives = [Rule::Reservation, Rule::Isolation];
-        self.reserved && !(step.overdue.contains(waives[0]) || step.overdue.contains(waives[1]))
+        let is_waived =
+            step.overdue.contains(Rule::Reservation) || step.overdue.contains(Rule::Isolation);
+        self.reserved && !is_waived
     }
 
     /// Whether the worker belongs to `service` and has the label that the step requires.
--- a/src/cell/machine/withheld.rs
+++ b/src/cell/machine/withheld.rs
@@ -1,4 +1,5 @@
-//! Room that is withheld from a step: reserved for gangs, or away from its data.
+//! Room that is withheld from a step: reserved for others, beside tasks that are starting, or away
+//! from its data.
 
 use super::Machine;
 use super::deferral::Rule;
