--- a/src/cell/machine/deferral.rs
+++ b/src/cell/machine/deferral.rs
@@ -174,7 +174,7 @@
     by_step: BTreeMap<(StepKey, Rule), Deferral>,
     /// When a query about an overdue step may next go before all others.
     next_turn: Instant,
-    /// When overdue steps were last examined first and did not need a query.
+    /// When overdue steps were last examined first.
     examined: BTreeMap<StepKey, Instant>,
     /// Steps that may use reserved workers, with the ends of these permissions.
     overrides: BTreeMap<StepKey, Instant>,
@@ -228,13 +228,13 @@
         self.next_turn = now.after(took.div_f64(instances.max(1) as f64 * share));
     }
 
-    /// Notes that an overdue step was examined first and needed no query.
+    /// Notes that an overdue step was examined first.
     pub(super) fn note_examined(&mut self, step: StepKey, now: Instant) {
         self.examined.insert(step, now);
     }
 
     /// Sort key of an overdue step that has been due since `due`, the first to be examined first: those
-    /// that were examined in vain go behind the others.
+    /// that have been examined go behind the others.
     pub(super) fn place_in_line(&self, step: StepKey, due: Instant) -> Instant {
         self.examined.get(&step).map_or(due, |examined| due.max(*examined))
     }
--- a/src/cell/machine/overdue_query.rs
+++ b/src/cell/machine/overdue_query.rs
@@ -39,6 +39,7 @@
             if !self.waives_query_rules(&step, views) {
                 continue;
             }
+            self.deferrals.note_examined(step.key, self.now);
             let sent = self.last_query;
             self.query_policy(&step, &timing, views, shares, budget, true);
             let query = self.queries.get(&self.last_query).filter(|query| query.number > sent);
@@ -49,7 +50,6 @@
                 self.deferrals.take_turn(took, shares.fresh(), mostly_free, self.now);
                 return;
             }
-            self.deferrals.note_examined(step.key, self.now);
         }
     }
 
