--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -217,9 +217,7 @@
             }
             if keys.iter().any(|key| key == "head") {
                 heads.lock().unwrap().push(append.instance);
-            } else if append.instance == second
-                && armed.load(Ordering::SeqCst)
-            {
+            } else if append.instance == second && armed.load(Ordering::SeqCst) {
                 struck.store(true, Ordering::SeqCst);
             }
         });
@@ -300,7 +298,10 @@
             break;
         }
     }
-    record.note(&format!("{} accepted jobs, {broken} of those asked for without an answer", accepted.len()));
+    record.note(&format!(
+        "{} accepted jobs, {broken} of those asked for without an answer",
+        accepted.len()
+    ));
     site.note_logs(&["owner.claim ", "journal.saved", "journal.unread"]);
     finish_shared(site, i32::from(broken > 0))
 }
@@ -358,3 +359,47 @@
     site.stop();
     i32::from(has_failed || !is_at_work)
 }
+
+/// The worker of a lasting task is lost for good, and soon after it the owner's process is killed.
+pub fn lost_worker(record: Arc<Record>, trouble: bool) -> i32 {
+    /// The rule's 6 s after the last run, and its 3 s.
+    const MOST: f64 = 9.0;
+    // Either disruption alone, for the report.
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let mut site = Site::start(record.clone(), 3, 7, (64_000, 131_072), 20);
+    sleep_ms(2_000);
+    let job = id(0xf8, 0);
+    let lasting = "{\"spec\":\"ms=3600000\",\"steps\":[{\"count\":1,\"cpu\":4000,\"memMb\":1024,\
+                   \"longRunning\":true}]}";
+    if !submit(&site, 0, &job, lasting) {
+        return 2;
+    }
+    sleep_ms(3_000);
+    let runs = record.runs_of(&job);
+    let worker = runs.first().and_then(|run| site.workers.iter().find(|there| there.id() == run.1));
+    let (Some(worker), Some(owner)) = (worker, site.owner()) else { return 2 };
+    let lost_at = record.seconds();
+    if trouble && only != "kill" {
+        worker.vanish(&site.store);
+    }
+    if trouble && only != "crash" {
+        sleep_ms(300);
+        site.signal(owner, "KILL");
+        sleep_ms(1_000);
+        site.launch(owner);
+    }
+    let until = Instant::now() + Duration::from_secs(20);
+    while trouble && record.runs_of(&job).len() < 2 && Instant::now() < until {
+        sleep_ms(10);
+    }
+    let is_lost = trouble && only != "kill";
+    let waited = if is_lost { record.seconds() - lost_at } else { 0.0 };
+    let (status, state) = site.state(&job, 6);
+    record.note(&format!("{job}: {status} {state}, nothing at work for {waited:.1} s"));
+    let broken = waited > MOST;
+    if broken {
+        record.note("BROKEN LOST: later than 6 s after its last run, for over 3 s, all calm, 6 workers free");
+    }
+    site.note_logs(&["owner.begin", "owner.end", "worker.", "task.", "panic"]);
+    finish(site, i32::from(broken))
+}
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -98,9 +98,7 @@
     Ok(Some(Request { method, path, query, headers, body }))
 }
 
-fn read_headers(
-    reader: &mut BufReader<TcpStream>,
-) -> io::Result<(Vec<(String, String)>, usize)> {
+fn read_headers(reader: &mut BufReader<TcpStream>) -> io::Result<(Vec<(String, String)>, usize)> {
     let mut headers = Vec::new();
     let mut length = 0;
     loop {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -24,6 +24,7 @@
         "many-jobs" => cases::many_jobs,
         "snapshot-keys" => cases::snapshot_keys,
         "crashes" => cases::crashes,
+        "lost-worker" => cases::lost_worker,
         _ => {
             eprintln!("no such case");
             std::process::exit(2);
--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -81,7 +81,8 @@
         let store = Store::new(instances, Duration::from_secs(keep_s));
         store.put("keyed.op", "config", &configuration());
         let names = (0..workers).map(|number| format!("w{number}"));
-        let workers = names.map(|name| Worker::start(&name, cpu, mem_mb, &store, &record)).collect();
+        let workers =
+            names.map(|name| Worker::start(&name, cpu, mem_mb, &store, &record)).collect();
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let mut site = Self { store, workers, instances: Vec::new(), record, folder };
@@ -101,7 +102,8 @@
         let store = self.store.clone();
         http::serve(listener, Arc::new(move |request: &Request| store.handle(number, request)));
         let at = |port: u16| SocketAddr::from((ip, port));
-        let (front, ready, control, peer) = (at(first), at(first + 1), at(first + 2), at(first + 3));
+        let (front, ready, control, peer) =
+            (at(first), at(first + 1), at(first + 2), at(first + 3));
         let text = format!(
             r#"{{"node":"frontend-hall-{zone}-{number}","role":"entry","class":"frontend","serves":["frontend"],
 "ip":"{ip}","zone":"hall-{zone}","region":"r","zones":{{"hall-1":"r","hall-2":"r","hall-3":"r"}},
@@ -153,7 +155,8 @@
         while Instant::now() < until {
             let is_ready = |instance: &Instance| {
                 let second = Duration::from_secs(1);
-                http::call(instance.ready, "GET", "/api/ready", &[("Host", "x")], "", second).0 == 200
+                http::call(instance.ready, "GET", "/api/ready", &[("Host", "x")], "", second).0
+                    == 200
             };
             if self.instances.iter().all(is_ready) {
                 return;
@@ -222,7 +225,8 @@
     fn stop_and_exit(&self, code: i32) -> ! {
         for instance in &self.instances {
             if let Some(process) = &instance.process {
-                let _ = Command::new("kill").args(["-s", "KILL", &process.id().to_string()]).status();
+                let _ =
+                    Command::new("kill").args(["-s", "KILL", &process.id().to_string()]).status();
             }
         }
         std::process::exit(code);
@@ -236,7 +240,8 @@
     }
 
     pub fn call(&self, instance: usize, method: &str, id: &str, body: &str) -> (u16, String) {
-        let headers = [("Host", HOST), ("Content-Type", "application/json"), ("Deadline-Ms", "3000")];
+        let headers =
+            [("Host", HOST), ("Content-Type", "application/json"), ("Deadline-Ms", "3000")];
         let (path, wait) = (format!("{PREFIX}{id}"), Duration::from_millis(3_000));
         http::call(self.instances[instance].front, method, &path, &headers, body, wait)
     }
@@ -246,8 +251,9 @@
     pub fn state(&self, id: &str, tries: usize) -> (u16, String) {
         let mut last = (0, String::new());
         for attempt in 0..tries {
-            let running: Vec<usize> =
-                (0..self.instances.len()).filter(|at| self.instances[*at].process.is_some()).collect();
+            let running: Vec<usize> = (0..self.instances.len())
+                .filter(|at| self.instances[*at].process.is_some())
+                .collect();
             let (status, body) = self.call(running[attempt % running.len()], "GET", id, "");
             let parsed = crate::json::parse(body.as_bytes());
             let state = parsed.and_then(|body| body.text("state").map(str::to_owned));
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -203,7 +203,8 @@
         let mut partitions = self.partitions.lock().unwrap();
         let partition = partitions.entry(key).or_default();
         partition.expire(self.keep);
-        let later = partition.newest.iter().filter(|(key, _)| after.is_none_or(|it| key.as_str() > it));
+        let later =
+            partition.newest.iter().filter(|(key, _)| after.is_none_or(|it| key.as_str() > it));
         let (mut items, mut bytes, mut has_more) = (Vec::new(), 0, false);
         for (key, value) in later {
             if items.len() >= 500 || bytes > 0 && bytes + value.len() > 1_000_000 {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -83,7 +83,13 @@
 }
 
 impl Worker {
-    pub fn start(name: &str, cpu: u64, mem_mb: u64, store: &Arc<Store>, record: &Arc<Record>) -> Arc<Self> {
+    pub fn start(
+        name: &str,
+        cpu: u64,
+        mem_mb: u64,
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let worker = Arc::new(Self {
             name: name.to_owned(),
@@ -135,6 +141,23 @@
         });
     }
 
+    /// Goes dark for good; its entry expires after three heartbeats without any.
+    pub fn vanish(self: &Arc<Self>, store: &Arc<Store>) {
+        let id = {
+            let mut life = self.life.lock().unwrap();
+            life.down = true;
+            life.running.clear();
+            self.id_of(life.number)
+        };
+        self.changed.notify_all();
+        self.record.note(&format!("worker {id} is lost for good"));
+        let store = store.clone();
+        std::thread::spawn(move || {
+            std::thread::sleep(HEARTBEAT * 3);
+            store.put("keyed.servers", &id, "");
+        });
+    }
+
     fn tick(&self, store: &Store) {
         let mut next = Instant::now();
         loop {
@@ -171,7 +194,8 @@
         let lapsed = life.lease_until_ms > 0 && life.clock_ms() > life.lease_until_ms;
         let mut over = Vec::new();
         for (name, task) in &life.running {
-            let stopped = task.stopping.is_some_and(|at| at.elapsed().as_millis() as u64 >= STOP_MS);
+            let stopped =
+                task.stopping.is_some_and(|at| at.elapsed().as_millis() as u64 >= STOP_MS);
             if task.since.elapsed() >= task.work {
                 over.push((name.clone(), "done"));
             } else if stopped {
@@ -222,7 +246,12 @@
         None
     }
 
-    fn run(&self, mut life: std::sync::MutexGuard<'_, Life>, fence: u64, body: &Value) -> Option<Response> {
+    fn run(
+        &self,
+        mut life: std::sync::MutexGuard<'_, Life>,
+        fence: u64,
+        body: &Value,
+    ) -> Option<Response> {
         life.fence = fence;
         let clock_ms = life.clock_ms();
         let (Some(task), Some(run)) = (body.text("task"), body.number("run")) else {
@@ -240,7 +269,8 @@
             return refuse(clock_ms, "old");
         }
         let spec = body.text("spec").unwrap_or_default();
-        let work = spec.split("ms=").nth(1).and_then(|text| text.split_whitespace().next()?.parse().ok());
+        let work =
+            spec.split("ms=").nth(1).and_then(|text| text.split_whitespace().next()?.parse().ok());
         let work = Duration::from_millis(work.unwrap_or(500));
         let began = Task { run, since: Instant::now(), work, stopping: None };
         life.running.insert(task.to_owned(), began);
@@ -250,7 +280,12 @@
         answer(clock_ms)
     }
 
-    fn stop(&self, mut life: std::sync::MutexGuard<'_, Life>, fence: u64, body: &Value) -> Option<Response> {
+    fn stop(
+        &self,
+        mut life: std::sync::MutexGuard<'_, Life>,
+        fence: u64,
+        body: &Value,
+    ) -> Option<Response> {
         life.fence = fence;
         let clock_ms = life.clock_ms();
         let (Some(task), Some(run)) = (body.text("task"), body.number("run")) else {
@@ -270,7 +305,12 @@
         answer(clock_ms)
     }
 
-    fn hold(&self, mut life: std::sync::MutexGuard<'_, Life>, fence: u64, body: &Value) -> Option<Response> {
+    fn hold(
+        &self,
+        mut life: std::sync::MutexGuard<'_, Life>,
+        fence: u64,
+        body: &Value,
+    ) -> Option<Response> {
         let number = life.number;
         life.fence = fence;
         let observed = body.number("observed").unwrap_or(0.0) as u64;
