--- a/src/cell/dependencies.rs
+++ b/src/cell/dependencies.rs
@@ -253,6 +253,20 @@
     Failed(String),
 }
 
+/// Why a snapshot could not be read.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum SnapshotError {
+    /// The store did not answer, or the snapshot was replaced meanwhile; reading may be repeated.
+    #[display("{_0}")]
+    Unread(String),
+    /// Its form is not known to this version.
+    #[display("unknown form: {_0}")]
+    Unsupported(String),
+    /// What is stored is not what was saved, so that no instance can use it.
+    #[display("damaged: {_0}")]
+    Damaged(String),
+}
+
 /// Starting point for reading a journal.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct JournalSnapshot {
@@ -296,8 +310,16 @@
     /// Reads records starting at offset `from`.
     fn read(&self, cell: Id, from: u64) -> LocalBoxFuture<'_, Result<Page, ReadError>>;
 
-    /// Reads the latest snapshot.
-    fn snapshot(&self, cell: Id) -> LocalBoxFuture<'_, Result<JournalSnapshot, String>>;
+    /// Reads the latest snapshot, which has been saved whole.
+    fn snapshot(&self, cell: Id) -> LocalBoxFuture<'_, Result<JournalSnapshot, SnapshotError>>;
+
+    /// Returns the latest snapshot that this process has read or saved, in case the stored one cannot
+    /// be used any more.
+    ///
+    /// The default is for journals that keep none.
+    fn known_snapshot(&self, _cell: Id) -> Option<JournalSnapshot> {
+        None
+    }
 
     /// Saves a snapshot of the owner that claimed `epoch` with the sequence number `claim`, so that
     /// the store may remove older records. An owner saves one snapshot at a time.
--- a/src/cell/election/claim.rs
+++ b/src/cell/election/claim.rs
@@ -170,7 +170,7 @@
     /// Runs the owner of the cell until another instance takes over.
     async fn run_as_owner(&mut self) {
         let node = self.node.clone();
-        let JournalReplay { state, next_offset: next, unsaved, lost, .. } =
+        let JournalReplay { state, next_offset: next, unsaved, lost, is_substitute, .. } =
             std::mem::take(&mut self.replay);
         let (epoch, jobs, tasks) = (state.epoch, state.jobs.len(), state.live.len());
         let (now, unix) = (node.deps.clock.now(), node.deps.clock.unix());
@@ -179,6 +179,9 @@
         let mut machine =
             Machine::new(state, node.claim_sequence(), next, config, node.timings, now, unix);
         machine.note_unsaved(unsaved);
+        if is_substitute {
+            machine.request_snapshot();
+        }
         if let Some(lost) = lost {
             self.report_losses(&lost);
             machine.begin_without_records(&lost.open_jobs);
--- a/src/cell/election/journal.rs
+++ b/src/cell/election/journal.rs
@@ -8,7 +8,7 @@
 use crate::telemetry::names;
 
 /// Time for which an instance does not claim a cell whose journal it cannot decode.
-const UNREADABLE_PAUSE: Duration = Duration::from_secs(10);
+pub(super) const UNREADABLE_PAUSE: Duration = Duration::from_secs(10);
 
 /// Maximum number of jobs named in the log after records are lost.
 const MAX_LOGGED_JOBS: usize = 1_000;
@@ -21,24 +21,17 @@
     /// notes what is lost. Guards against a cell that nobody owns for as long as such records are
     /// missing, which is for ever.
     pub(super) async fn read(&mut self) -> bool {
-        let journal = self.node.deps.journal.clone();
         // Offset of the snapshot after which records were missing.
         let mut missing_after = None;
         loop {
-            if !self.replay.has_snapshot {
-                let snapshot = match journal.snapshot(self.cell).await {
-                    Ok(snapshot) => snapshot,
-                    Err(cause) => return self.unread(&cause),
-                };
-                if let Err(unreadable) = self.replay.load_snapshot(&snapshot) {
-                    return self.pause_claims(&unreadable);
-                }
+            if !self.replay.has_snapshot && !self.load_snapshot().await {
+                return false;
             }
             let first_offset = match self.read_records().await {
                 Ok(()) => return true,
                 Err(Error::Unread(ReadError::Truncated { first_offset })) => first_offset,
                 Err(Error::Unread(unread)) => return self.unread(&unread.to_string()),
-                Err(unreadable) => return self.pause_claims(&unreadable),
+                Err(unreadable) => return self.pause_claims(&unreadable.to_string()),
             };
             let snapshot_offset = self.replay.snapshot_offset;
             log::warn!(
@@ -99,12 +92,11 @@
     ///
     /// Guards against an instance of an earlier version that owns a cell whose journal a later one
     /// has written: without what it cannot decode it would lose jobs and run tasks twice.
-    fn pause_claims(&mut self, unreadable: &Error) -> bool {
+    pub(super) fn pause_claims(&mut self, cause: &str) -> bool {
         log::error!(
-            "event=journal.unreadable cell={} pause_ms={} cause={:?}",
+            "event=journal.unreadable cell={} pause_ms={} cause={cause:?}",
             self.cell,
             UNREADABLE_PAUSE.as_millis(),
-            unreadable.to_string()
         );
         self.replay = JournalReplay::default();
         self.claims_paused_until = Some(self.node.deps.clock.now().after(UNREADABLE_PAUSE));
@@ -117,7 +109,7 @@
         self.claims_paused_until.is_some_and(|until| now < until)
     }
 
-    fn unread(&self, cause: &str) -> bool {
+    pub(super) fn unread(&self, cause: &str) -> bool {
         log::warn!("event=journal.unread cell={} cause={cause:?}", self.cell);
         false
     }
--- a/src/cell/election/mod.rs
+++ b/src/cell/election/mod.rs
@@ -11,6 +11,7 @@
 //! | `priority.rs` | the order in which instances claim |
 //! | `owner_record.rs` | reading and writing the owner record |
 //! | `journal.rs`, `search.rs` | replay of the journal, unless a new owner appears meanwhile |
+//! | `snapshot.rs` | the snapshot from which the replay starts, and what is left without it |
 //! | `learned.rs` | reading what an earlier owner had learned |
 //! | `claim.rs` | the claim, and the start of an owner |
 //! | `standby.rs` | replay of the journal ahead of a takeover |
@@ -23,6 +24,7 @@
 mod priority;
 mod reason;
 mod search;
+mod snapshot;
 mod standby;
 mod takeover;
 
@@ -32,6 +34,7 @@
 
 use local_sync::oneshot;
 use reason::TakeoverReason;
+use snapshot::Damage;
 
 use super::Id;
 use super::dependencies::OwnerRecord;
@@ -71,6 +74,8 @@
     known_journal_end: u64,
     /// Time until which this instance leaves the cell to others.
     claims_paused_until: Option<Instant>,
+    /// Damage of the stored snapshot that was found last.
+    damage: Option<Damage>,
     /// What an earlier owner had learned, being read since the last claim.
     learned: Option<oneshot::Receiver<learned::Record>>,
 }
@@ -94,6 +99,7 @@
         owner_cpu_millis: 0,
         known_journal_end: 0,
         claims_paused_until: None,
+        damage: None,
         learned: None,
     };
     let mut reason = TakeoverReason::Unknown;
--- a/src/cell/machine/snapshot.rs
+++ b/src/cell/machine/snapshot.rs
@@ -105,6 +105,11 @@
 }
 
 impl Machine {
+    /// Requests a snapshot before it is due, where the stored one cannot be used.
+    pub const fn request_snapshot(&mut self) {
+        self.snapshots.request();
+    }
+
     /// Notes which of the replayed records are in no snapshot.
     pub fn note_unsaved(&mut self, unsaved: Unsaved) {
         let age = unsaved.since.map(|since| self.unix.since(since));
--- a/src/cell/replay.rs
+++ b/src/cell/replay.rs
@@ -60,22 +60,29 @@
     pub(super) has_snapshot: bool,
     /// Offset of the snapshot that has been loaded.
     pub(super) snapshot_offset: u64,
+    /// Whether it stands in for the stored one, which cannot be used.
+    pub(super) is_substitute: bool,
     pub(super) unsaved: Unsaved,
     pub(super) lost: Option<LostRecords>,
 }
 
 impl JournalReplay {
-    /// Starts with a snapshot; fails if it cannot be decoded.
+    /// Starts with a snapshot; fails, and changes nothing, if it cannot be decoded.
     pub(super) fn load_snapshot(&mut self, snapshot: &JournalSnapshot) -> Result<(), Error> {
+        let offset = snapshot.offset;
+        let state = match &snapshot.state {
+            Some(bytes) => {
+                codec::decode(bytes).map_err(|cause| Error::Unreadable { offset, cause })?
+            }
+            None => State::default(),
+        };
         *self = Self {
-            next_offset: snapshot.offset,
+            state,
+            next_offset: offset,
             has_snapshot: true,
-            snapshot_offset: snapshot.offset,
+            snapshot_offset: offset,
             ..Self::default()
         };
-        let Some(bytes) = &snapshot.state else { return Ok(()) };
-        let offset = snapshot.offset;
-        self.state = codec::decode(bytes).map_err(|cause| Error::Unreadable { offset, cause })?;
         Ok(())
     }
 
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -79,6 +79,8 @@
         "Size of the records of the cell's journal that no snapshot contains; set by the owner.";
     CELL_LOST_RECORDS: Counter = "oriolefork_cell_lost_records_total",
         "Records of the cell's journal that the store removed before a snapshot contained them, as found by a new owner.";
+    CELL_UNUSABLE_SNAPSHOTS: Counter = "oriolefork_cell_unusable_snapshots_total",
+        "Stored snapshots of the cell that this instance could not use, by what it did instead.";
     CELL_WORKERS: Gauge = "oriolefork_cell_workers",
         "Workers of the cell by state, active if the owner polls them; set by the owner.";
     CELL_DUTY: Counter = "oriolefork_cell_duty_microseconds_total",
--- a/tests/process/election.rs
+++ b/tests/process/election.rs
@@ -13,8 +13,8 @@
 use oriolefork::cell::activity::ThreadProfiler;
 use oriolefork::cell::dependencies::{
     AppendError, Discovery, Eligibility, Journal, JournalSnapshot, OwnerRecord, Page,
-    PolicyService, PollReport, PollRequest, ReadError, RosterUpdate, StartCommand, WorkerClient,
-    WorkerError,
+    PolicyService, PollReport, PollRequest, ReadError, RosterUpdate, SnapshotError, StartCommand,
+    WorkerClient, WorkerError,
 };
 use oriolefork::cell::job::{Run, StepKey};
 use oriolefork::cell::node::{Identity, Node};
@@ -65,7 +65,7 @@
             .boxed_local()
     }
 
-    fn snapshot(&self, _cell: Id) -> LocalBoxFuture<'_, Result<JournalSnapshot, String>> {
+    fn snapshot(&self, _cell: Id) -> LocalBoxFuture<'_, Result<JournalSnapshot, SnapshotError>> {
         async { Ok(JournalSnapshot::default()) }.boxed_local()
     }
 
--- a/tests/process/watch.rs
+++ b/tests/process/watch.rs
@@ -17,7 +17,7 @@
 use oriolefork::cell::activity::ThreadProfiler;
 use oriolefork::cell::config_message::{ConfigMessage, RouteTable};
 use oriolefork::cell::dependencies::{
-    AppendError, Discovery, Journal, JournalSnapshot, OwnerRecord, Page, ReadError,
+    AppendError, Discovery, Journal, JournalSnapshot, OwnerRecord, Page, ReadError, SnapshotError,
 };
 use oriolefork::cell::node::{Identity, Node};
 use oriolefork::cell::owner::Dependencies;
@@ -69,7 +69,7 @@
         async move { Ok(Page { records, next_offset: end, end_offset: end }) }.boxed_local()
     }
 
-    fn snapshot(&self, _cell: Id) -> LocalBoxFuture<'_, Result<JournalSnapshot, String>> {
+    fn snapshot(&self, _cell: Id) -> LocalBoxFuture<'_, Result<JournalSnapshot, SnapshotError>> {
         async { Ok(JournalSnapshot::default()) }.boxed_local()
     }
 
