Let one type count events of which one log line a second tells

The listener's log of failed accepts kept its own count and time; clients that give way to others need the same. No change of what is logged.

--- a/src/listener.rs
+++ b/src/listener.rs
@@ -9,14 +9,12 @@
 use monoio::time::Instant;
 
 use crate::descriptors::Budget;
+use crate::logging::Repeats;
 use crate::shutdown::Shutdown;
 
 /// Delay after a failed accept, so that a process without free descriptors does not busy-loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
-/// Minimum interval between two log lines about failed accepts.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Time after the shutdown request for which connections are still accepted.
 const BACKLOG_LINGER: Duration = Duration::from_millis(50);
 
@@ -49,7 +47,7 @@
         budget: &Budget,
         admit: impl Fn(TcpStream, SocketAddr),
     ) {
-        let mut failures = Failures::default();
+        let failures = Repeats::default();
         let mut stopped = Box::pin(stop.wait().fuse());
         loop {
             let mut accept = Box::pin(self.socket.accept().fuse());
@@ -60,7 +58,7 @@
             match accepted {
                 Ok((stream, peer)) => admit(stream, peer),
                 Err(cause) => {
-                    failures.note(&cause, budget);
+                    log_failure(&failures, &cause, budget);
                     monoio::time::sleep(ACCEPT_BACKOFF).await;
                 }
             }
@@ -84,28 +82,13 @@
     }
 }
 
-/// Failed accepts that have not been logged yet.
-#[derive(Default)]
-struct Failures {
-    count: u64,
-    last_log: Option<Instant>,
-}
-
-impl Failures {
-    /// Counts a failed accept, and logs the number of those since the last line.
-    fn note(&mut self, cause: &io::Error, budget: &Budget) {
-        self.count += 1;
-        let now = Instant::now();
-        if self.last_log.is_some_and(|last| now - last < LOG_INTERVAL) {
-            return;
-        }
-        self.last_log = Some(now);
-        let count = std::mem::take(&mut self.count);
-        let limit = budget.limit().map_or_else(|| "none".to_owned(), |limit| limit.to_string());
-        log::warn!(
-            "event=listener.accept_failed count={count} in_use={} limit={limit} cause={:?}",
-            budget.in_use(),
-            cause.to_string()
-        );
-    }
+/// Logs a failed accept, and the number of those since the last line.
+fn log_failure(failures: &Repeats, cause: &io::Error, budget: &Budget) {
+    let Some(count) = failures.due() else { return };
+    let limit = budget.limit().map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+    log::warn!(
+        "event=listener.accept_failed count={count} in_use={} limit={limit} cause={:?}",
+        budget.in_use(),
+        cause.to_string()
+    );
 }
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod line;
+mod repeats;
 mod sink;
 mod value;
 
@@ -21,6 +22,7 @@
 use log::LevelFilter;
 
 pub use line::Line;
+pub use repeats::Repeats;
 pub use sink::{RateLimiter, Stream, buffer_lines, flush};
 pub use value::{Value, value};
 
