Bound the memory of requests that are being received

What callers saw: a process of the system ran out of memory while clients sent many large bodies of legal size at once, whole or piece by piece or in chunks, and stopped short of their end. Cause: each connection might buffer a whole body, a chunked one twice, and nothing bounded their sum: 2,000 connections of 262,144 bytes. The addresses for readiness checks and operators took 1,024 connections with bodies of 1 MiB each. limits.memoryMb was not read. If nothing is left, the incomplete message that holds the most gives way, of several the oldest; it is answered with 503 and Retry-After, which is true as it has not been handled, and the message that asks waits until its memory is free. A quarter is kept for messages of up to 16 KiB. A body of known length gets a buffer of just that length, a chunked one is decoded into one buffer; a connection at rest keeps none. Why it works: the sum of all buffers of an address is below its budget whatever their number and pace, and those who hold the most for longest pay for it. Seen: oriolefork_message_bytes, oriolefork_clients_evicted_total, client.evicted (one line a second).

--- a/src/http/attempt.rs
+++ b/src/http/attempt.rs
@@ -275,6 +275,7 @@
             MessageError::Closed
             | MessageError::Truncated
             | MessageError::TimedOut
+            | MessageError::Evicted
             | MessageError::Io(_) => CallPhase::Receive,
             MessageError::HeadTooLarge
             | MessageError::BodyTooLarge { .. }
--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -2,13 +2,16 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use futures_util::FutureExt;
 use http::header::{CONNECTION, EXPECT, HOST};
 use http::{HeaderValue, Method, StatusCode, Version};
 use monoio::io::sink::Sink;
-use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf, Splitable};
+use monoio::io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use monoio::time::Instant;
 use monoio_http::common::body::HttpBody;
@@ -20,6 +23,7 @@
 use super::message::{self, MessageError, MessageReader};
 use super::server::error_response;
 use super::{Handler, Limits, Request, Response};
+use crate::memory::Budget;
 use crate::shutdown::Shutdown;
 
 /// Time for which an idle connection still accepts requests after a stop or close signal, for those
@@ -32,7 +36,7 @@
 const CLOSE_DISCARD_BYTES: usize = 256 * 1024;
 
 /// Buffer size for discarded bytes.
-const DISCARD_CHUNK: usize = 16 * 1024;
+const DISCARD_CHUNK: usize = 4 * 1024;
 
 /// Interim response to a peer that sends `expect: 100-continue`.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -44,24 +48,35 @@
     Close,
 }
 
+/// What the connections of a server share.
+#[derive(Clone)]
+pub(super) struct Shared {
+    pub(super) limits: Limits,
+    /// Memory of the requests that do not arrive at once.
+    pub(super) memory: Rc<Budget>,
+    pub(super) stop: Shutdown,
+}
+
 pub(super) struct Connection {
     source: MessageReader<RequestHeadDecoder>,
     sink: OwnedWriteHalf<TcpStream>,
     peer: SocketAddr,
-    limits: Limits,
-    stop: Shutdown,
+    shared: Shared,
+    /// Triggered when the connection has to close for others.
+    evicted: Shutdown,
 }
 
 impl Connection {
-    pub(super) fn new(stream: TcpStream, peer: SocketAddr, limits: Limits, stop: Shutdown) -> Self {
+    pub(super) fn new(stream: TcpStream, peer: SocketAddr, shared: Shared) -> Self {
         let (read, write) = stream.into_split();
-        let reader = Reader::new(read);
+        let codec = GenericHeadDecoder::new(RequestHeadDecoder);
         Self {
-            source: MessageReader::new(reader, GenericHeadDecoder::new(RequestHeadDecoder)),
+            // The buffer is allocated when a request arrives.
+            source: MessageReader::with_capacity(Reader::new(read), codec, 0),
             sink: write,
             peer,
-            limits,
-            stop,
+            shared,
+            evicted: Shutdown::new(),
         }
     }
 
@@ -69,12 +84,12 @@
     pub(super) async fn serve(mut self, handler: &dyn Handler) {
         // The first request has a shorter timeout, so that a peer cannot hold many unused
         // connections for long.
-        let mut timeout = self.limits.read_timeout;
+        let mut timeout = self.shared.limits.read_timeout;
         while self.wait_for_request(timeout, handler.close_idle_signal()).await {
             if self.serve_request(handler).await == Next::Close {
                 break;
             }
-            timeout = self.limits.idle_timeout;
+            timeout = self.shared.limits.idle_timeout;
         }
         self.close().await;
     }
@@ -88,9 +103,10 @@
     /// Waits for the first byte of a request; returns `false` if the connection should close
     /// instead.
     async fn wait_for_request(&mut self, timeout: Duration, close_idle: Option<Shutdown>) -> bool {
-        self.source.get_mut().allow(self.limits.head_bytes());
+        self.source.get_mut().reserve(None);
+        self.source.get_mut().allow(self.shared.limits.head_bytes());
         let mut arrived = Box::pin(self.source.peek_data().fuse());
-        let mut idle = Box::pin(idle_expired(&self.stop, timeout).fuse());
+        let mut idle = Box::pin(idle_expired(&self.shared.stop, timeout).fuse());
         let mut closing = Box::pin(idle_close_requested(close_idle).fuse());
         futures_util::select_biased! {
             data = arrived => data.is_ok_and(|data| !data.is_empty()),
@@ -110,7 +126,7 @@
         if is_head {
             response.body_mut().clear();
         }
-        if !keeps_alive || self.stop.is_triggered() {
+        if !keeps_alive || self.shared.stop.is_triggered() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         self.respond(response).await
@@ -128,20 +144,38 @@
         }
     }
 
+    /// Reads a request. Its memory is held until the next one is waited for.
     async fn read(&mut self) -> Result<Request, MessageError> {
-        let deadline = Instant::now() + self.limits.read_timeout;
-        monoio::time::timeout_at(deadline, self.read_message())
-            .await
-            .unwrap_or(Err(MessageError::TimedOut))
+        let evicted = self.evicted.clone();
+        let reservation = self.shared.memory.reservation(evicted.clone());
+        self.source.get_mut().reserve(Some(reservation));
+        let deadline = Instant::now() + self.shared.limits.read_timeout;
+        let request = {
+            let mut reading = pin!(monoio::time::timeout_at(deadline, self.read_message()).fuse());
+            let mut evicted = pin!(evicted.wait().fuse());
+            futures_util::select_biased! {
+                request = reading => request.unwrap_or(Err(MessageError::TimedOut)),
+                () = evicted => Err(MessageError::Evicted),
+            }
+        };
+        let reader = self.source.get_mut();
+        if request.is_ok() {
+            reader.complete();
+        } else {
+            reader.reserve(None);
+        }
+        request
     }
 
     async fn read_message(&mut self) -> Result<Request, MessageError> {
-        let (head, framing) = message::head(&mut self.source, self.limits.head_bytes()).await?;
-        check_head(&head, &self.limits)?;
+        let limits = self.shared.limits;
+        let (head, framing) = message::head(&mut self.source, limits.head_bytes()).await?;
+        check_head(&head, &limits)?;
         if expects_continue(&head) {
             self.sink.write_all(CONTINUE).await.0.map_err(MessageError::Io)?;
         }
-        let body = message::body(&mut self.source, framing, self.limits.body_bytes).await?;
+        let body =
+            message::body(&mut self.source, &framing, &head.headers, limits.body_bytes).await?;
         Ok(Request::from_parts(head, body))
     }
 
@@ -154,7 +188,7 @@
             Sink::<http::Response<HttpBody>>::flush(&mut encoder).await
         };
         let written: Result<Result<(), HttpError>, _> =
-            monoio::time::timeout(self.limits.read_timeout, written).await;
+            monoio::time::timeout(self.shared.limits.read_timeout, written).await;
         match written {
             Ok(result) => {
                 result.map_err(|error| MessageError::Io(io::Error::other(error.to_string())))
@@ -181,6 +215,8 @@
     /// explains a refusal. The outgoing side is therefore shut down first, and the rest of the
     /// request is read and discarded.
     async fn close(mut self) {
+        *self.source.read_buffer_mut() = BytesMut::new();
+        self.source.get_mut().reserve(None);
         let _ = self.sink.shutdown().await;
         let reader = self.source.get_mut();
         let _ = monoio::time::timeout(CLOSE_TIMEOUT, discard(reader)).await;
@@ -226,6 +262,7 @@
         MessageError::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
         MessageError::BodyTooLarge { .. } => Some(StatusCode::PAYLOAD_TOO_LARGE),
         MessageError::TimedOut => Some(StatusCode::REQUEST_TIMEOUT),
+        MessageError::Evicted => Some(StatusCode::SERVICE_UNAVAILABLE),
         MessageError::Closed | MessageError::Io(_) => None,
     }
 }
@@ -234,7 +271,7 @@
     reader.allow(CLOSE_DISCARD_BYTES);
     let mut buffer = vec![0; DISCARD_CHUNK];
     loop {
-        let (read, returned) = reader.read(buffer).await;
+        let (read, returned) = reader.read_body(buffer).await;
         buffer = returned;
         if !matches!(read, Ok(bytes) if bytes > 0) {
             return;
--- a/src/http/limited.rs
+++ b/src/http/limited.rs
@@ -9,21 +9,38 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRent, OwnedReadHalf, OwnedWriteHalf};
 use monoio::net::TcpStream;
 
+use crate::memory::Reservation;
+
 /// The reading half, with an allowance of bytes that may still be read.
 ///
-/// The codec buffers a message until it is complete, whatever its size. The allowance stops a peer
-/// that never ends its message: once it is used up, reads fail and [`Reader::is_exceeded`] returns
-/// `true`.
+/// The codec buffers a head until it is complete, whatever its size. The allowance stops a peer that
+/// never ends its message: once it is used up, reads fail and [`Reader::is_exceeded`] returns `true`.
+///
+/// What does not arrive at once takes memory of the server's budget: without it, reads fail and
+/// [`Reader::is_refused`] returns `true`.
 pub(super) struct Reader {
     half: OwnedReadHalf<TcpStream>,
     allowance: usize,
     exceeded: bool,
     ended: bool,
+    /// Memory of the present message; `None` if that is not limited.
+    reservation: Option<Reservation>,
+    refused: bool,
+    /// Bytes of the present head that have been read.
+    head_bytes: usize,
 }
 
 impl Reader {
     pub(super) fn new(half: OwnedReadHalf<TcpStream>) -> Self {
-        Self { half, allowance: 0, exceeded: false, ended: false }
+        Self {
+            half,
+            allowance: 0,
+            exceeded: false,
+            ended: false,
+            reservation: None,
+            refused: false,
+            head_bytes: 0,
+        }
     }
 
     /// Sets the allowance to `bytes`. The read that uses it up may exceed it.
@@ -31,6 +48,43 @@
         self.allowance = bytes;
     }
 
+    /// Makes the next message take its memory from `reservation`, and frees that of the former one.
+    pub(super) fn reserve(&mut self, reservation: Option<Reservation>) {
+        self.reservation = reservation;
+        self.head_bytes = 0;
+    }
+
+    /// Records that the message has arrived whole.
+    pub(super) fn complete(&mut self) {
+        if let Some(reservation) = &mut self.reservation {
+            reservation.complete();
+        }
+    }
+
+    /// Takes memory for a message that is going to have `bytes` bytes.
+    pub(super) async fn hold(&mut self, bytes: usize) -> io::Result<()> {
+        let Some(reservation) = &mut self.reservation else { return Ok(()) };
+        reservation.hold(bytes).await.map_err(|exhausted| {
+            self.refused = true;
+            io::Error::other(exhausted)
+        })
+    }
+
+    /// Whether a read failed because there was no memory for the message.
+    pub(super) const fn is_refused(&self) -> bool {
+        self.refused
+    }
+
+    /// Reads the next part of a body into `buf`.
+    pub(super) async fn read_body<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
+        if let Err(exceeded) = self.check_allowance() {
+            return (Err(exceeded), buf);
+        }
+        let (result, buf) = self.half.read(buf).await;
+        self.count(&result);
+        (result, buf)
+    }
+
     /// Whether a read failed because the allowance was used up.
     pub(super) fn is_exceeded(&self) -> bool {
         self.exceeded
@@ -57,12 +111,16 @@
 }
 
 impl AsyncReadRent for Reader {
-    async fn read<T: IoBufMut>(&mut self, buf: T) -> BufResult<usize, T> {
-        if let Err(exceeded) = self.check_allowance() {
-            return (Err(exceeded), buf);
+    /// Reads a part of a head. The first one is not held in the budget: the limit of connections
+    /// bounds how many wait for it.
+    async fn read<T: IoBufMut>(&mut self, mut buf: T) -> BufResult<usize, T> {
+        if self.head_bytes > 0
+            && let Err(refused) = self.hold(self.head_bytes + buf.bytes_total()).await
+        {
+            return (Err(refused), buf);
         }
-        let (result, buf) = self.half.read(buf).await;
-        self.count(&result);
+        let (result, buf) = self.read_body(buf).await;
+        self.head_bytes += result.as_ref().map_or(0, |bytes| *bytes);
         (result, buf)
     }
 
--- a/src/http/message.rs
+++ b/src/http/message.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::Display;
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Version};
@@ -14,11 +14,9 @@
     PayloadDecoder,
 };
 
+use super::body;
 use super::limited::Reader;
 
-/// Bytes that chunk headers may add to a chunked body, on top of twice the limit of its size.
-const CHUNK_OVERHEAD_BYTES: usize = 64 * 1024;
-
 /// Decoder of the body that follows a head.
 pub(super) type Framing = PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>;
 
@@ -49,6 +47,9 @@
     /// The transfer of the message exceeded its time limit.
     #[display("message transfer timed out")]
     TimedOut,
+    /// There is no memory for the message, or its connection gives way to others.
+    #[display("no room for the message")]
+    Evicted,
     /// The connection failed.
     #[display("{_0}")]
     Io(io::Error),
@@ -70,49 +71,20 @@
     }
 }
 
-/// Reads the body that `framing` delimits, of at most `limit` bytes.
+/// Reads the body that follows a head with `framing` and `headers`, of at most `limit` bytes.
 pub(super) async fn body<D>(
     source: &mut MessageReader<D>,
-    framing: Framing,
+    framing: &Framing,
+    headers: &HeaderMap,
     limit: usize,
 ) -> Result<Bytes, MessageError> {
+    let (reader, received) = source.read_state_mut();
     match framing {
         PayloadDecoder::None => Ok(Bytes::new()),
-        PayloadDecoder::Fixed(decoder) => fixed(source, decoder, limit).await,
-        PayloadDecoder::Streamed(decoder) => chunked(source, decoder, limit).await,
-    }
-}
-
-async fn fixed<D>(
-    source: &mut MessageReader<D>,
-    mut decoder: FixedBodyDecoder,
-    limit: usize,
-) -> Result<Bytes, MessageError> {
-    source.get_mut().allow(limit);
-    match source.next_with(&mut decoder).await {
-        Some(Ok(body)) => Ok(body),
-        Some(Err(error)) => Err(body_error(source.get_ref(), error, limit)),
-        None => Err(MessageError::Truncated),
-    }
-}
-
-async fn chunked<D>(
-    source: &mut MessageReader<D>,
-    mut decoder: ChunkedBodyDecoder,
-    limit: usize,
-) -> Result<Bytes, MessageError> {
-    source.get_mut().allow(limit.saturating_mul(2).saturating_add(CHUNK_OVERHEAD_BYTES));
-    let mut body = BytesMut::new();
-    loop {
-        match source.next_with(&mut decoder).await {
-            Some(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
-            Some(Ok(None)) => return Ok(body.freeze()),
-            Some(Err(error)) => return Err(body_error(source.get_ref(), error, limit)),
-            None => return Err(MessageError::Truncated),
-        }
-        if body.len() > limit {
-            return Err(MessageError::BodyTooLarge { limit });
+        PayloadDecoder::Fixed(_) => {
+            body::fixed(reader, received, content_length(headers).unwrap_or(0)).await
         }
+        PayloadDecoder::Streamed(_) => body::chunked(reader, received, limit).await,
     }
 }
 
@@ -177,6 +149,9 @@
 }
 
 fn head_error(reader: &Reader, error: HttpError) -> MessageError {
+    if reader.is_refused() {
+        return MessageError::Evicted;
+    }
     if reader.is_exceeded() {
         return MessageError::HeadTooLarge;
     }
@@ -187,13 +162,6 @@
     }
 }
 
-fn body_error(reader: &Reader, error: DecodeError, limit: usize) -> MessageError {
-    if reader.is_exceeded() {
-        return MessageError::BodyTooLarge { limit };
-    }
-    decode_error(reader, error)
-}
-
 fn decode_error(reader: &Reader, error: DecodeError) -> MessageError {
     match error {
         DecodeError::Io(error) => io_error(reader, error),
@@ -201,6 +169,6 @@
     }
 }
 
-fn io_error(reader: &Reader, error: io::Error) -> MessageError {
+pub(super) fn io_error(reader: &Reader, error: io::Error) -> MessageError {
     if reader.is_ended() { MessageError::Truncated } else { MessageError::Io(error) }
 }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -13,6 +13,8 @@
 use crate::shutdown::Shutdown;
 
 mod attempt;
+mod body;
+mod chunks;
 mod client;
 mod connection;
 mod error;
@@ -68,6 +70,10 @@
     pub idle_timeout: Duration,
     /// Connections: in total for a server, in use at once per peer for a client.
     pub connections: usize,
+    /// Memory of a server for requests that do not arrive at once, until they are answered, in
+    /// bytes. A request that needs more than what is left takes it from incomplete ones that hold as
+    /// much; these are answered with status 503. Clients have no such limit.
+    pub message_bytes: usize,
 }
 
 impl Limits {
@@ -77,6 +83,9 @@
     /// that size.
     pub const HEAD_BYTES_CAP: usize = 32 * 1024;
 
+    /// Default of the field `message_bytes`.
+    pub const MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+
     fn head_bytes(&self) -> usize {
         self.head_bytes.min(Self::HEAD_BYTES_CAP)
     }
@@ -90,6 +99,7 @@
             read_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
             connections: 1024,
+            message_bytes: Self::MESSAGE_BYTES,
         }
     }
 }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -161,7 +161,7 @@
         let body = if bodiless {
             Bytes::new()
         } else {
-            message::body(&mut self.source, framing, limits.body_bytes).await?
+            message::body(&mut self.source, &framing, &head.headers, limits.body_bytes).await?
         };
         // Bytes after the response belong to no request of this connection: the peer mixes up or
         // repeats responses. The next caller must not receive them.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,10 +12,11 @@
 use monoio::net::TcpStream;
 use serde::Serialize;
 
-use super::connection::Connection;
+use super::connection::{Connection, Shared};
 use super::{Handler, Limits, Response};
-use crate::descriptors::{Budget, Class, Guard};
+use crate::descriptors::{self, Class, Guard};
 use crate::listener::Listener;
+use crate::memory::{Budget, Eviction};
 use crate::permit::{Semaphore, SemaphorePermit};
 use crate::shutdown::Shutdown;
 
@@ -23,6 +24,9 @@
 /// without a response.
 const MAX_REFUSALS: usize = 64;
 
+/// Name of an address that was given none.
+const DEFAULT_NAME: &str = "http";
+
 /// Seconds after which a refused caller may retry.
 const RETRY_AFTER_SECONDS: u64 = 1;
 
@@ -30,7 +34,8 @@
 pub struct Server {
     listener: Listener,
     limits: Limits,
-    budget: Rc<Budget>,
+    name: &'static str,
+    descriptors: Rc<descriptors::Budget>,
     class: Class,
 }
 
@@ -45,16 +50,23 @@
         Ok(Self {
             listener: Listener::bind(addr)?,
             limits,
-            budget: Rc::new(Budget::unlimited()),
+            name: DEFAULT_NAME,
+            descriptors: Rc::new(descriptors::Budget::unlimited()),
             class: Class::Caller,
         })
     }
 
-    /// Counts the accepted connections in `budget` as ones of `class`. If no descriptor is left for
+    /// Sets the name of the address in metrics and log lines.
+    #[must_use]
+    pub fn with_name(self, name: &'static str) -> Self {
+        Self { name, ..self }
+    }
+
+    /// Counts the accepted connections in `descriptors` as ones of `class`. If no descriptor is left for
     /// one, it is answered with status 503 like one beyond the limit of connections.
     #[must_use]
-    pub fn with_budget(self, budget: Rc<Budget>, class: Class) -> Self {
-        Self { budget, class, ..self }
+    pub fn with_budget(self, descriptors: Rc<descriptors::Budget>, class: Class) -> Self {
+        Self { descriptors, class, ..self }
     }
 
     /// Returns the bound address.
@@ -72,18 +84,18 @@
     /// still answered. Requests still in flight `grace` after the trigger are aborted.
     pub async fn serve(self, handler: Rc<dyn Handler>, stop: Shutdown, grace: Duration) {
         let abort = Shutdown::new();
+        let memory = Budget::new(self.limits.message_bytes, Eviction::of(self.name));
         let acceptor = Acceptor {
             handler,
-            limits: self.limits,
-            budget: self.budget,
+            shared: Shared { limits: self.limits, memory: Rc::new(memory), stop: stop.clone() },
+            descriptors: self.descriptors,
             class: self.class,
-            stop: stop.clone(),
             abort: abort.clone(),
             permits: Semaphore::new(self.limits.connections),
             refusals: Semaphore::new(MAX_REFUSALS),
         };
         let admit = |stream, peer| acceptor.admit(stream, peer);
-        self.listener.accept_until(&stop, &acceptor.budget, admit).await;
+        self.listener.accept_until(&stop, &acceptor.descriptors, admit).await;
         let ended = monoio::time::timeout(grace, acceptor.permits.wait_until_unused()).await;
         if ended.is_err() {
             log::warn!("event=http.stop_cut grace_ms={}", grace.as_millis());
@@ -94,10 +106,9 @@
 
 struct Acceptor {
     handler: Rc<dyn Handler>,
-    limits: Limits,
-    budget: Rc<Budget>,
+    shared: Shared,
+    descriptors: Rc<descriptors::Budget>,
     class: Class,
-    stop: Shutdown,
     abort: Shutdown,
     permits: Semaphore,
     refusals: Semaphore,
@@ -107,7 +118,7 @@
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
         let Some(permit) = self.permits.try_acquire() else { return self.refuse(stream, peer) };
-        match self.budget.acquire(self.class) {
+        match self.descriptors.acquire(self.class) {
             Ok(descriptor) => self.spawn(stream, peer, permit, descriptor),
             Err(_) => self.refuse(stream, peer),
         }
@@ -120,7 +131,7 @@
         permit: SemaphorePermit,
         descriptor: Guard,
     ) {
-        let connection = Connection::new(stream, peer, self.limits, self.stop.clone());
+        let connection = Connection::new(stream, peer, self.shared.clone());
         let handler = self.handler.clone();
         let abort = self.abort.clone();
         monoio::spawn(async move {
@@ -138,7 +149,7 @@
 
     fn refuse(&self, stream: TcpStream, peer: SocketAddr) {
         let Some(permit) = self.refusals.try_acquire() else { return };
-        let connection = Connection::new(stream, peer, self.limits, self.stop.clone());
+        let connection = Connection::new(stream, peer, self.shared.clone());
         monoio::spawn(async move {
             connection.refuse(too_many_connections()).await;
             drop(permit);
@@ -147,9 +158,7 @@
 }
 
 fn too_many_connections() -> Response {
-    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
-    response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECONDS));
-    response
+    error_response(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
 }
 
 /// Body of an error response; it has the form of `api::wire::Refusal`, so that callers parse one
@@ -177,5 +186,8 @@
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECONDS));
+    }
     response
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 mod listener;
 pub mod logging;
 pub mod membership;
+pub mod memory;
 pub mod owner;
 pub mod peer;
 pub mod permit;
--- a/src/settings/model.rs
+++ b/src/settings/model.rs
@@ -210,6 +210,7 @@
             read_timeout: self.read_timeout,
             idle_timeout: self.idle_timeout,
             connections: self.connections,
+            message_bytes: http::Limits::MESSAGE_BYTES,
         }
     }
 }
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -129,6 +129,10 @@
         "Idle connections closed for want of descriptors, by class of the connection that needed one.";
     DESCRIPTORS_REFUSED: Counter = "oriolefork_descriptors_refused_total",
         "Connections refused for want of descriptors, by class.";
+    MESSAGE_BYTES: Gauge = "oriolefork_message_bytes",
+        "Bytes that messages of clients hold while they arrive or are handled, by address.";
+    CLIENTS_EVICTED: Counter = "oriolefork_clients_evicted_total",
+        "Clients that gave way to others for want of memory or connections, by address and cause.";
     CONNECTIONS_REFUSED_BY_PEER: Counter = "oriolefork_connections_refused_by_peer_total",
         "Connections that workers refused, or closed before any response.";
     RUNNER_CALL: Histogram = "oriolefork_runner_call_seconds",
