Close the connection that has waited longest when a new one finds no place

What callers saw: clients that held all of an instance's connections without sending anything, or without reading their responses, kept everybody else out: 503 for each new connection, on the address for readiness checks also the platform's own, for as long as they came back. Cause: at the limit of connections or descriptors the new connection was refused, whoever held the others and whatever for. Change: a connection is listed while it waits for its peer: for a request, its end, or for room to write. At the limit, the one that has waited longest closes, if it has waited for a second at least, and the new one is admitted in its place; 64 at a time wait for that. Otherwise it is refused with 503 as before (serve_too_many_connections, caller_takes_the_place_of_an_idle_connection_only are unchanged). A request that is being handled is never cut. Why it works: places go to those who use them; a client that wants to keep one has to send whole requests. Limits and descriptors are as before.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -25,6 +25,7 @@
 use super::{Handler, Limits, Request, Response};
 use crate::memory::Budget;
 use crate::shutdown::Shutdown;
+use crate::waiting::{Entry, Registry};
 
 /// Time for which an idle connection still accepts requests after a stop or close signal, for those
 /// that were already under way.
@@ -54,6 +55,8 @@
     pub(super) limits: Limits,
     /// Memory of the requests that do not arrive at once.
     pub(super) memory: Rc<Budget>,
+    /// Connections that wait for their peer, which may be closed for others.
+    pub(super) waiting: Rc<Registry>,
     pub(super) stop: Shutdown,
 }
 
@@ -85,8 +88,11 @@
         // The first request has a shorter timeout, so that a peer cannot hold many unused
         // connections for long.
         let mut timeout = self.shared.limits.read_timeout;
-        while self.wait_for_request(timeout, handler.close_idle_signal()).await {
-            if self.serve_request(handler).await == Next::Close {
+        loop {
+            let entry = self.shared.waiting.enter(&self.evicted);
+            if !self.wait_for_request(timeout, handler.close_idle_signal()).await
+                || self.serve_request(handler, entry).await == Next::Close
+            {
                 break;
             }
             timeout = self.shared.limits.idle_timeout;
@@ -105,21 +111,26 @@
     async fn wait_for_request(&mut self, timeout: Duration, close_idle: Option<Shutdown>) -> bool {
         self.source.get_mut().reserve(None);
         self.source.get_mut().allow(self.shared.limits.head_bytes());
+        let evicted = self.evicted.clone();
         let mut arrived = Box::pin(self.source.peek_data().fuse());
         let mut idle = Box::pin(idle_expired(&self.shared.stop, timeout).fuse());
         let mut closing = Box::pin(idle_close_requested(close_idle).fuse());
+        let mut evicted = Box::pin(evicted.wait().fuse());
         futures_util::select_biased! {
             data = arrived => data.is_ok_and(|data| !data.is_empty()),
             () = idle => false,
             () = closing => false,
+            () = evicted => false,
         }
     }
 
-    async fn serve_request(&mut self, handler: &dyn Handler) -> Next {
+    /// Serves one request. `entry` lists the connection as waiting until the request has arrived.
+    async fn serve_request(&mut self, handler: &dyn Handler, entry: Entry) -> Next {
         let request = match self.read().await {
             Ok(request) => request,
             Err(error) => return self.send_error(&error).await,
         };
+        drop(entry);
         let is_head = request.method() == Method::HEAD;
         let keeps_alive = message::keeps_alive(request.version(), request.headers());
         let mut response = handler.handle(self.peer, request).await;
@@ -129,6 +140,8 @@
         if !keeps_alive || self.shared.stop.is_triggered() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
+        // A peer that does not read its response is waited for as well.
+        let _entry = self.shared.waiting.enter(&self.evicted);
         self.respond(response).await
     }
 
@@ -187,8 +200,13 @@
             encoder.send(response).await?;
             Sink::<http::Response<HttpBody>>::flush(&mut encoder).await
         };
-        let written: Result<Result<(), HttpError>, _> =
-            monoio::time::timeout(self.shared.limits.read_timeout, written).await;
+        let written = monoio::time::timeout(self.shared.limits.read_timeout, written);
+        let mut written = pin!(written.fuse());
+        let mut evicted = pin!(self.evicted.wait().fuse());
+        let written: Result<Result<(), HttpError>, _> = futures_util::select_biased! {
+            written = written => written,
+            () = evicted => return Err(MessageError::Evicted),
+        };
         match written {
             Ok(result) => {
                 result.map_err(|error| MessageError::Io(io::Error::other(error.to_string())))
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -14,15 +14,12 @@
 
 use super::connection::{Connection, Shared};
 use super::{Handler, Limits, Response};
-use crate::descriptors::{self, Class, Guard};
+use crate::descriptors::{self, Class};
 use crate::listener::Listener;
-use crate::memory::{Budget, Eviction};
-use crate::permit::{Semaphore, SemaphorePermit};
+use crate::memory::{Budget, Cause, Eviction};
 use crate::shutdown::Shutdown;
-
-/// Excess connections that are answered with status 503 at the same time; any beyond are closed
-/// without a response.
-const MAX_REFUSALS: usize = 64;
+use crate::slots::{Slot, Slots};
+use crate::waiting::Registry;
 
 /// Name of an address that was given none.
 const DEFAULT_NAME: &str = "http";
@@ -62,8 +59,8 @@
         Self { name, ..self }
     }
 
-    /// Counts the accepted connections in `descriptors` as ones of `class`. If no descriptor is left for
-    /// one, it is answered with status 503 like one beyond the limit of connections.
+    /// Counts the accepted connections in `descriptors` as ones of `class`. If no descriptor is left
+    /// for one, room is made as for one beyond the limit of connections.
     #[must_use]
     pub fn with_budget(self, descriptors: Rc<descriptors::Budget>, class: Class) -> Self {
         Self { descriptors, class, ..self }
@@ -82,21 +79,33 @@
     /// After the trigger the listener closes and every response carries `connection: close`. Idle
     /// connections close after a short delay, in which requests that were already under way are
     /// still answered. Requests still in flight `grace` after the trigger are aborted.
+    ///
+    /// If no connection is left for a new peer, the one that has waited longest for its peer is
+    /// closed; if none has waited for a while, the new one is answered with status 503.
     pub async fn serve(self, handler: Rc<dyn Handler>, stop: Shutdown, grace: Duration) {
         let abort = Shutdown::new();
+        let waiting: Rc<Registry> = Rc::default();
+        let slots = Rc::new(Slots::new(
+            self.limits.connections,
+            self.descriptors.clone(),
+            self.class,
+            waiting.clone(),
+        ));
         let memory = Budget::new(self.limits.message_bytes, Eviction::of(self.name));
-        let acceptor = Acceptor {
+        let acceptor = Rc::new(Acceptor {
             handler,
-            shared: Shared { limits: self.limits, memory: Rc::new(memory), stop: stop.clone() },
-            descriptors: self.descriptors,
-            class: self.class,
+            shared: Shared {
+                limits: self.limits,
+                memory: Rc::new(memory),
+                waiting,
+                stop: stop.clone(),
+            },
             abort: abort.clone(),
-            permits: Semaphore::new(self.limits.connections),
-            refusals: Semaphore::new(MAX_REFUSALS),
-        };
+            slots,
+        });
         let admit = |stream, peer| acceptor.admit(stream, peer);
-        self.listener.accept_until(&stop, &acceptor.descriptors, admit).await;
-        let ended = monoio::time::timeout(grace, acceptor.permits.wait_until_unused()).await;
+        self.listener.accept_until(&stop, &self.descriptors, admit).await;
+        let ended = monoio::time::timeout(grace, acceptor.slots.wait_until_unused()).await;
         if ended.is_err() {
             log::warn!("event=http.stop_cut grace_ms={}", grace.as_millis());
         }
@@ -107,52 +116,46 @@
 struct Acceptor {
     handler: Rc<dyn Handler>,
     shared: Shared,
-    descriptors: Rc<descriptors::Budget>,
-    class: Class,
     abort: Shutdown,
-    permits: Semaphore,
-    refusals: Semaphore,
+    slots: Rc<Slots>,
 }
 
 impl Acceptor {
-    fn admit(&self, stream: TcpStream, peer: SocketAddr) {
+    fn admit(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
-        let Some(permit) = self.permits.try_acquire() else { return self.refuse(stream, peer) };
-        match self.descriptors.acquire(self.class) {
-            Ok(descriptor) => self.spawn(stream, peer, permit, descriptor),
-            Err(_) => self.refuse(stream, peer),
+        match self.slots.take() {
+            Some(slot) => self.spawn(stream, peer, slot),
+            None => self.enter(stream, peer),
         }
     }
 
-    fn spawn(
-        &self,
-        stream: TcpStream,
-        peer: SocketAddr,
-        permit: SemaphorePermit,
-        descriptor: Guard,
-    ) {
+    fn spawn(&self, stream: TcpStream, peer: SocketAddr, slot: Slot) {
         let connection = Connection::new(stream, peer, self.shared.clone());
         let handler = self.handler.clone();
         let abort = self.abort.clone();
         monoio::spawn(async move {
             // Dropped after the connection.
-            let _descriptor = descriptor;
+            let _slot = slot;
             let mut serving = Box::pin(connection.serve(handler.as_ref()).fuse());
             let mut aborted = Box::pin(abort.wait().fuse());
             futures_util::select_biased! {
                 () = serving => {}
                 () = aborted => {}
             }
-            drop(permit);
         });
     }
 
-    fn refuse(&self, stream: TcpStream, peer: SocketAddr) {
-        let Some(permit) = self.refusals.try_acquire() else { return };
-        let connection = Connection::new(stream, peer, self.shared.clone());
+    /// Admits a connection once another one is closed for it, or refuses it.
+    fn enter(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        self.shared.memory.note_evicted(Cause::Connections);
+        let Some(entering) = self.slots.enter() else { return };
+        let acceptor = self.clone();
         monoio::spawn(async move {
+            if let Some(slot) = entering.slot().await {
+                return acceptor.spawn(stream, peer, slot);
+            }
+            let connection = Connection::new(stream, peer, acceptor.shared.clone());
             connection.refuse(too_many_connections()).await;
-            drop(permit);
         });
     }
 }
