Pause between the turns of clients that send without a pause

What callers saw: while a few clients sent requests without a pause, nothing of an instance happened in time: no lease was renewed, no time limit ended anything, no other connection was served. Cause: the runtime polls a task for as long as it does not wait, and as long as any task is ready it fires no timer (TimeDriver::submit does not look at them). A connection whose next request has already arrived, and whose responses are read, never waits. A task that wakes itself is put at the front of the queue, so that the usual way to yield lets nothing else run. Change: a connection's task pauses for a millisecond, by a timer, after the work of 64 KiB received without having waited for the peer, where a request counts as 4 KiB. Why it works: any timer makes the runtime look at all others and at all sockets. A client that waits for its response before the next request is waited for each time, and never pauses.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -36,6 +36,9 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 const CLOSE_DISCARD_BYTES: usize = 256 * 1024;
 
+/// Work of handling a request, as that of so many received bytes.
+const REQUEST_WORK: usize = 4 * 1024;
+
 /// Buffer size for discarded bytes.
 const DISCARD_CHUNK: usize = 4 * 1024;
 
@@ -75,7 +78,7 @@
         let codec = GenericHeadDecoder::new(RequestHeadDecoder);
         Self {
             // The buffer is allocated when a request arrives.
-            source: MessageReader::with_capacity(Reader::new(read), codec, 0),
+            source: MessageReader::with_capacity(Reader::of_client(read), codec, 0),
             sink: write,
             peer,
             shared,
@@ -111,6 +114,10 @@
     async fn wait_for_request(&mut self, timeout: Duration, close_idle: Option<Shutdown>) -> bool {
         self.source.get_mut().reserve(None);
         self.source.get_mut().allow(self.shared.limits.head_bytes());
+        if !self.source.read_buffer().is_empty() {
+            self.source.get_mut().pause_if_over().await;
+            return true;
+        }
         let evicted = self.evicted.clone();
         let mut arrived = Box::pin(self.source.peek_data().fuse());
         let mut idle = Box::pin(idle_expired(&self.shared.stop, timeout).fuse());
@@ -131,6 +138,7 @@
             Err(error) => return self.send_error(&error).await,
         };
         drop(entry);
+        self.source.get_mut().add_work(REQUEST_WORK);
         let is_head = request.method() == Method::HEAD;
         let keeps_alive = message::keeps_alive(request.version(), request.headers());
         let mut response = handler.handle(self.peer, request).await;
--- a/src/http/limited.rs
+++ b/src/http/limited.rs
@@ -1,8 +1,11 @@
 //! Halves of a connection: the reader limits the bytes read, the writer counts the bytes written.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 
 use monoio::BufResult;
 use monoio::buf::{IoBuf, IoBufMut, IoVecBuf, IoVecBufMut};
@@ -10,6 +13,7 @@
 use monoio::net::TcpStream;
 
 use crate::memory::Reservation;
+use crate::turn::Turn;
 
 /// The reading half, with an allowance of bytes that may still be read.
 ///
@@ -28,6 +32,9 @@
     refused: bool,
     /// Bytes of the present head that have been read.
     head_bytes: usize,
+    /// Work for the peer in the present turn; `None` for a peer that is trusted not to send without
+    /// a pause.
+    turn: Option<Turn>,
 }
 
 impl Reader {
@@ -40,6 +47,26 @@
             reservation: None,
             refused: false,
             head_bytes: 0,
+            turn: None,
+        }
+    }
+
+    /// Creates a reader for a client, which ends its turn after a number of bytes.
+    pub(super) fn of_client(half: OwnedReadHalf<TcpStream>) -> Self {
+        Self { turn: Some(Turn::default()), ..Self::new(half) }
+    }
+
+    /// Adds the work of handling a message to the turn, as that of `bytes` received bytes.
+    pub(super) fn add_work(&mut self, bytes: usize) {
+        if let Some(turn) = &mut self.turn {
+            turn.add(bytes);
+        }
+    }
+
+    /// Pauses if the turn is over.
+    pub(super) async fn pause_if_over(&mut self) {
+        if let Some(turn) = &mut self.turn {
+            turn.pause_if_over().await;
         }
     }
 
@@ -80,7 +107,21 @@
         if let Err(exceeded) = self.check_allowance() {
             return (Err(exceeded), buf);
         }
-        let (result, buf) = self.half.read(buf).await;
+        self.pause_if_over().await;
+        let (result, buf) = {
+            let mut reading = pin!(self.half.read(buf));
+            match poll_fn(|context| Poll::Ready(reading.as_mut().poll(context))).await {
+                Poll::Ready(read) => read,
+                Poll::Pending => {
+                    let read = reading.await;
+                    // The peer was waited for.
+                    if let Some(turn) = &mut self.turn {
+                        turn.restart();
+                    }
+                    read
+                }
+            }
+        };
         self.count(&result);
         (result, buf)
     }
@@ -107,6 +148,7 @@
         let Ok(bytes) = result else { return };
         self.ended = *bytes == 0;
         self.allowance = self.allowance.saturating_sub(*bytes);
+        self.add_work(*bytes);
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,5 +35,6 @@
 pub mod store;
 pub mod task;
 pub mod telemetry;
+pub mod turn;
 pub mod waiting;
 pub mod worker;
--- a/tests/process/http.rs
+++ b/tests/process/http.rs
@@ -3,7 +3,8 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown as Side, SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -101,6 +102,9 @@
     }
 }
 
+/// Clients that send without a pause.
+const FLOOD: usize = 2;
+
 const STOP: &[u8] = b"GET /stop HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n";
 
 /// Reads until `text` has arrived.
@@ -279,6 +283,34 @@
     server.thread.join().unwrap();
 }
 
+// A client that sends requests without a pause must not keep the server from its time limits.
+#[test]
+fn serve_flood_leaves_time_limits() {
+    let server = serve(Limits { read_timeout: Duration::from_millis(200), ..Limits::default() });
+    let mut silent = server.connect();
+    let ended = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..FLOOD).map(|_| flood(server.connect(), ended.clone())).collect();
+    assert_eq!(read_all(&mut silent), "");
+    ended.store(true, Ordering::Relaxed);
+    clients.into_iter().flatten().for_each(|client| client.join().unwrap());
+    server.stop();
+}
+
+/// Sends requests without a pause, and reads the responses, until `ended`.
+fn flood(mut reader: TcpStream, ended: Arc<AtomicBool>) -> [JoinHandle<()>; 2] {
+    let requests = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n".repeat(1_000);
+    let mut writer = reader.try_clone().unwrap();
+    let write = std::thread::spawn(move || {
+        while !ended.load(Ordering::Relaxed) && writer.write_all(&requests).is_ok() {}
+        let _ = writer.shutdown(Side::Both);
+    });
+    let read = std::thread::spawn(move || {
+        let mut responses = vec![0; 64 * 1024];
+        while matches!(reader.read(&mut responses), Ok(bytes) if bytes > 0) {}
+    });
+    [write, read]
+}
+
 // The server is stopped while one request is being handled, one has just arrived on an idle connection,
 // and one waits on a connection that is not accepted yet. All three get complete responses, an idle
 // connection closes, and new connections are refused.
