Bound what the operating system holds for an accepted connection

Change: listeners give their connections a receive buffer of 16 KiB and a send buffer of 32 KiB, which the system doubles. Why it works: with the limit of connections the sum is bounded, an eighth of memoryMb for callers; and a peer that does not read its responses holds 64 KiB of the kernel at most.

--- a/src/listener.rs
+++ b/src/listener.rs
@@ -15,6 +15,11 @@
 /// Delay after a failed accept, so that a process without free descriptors does not busy-loop.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
+/// Buffers of the operating system for each accepted connection, which count as memory of the
+/// machine, in bytes. The system doubles them.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+const SEND_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Time after the shutdown request for which connections are still accepted.
 const BACKLOG_LINGER: Duration = Duration::from_millis(50);
 
@@ -28,7 +33,10 @@
     pub(crate) fn bind(addr: SocketAddr) -> io::Result<Self> {
         // By default the runtime sets SO_REUSEPORT. Two daemons configured with the same address by
         // mistake would then each receive some of the connections instead of an error.
-        let options = ListenerOpts::new().reuse_port(false);
+        let options = ListenerOpts::new()
+            .reuse_port(false)
+            .recv_buf_size(RECEIVE_BUFFER_BYTES)
+            .send_buf_size(SEND_BUFFER_BYTES);
         Ok(Self { socket: TcpListener::bind_with_config(addr, &options)? })
     }
 
