Bound the memory, calls and turns of other instances' address

What callers saw: clients that speak as instances do took 570 MB of an instance of 64 MB, with two calls each whose bodies did not end (400 connections, 1 MB each); 64 MB with calls without any body, 122 MB with calls that were reset at once. Cause: bodies of calls are buffered up to 8 MiB each, 4,096 calls at once, with windows of 16 MiB a connection; nothing bounded their sum. The h2 library reads a connection for as long as bytes arrive, before any call takes its data: a fast client filled the windows in one turn (trial: 140 MB for 100 connections although the bodies held 3 MB). Calls without bodies held all permits for 10 s. A connection's reader ends its turn after 16 KiB, so that the calls take their data. At the limits, the connection that has waited longest for its peer closes; one whose call is being handled, as each follower's watch is, does not. Why it works: what is buffered is at most the budget and one turn of each connection. Tried, not reachable: the library's wrong count of an exhausted window (stream.rs) needs a stream that is dropped without a reset on the sending side; a server resets explicitly. 200 calls with a window of zero, reset by the client, left, or cut after 10 s, then 200 with open windows: alive.

--- a/src/peer/body.rs
+++ b/src/peer/body.rs
@@ -4,6 +4,8 @@
 use derive_more::{Display, From};
 use monoio_http::h2::{self, RecvStream, SendStream};
 
+use crate::memory::{Exhausted, Reservation};
+
 /// Why a body could not be read or written.
 #[derive(Debug, Display, From)]
 pub(super) enum BodyError {
@@ -22,19 +24,33 @@
     #[display("body transfer timed out")]
     #[from(skip)]
     TimedOut,
+    /// There is no memory for the body.
+    Exhausted(Exhausted),
     /// The stream or its connection failed.
     H2(h2::Error),
 }
 
-/// Reads a whole body of at most `limit` bytes.
-pub(super) async fn read(stream: &mut RecvStream, limit: usize) -> Result<Bytes, BodyError> {
+/// Reads a whole body of at most `limit` bytes, whose memory `reservation` limits, if there is one.
+pub(super) async fn read(
+    stream: &mut RecvStream,
+    limit: usize,
+    mut reservation: Option<&mut Reservation>,
+) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
     while let Some(data) = stream.data().await {
         let data = data?;
         stream.flow_control().release_capacity(data.len())?;
-        if body.len() + data.len() > limit {
+        let needed = body.len() + data.len();
+        if needed > limit {
             return Err(BodyError::TooLarge { limit });
         }
+        if needed > body.capacity() {
+            let capacity = needed.max(body.capacity() * 2).min(limit);
+            if let Some(reservation) = &mut reservation {
+                reservation.try_hold(capacity)?;
+            }
+            body.reserve(capacity - body.len());
+        }
         body.extend_from_slice(&data);
     }
     Ok(body.freeze())
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -198,7 +198,7 @@
     };
     let status = response.status();
     let limit = if status == StatusCode::OK { limit } else { REASON_BYTES };
-    let response_body = body::read(&mut response.into_body(), limit)
+    let response_body = body::read(&mut response.into_body(), limit, None)
         .await
         .map_err(|error| StreamFailure::new(CallPhase::Receive, &error))?;
     if status == StatusCode::OK {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,9 +11,12 @@
 use crate::codec;
 
 mod body;
+mod calls;
 mod client;
 mod connection;
 mod error;
+mod paced;
+mod presence;
 mod server;
 mod stream;
 
@@ -61,6 +64,10 @@
     pub calls: usize,
     /// Open connections of a server.
     pub connections: usize,
+    /// Memory of a server for the bodies of calls, until they are answered, in bytes. A call that
+    /// needs more than what is left is refused, and so are incomplete ones that hold as much.
+    /// Clients have no such limit.
+    pub message_bytes: usize,
     /// Time limit for a handshake, for receiving the body of a call, and for sending a response.
     pub read_timeout: Duration,
     /// Time after which a connection without calls is closed.
@@ -76,6 +83,7 @@
             body_bytes: 8 * 1024 * 1024,
             calls: 256,
             connections: 256,
+            message_bytes: 32 * 1024 * 1024,
             read_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(300),
             keepalive: Duration::from_secs(1),
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -1,34 +1,47 @@
 //! Server for calls from other instances.
 
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http::StatusCode;
 use monoio::net::TcpStream;
-use monoio::time::Instant;
-use monoio_http::h2::server::{self, Connection, SendResponse};
-use monoio_http::h2::{self, Reason, RecvStream};
+use monoio_http::h2::server::{self, Connection};
+use monoio_http::h2::{self};
 
-use super::body::{self, BodyError};
-use super::stream::{CONNECTION_WINDOW, HEADER_BYTES, REASON_BYTES, STREAM_WINDOW};
-use super::{Code, Handler, Limits, Refusal};
-use crate::descriptors::{Budget, Class};
+use super::calls::{Call, Calls};
+use super::paced::Stream;
+use super::presence::Presence;
+use super::stream::{CONNECTION_WINDOW, HEADER_BYTES, STREAM_WINDOW};
+use super::{Handler, Limits};
+use crate::descriptors::{self, Class};
 use crate::listener::Listener;
-use crate::permit::{Semaphore, SemaphorePermit};
+use crate::memory::{Budget, Cause, Eviction};
+use crate::permit::Semaphore;
 use crate::shutdown::Shutdown;
+use crate::slots::{Slot, Slots};
+use crate::turn::{self, Turn};
+use crate::waiting::Registry;
 
 /// Streams that are remembered after a reset, so that their late frames are not taken for errors.
 const RESET_STREAMS: usize = 64;
 
+/// Bytes that a connection reads before its calls take their data.
+const TURN_BYTES: usize = 16 * 1024;
+
+/// Maximum number of open calls of one connection.
+const MAX_STREAMS: u32 = 1_024;
+
 /// A bound listener that does not serve yet.
 pub struct Server {
     listener: Listener,
     limits: Limits,
-    budget: Rc<Budget>,
+    descriptors: Rc<descriptors::Budget>,
 }
 
 impl Server {
@@ -39,13 +52,14 @@
     /// # Errors
     /// Fails if the address cannot be bound, for instance because another process uses it.
     pub fn bind(addr: SocketAddr, limits: Limits) -> io::Result<Self> {
-        Ok(Self { listener: Listener::bind(addr)?, limits, budget: Rc::new(Budget::unlimited()) })
+        let descriptors = Rc::new(descriptors::Budget::unlimited());
+        Ok(Self { listener: Listener::bind(addr)?, limits, descriptors })
     }
 
-    /// Counts the accepted connections in `budget`, as ones of [`Class::Control`].
+    /// Counts the accepted connections in `descriptors`, as ones of [`Class::Control`].
     #[must_use]
-    pub fn with_budget(self, budget: Rc<Budget>) -> Self {
-        Self { budget, ..self }
+    pub fn with_budget(self, descriptors: Rc<descriptors::Budget>) -> Self {
+        Self { descriptors, ..self }
     }
 
     /// Returns the bound address.
@@ -60,22 +74,34 @@
     ///
     /// After the trigger, peers receive `GOAWAY` and open no more streams. Calls that are still in
     /// flight `grace` after the trigger are aborted.
+    ///
+    /// If no connection is left for a new peer, or no call, the connection that has waited longest
+    /// for its peer is closed: one without a call that is being handled.
     pub async fn serve(self, handler: Rc<dyn Handler>, stop: Shutdown, grace: Duration) {
         let abort = Shutdown::new();
-        let acceptor = Acceptor {
-            connections: Semaphore::new(self.limits.connections),
-            budget: self.budget,
+        let waiting: Rc<Registry> = Rc::default();
+        let slots = Rc::new(Slots::new(
+            self.limits.connections,
+            self.descriptors.clone(),
+            Class::Control,
+            waiting.clone(),
+        ));
+        let memory = Budget::new(self.limits.message_bytes, Eviction::of("peer"));
+        let acceptor = Rc::new(Acceptor {
+            slots,
             stop: stop.clone(),
             calls: Rc::new(Calls {
                 handler,
                 limits: self.limits,
                 permits: Semaphore::new(self.limits.calls),
+                memory: Rc::new(memory),
+                waiting,
                 abort: abort.clone(),
             }),
-        };
+        });
         let admit = |stream, peer| acceptor.admit(stream, peer);
-        self.listener.accept_until(&stop, &acceptor.budget, admit).await;
-        let ended = monoio::time::timeout(grace, acceptor.connections.wait_until_unused()).await;
+        self.listener.accept_until(&stop, &self.descriptors, admit).await;
+        let ended = monoio::time::timeout(grace, acceptor.slots.wait_until_unused()).await;
         if ended.is_err() {
             log::warn!("event=peer.stop_cut grace_ms={}", grace.as_millis());
         }
@@ -84,36 +110,49 @@
 }
 
 struct Acceptor {
-    connections: Semaphore,
-    budget: Rc<Budget>,
+    slots: Rc<Slots>,
     stop: Shutdown,
     calls: Rc<Calls>,
 }
 
 impl Acceptor {
-    fn admit(&self, stream: TcpStream, peer: SocketAddr) {
-        let Some(permit) = self.connections.try_acquire() else {
-            log::warn!("event=peer.refused peer={peer} cause=connections");
-            return;
-        };
-        let Ok(descriptor) = self.budget.acquire(Class::Control) else {
-            log::warn!("event=peer.refused peer={peer} cause=descriptors");
-            return;
-        };
+    fn admit(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
         let _ = stream.set_nodelay(true);
+        match self.slots.take() {
+            Some(slot) => self.spawn(stream, peer, slot),
+            None => self.enter(stream, peer),
+        }
+    }
+
+    fn spawn(&self, stream: TcpStream, peer: SocketAddr, slot: Slot) {
         let calls = self.calls.clone();
         let stop = self.stop.clone();
         monoio::spawn(async move {
             // Dropped after the connection.
-            let _descriptor = descriptor;
+            let _slot = slot;
             let abort = calls.abort.clone();
-            let mut serving = Box::pin(serve(calls, stream, peer, stop).fuse());
+            let presence = Presence::new(calls.waiting.clone());
+            let evicted = presence.evicted();
+            let mut serving = Box::pin(serve(calls, stream, peer, presence, stop).fuse());
             let mut aborted = Box::pin(abort.wait().fuse());
+            let mut evicted = Box::pin(evicted.wait().fuse());
             futures_util::select_biased! {
                 result = serving => log_end(peer, &result),
                 () = aborted => {}
+                () = evicted => {}
+            }
+        });
+    }
+
+    /// Admits a connection once another one is closed for it, or closes it.
+    fn enter(self: &Rc<Self>, stream: TcpStream, peer: SocketAddr) {
+        self.calls.memory.note_evicted(Cause::Connections);
+        let Some(entering) = self.slots.enter() else { return };
+        let acceptor = self.clone();
+        monoio::spawn(async move {
+            if let Some(slot) = entering.slot().await {
+                acceptor.spawn(stream, peer, slot);
             }
-            drop(permit);
         });
     }
 }
@@ -128,55 +167,90 @@
     calls: Rc<Calls>,
     stream: TcpStream,
     peer: SocketAddr,
+    presence: Rc<Presence>,
     stop: Shutdown,
 ) -> Result<(), h2::Error> {
     let limits = calls.limits;
-    let streams = u32::try_from(limits.calls).unwrap_or(u32::MAX);
+    let streams = u32::try_from(limits.calls).unwrap_or(u32::MAX).min(MAX_STREAMS);
+    let turn = Rc::new(RefCell::new(Turn::of(TURN_BYTES)));
     let handshake = server::Builder::new()
         .initial_window_size(STREAM_WINDOW)
         .initial_connection_window_size(CONNECTION_WINDOW)
         .max_header_list_size(HEADER_BYTES)
         .max_concurrent_streams(streams)
         .max_concurrent_reset_streams(RESET_STREAMS)
-        .handshake(stream);
+        .handshake(Stream::new(stream, turn.clone()));
     let Ok(connection) = monoio::time::timeout(limits.read_timeout, handshake).await else {
         return Ok(());
     };
-    accept_calls(&calls, connection?, peer, &stop).await
+    let incoming = Incoming { connection: connection?, turn };
+    accept_calls(&calls, incoming, peer, &presence, &stop).await
+}
+
+/// Calls that arrive on a connection.
+struct Incoming {
+    connection: Connection<Stream, Bytes>,
+    turn: Rc<RefCell<Turn>>,
+}
+
+impl Incoming {
+    /// Returns the next call; `None` once the peer has closed the connection.
+    async fn next(&mut self) -> Option<Result<Call, h2::Error>> {
+        loop {
+            let next = poll_fn(|context| {
+                let next = self.connection.poll_accept(context);
+                let mut turn = self.turn.borrow_mut();
+                match next {
+                    Poll::Ready(next) => Poll::Ready(Some(next)),
+                    Poll::Pending if turn.is_over() => Poll::Ready(None),
+                    Poll::Pending => {
+                        turn.restart();
+                        Poll::Pending
+                    }
+                }
+            });
+            if let Some(next) = next.await {
+                return next;
+            }
+            // The calls that have arrived take their data meanwhile.
+            monoio::time::sleep(turn::PAUSE).await;
+            self.turn.borrow_mut().restart();
+        }
+    }
 }
 
 /// Accepts calls until the peer closes the connection, it has been idle too long, or `stop` is
 /// triggered. In the last two cases the calls in flight are finished first.
 async fn accept_calls(
     calls: &Rc<Calls>,
-    mut connection: Connection<TcpStream, Bytes>,
+    mut incoming: Incoming,
     peer: SocketAddr,
+    presence: &Rc<Presence>,
     stop: &Shutdown,
 ) -> Result<(), h2::Error> {
     let mut stopped = Box::pin(stop.wait().fuse());
-    let mut in_flight = Rc::new(());
     loop {
         let mut idle = Box::pin(monoio::time::sleep(calls.limits.idle_timeout).fuse());
-        let mut accept = Box::pin(connection.accept().fuse());
+        let mut accept = Box::pin(incoming.next().fuse());
         let accepted = futures_util::select_biased! {
             accepted = accept => accepted,
             () = stopped => break,
             () = idle => {
-                if Rc::get_mut(&mut in_flight).is_none() {
+                if presence.has_calls() {
                     continue;
                 }
                 break;
             }
         };
         match accepted {
-            Some(call) => calls.start(call?, peer, in_flight.clone()),
+            Some(call) => calls.start(call?, peer, presence),
             None => return Ok(()),
         }
     }
-    connection.graceful_shutdown();
+    incoming.connection.graceful_shutdown();
     let closing = async {
-        while let Some(call) = connection.accept().await {
-            calls.start(call?, peer, in_flight.clone());
+        while let Some(call) = incoming.next().await {
+            calls.start(call?, peer, presence);
         }
         Ok(())
     };
@@ -185,102 +259,3 @@
     }
     monoio::time::timeout(calls.limits.read_timeout, closing).await.unwrap_or(Ok(()))
 }
-
-type Call = (http::Request<RecvStream>, SendResponse<Bytes>);
-
-struct Calls {
-    handler: Rc<dyn Handler>,
-    limits: Limits,
-    permits: Semaphore,
-    abort: Shutdown,
-}
-
-impl Calls {
-    /// Runs one call in a task of its own, which holds `in_flight` until it ends.
-    ///
-    /// A peer may reset streams and open new ones while the handlers of the former still run.
-    /// HTTP/2 limits only the open streams; the permits limit the running handlers.
-    fn start(self: &Rc<Self>, (request, mut respond): Call, peer: SocketAddr, in_flight: Rc<()>) {
-        let Some(permit) = self.permits.try_acquire() else {
-            respond.send_reset(Reason::REFUSED_STREAM);
-            return;
-        };
-        let calls = self.clone();
-        monoio::spawn(async move {
-            let mut running = Box::pin(calls.run(request, respond, peer, permit).fuse());
-            let mut aborted = Box::pin(calls.abort.wait().fuse());
-            futures_util::select_biased! {
-                () = running => {}
-                () = aborted => {}
-            }
-            drop(in_flight);
-        });
-    }
-
-    async fn run(
-        &self,
-        request: http::Request<RecvStream>,
-        mut respond: SendResponse<Bytes>,
-        peer: SocketAddr,
-        _permit: SemaphorePermit,
-    ) {
-        let (head, mut stream) = request.into_parts();
-        let read = body::read(&mut stream, self.limits.body_bytes);
-        let result = match with_deadline(self.deadline(), read).await {
-            Ok(body) => {
-                let method = head.uri.path_and_query().map_or("", |path| path.as_str());
-                self.handler.handle(peer, method.trim_start_matches('/'), body).await
-            }
-            Err(BodyError::TooLarge { limit }) => {
-                Err(malformed(format!("body larger than {limit} bytes")))
-            }
-            Err(error) => {
-                log::debug!("event=peer.call_cut peer={peer} cause={:?}", error.to_string());
-                return respond.send_reset(Reason::CANCEL);
-            }
-        };
-        if let Err(error) =
-            with_deadline(self.deadline(), send_response(&mut respond, result)).await
-        {
-            log::debug!("event=peer.answer_lost peer={peer} cause={:?}", error.to_string());
-            return respond.send_reset(Reason::CANCEL);
-        }
-        // Dropping a body that is still arriving resets the stream, and the reset could overtake
-        // the response that explains the refusal.
-        let _ = with_deadline(self.deadline(), body::discard(&mut stream)).await;
-    }
-
-    fn deadline(&self) -> Instant {
-        Instant::now() + self.limits.read_timeout
-    }
-}
-
-fn malformed(reason: String) -> Refusal {
-    Refusal { code: Code::Malformed, reason }
-}
-
-async fn send_response(
-    respond: &mut SendResponse<Bytes>,
-    result: Result<Bytes, Refusal>,
-) -> Result<(), BodyError> {
-    let (status, body) = match result {
-        Ok(body) => (StatusCode::OK, body),
-        Err(refusal) => (refusal.code.status(), reason_body(refusal.reason)),
-    };
-    let mut head = http::Response::new(());
-    *head.status_mut() = status;
-    let mut stream = respond.send_response(head, body.is_empty())?;
-    body::write(&mut stream, body).await
-}
-
-fn reason_body(mut reason: String) -> Bytes {
-    reason.truncate(reason.floor_char_boundary(REASON_BYTES));
-    Bytes::from(reason)
-}
-
-async fn with_deadline<T>(
-    deadline: Instant,
-    future: impl Future<Output = Result<T, BodyError>>,
-) -> Result<T, BodyError> {
-    monoio::time::timeout_at(deadline, future).await.unwrap_or(Err(BodyError::TimedOut))
-}
--- a/src/turn.rs
+++ b/src/turn.rs
@@ -9,7 +9,7 @@
 /// Time for which a task waits between two turns. Any timer makes the runtime look at all others.
 pub const PAUSE: Duration = Duration::from_millis(1);
 
-/// Work that a task does for one peer without a pause, in bytes received.
+/// Usual length of a turn, in bytes received.
 const BYTES: usize = 64 * 1024;
 
 /// Work done in the present turn.
@@ -23,12 +23,24 @@
 /// turn.restart();
 /// assert!(!turn.is_over());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Turn {
     bytes: usize,
+    limit: usize,
+}
+
+impl Default for Turn {
+    fn default() -> Self {
+        Self::of(BYTES)
+    }
 }
 
 impl Turn {
+    /// Creates a turn that is over after the work of `limit` received bytes.
+    pub const fn of(limit: usize) -> Self {
+        Self { bytes: 0, limit }
+    }
+
     /// Adds the work of `bytes` received bytes.
     pub const fn add(&mut self, bytes: usize) {
         self.bytes = self.bytes.saturating_add(bytes);
@@ -36,7 +48,7 @@
 
     /// Whether the task has to pause before it goes on.
     pub const fn is_over(&self) -> bool {
-        self.bytes >= BYTES
+        self.bytes >= self.limit
     }
 
     /// Begins a new turn, after the task has waited.
