Refuse jobs beyond the memory that open jobs may take

What callers saw: an owner kept every job that it had accepted, with texts of up to 262,144 bytes, until the process ran out of memory: 331 MB of 64 with 400 clients that submit such jobs for 6 s, which fit on no worker and stay open. Cause: nothing bounded the size of the open jobs together. Change: the owner counts the encoded size of the open and the delayed jobs (anew each second, and with each accepted one); beyond an eighth of memoryMb it refuses further jobs with 503. They are not accepted; jobs that are known already are answered as before, also beyond the limit. Counter: cell_jobs_total outcome=refused; line job.refused cause=memory, one a second; explain says why.

--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -58,7 +58,8 @@
     /// leaves every caller's job in an unknown state: a job that is queued for the journal is still
     /// written when the store returns, so it can no longer be refused.
     ///
-    /// An overloaded owner refuses new jobs too: it could only start them late. Jobs that cannot end
+    /// An overloaded owner refuses new jobs too: it could only start them late. So does one whose
+    /// open jobs take all the memory that they may take. Jobs that cannot end
     /// in time are refused where the feature `admission` is on.
     fn submit(&mut self, id: CallId, job: Job, caller: &Caller) {
         if self.state.jobs.contains_key(&job.id) {
@@ -74,6 +75,12 @@
             }
             return self.reply(id, Answer::Unavailable);
         }
+        if !self.has_memory_for(&job) {
+            names::CELL_JOBS.increment(&[("outcome", "refused")]);
+            let customer = job.customer.as_ref();
+            self.history.note_refusal(job.id, customer, Reason::Memory, None, self.now);
+            return self.reply(id, Answer::Unavailable);
+        }
         if self.journal.is_slow(self.now) {
             self.delayed_jobs.push((id, job));
             return;
--- a/src/cell/machine/explain/history.rs
+++ b/src/cell/machine/explain/history.rs
@@ -70,10 +70,13 @@
     /// The job could not end in time.
     #[display("late")]
     Late,
+    /// The open jobs take all the memory that they may take.
+    #[display("memory")]
+    Memory,
 }
 
 impl RefusalReason {
-    pub(super) const ALL: [Self; 7] = [
+    pub(super) const ALL: [Self; 8] = [
         Self::Overloaded,
         Self::Store,
         Self::AboveCap,
@@ -81,6 +84,7 @@
         Self::IdInUse,
         Self::Unchecked,
         Self::Late,
+        Self::Memory,
     ];
 
     pub(super) const fn cause(self) -> &'static str {
@@ -92,6 +96,7 @@
             Self::IdInUse => "another customer's job has this ID",
             Self::Unchecked => "the instance was of an earlier version and had not checked the key",
             Self::Late => "the job could not have ended within three times its objective",
+            Self::Memory => "the open jobs took all the memory that they may take",
         }
     }
 }
--- a/src/cell/machine/journal_queue.rs
+++ b/src/cell/machine/journal_queue.rs
@@ -7,6 +7,7 @@
 use super::{Answer, CallId, Effect, Machine, Stage};
 use crate::cell::dependencies::AppendError;
 use crate::cell::job::{Id, Phase, Run, RunOutcome};
+use crate::cell::job::{Job, Step};
 use crate::cell::record::{Batch, Record, WorkerId};
 use crate::cell::timings::{
     APPEND_HEDGE_DELAY, APPEND_RETRY, IDLE_APPEND_INTERVAL, MAX_APPEND_BYTES,
@@ -153,23 +154,28 @@
     }
 }
 
+/// Upper bound of the encoded size of a record without texts, in bytes.
+const PLAIN: usize = 128;
+
 /// Upper bound of the encoded size of a record, in bytes.
 fn size(record: &Record) -> usize {
-    const PLAIN: usize = 128;
     const RUN: usize = 40;
-    const STEP: usize = 96;
     match record {
-        Record::Accepted { job, .. } => {
-            let text: usize = job.steps.iter().map(step_text).sum();
-            PLAIN + job.payload.len() + job.queue.len() + text + STEP * job.steps.len()
-        }
+        Record::Accepted { job, .. } => job_size(job),
         Record::Placed { runs, .. } => PLAIN + RUN * runs.len(),
         Record::Ended { checkpoint: saved, .. } => PLAIN + saved.len(),
         _ => PLAIN,
     }
 }
 
-fn step_text(step: &crate::cell::job::Step) -> usize {
+/// Upper bound of the encoded size of a job, in bytes.
+pub(super) fn job_size(job: &Job) -> usize {
+    const STEP: usize = 96;
+    let text: usize = job.steps.iter().map(step_text).sum();
+    PLAIN + job.payload.len() + job.queue.len() + text + STEP * job.steps.len()
+}
+
+fn step_text(step: &Step) -> usize {
     let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
     text(&step.required_label)
         + text(&step.data_rack)
--- a/src/cell/machine/mod.rs
+++ b/src/cell/machine/mod.rs
@@ -21,6 +21,7 @@
 mod explain;
 mod forget;
 mod inactive;
+mod job_bytes;
 mod journal_queue;
 mod lookup;
 mod loss;
@@ -71,6 +72,7 @@
 use self::deferral::Deferrals;
 use self::explain::History;
 use self::inactive::InactiveWorkers;
+use self::job_bytes::JobBytes;
 use self::lost_records::Doubts;
 use self::pending::RoundJobs;
 use self::proxy::PolicyProxy;
@@ -159,6 +161,7 @@
     delayed_jobs: Vec<(CallId, Job)>,
     /// Whether new jobs are refused because the owner's thread is overloaded.
     overloaded: bool,
+    job_bytes: JobBytes,
     claimed: Instant,
     /// Worker incarnations that have ended but may still be listed.
     dead_workers: BTreeSet<WorkerId>,
@@ -248,6 +251,7 @@
             journal: JournalQueue::new(claim + 1, end, now),
             delayed_jobs: Vec::new(),
             overloaded: false,
+            job_bytes: JobBytes::default(),
             claimed: now,
             dead_workers: BTreeSet::new(),
             snapshots: SnapshotSchedule::new(timings.retention, now),
@@ -279,6 +283,7 @@
             now,
             unix,
         };
+        machine.count_job_bytes();
         machine.recover_runs();
         machine.recover_shares();
         machine.recover_started_work();
@@ -341,6 +346,7 @@
         if self.now >= self.next_forget {
             self.next_forget = now.after(FORGET_INTERVAL);
             self.forget();
+            self.count_job_bytes();
             self.report_unsaved();
         }
         done(OwnerActivity::Upkeep);
