Test the memory budget, its settings, and the largest request in calm

memory::Budget over random histories: what messages hold never exceeds the limit and is given back; which message gives way; no request that is being handled does; no grant is lost with its waiter. A single body of 262,144 bytes, whole, in chunks of 64 KiB and of 4 bytes, is accepted and completed by instances of 64 MB.

--- a/tests/logic/main.rs
+++ b/tests/logic/main.rs
@@ -13,6 +13,7 @@
 mod logging;
 mod logging_sink;
 mod membership;
+mod memory;
 mod owner;
 mod owner_session;
 mod permit;
