Let clients wait for memory before others give way, and end refused ones at once

Cause: of equal clients the newest pushed out the oldest at once, which came back to push out the next, all of them sending 256 KB each time. Refused ones kept their places for up to half a second more, in which up to 256 KB of them were read and thrown away; callers' places ran out. Change: a message gives way only after it has held its memory for a second; until then those that ask wait, within their time limit, and look again every 0.2 s. A connection that gives way closes without the delay, and at most 64 of an address close with it. Why it works: the crowd returns at the pace at which memory frees, not at that of the network; what an ordinary request needs it has without waiting.

--- a/src/http/connection.rs
+++ b/src/http/connection.rs
@@ -24,6 +24,7 @@
 use super::server::error_response;
 use super::{Handler, Limits, Request, Response};
 use crate::memory::Budget;
+use crate::permit::Semaphore;
 use crate::shutdown::Shutdown;
 use crate::waiting::{Entry, Registry};
 
@@ -39,6 +40,9 @@
 /// Work of handling a request, as that of so many received bytes.
 const REQUEST_WORK: usize = 4 * 1024;
 
+/// Maximum number of connections of a server that are closed with a delay at the same time.
+pub(super) const MAX_LINGERING: usize = 64;
+
 /// Buffer size for discarded bytes.
 const DISCARD_CHUNK: usize = 4 * 1024;
 
@@ -61,6 +65,8 @@
     /// Connections that wait for their peer, which may be closed for others.
     pub(super) waiting: Rc<Registry>,
     pub(super) stop: Shutdown,
+    /// Limits the connections that are closed with a delay.
+    pub(super) lingering: Rc<Semaphore>,
 }
 
 pub(super) struct Connection {
@@ -239,11 +245,16 @@
     ///
     /// Closing a socket with unread bytes resets it, and the reset can overtake the response that
     /// explains a refusal. The outgoing side is therefore shut down first, and the rest of the
-    /// request is read and discarded.
+    /// request is read and discarded. A connection that gives way to others, and one beyond
+    /// [`MAX_LINGERING`], is closed at once.
     async fn close(mut self) {
         *self.source.read_buffer_mut() = BytesMut::new();
         self.source.get_mut().reserve(None);
         let _ = self.sink.shutdown().await;
+        if self.evicted.is_triggered() {
+            return;
+        }
+        let Some(_lingering) = self.shared.lingering.try_acquire() else { return };
         let reader = self.source.get_mut();
         let _ = monoio::time::timeout(CLOSE_TIMEOUT, discard(reader)).await;
     }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -12,11 +12,12 @@
 use monoio::net::TcpStream;
 use serde::Serialize;
 
-use super::connection::{Connection, Shared};
+use super::connection::{Connection, MAX_LINGERING, Shared};
 use super::{Handler, Limits, Response};
 use crate::descriptors::{self, Class};
 use crate::listener::Listener;
 use crate::memory::{Budget, Cause, Eviction};
+use crate::permit::Semaphore;
 use crate::shutdown::Shutdown;
 use crate::slots::{Slot, Slots};
 use crate::waiting::Registry;
@@ -99,6 +100,7 @@
                 memory: Rc::new(memory),
                 waiting,
                 stop: stop.clone(),
+                lingering: Rc::new(Semaphore::new(MAX_LINGERING)),
             },
             abort: abort.clone(),
             slots,
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Each message that does not arrive at once holds a [`Reservation`] until it has been answered. If
 //! nothing is left, the message that holds the most gives way, of several the oldest one: a peer that
-//! stops short of the end of a large message cannot keep others from being served. Messages that are
-//! complete are being handled and do not give way. A part of the budget is kept for small messages.
+//! stops short of the end of a large message cannot keep others from being served. One that has held
+//! its memory only for a short time does not give way yet, so that clients which come back at once
+//! wait and do not push each other out all the time. Messages that are complete are being handled and
+//! do not give way. A part of the budget is kept for small messages.
 
 mod eviction;
 mod queue;
@@ -11,9 +13,12 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use derive_more::{Display, Error};
+use monoio::time::Instant;
 
 pub use self::eviction::{Cause, Eviction};
 use self::queue::{Grant, Queue};
@@ -22,6 +27,12 @@
 /// Largest size of a small message, in bytes.
 pub const SMALL_MESSAGE_BYTES: usize = 16 * 1024;
 
+/// Time for which a message holds its memory before it may have to give way.
+const MIN_HOLD: Duration = Duration::from_secs(1);
+
+/// Interval at which a waiting message looks for others that may have to give way by now.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Part of the budget (one in this many) that only small messages may use.
 const SMALL_DIVISOR: usize = 4;
 
@@ -44,13 +55,22 @@
     age: Reverse<u64>,
 }
 
+/// An incomplete message.
+#[derive(Clone, Debug)]
+struct Holder {
+    since: Instant,
+    signal: Shutdown,
+}
+
 /// Number of bytes that messages may hold, and how many they hold.
 ///
 /// ```
 /// use std::rc::Rc;
+/// use std::time::Duration;
 /// use oriolefork::memory::{Budget, Eviction};
 /// use oriolefork::shutdown::Shutdown;
-/// let budget = Rc::new(Budget::new(1_000, Eviction::of("api")));
+/// let budget = Budget::new(1_000, Eviction::of("api")).with_min_hold(Duration::ZERO);
+/// let budget = Rc::new(budget);
 /// let signal = Shutdown::new();
 /// let mut large = budget.reservation(signal.clone());
 /// assert!(large.try_hold(900).is_ok());
@@ -65,7 +85,8 @@
     /// Bytes of the messages that have been told to give way and still hold them.
     yielding: Cell<usize>,
     next_age: Cell<u64>,
-    incomplete: RefCell<BTreeMap<Rank, Shutdown>>,
+    incomplete: RefCell<BTreeMap<Rank, Holder>>,
+    min_hold: Duration,
     waiting: Queue,
     eviction: Eviction,
 }
@@ -79,11 +100,18 @@
             yielding: Cell::new(0),
             next_age: Cell::new(0),
             incomplete: RefCell::default(),
+            min_hold: MIN_HOLD,
             waiting: Queue::default(),
             eviction,
         }
     }
 
+    /// Sets the time for which a message holds its memory before it may have to give way.
+    #[must_use]
+    pub fn with_min_hold(self, min_hold: Duration) -> Self {
+        Self { min_hold, ..self }
+    }
+
     /// Bytes in use.
     pub const fn in_use(&self) -> usize {
         self.in_use.get()
@@ -99,7 +127,8 @@
     pub fn reservation(self: &Rc<Self>, signal: Shutdown) -> Reservation {
         let age = self.next_age.get();
         self.next_age.set(age + 1);
-        Reservation { budget: self.clone(), signal, age, bytes: 0, is_complete: false }
+        let since = Instant::now();
+        Reservation { budget: self.clone(), signal, age, since, bytes: 0, is_complete: false }
     }
 
     /// Bytes that messages of `bytes` bytes may use together with all others.
@@ -123,19 +152,20 @@
     /// Tells messages that hold at least `total` bytes to give way until `more` bytes will be free.
     fn make_room(&self, total: usize, more: usize) -> Result<(), Exhausted> {
         let limit = self.limit_for(total);
+        let mut incomplete = self.incomplete.borrow_mut();
+        if incomplete.last_key_value().is_some_and(|(largest, _)| largest.bytes < total) {
+            self.eviction.note(Cause::Memory);
+            return Err(Exhausted { bytes: total, in_use: self.in_use.get(), limit });
+        }
         while self.in_use.get() - self.yielding.get() + more > limit {
-            let mut incomplete = self.incomplete.borrow_mut();
-            // Without one, those that are being handled free their bytes soon.
-            let Some(largest) = incomplete.last_entry() else { break };
-            let bytes = largest.key().bytes;
-            if bytes < total {
-                self.eviction.note(Cause::Memory);
-                return Err(Exhausted { bytes: total, in_use: self.in_use.get(), limit });
-            }
-            let signal = largest.remove();
-            self.yielding.set(self.yielding.get() + bytes);
+            let mut holders = incomplete.iter().rev().take_while(|(rank, _)| rank.bytes >= total);
+            let evicted = holders.find(|(_, holder)| holder.since.elapsed() >= self.min_hold);
+            // Without one, those that are being handled or have just begun free their bytes soon.
+            let Some((&rank, _)) = evicted else { break };
+            let holder = incomplete.remove(&rank);
+            self.yielding.set(self.yielding.get() + rank.bytes);
             self.eviction.note(Cause::Memory);
-            signal.trigger();
+            holder.inspect(|holder| holder.signal.trigger());
         }
         Ok(())
     }
@@ -162,6 +192,7 @@
     budget: Rc<Budget>,
     signal: Shutdown,
     age: u64,
+    since: Instant,
     bytes: usize,
     is_complete: bool,
 }
@@ -180,7 +211,13 @@
         let Some(more) = self.missing(bytes) else { return Ok(()) };
         if !self.budget.fits(bytes, more) {
             self.budget.make_room(bytes, more)?;
-            let mut grant = self.budget.waiting.wait(bytes, more).await;
+            let mut granted = pin!(self.budget.waiting.wait(bytes, more));
+            let mut grant = loop {
+                match monoio::time::timeout(RETRY_INTERVAL, &mut granted).await {
+                    Ok(grant) => break grant,
+                    Err(_) => self.budget.make_room(bytes, more)?,
+                }
+            };
             grant.take();
         } else {
             self.budget.change(more.cast_signed());
@@ -223,7 +260,8 @@
         }
         self.bytes = bytes;
         if !is_yielding {
-            incomplete.insert(self.rank(), self.signal.clone());
+            let holder = Holder { since: self.since, signal: self.signal.clone() };
+            incomplete.insert(self.rank(), holder);
         }
     }
 
