--- a/src/http/quota.rs
+++ b/src/http/quota.rs
@@ -20,6 +20,7 @@
 
 use monoio::time::Instant;
 
+use crate::logging::Repeats;
 use crate::permit::{Semaphore, SemaphorePermit};
 use crate::telemetry::names;
 
@@ -50,9 +51,6 @@
 /// Number of peers from which on those without calls are forgotten.
 const FIRST_PRUNE: usize = 64;
 
-/// Minimum interval between two log lines about refused connections of one peer.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// What is known about the connections that peers accept; shared by the clients of a process that
 /// call the same peers.
 ///
@@ -189,8 +187,7 @@
     limited_until: Cell<Option<Instant>>,
     turns: Semaphore,
     last_used: Cell<Instant>,
-    next_log: Cell<Instant>,
-    unlogged: Cell<u64>,
+    refusals: Repeats,
 }
 
 /// An established connection.
@@ -203,7 +200,6 @@
 
 impl Quota {
     fn new(peer: SocketAddr, connections: usize, wanted: usize) -> Self {
-        let now = Instant::now();
         Self {
             peer,
             slots: Semaphore::new(connections),
@@ -218,9 +214,8 @@
             scarce: Cell::new(false),
             limited_until: Cell::new(None),
             turns: Semaphore::new(1),
-            last_used: Cell::new(now),
-            next_log: Cell::new(now),
-            unlogged: Cell::new(0),
+            last_used: Cell::new(Instant::now()),
+            refusals: Repeats::default(),
         }
     }
 
@@ -304,13 +299,8 @@
     }
 
     fn log_refused(&self, open: usize) {
-        let now = Instant::now();
-        self.unlogged.set(self.unlogged.get() + 1);
-        if now < self.next_log.get() {
-            return;
-        }
-        self.next_log.set(now + LOG_INTERVAL);
-        let (count, kept) = (self.unlogged.replace(0), self.kept.get());
+        let Some(count) = self.refusals.due() else { return };
+        let kept = self.kept.get();
         log::warn!(
             "event=http.connection_refused peer={} open={open} kept={kept} scarce={} count={count}",
             self.peer,
--- a/src/memory/eviction.rs
+++ b/src/memory/eviction.rs
@@ -1,7 +1,5 @@
 //! Counts and logs the clients that have to give way to others.
 
-use std::cell::Cell;
-
 use derive_more::Display;
 
 use crate::logging::Repeats;
@@ -31,7 +29,6 @@
 pub struct Eviction {
     /// Name of the server's address, for metrics and log lines.
     address: &'static str,
-    in_use: Cell<usize>,
     repeats: Repeats,
 }
 
@@ -40,26 +37,24 @@
     ///
     /// ```
     /// use oriolefork::memory::{Cause, Eviction};
-    /// Eviction::of("api").note(Cause::Memory);
+    /// Eviction::of("api").note(Cause::Memory, 0);
     /// ```
     pub fn of(address: &'static str) -> Self {
-        Self { address, in_use: Cell::new(0), repeats: Repeats::default() }
+        Self { address, repeats: Repeats::default() }
     }
 
     /// Records the bytes that messages hold.
     pub(super) fn note_in_use(&self, bytes: usize) {
-        self.in_use.set(bytes);
         names::MESSAGE_BYTES.set(bytes as f64, &[("address", self.address)]);
     }
 
-    /// Records that a client has to give way, or is refused.
-    pub fn note(&self, cause: Cause) {
+    /// Records that a client has to give way, or is refused, while messages hold `message_bytes`.
+    pub fn note(&self, cause: Cause, message_bytes: usize) {
         names::CLIENTS_EVICTED.increment(&[("address", self.address), ("cause", cause.name())]);
         if let Some(count) = self.repeats.due() {
             log::warn!(
-                "event=client.evicted address={} cause={cause} count={count} message_bytes={}",
+                "event=client.evicted address={} cause={cause} count={count} message_bytes={message_bytes}",
                 self.address,
-                self.in_use.get()
             );
         }
     }
--- a/src/memory/mod.rs
+++ b/src/memory/mod.rs
@@ -117,9 +117,9 @@
         self.in_use.get()
     }
 
-    /// Records that a client has to give way, or is refused, for something other than memory.
+    /// Records that a client has to give way, or is refused.
     pub fn note_evicted(&self, cause: Cause) {
-        self.eviction.note(cause);
+        self.eviction.note(cause, self.in_use());
     }
 
     /// Creates a reservation that holds nothing yet. `signal` is triggered when its message has to
@@ -154,7 +154,7 @@
         let limit = self.limit_for(total);
         let mut incomplete = self.incomplete.borrow_mut();
         if incomplete.last_key_value().is_some_and(|(largest, _)| largest.bytes < total) {
-            self.eviction.note(Cause::Memory);
+            self.note_evicted(Cause::Memory);
             return Err(Exhausted { bytes: total, in_use: self.in_use.get(), limit });
         }
         while self.in_use.get() - self.yielding.get() + more > limit {
@@ -164,7 +164,7 @@
             let Some((&rank, _)) = evicted else { break };
             let holder = incomplete.remove(&rank);
             self.yielding.set(self.yielding.get() + rank.bytes);
-            self.eviction.note(Cause::Memory);
+            self.note_evicted(Cause::Memory);
             holder.inspect(|holder| holder.signal.trigger());
         }
         Ok(())
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -11,8 +11,8 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use monoio::net::TcpStream;
+use monoio_http::h2;
 use monoio_http::h2::server::{self, Connection};
-use monoio_http::h2::{self};
 
 use super::calls::{Call, Calls};
 use super::paced::Stream;
