--- /dev/null
+++ b/review/standin-3/site.rs
@@ -0,0 +1,293 @@
+//! A small deployment: processes of the system, the store, and runners, all on loopback addresses.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{Client, Server};
+use crate::record::Record;
+use crate::runner::{Runner, Settings};
+use crate::store::{Limits, Store};
+
+/// The command of deploy/system.toml.
+const PROGRAM: &str = "target/release/oriolefork-platform";
+const ARGUMENTS: [&str; 2] = ["--features", "worker-speeds"];
+
+/// Host and path prefix of the only queue, and the service of its runners.
+pub const HOST: &str = "jobs.example";
+pub const PREFIX: &str = "/portal/";
+const SERVICE: &str = "portal";
+
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// Limits of the store, as the settings of the system state them.
+pub const KEEP_S: u64 = 20;
+pub const RECORD_BYTES: usize = 262_144;
+const CALL_BYTES: usize = 2_097_152;
+
+/// Figures of the bounds that the cases use.
+const MAX_HOLD_MS: u64 = 10_000;
+
+pub struct Site {
+    pub record: Arc<Record>,
+    store: Arc<Store>,
+    store_server: Server,
+    store_address: SocketAddr,
+    folder: PathBuf,
+    instances: Vec<Instance>,
+    runners: Arc<Mutex<BTreeMap<String, (Arc<Runner>, Server)>>>,
+    next_runner: u64,
+    over: Arc<AtomicBool>,
+}
+
+struct Instance {
+    name: String,
+    pub front: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+    process: Option<Child>,
+}
+
+impl Site {
+    /// Starts the store and `instances` processes of the system.
+    pub fn start(instances: usize, record: Arc<Record>) -> io::Result<Self> {
+        let keep = Duration::from_secs(KEEP_S);
+        let limits = Limits { keep, record_bytes: RECORD_BYTES, call_bytes: CALL_BYTES };
+        let store = Arc::new(Store::new(limits));
+        store.write_keyed("keyed.op", "config", &configuration());
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let store_address = listener.local_addr()?;
+        let answering = store.clone();
+        let store_server =
+            Server::start(listener, Arc::new(move |request| answering.answer(request)))?;
+        let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let mut site = Self {
+            record,
+            store,
+            store_server,
+            store_address,
+            folder,
+            instances: Vec::new(),
+            runners: Arc::default(),
+            next_runner: 0,
+            over: Arc::default(),
+        };
+        site.send_heartbeats();
+        for number in 0..instances {
+            let instance = site.configure(number)?;
+            site.instances.push(instance);
+            site.start_instance(number)?;
+        }
+        Ok(site)
+    }
+
+    /// Writes each runner's entry at intervals, and drops that of a runner that is gone.
+    fn send_heartbeats(&self) {
+        let (store, runners, over) = (self.store.clone(), self.runners.clone(), self.over.clone());
+        thread::spawn(move || {
+            let mut silent: BTreeMap<String, u32> = BTreeMap::new();
+            for sequence in 1.. {
+                if over.load(Ordering::SeqCst) {
+                    return;
+                }
+                for (id, (runner, _)) in runners.lock().unwrap().iter() {
+                    if !runner.is_gone() {
+                        store.write_keyed("keyed.servers", id, &runner.entry(sequence));
+                        continue;
+                    }
+                    let silent = silent.entry(id.clone()).or_default();
+                    *silent += 1;
+                    if *silent == 3 {
+                        store.write_keyed("keyed.servers", id, "");
+                    }
+                }
+                thread::sleep(HEARTBEAT);
+            }
+        });
+    }
+
+    fn configure(&self, number: usize) -> io::Result<Instance> {
+        let ip = format!("127.0.0.{}", 11 + number);
+        let port = || free_address(&ip);
+        let (front, ready, peer) = (port()?, port()?, port()?.port());
+        let ports = format!("[{peer},{}]", peer.saturating_add(1));
+        let name = format!("frontend-{number}");
+        let zones = ["oamaru-hall", "kurow-hall", "palmerston-hall"];
+        let zone = zones[number % zones.len()];
+        let settings = format!(
+            r#"{{
+  "node": "{name}", "role": "entry", "class": "frontend", "serves": ["frontend"],
+  "ip": "{ip}", "zone": "{zone}", "region": "otago",
+  "zones": {{"oamaru-hall": "otago", "kurow-hall": "otago", "palmerston-hall": "otago"}},
+  "listen": {{"front": "{front}", "ready": "{ready}"}},
+  "internalPorts": {ports}, "seeds": [], "bootstrap": true, "faultCounted": true,
+  "limits": {{"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0}},
+  "dataDir": null, "discovery": "platform", "entry": "vip", "heartbeatMs": 1500,
+  "contracts": ["base", "drain", "config", "cost", "recover", "sched", "platform"],
+  "faultTolerance": {{"machines": 2, "zones": 1, "regions": 0}},
+  "bounds": {{"contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 6, "configApplyMs": 2000, "recoveryS": 12, "maxHoldMs": {MAX_HOLD_MS}, "stopTimeoutMs": 400, "gangTimeoutMs": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120}},
+  "orders": "rpc",
+  "platform": {{"address": "{}", "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 32, "appendMs": 2.0, "partMbS": 20.0, "readMbS": 80.0, "recordBytes": {RECORD_BYTES}, "callBytes": {CALL_BYTES}, "keep_s": {KEEP_S}, "partMb": 200, "minTtlMs": 1000}}
+}}
+"#,
+            self.store_address
+        );
+        let path = self.folder.join(format!("{name}.json"));
+        std::fs::write(&path, settings)?;
+        Ok(Instance { name, front, ready, settings: path, process: None })
+    }
+
+    /// Starts the process of an instance.
+    pub fn start_instance(&mut self, number: usize) -> io::Result<()> {
+        let instance = &mut self.instances[number];
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", instance.name)))?;
+        let process = Command::new(PROGRAM)
+            .args(ARGUMENTS)
+            .env("ORIOLEFORK_CONFIG", &instance.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.record.note(&format!("start {} pid {}", instance.name, process.id()));
+        instance.process = Some(process);
+        Ok(())
+    }
+
+    /// Kills the process of an instance.
+    pub fn kill_instance(&mut self, number: usize) {
+        let instance = &mut self.instances[number];
+        if let Some(mut process) = instance.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+            self.record.note(&format!("kill {} pid {}", instance.name, process.id()));
+        }
+    }
+
+    /// Waits until all instances are ready; returns whether they are.
+    pub fn wait_ready(&self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        let timeout = Duration::from_secs(1);
+        self.instances.iter().all(|instance| {
+            while Instant::now() < until {
+                let answer = Client::new(instance.ready, HOST).call("GET", "/api/ready", "", timeout);
+                if answer.is_some_and(|(status, _)| status == 200) {
+                    self.record.note(&format!("{} is ready", instance.name));
+                    return true;
+                }
+                thread::sleep(Duration::from_millis(50));
+            }
+            false
+        })
+    }
+
+    /// A client of an instance.
+    pub fn client(&self, number: usize) -> Client {
+        Client::new(self.instances[number].front, HOST)
+    }
+
+    /// Starts a runner with this capacity and returns its ID.
+    pub fn add_runner(&mut self, cpu: u64, mem_mb: u64) -> io::Result<String> {
+        self.add_runner_at(SocketAddr::from(([127, 0, 0, 1], 0)), cpu, mem_mb)
+    }
+
+    /// Starts the next life of a runner that has crashed, at its address and with a new ID.
+    pub fn restart_runner(&mut self, id: &str) -> io::Result<String> {
+        let former = self.runners.lock().unwrap().get(id).map(|(runner, _)| runner.clone());
+        let former = former.ok_or(io::ErrorKind::NotFound)?;
+        self.add_runner_at(former.address, former.settings.cpu, former.settings.mem_mb)
+    }
+
+    fn add_runner_at(&mut self, at: SocketAddr, cpu: u64, mem_mb: u64) -> io::Result<String> {
+        self.next_runner += 1;
+        let id = format!("s-{:04x}", self.next_runner);
+        let settings = Settings {
+            id: id.clone(),
+            service: SERVICE.to_owned(),
+            rack: format!("r1-{}", self.next_runner % 3),
+            zone: "oamaru-hall".to_owned(),
+            cpu,
+            mem_mb,
+            max_hold_ms: MAX_HOLD_MS,
+        };
+        let (runner, server) = Runner::start(settings, at, self.record.clone())?;
+        self.store.write_keyed("keyed.servers", &id, &runner.entry(0));
+        self.record.note(&format!("runner {id} at {} is there", runner.address));
+        self.runners.lock().unwrap().insert(id.clone(), (runner, server));
+        Ok(id)
+    }
+
+    /// The runner on which a task of the job runs.
+    pub fn runner_of(&self, job: &str) -> Option<String> {
+        let runners = self.runners.lock().unwrap();
+        let runs = |runner: &Runner| runner.running().iter().any(|task| task.starts_with(job));
+        let found = runners.iter().find(|(_, (runner, _))| !runner.is_gone() && runs(runner));
+        found.map(|(id, _)| id.clone())
+    }
+
+    /// Crashes a runner: its process is gone, its machine refuses connections.
+    pub fn crash_runner(&self, id: &str) {
+        if let Some((runner, server)) = self.runners.lock().unwrap().get(id) {
+            runner.end();
+            server.stop();
+            self.record.note(&format!("runner {id} crashes"));
+        }
+    }
+
+    /// Notes the peak memory of each instance.
+    pub fn note_memory(&self) {
+        for instance in &self.instances {
+            let Some(process) = &instance.process else { continue };
+            let status = std::fs::read_to_string(format!("/proc/{}/status", process.id()));
+            let status = status.unwrap_or_default();
+            let peak = status.lines().find(|line| line.starts_with("VmHWM")).unwrap_or("unknown");
+            self.record.note(&format!("{} memory {peak}", instance.name));
+        }
+    }
+
+    pub fn instances(&self) -> usize {
+        self.instances.len()
+    }
+
+    /// Copies the logs of the instances beside the record, for a look at them.
+    pub fn keep_logs(&self, to: &Path) {
+        for instance in &self.instances {
+            let name = format!("{}.log", instance.name);
+            let _ = std::fs::copy(self.folder.join(&name), to.join(&name));
+        }
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::SeqCst);
+        for number in 0..self.instances.len() {
+            self.kill_instance(number);
+        }
+        for (runner, server) in self.runners.lock().unwrap().values() {
+            runner.end();
+            server.stop();
+        }
+        self.store_server.stop();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn free_address(ip: &str) -> io::Result<SocketAddr> {
+    TcpListener::bind(format!("{ip}:0"))?.local_addr()
+}
+
+fn configuration() -> String {
+    format!(
+        r#"{{"version":3,"routes":[{{"name":"portal-jobs","host":"{HOST}","pathPrefix":"{PREFIX}","backend":"{SERVICE}","priority":1,"attempts":2,"stretch":2.2,"targetLatencyMs":1000}}],"services":[{{"name":"{SERVICE}","enforcesCapacity":false}}],"limits":{{}}}}"#
+    )
+}
