--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -14,6 +14,7 @@
 use std::io;
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -24,12 +25,18 @@
 /// Time that each case may take.
 const TIME_LIMIT: Duration = Duration::from_secs(115);
 
+/// Time after which requesters stop sending.
+const TRAFFIC_LIMIT: Duration = Duration::from_secs(35);
+
 /// Time that clients wait for an answer.
 const DEADLINE: Duration = Duration::from_secs(3);
 
-/// Bounds of the rules: `contactMs` and `visible_ms`.
-const CONTACT: Duration = Duration::from_millis(3_000);
-const VISIBLE: Duration = Duration::from_millis(3_000);
+/// Bound of the rules: `finish_s`.
+const FINISH: Duration = Duration::from_secs(14);
+
+/// Attempts of a requester: the first one and four more, and the pause between two of them.
+const ATTEMPTS: usize = 5;
+const PAUSE: Duration = Duration::from_millis(500);
 
 /// Whether the rule held.
 enum Verdict {
@@ -71,10 +78,10 @@
 
 fn run(case: &str, trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
     match case {
-        "all-killed" => all_killed(trouble, record),
-        "wide-step" => wide_step(trouble, record),
-        "two-crashes" => two_crashes(trouble, record),
+        "frozen" => frozen(trouble, record),
+        "backlog" => backlog(trouble, record),
         "overdue" => overdue(trouble, record),
+        "many-tasks" => many_tasks(trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -92,17 +99,23 @@
     format!("{group:04x}{number:012x}")
 }
 
-/// Submits a job until it is accepted; returns whether it was.
-fn submit(client: &mut http::Client, record: &Record, id: &str, body: &str, limit: Duration) -> bool {
-    let until = Instant::now() + limit;
-    while Instant::now() < until {
-        let answer = client.call("POST", &job_path(id), body, DEADLINE);
-        let status = answer.as_ref().map(|(status, _)| *status);
+/// Submits a job, from one instance to the next until it is accepted; returns whether it was.
+fn submit(
+    clients: &mut [http::Client],
+    record: &Record,
+    id: &str,
+    body: &str,
+    attempts: usize,
+) -> bool {
+    for attempt in 0..attempts {
+        let client = attempt % clients.len();
+        let answer = clients[client].call("POST", &job_path(id), body, DEADLINE);
+        let status = answer.map(|(status, _)| status);
         record.note(&format!("POST {id} -> {status:?}"));
         if status == Some(200) {
             return true;
         }
-        thread::sleep(Duration::from_millis(200));
+        thread::sleep(PAUSE);
     }
     false
 }
@@ -114,32 +127,102 @@
     answer
 }
 
-/// All instances are killed at once while many jobs are due later.
+/// The owner's machine freezes and wakes again, while jobs come at the others.
 ///
-/// Rule LOST: a GET for an accepted job that nobody has cancelled is answered 410.
-fn all_killed(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
-    const JOBS: u64 = 4_300;
-    const CLIENTS: u64 = 6;
-    /// Interval between two jobs of one client: all of them together submit 100 a second.
-    const INTERVAL: Duration = Duration::from_millis(60);
+/// Rule Fault: on two machines processes end by themselves three times.
+fn frozen(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
+    const KEEP_S: u64 = 300;
     const SPEC_BYTES: usize = 4_000;
-    let mut site = Site::start(3, record.clone())?;
+    const CLIENTS: u64 = 120;
+    /// Interval between two jobs of one client: all of them together submit 300 a second.
+    const INTERVAL: Duration = Duration::from_millis(400);
+    const INSTANCES: usize = 6;
+    /// Time before the freeze, its length, and time after it.
+    const CALM: Duration = Duration::from_secs(8);
+    const FROZEN: Duration = Duration::from_millis(3_500);
+    const AFTER: Duration = Duration::from_secs(8);
+    let mut site = Site::start(INSTANCES, KEEP_S, record.clone())?;
     for _ in 0..4 {
         site.add_runner(64_000, 131_072)?;
     }
     if !site.wait_ready(Duration::from_secs(15)) {
         return Err(failed("the instances are not ready"));
     }
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
-    let due_ms = unix.as_millis() + 3_600_000;
-    let spec = format!("{:<SPEC_BYTES$}", "1000 ");
+    let spec = format!("{:<SPEC_BYTES$}", "500 small");
     let body = format!(
-        r#"{{"spec":"{spec}","steps":[{{"count":1,"cpu":500,"memMb":256,"estimatedMs":1000}}],"repeatCount":1,"firstRunMs":{due_ms},"intervalMs":1000}}"#
+        r#"{{"spec":"{spec}","steps":[{{"count":1,"cpu":500,"memMb":256,"estimatedMs":500}}]}}"#
     );
+    let over = Arc::new(AtomicBool::new(false));
+    for number in 0..CLIENTS {
+        let mut clients = all_clients(&site);
+        clients.rotate_left(number as usize % INSTANCES);
+        let (record, body, over) = (record.clone(), body.clone(), over.clone());
+        thread::spawn(move || {
+            let jobs = (number..u64::MAX).step_by(CLIENTS as usize);
+            for job in jobs.take_while(|_| !over.load(Ordering::SeqCst)) {
+                submit(&mut clients, &record, &job_id(1, job), &body, ATTEMPTS);
+                thread::sleep(INTERVAL);
+            }
+        });
+    }
+    let wait = |site: &mut Site, time: Duration| {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            site.keep_instances()?;
+            thread::sleep(Duration::from_millis(10));
+        }
+        Ok::<(), io::Error>(())
+    };
+    wait(&mut site, CALM)?;
+    let owner = site.owner().ok_or_else(|| failed("nobody owns the jobs"))?;
+    if trouble {
+        site.signal_instance(owner, "STOP")?;
+    }
+    wait(&mut site, FROZEN)?;
+    if trouble {
+        site.signal_instance(owner, "CONT")?;
+    }
+    wait(&mut site, AFTER)?;
+    over.store(true, Ordering::SeqCst);
+    let ends = site.ends();
+    record.note(&format!("the owner was instance {owner}, ends by instance {ends:?}"));
+    keep_logs(&site);
+    // The frozen machine is disturbed itself.
+    let ends: Vec<u32> =
+        ends.into_iter().enumerate().filter(|(n, _)| *n != owner).map(|(_, e)| e).collect();
+    let machines = ends.iter().filter(|ends| **ends > 0).count();
+    let is_broken = machines >= 2 && ends.iter().sum::<u32>() >= 3;
+    Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
+}
+
+/// The instances are stopped and started in turn while many jobs wait.
+///
+/// Rule LOST: after the end of the traffic an accepted job isn't known or gets no answer in time.
+fn backlog(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
+    const JOBS: u64 = 7_500;
+    const CLIENTS: u64 = 6;
+    /// Interval between two jobs of one client: all of them together submit 150 a second.
+    const INTERVAL: Duration = Duration::from_millis(40);
+    const SPEC_BYTES: usize = 1_000;
+    const KEEP_S: u64 = 20;
+    const ASKED: usize = 20;
+    /// Bounds: `graceS`, and the time from one start to the next stop.
+    const GRACE: Duration = Duration::from_secs(6);
+    const GAP: Duration = Duration::from_secs(4);
+    let mut site = Site::start(3, KEEP_S, record.clone())?;
+    for _ in 0..4 {
+        site.add_runner(64_000, 131_072)?;
+    }
+    if !site.wait_ready(Duration::from_secs(15)) {
+        return Err(failed("the instances are not ready"));
+    }
+    let spec = format!("{:<SPEC_BYTES$}", "2200 resize");
+    let step = r#""count":25,"cpu":6900,"memMb":1024,"estimatedMs":2200"#;
+    let body = format!(r#"{{"spec":"{spec}","steps":[{{{step}}},{{{step},"dependsOn":[0]}}]}}"#);
     let accepted = Arc::new(Mutex::new(Vec::new()));
     let senders: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let mut client = site.client(number as usize % site.instances());
+            let mut client = [site.client(number as usize % site.instances())];
             let (record, accepted, body) = (record.clone(), accepted.clone(), body.clone());
             thread::spawn(move || {
                 let begun = Instant::now();
@@ -147,7 +230,7 @@
                     let due = INTERVAL * sent as u32;
                     thread::sleep(due.saturating_sub(begun.elapsed()));
                     let id = job_id(1, job);
-                    if submit(&mut client, &record, &id, &body, Duration::from_secs(10)) {
+                    if submit(&mut client, &record, &id, &body, ATTEMPTS) {
                         accepted.lock().unwrap().push(id);
                     }
                 }
@@ -158,96 +241,28 @@
         sender.join().map_err(|_| failed("a client failed"))?;
     }
     let accepted = accepted.lock().unwrap().clone();
-    record.note(&format!("{} of {JOBS} jobs are accepted", accepted.len()));
-    // The last jobs are to be older than the records that the store keeps.
-    thread::sleep(Duration::from_secs(site::KEEP_S + 4));
-    site.note_memory();
+    record.note(&format!("end of the traffic, {} of {JOBS} jobs accepted", accepted.len()));
+    let asking_at = Instant::now() + FINISH;
     if trouble {
         for number in 0..site.instances() {
-            site.kill_instance(number);
-        }
-        thread::sleep(Duration::from_secs(1));
-        for number in 0..site.instances() {
+            site.stop_instance(number, GRACE)?;
             site.start_instance(number)?;
+            thread::sleep(GAP);
         }
-        if !site.wait_ready(Duration::from_secs(20)) {
-            return Err(failed("the instances are not ready after their kill"));
-        }
-    }
-    thread::sleep(CONTACT + VISIBLE);
-    let mut client = site.client(0);
-    let mut lost = 0;
-    let mut shown = 0;
-    for id in &accepted {
-        match show(&mut client, &record, id) {
-            Some((410, _)) => lost += 1,
-            Some((200, _)) => shown += 1,
-            _ => {}
-        }
-    }
-    let accepted = accepted.len();
-    record.note(&format!("{accepted} accepted, {shown} shown, {lost} answered 410"));
-    keep_logs(&site);
-    Ok(if lost > 0 { Verdict::Broken } else { Verdict::Held })
-}
-
-/// A large job arrives beside small ones: one step of many small tasks.
-///
-/// Rule LOST: `finish_s` after the end of the traffic, an accepted job has nothing running for 3 s while
-/// its turn has come, there is capacity for it twice over, and under half of the capacity is in use.
-fn wide_step(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
-    const STALLED: Duration = Duration::from_secs(3);
-    const FINISH: Duration = Duration::from_secs(14);
-    const SMALL_JOBS: u64 = 30;
-    let small = r#"{"spec":"500 small","steps":[{"count":1,"cpu":500,"memMb":256,"estimatedMs":500}]}"#;
-    let tasks = if trouble { 13_000 } else { 1_300 };
-    let wide = format!(
-        r#"{{"spec":"400 wide","steps":[{{"count":{tasks},"cpu":4,"memMb":8,"estimatedMs":400}}]}}"#
-    );
-    let mut site = Site::start(3, record.clone())?;
-    for _ in 0..4 {
-        site.add_runner(64_000, 131_072)?;
-    }
-    if !site.wait_ready(Duration::from_secs(15)) {
-        return Err(failed("the instances are not ready"));
-    }
-    let mut accepted = Vec::new();
-    for number in 0..SMALL_JOBS {
-        let mut client = site.client(number as usize % site.instances());
-        let (id, body) = if number == SMALL_JOBS / 3 {
-            (job_id(2, number), wide.as_str())
-        } else {
-            (job_id(1, number), small)
-        };
-        // Callers whose job is refused come back; these do so once.
-        if submit(&mut client, &record, &id, body, Duration::from_millis(300)) {
-            accepted.push(id);
-        }
-        thread::sleep(Duration::from_millis(300));
     }
-    record.note(&format!("end of the traffic, {} of {SMALL_JOBS} jobs accepted", accepted.len()));
-    thread::sleep(FINISH);
-    let mut ran = Vec::new();
-    let until = Instant::now() + STALLED;
-    while Instant::now() < until {
-        ran.extend(accepted.iter().filter(|id| site.runner_of(id).is_some()).cloned());
-        thread::sleep(Duration::from_millis(10));
-    }
-    let mut stalled = 0;
-    for id in &accepted {
-        let shown = (0..site.instances()).find_map(|number| {
-            let mut client = site.client(number);
-            show(&mut client, &record, id).filter(|(status, _)| *status == 200)
-        });
-        let is_over = shown.as_ref().is_some_and(|(_, body)| body.contains("completed"));
-        if !is_over && !ran.contains(id) {
-            stalled += 1;
-            record.note(&format!("{id} has nothing running for {STALLED:?}, shown as {shown:?}"));
-        }
+    thread::sleep(asking_at.saturating_duration_since(Instant::now()));
+    let mut clients = all_clients(&site);
+    let mut unanswered = 0;
+    for id in accepted.iter().take(ASKED / 2).chain(accepted.iter().rev().take(ASKED / 2)) {
+        // The requester asks each instance in turn.
+        let mut answers = clients.iter_mut().filter_map(|client| show(client, &record, id));
+        let answer = answers.find(|(status, _)| matches!(status, 200 | 410));
+        unanswered += usize::from(!answer.is_some_and(|(status, _)| status == 200));
     }
-    record.note(&format!("{} accepted, {stalled} of them stalled", accepted.len()));
+    record.note(&format!("{unanswered} of {ASKED} accepted jobs get no answer, or 410"));
+    site.note_memory();
     keep_logs(&site);
-    Ok(if stalled > 0 { Verdict::Broken } else { Verdict::Held })
+    Ok(if unanswered > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
 /// A repeated job arrives many of whose times have passed.
@@ -255,17 +270,6 @@
 /// Rule LOST: `finish_s` after the end of the traffic an accepted job isn't known or gets no answer in
 /// time.
 fn overdue(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
-    const FINISH: Duration = Duration::from_secs(14);
-    const SMALL_JOBS: u64 = 300;
-    const CLIENTS: u64 = 3;
-    /// Interval between two jobs of one client: all of them together submit 40 a second.
-    const INTERVAL: Duration = Duration::from_millis(75);
-    /// Time after which the repeated job is sent, and pause of its requester between two attempts.
-    const BEFORE: Duration = Duration::from_secs(3);
-    const PAUSE: Duration = Duration::from_millis(500);
-    /// Attempts of a requester: the first one and four more.
-    const ATTEMPTS: usize = 5;
-    let small = r#"{"spec":"500 small","steps":[{"count":1,"cpu":500,"memMb":256,"estimatedMs":500}]}"#;
     // Its times are a second apart, for twelve days that are over.
     let times: u128 = if trouble { 1_000_000 } else { 100 };
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(io::Error::other)?;
@@ -273,7 +277,43 @@
     let repeated = format!(
         r#"{{"spec":"400 poll","steps":[{{"count":1,"cpu":500,"memMb":256,"estimatedMs":400}}],"repeatCount":{times},"firstRunMs":{first_ms},"intervalMs":1000}}"#
     );
-    let mut site = Site::start(3, record.clone())?;
+    beside_small_jobs(record, Large { jobs: 1, interval: Duration::ZERO, body: repeated })
+}
+
+/// Many jobs of many tasks wait for room.
+///
+/// Rule LOST: as above.
+fn many_tasks(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
+    const JOBS: u64 = 360;
+    /// Interval between two jobs: 14 a second.
+    const INTERVAL: Duration = Duration::from_millis(70);
+    let tasks = if trouble { 20_000 } else { 200 };
+    let body = format!(
+        r#"{{"spec":"60000 resize","steps":[{{"count":{tasks},"cpu":1000,"memMb":256,"estimatedMs":60000}}]}}"#
+    );
+    beside_small_jobs(record, Large { jobs: JOBS, interval: INTERVAL, body })
+}
+
+/// Large jobs that one requester sends, one after the other.
+struct Large {
+    jobs: u64,
+    interval: Duration,
+    body: String,
+}
+
+/// Sends small jobs and, some seconds later, large ones beside them. Then asks for the first small jobs.
+fn beside_small_jobs(record: Arc<Record>, large: Large) -> io::Result<Verdict> {
+    const KEEP_S: u64 = 300;
+    const SMALL_JOBS: u64 = 1_200;
+    const CLIENTS: u64 = 6;
+    /// Interval between two jobs of one client: all of them together submit 150 a second.
+    const INTERVAL: Duration = Duration::from_millis(40);
+    /// Time after which the large jobs are sent. The small jobs that are asked for are over by then.
+    const BEFORE: Duration = Duration::from_secs(3);
+    const ASKED: usize = 10;
+    let small =
+        r#"{"spec":"500 small","steps":[{"count":1,"cpu":500,"memMb":256,"estimatedMs":500}]}"#;
+    let mut site = Site::start(3, KEEP_S, record.clone())?;
     for _ in 0..4 {
         site.add_runner(64_000, 131_072)?;
     }
@@ -281,14 +321,16 @@
         return Err(failed("the instances are not ready"));
     }
     let accepted = Arc::new(Mutex::new(Vec::new()));
+    let over = Arc::new(AtomicBool::new(false));
     let mut senders: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let mut client = site.client(number as usize % site.instances());
-            let (record, accepted) = (record.clone(), accepted.clone());
+            let mut client = [site.client(number as usize % site.instances())];
+            let (record, accepted, over) = (record.clone(), accepted.clone(), over.clone());
             thread::spawn(move || {
-                for job in (number..SMALL_JOBS).step_by(CLIENTS as usize) {
+                let jobs = (number..SMALL_JOBS).step_by(CLIENTS as usize);
+                for job in jobs.take_while(|_| !over.load(Ordering::SeqCst)) {
                     let id = job_id(1, job);
-                    if submit(&mut client, &record, &id, small, Duration::from_millis(1)) {
+                    if submit(&mut client, &record, &id, small, 1) {
                         accepted.lock().unwrap().push(id);
                     }
                     thread::sleep(INTERVAL);
@@ -296,37 +338,41 @@
             })
         })
         .collect();
-    let mut clients = all_clients(&site);
-    let noting = record.clone();
+    let (mut clients, noting, ending) = (all_clients(&site), record.clone(), over.clone());
     senders.push(thread::spawn(move || {
         thread::sleep(BEFORE);
-        for attempt in 0..ATTEMPTS {
-            let client = attempt % clients.len();
-            let limit = Duration::from_millis(1);
-            if submit(&mut clients[client], &noting, &job_id(2, 0), &repeated, limit) {
-                break;
-            }
-            thread::sleep(PAUSE);
+        for job in (0..large.jobs).take_while(|_| !ending.load(Ordering::SeqCst)) {
+            submit(&mut clients, &noting, &job_id(2, job), &large.body, ATTEMPTS);
+            clients.rotate_left(1);
+            thread::sleep(large.interval);
         }
     }));
-    for sender in senders {
-        while !sender.is_finished() {
-            site.keep_instances()?;
-            thread::sleep(Duration::from_millis(10));
+    let begun = Instant::now();
+    while !senders.iter().all(|sender| sender.is_finished()) {
+        // A requester that gets no answers doesn't go on for ever.
+        if begun.elapsed() > TRAFFIC_LIMIT {
+            record.note("the traffic is broken off");
+            over.store(true, Ordering::SeqCst);
+            break;
         }
+        site.keep_instances()?;
+        thread::sleep(Duration::from_millis(10));
     }
     let accepted = accepted.lock().unwrap().clone();
-    record.note(&format!("end of the traffic, {} of {SMALL_JOBS} jobs accepted", accepted.len()));
+    record.note(&format!(
+        "end of the traffic, {} of {SMALL_JOBS} small jobs accepted",
+        accepted.len()
+    ));
     let (mut clients, noting) = (all_clients(&site), record.clone());
     let answers = thread::spawn(move || {
         thread::sleep(FINISH);
-        // The requester asks each instance in turn; the first jobs stand for all.
+        // The requester asks each instance in turn.
         let mut ask = |id: &String| {
             let mut answers = clients.iter_mut().filter_map(|client| show(client, &noting, id));
             answers.find(|(status, _)| matches!(status, 200 | 410))
         };
-        let asked = accepted.iter().take(10);
-        asked.filter(|id| !ask(id).is_some_and(|(_, body)| body.contains("completed"))).count()
+        let asked = accepted.iter().take(ASKED);
+        asked.filter(|id| !ask(id).is_some_and(|(status, _)| status == 200)).count()
     });
     while !answers.is_finished() {
         site.keep_instances()?;
@@ -334,8 +380,9 @@
     }
     let unanswered = answers.join().map_err(|_| failed("a client failed"))?;
     let ends = site.ends();
-    record.note(&format!("{unanswered} of 10 accepted jobs not shown as completed"));
+    record.note(&format!("{unanswered} of {ASKED} accepted jobs get no answer, or 410"));
     record.note(&format!("processes that exceeded their memory, by instance: {ends:?}"));
+    site.note_memory();
     keep_logs(&site);
     Ok(if unanswered > 0 { Verdict::Broken } else { Verdict::Held })
 }
@@ -344,66 +391,9 @@
     (0..site.instances()).map(|number| site.client(number)).collect()
 }
 
-/// Two runners crash, one after the other, while the same task is on them.
-///
-/// Rule LOST: an accepted job is shown as `failed` without cause; only ends `failed` count as attempts.
-fn two_crashes(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
-    /// Time after which a crashed runner is back.
-    const RESTART: Duration = Duration::from_secs(1);
-    let mut site = Site::start(3, record.clone())?;
-    for _ in 0..8 {
-        site.add_runner(64_000, 131_072)?;
-    }
-    if !site.wait_ready(Duration::from_secs(15)) {
-        return Err(failed("the instances are not ready"));
-    }
-    let mut client = site.client(0);
-    let body = r#"{"spec":"4000 backup","steps":[{"count":1,"cpu":18000,"memMb":33000,"estimatedMs":4000}]}"#;
-    let id = job_id(1, 0);
-    if !submit(&mut client, &record, &id, body, Duration::from_secs(5)) {
-        return Err(failed("the job is not accepted"));
-    }
-    for _ in 0..2 {
-        let runner = wait_for(Duration::from_secs(20), || site.runner_of(&id));
-        let Some(runner) = runner else { return Err(failed("the task does not start")) };
-        thread::sleep(Duration::from_millis(200));
-        if trouble {
-            site.crash_runner(&runner);
-            thread::sleep(RESTART);
-            site.restart_runner(&runner)?;
-        }
-    }
-    let until = Instant::now() + Duration::from_secs(40);
-    let mut verdict = Verdict::Held;
-    while Instant::now() < until {
-        match show(&mut client, &record, &id) {
-            Some((200, body)) if body.contains("failed") => {
-                verdict = Verdict::Broken;
-                break;
-            }
-            Some((200, body)) if body.contains("completed") => break,
-            _ => thread::sleep(Duration::from_millis(200)),
-        }
-    }
-    keep_logs(&site);
-    Ok(verdict)
-}
-
 /// Copies the instances' logs to the folder that KEEP_LOGS names, if it is set.
 fn keep_logs(site: &Site) {
     if let Ok(folder) = std::env::var("KEEP_LOGS") {
         site.keep_logs(Path::new(&folder));
     }
 }
-
-/// Waits until there is a value, for `limit` at most.
-fn wait_for<T>(limit: Duration, mut look: impl FnMut() -> Option<T>) -> Option<T> {
-    let until = Instant::now() + limit;
-    while Instant::now() < until {
-        if let Some(value) = look() {
-            return Some(value);
-        }
-        thread::sleep(Duration::from_millis(10));
-    }
-    None
-}
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -95,11 +95,6 @@
         self.state.lock().unwrap().gone
     }
 
-    /// The tasks that run here.
-    pub fn running(&self) -> Vec<String> {
-        self.state.lock().unwrap().running.keys().cloned().collect()
-    }
-
     fn clock_ms(&self) -> u64 {
         self.born.elapsed().as_millis() as u64
     }
@@ -198,7 +193,9 @@
             .collect();
         let listed = state.ended.iter().take(MAX_LISTED);
         let ended: Vec<String> = listed
-            .map(|(number, task, run, how)| format!(r#"[{number},{},{run},"{how}",""]"#, quote(task)))
+            .map(|(number, task, run, how)| {
+                format!(r#"[{number},{},{run},"{how}",""]"#, quote(task))
+            })
             .collect();
         Response::new(
             200,
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -26,9 +26,9 @@
 
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
-/// Limits of the store, as the settings of the system state them.
-pub const KEEP_S: u64 = 20;
-pub const RECORD_BYTES: usize = 262_144;
+/// Limits of the store, as the settings of the system state them; the time for which it keeps records
+/// is 20 s by the sheets, 300 s by the example of the settings.
+const RECORD_BYTES: usize = 262_144;
 const CALL_BYTES: usize = 2_097_152;
 
 /// Memory that a process may use.
@@ -63,9 +63,10 @@
 }
 
 impl Site {
-    /// Starts the store and `instances` processes of the system.
-    pub fn start(instances: usize, record: Arc<Record>) -> io::Result<Self> {
-        let keep = Duration::from_secs(KEEP_S);
+    /// Starts the store, which keeps records for `keep_s` seconds, and `instances` processes of the
+    /// system.
+    pub fn start(instances: usize, keep_s: u64, record: Arc<Record>) -> io::Result<Self> {
+        let keep = Duration::from_secs(keep_s);
         let limits = Limits { keep, record_bytes: RECORD_BYTES, call_bytes: CALL_BYTES };
         let store = Arc::new(Store::new(limits));
         store.write_keyed("keyed.op", "config", &configuration());
@@ -89,7 +90,7 @@
         };
         site.send_heartbeats();
         for number in 0..instances {
-            let instance = site.configure(number)?;
+            let instance = site.configure(number, keep_s)?;
             site.instances.push(instance);
             site.start_instance(number)?;
         }
@@ -121,7 +122,7 @@
         });
     }
 
-    fn configure(&self, number: usize) -> io::Result<Instance> {
+    fn configure(&self, number: usize, keep_s: u64) -> io::Result<Instance> {
         let ip = format!("127.0.0.{}", 11 + number);
         let port = || free_address(&ip);
         let (front, ready, peer) = (port()?, port()?, port()?.port());
@@ -142,7 +143,7 @@
   "faultTolerance": {{"machines": 2, "zones": 1, "regions": 0}},
   "bounds": {{"contactMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 6, "configApplyMs": 2000, "recoveryS": 12, "maxHoldMs": {MAX_HOLD_MS}, "stopTimeoutMs": 400, "gangTimeoutMs": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120}},
   "orders": "rpc",
-  "platform": {{"address": "{}", "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 32, "appendMs": 2.0, "partMbS": 20.0, "readMbS": 80.0, "recordBytes": {RECORD_BYTES}, "callBytes": {CALL_BYTES}, "keep_s": {KEEP_S}, "partMb": 200, "minTtlMs": 1000}}
+  "platform": {{"address": "{}", "form": "log", "writesPerS": 800, "readsPerS": 2000, "parts": 32, "appendMs": 2.0, "partMbS": 20.0, "readMbS": 80.0, "recordBytes": {RECORD_BYTES}, "callBytes": {CALL_BYTES}, "keep_s": {keep_s}, "partMb": 200, "minTtlMs": 1000}}
 }}
 "#,
             self.store_address
@@ -182,6 +183,41 @@
         }
     }
 
+    /// Stops the process of an instance as planned: SIGTERM, and SIGKILL after `grace`.
+    pub fn stop_instance(&mut self, number: usize, grace: Duration) -> io::Result<()> {
+        let instance = &mut self.instances[number];
+        let Some(process) = &mut instance.process else { return Ok(()) };
+        Command::new("sh").args(["-c", &format!("kill -TERM {}", process.id())]).status()?;
+        self.record.note(&format!("SIGTERM to {} pid {}", instance.name, process.id()));
+        let until = Instant::now() + grace;
+        while process.try_wait()?.is_none() && Instant::now() < until {
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.kill_instance(number);
+        Ok(())
+    }
+
+    /// Sends a signal, STOP or CONT, to the process of an instance.
+    pub fn signal_instance(&self, number: usize, signal: &str) -> io::Result<()> {
+        let instance = &self.instances[number];
+        let Some(process) = &instance.process else { return Ok(()) };
+        Command::new("sh").args(["-c", &format!("kill -{signal} {}", process.id())]).status()?;
+        self.record.note(&format!("SIG{signal} to {} pid {}", instance.name, process.id()));
+        Ok(())
+    }
+
+    /// The instance that said last in its log that it begins as the owner.
+    pub fn owner(&self) -> Option<usize> {
+        let begun = |instance: &Instance| {
+            let path = self.folder.join(format!("{}.log", instance.name));
+            let log = std::fs::read_to_string(path).unwrap_or_default();
+            let line = log.lines().filter(|line| line.contains("event=owner.begin ")).last();
+            line.map(str::to_owned)
+        };
+        let all = self.instances.iter().map(begun).enumerate();
+        all.filter_map(|(number, line)| Some((line?, number))).max().map(|(_, number)| number)
+    }
+
     /// Does what the platform does: kills a process that exceeds its memory, and starts a process that
     /// was killed or has ended again after a short delay.
     pub fn keep_instances(&mut self) -> io::Result<()> {
@@ -218,7 +254,8 @@
         let timeout = Duration::from_secs(1);
         self.instances.iter().all(|instance| {
             while Instant::now() < until {
-                let answer = Client::new(instance.ready, HOST).call("GET", "/api/ready", "", timeout);
+                let answer =
+                    Client::new(instance.ready, HOST).call("GET", "/api/ready", "", timeout);
                 if answer.is_some_and(|(status, _)| status == 200) {
                     self.record.note(&format!("{} is ready", instance.name));
                     return true;
@@ -236,17 +273,6 @@
 
     /// Starts a runner with this capacity and returns its ID.
     pub fn add_runner(&mut self, cpu: u64, mem_mb: u64) -> io::Result<String> {
-        self.add_runner_at(SocketAddr::from(([127, 0, 0, 1], 0)), cpu, mem_mb)
-    }
-
-    /// Starts the next life of a runner that has crashed, at its address and with a new ID.
-    pub fn restart_runner(&mut self, id: &str) -> io::Result<String> {
-        let former = self.runners.lock().unwrap().get(id).map(|(runner, _)| runner.clone());
-        let former = former.ok_or(io::ErrorKind::NotFound)?;
-        self.add_runner_at(former.address, former.settings.cpu, former.settings.mem_mb)
-    }
-
-    fn add_runner_at(&mut self, at: SocketAddr, cpu: u64, mem_mb: u64) -> io::Result<String> {
         self.next_runner += 1;
         let id = format!("s-{:04x}", self.next_runner);
         let settings = Settings {
@@ -258,30 +284,14 @@
             mem_mb,
             max_hold_ms: MAX_HOLD_MS,
         };
-        let (runner, server) = Runner::start(settings, at, self.record.clone())?;
+        let (runner, server) =
+            Runner::start(settings, SocketAddr::from(([127, 0, 0, 1], 0)), self.record.clone())?;
         self.store.write_keyed("keyed.servers", &id, &runner.entry(0));
         self.record.note(&format!("runner {id} at {} is there", runner.address));
         self.runners.lock().unwrap().insert(id.clone(), (runner, server));
         Ok(id)
     }
 
-    /// The runner on which a task of the job runs.
-    pub fn runner_of(&self, job: &str) -> Option<String> {
-        let runners = self.runners.lock().unwrap();
-        let runs = |runner: &Runner| runner.running().iter().any(|task| task.starts_with(job));
-        let found = runners.iter().find(|(_, (runner, _))| !runner.is_gone() && runs(runner));
-        found.map(|(id, _)| id.clone())
-    }
-
-    /// Crashes a runner: its process is gone, its machine refuses connections.
-    pub fn crash_runner(&self, id: &str) {
-        if let Some((runner, server)) = self.runners.lock().unwrap().get(id) {
-            runner.end();
-            server.stop();
-            self.record.note(&format!("runner {id} crashes"));
-        }
-    }
-
     /// Notes the peak memory of each instance.
     pub fn note_memory(&self) {
         for instance in &self.instances {
