--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -34,6 +34,10 @@
 /// Bound of the rules: `finish_s`.
 const FINISH: Duration = Duration::from_secs(14);
 
+/// Bounds of the rule Fault: ends of a process by itself, on so many machines.
+const FAULT_ENDS: u32 = 3;
+const FAULT_MACHINES: usize = 2;
+
 /// Attempts of a requester: the first one and four more, and the pause between two of them.
 const ATTEMPTS: usize = 5;
 const PAUSE: Duration = Duration::from_millis(500);
@@ -268,7 +272,7 @@
 /// A repeated job arrives many of whose times have passed.
 ///
 /// Rule LOST: `finish_s` after the end of the traffic an accepted job isn't known or gets no answer in
-/// time.
+/// time. Rule Fault: on two machines processes end by themselves three times each.
 fn overdue(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
     // Its times are a second apart, for twelve days that are over.
     let times: u128 = if trouble { 1_000_000 } else { 100 };
@@ -282,7 +286,7 @@
 
 /// Many jobs of many tasks wait for room.
 ///
-/// Rule LOST: as above.
+/// Rule Fault: on two machines processes end by themselves three times each, or rule LOST as above.
 fn many_tasks(trouble: bool, record: Arc<Record>) -> io::Result<Verdict> {
     const JOBS: u64 = 360;
     /// Interval between two jobs: 14 a second.
@@ -384,7 +388,8 @@
     record.note(&format!("processes that exceeded their memory, by instance: {ends:?}"));
     site.note_memory();
     keep_logs(&site);
-    Ok(if unanswered > 0 { Verdict::Broken } else { Verdict::Held })
+    let is_fault = ends.iter().filter(|ends| **ends >= FAULT_ENDS).count() >= FAULT_MACHINES;
+    Ok(if unanswered > 0 || is_fault { Verdict::Broken } else { Verdict::Held })
 }
 
 fn all_clients(site: &Site) -> Vec<http::Client> {
--- a/review/standin-3/site.rs
+++ b/review/standin-3/site.rs
@@ -123,7 +123,9 @@
     }
 
     fn configure(&self, number: usize, keep_s: u64) -> io::Result<Instance> {
-        let ip = format!("127.0.0.{}", 11 + number);
+        // Addresses of its own for each run, so that runs beside each other take no ports from each other.
+        let run = std::process::id();
+        let ip = format!("127.{}.{}.{}", 100 + run / 256 % 100, run % 256, 11 + number);
         let port = || free_address(&ip);
         let (front, ready, peer) = (port()?, port()?, port()?.port());
         let ports = format!("[{peer},{}]", peer.saturating_add(1));
