Keep few occurrences of a repeated job open that wait

What callers saw: after one job that repeats 1,000,000 times, all of them past, each instance that owned the cell exceeded its memory and was killed, and so were all its successors. Accepted jobs got no answer, nothing was accepted, and the job could not be cancelled.

Cause: a round opened every occurrence that was due (open_occurrences), with steps, tasks and an entry of the round for each, however many; the limit of open jobs counts none of it. Each round also passed over all occurrences from the first on, done ones too. The same count was the length of loops in lost_records (endless for a job of long-running steps) and in explain. Done occurrences were kept one by one till the job's end.

Change: occurrences are opened in order while fewer than 64 steps of the job's open ones wait with nothing running; a waiting one keeps back none but its equals, and those that run count for nothing, so that occurrences overlap as before. Done occurrences are ranges (IndexSet); with them the next unopened one is found at once.

Tests: cell::occurrences.

--- a/src/cell/machine/calls.rs
+++ b/src/cell/machine/calls.rs
@@ -128,12 +128,13 @@
     fn admit(&mut self, id: CallId, job: Job) {
         if !self.state.jobs.contains_key(&job.id) {
             log::info!(
-                "event=job.accepted job={} queue={} customer={} steps={} tasks={}",
+                "event=job.accepted job={} queue={} customer={} steps={} tasks={} occurrences={}",
                 job.id,
                 crate::logging::value(&job.queue),
                 crate::logging::value(job.customer.as_deref().unwrap_or("-")),
                 job.steps.len(),
-                job.steps.iter().map(|step| step.count).sum::<u32>()
+                job.steps.iter().map(|step| step.count).sum::<u32>(),
+                job.occurrences()
             );
             names::CELL_JOBS.increment(&[("outcome", "accepted")]);
             self.round_jobs.add(job.id);
--- a/src/cell/machine/explain/job.rs
+++ b/src/cell/machine/explain/job.rs
@@ -107,10 +107,13 @@
                 waits.push(self.blocked_wait(id, name, waiting.count(), reason));
             }
         }
-        if entry.open.is_empty()
-            && let Some(next) = (0..entry.job.occurrences()).find(|one| !entry.done.contains(one))
+        let next = entry
+            .unopened()
+            .next()
+            .map(|next| (next, entry.job.due_at(next).filter(|due| *due > self.unix)));
+        if let Some((next, due)) = next
+            && (entry.open.is_empty() || due.is_none())
         {
-            let due = entry.job.due_at(next).filter(|due| *due > self.unix);
             let reason = if is_known { Reason::NextRound } else { Reason::QueueUnknown };
             let reason = due.map_or(reason, |_| Reason::NotDue);
             let tasks = entry.job.steps.first().map_or(0, |step| step.count as usize);
--- a/src/cell/machine/lost_records.rs
+++ b/src/cell/machine/lost_records.rs
@@ -99,7 +99,7 @@
         let step = entry.job.steps.get(key.step as usize);
         let is_known = step.is_some_and(|step| run.task.index < step.count)
             && key.occurrence < entry.job.occurrences()
-            && !entry.done.contains(&key.occurrence);
+            && !entry.done.contains(key.occurrence);
         is_known
             && self
                 .state
@@ -132,8 +132,8 @@
     fn task_in_doubt(&self, id: Id, seen: &BTreeSet<TaskKey>) -> Option<TaskKey> {
         let entry = self.state.jobs.get(&id)?;
         let is_due = |number: &u32| entry.job.due_at(*number).is_none_or(|due| due <= self.unix);
-        let occurrences =
-            (0..entry.job.occurrences()).filter(|number| !entry.done.contains(number));
+        // All occurrences that have not been opened are alike.
+        let occurrences = entry.open.keys().copied().chain(entry.unopened().take(1));
         occurrences.filter(is_due).find_map(|occurrence| {
             let states = entry.open.get(&occurrence).map_or(&[][..], Vec::as_slice);
             let is_done = |step: usize| states.get(step).is_some_and(StepState::is_done);
--- a/src/cell/machine/pending.rs
+++ b/src/cell/machine/pending.rs
@@ -11,7 +11,7 @@
 use super::rank::{Rank, Timeliness, long_running_rank};
 use crate::cell::job::{Id, Job, Step, StepKey, TaskKey};
 use crate::cell::queue::Queue;
-use crate::cell::state;
+use crate::cell::state::{StepState, TaskState};
 use crate::clock::Instant;
 
 /// Interval between two rounds over all open jobs. Most jobs without any value left are placed
@@ -23,6 +23,10 @@
 /// twice the number of instances of a large site, each of which sends one policy query at a time.
 const MAX_WORTHLESS_JOBS: usize = 64;
 
+/// Steps of the occurrences of a job that may be open at once while nothing of these runs: several
+/// times as many as are placed in one round.
+const MAX_WAITING_STEPS: usize = 64;
+
 /// A step with tasks that wait for a worker.
 #[derive(Clone)]
 pub(super) struct PendingStep {
@@ -196,36 +200,46 @@
         None
     }
 
-    /// Opens the occurrences of a job that are due; returns `true` if others are due later.
+    /// Opens the occurrences of a job that are due, the earliest first, as long as few of them wait
+    /// for workers; returns `true` if others are to be opened later.
     ///
     /// Guards against an owner that never finishes here: it may have read a placement of a later
-    /// occurrence while an earlier one was still waiting.
+    /// occurrence while an earlier one was still waiting. And against one that is killed for its
+    /// memory, as all its successors are: a job may have millions of occurrences that are due, and a
+    /// waiting one keeps back none but its equals.
     fn open_occurrences(&mut self, id: Id) -> bool {
         let unix = self.unix;
         let Some(entry) = self.state.jobs.get_mut(&id) else { return false };
         if entry.phase().is_final() {
             return false;
         }
-        for number in 0..entry.job.occurrences() {
-            if entry.done.contains(&number) || entry.open.contains_key(&number) {
-                continue;
-            }
-            if entry.job.due_at(number).is_some_and(|due| due > unix) {
-                return true;
-            }
-            entry.occurrence(number);
+        if entry.unopened().next().is_none() {
+            return false;
+        }
+        let waiting = entry.open.values().filter(|steps| !steps.iter().any(StepState::is_live));
+        let places = max_waiting_occurrences(&entry.job).saturating_sub(waiting.count());
+        let job = entry.job.clone();
+        let is_due = |number: &u32| job.due_at(*number).is_none_or(|due| due <= unix);
+        let due: Vec<u32> = entry.unopened().take(places).take_while(is_due).collect();
+        for number in &due {
+            entry.occurrence(*number);
         }
-        false
+        entry.unopened().next().is_some()
     }
 }
 
+/// Number of occurrences of a job that may be open at once while nothing of them runs.
+pub(super) fn max_waiting_occurrences(job: &Job) -> usize {
+    (MAX_WAITING_STEPS / job.steps.len().max(1)).max(1)
+}
+
 /// Returns the tasks of a step that have no attempt. A gang starts only once no earlier attempt of
 /// any member is left.
-fn pending(spec: &Step, step: &state::StepState) -> Vec<u32> {
+fn pending(spec: &Step, step: &StepState) -> Vec<u32> {
     if step.is_done() && !spec.long_running || spec.gang && step.is_live() {
         return Vec::new();
     }
-    let waits = |task: &state::TaskState| task.live == 0 && (!task.done || spec.long_running);
+    let waits = |task: &TaskState| task.live == 0 && (!task.done || spec.long_running);
     let tasks = step.tasks.iter().enumerate().filter(|(_, task)| waits(task));
     tasks.map(|(index, _)| index as u32).collect()
 }
--- a/src/cell/mod.rs
+++ b/src/cell/mod.rs
@@ -13,6 +13,7 @@
 //! | `config_message.rs` | the configuration as instances send it to each other |
 //! | `caller.rs` | what an instance states about the caller of a forwarded call |
 //! | `record.rs`, `state.rs` | journal records and the state that they yield |
+//! | `index_set.rs` | sets of numbers that are mostly consecutive |
 //! | `stored_job.rs` | a job in the form of the journal |
 //! | `worker.rs`, `lease.rs`, `incarnation.rs` | a worker's capacity, clock, lease and identity |
 //! | `command_backoff.rs` | backoff for workers that leave commands unanswered |
@@ -51,6 +52,7 @@
 pub mod features;
 pub mod forward;
 pub mod incarnation;
+pub mod index_set;
 pub mod job;
 pub mod learned;
 pub mod lease;
--- a/src/cell/state.rs
+++ b/src/cell/state.rs
@@ -5,14 +5,17 @@
 //! nothing but the records.
 
 use std::collections::{BTreeMap, BTreeSet, btree_map};
+use std::fmt::{self, Formatter};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::de::{MapAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use super::Epoch;
 use super::crash_score::CrashScore;
+use super::index_set::IndexSet;
 use super::job::{Id, Job, Phase, Run, RunOutcome, Step, StepKey, TaskKey};
 use super::record::{Batch, Record, WorkerId};
 use crate::clock::Unix;
@@ -59,8 +62,9 @@
     /// Time at which it reached its final phase.
     pub ended: Option<Unix>,
     /// Occurrences whose tasks have all succeeded.
-    pub done: BTreeSet<u32>,
+    pub done: IndexSet,
     /// Occurrences in progress.
+    #[serde(deserialize_with = "begun_occurrences")]
     pub open: BTreeMap<u32, Vec<StepState>>,
     /// Work of the steps of a customer's job whose details have been dropped. It is not stored: an
     /// owner that reads the job's end from a record has it, one that reads it from a snapshot has
@@ -69,6 +73,37 @@
     pub ended_work: Vec<StepWork>,
 }
 
+/// Decodes occurrences in progress, without those of which nothing has begun.
+///
+/// Guards against a snapshot of an earlier version, whose owner opened all due occurrences of a job,
+/// of which there may be more than there is memory for.
+fn begun_occurrences<'de, D>(deserializer: D) -> Result<BTreeMap<u32, Vec<StepState>>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    deserializer.deserialize_map(BegunOccurrences)
+}
+
+struct BegunOccurrences;
+
+impl<'de> Visitor<'de> for BegunOccurrences {
+    type Value = BTreeMap<u32, Vec<StepState>>;
+
+    fn expecting(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.write_str("occurrences with their steps")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Self::Value, A::Error> {
+        let mut open = BTreeMap::new();
+        while let Some((number, steps)) = map.next_entry::<u32, Vec<StepState>>()? {
+            if steps.iter().any(StepState::has_begun) {
+                open.insert(number, steps);
+            }
+        }
+        Ok(open)
+    }
+}
+
 /// What a step of an ended job counts for the share of its customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StepWork {
@@ -123,6 +158,13 @@
         self.done as usize == self.tasks.len()
     }
 
+    /// Whether anything is known of it that a step without attempts does not have.
+    pub fn has_begun(&self) -> bool {
+        let has_begun = |task: &TaskState| *task != TaskState::default();
+        let is_new = self.failed_runs.is_empty() && self.checkpoint.is_empty();
+        !is_new || self.tasks.iter().any(has_begun)
+    }
+
     /// Whether any task has an attempt that has not ended.
     pub fn is_live(&self) -> bool {
         self.tasks.iter().any(|task| task.live > 0)
@@ -138,7 +180,7 @@
             cancelled: false,
             failed: false,
             ended: None,
-            done: BTreeSet::new(),
+            done: IndexSet::default(),
             open: BTreeMap::new(),
             ended_work: Vec::new(),
         }
@@ -167,8 +209,18 @@
             .or_insert_with(|| steps.iter().map(|step| StepState::new(step.count)).collect())
     }
 
+    /// Occurrences that are neither done nor in progress, in the order of their due times.
+    ///
+    /// Occurrences are opened in this order, so that the first one is found at the end of the
+    /// others, however many there are.
+    pub fn unopened(&self) -> impl Iterator<Item = u32> {
+        let count = self.job.occurrences();
+        let left = self.done.absent().take_while(move |number| *number < count);
+        left.filter(|number| !self.open.contains_key(number))
+    }
+
     fn step(&mut self, key: &StepKey) -> Option<&mut StepState> {
-        if key.occurrence >= self.job.occurrences() || self.done.contains(&key.occurrence) {
+        if key.occurrence >= self.job.occurrences() || self.done.contains(key.occurrence) {
             return None;
         }
         self.occurrence(key.occurrence).get_mut(key.step as usize)
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -22,6 +22,7 @@
 #[allow(dead_code)]
 mod mix;
 mod model;
+mod occurrences;
 mod overload;
 mod passed_over;
 mod passed_over_caps;
