Bear odd numbers of workers, their list and callers

What could be seen: of an entry of the list with a capacity of 2^64-1 the owner would have taken any number of tasks to its worker; the sums over all workers overflow. A job with an estimate of 1e300 ms ranked before all others, since its deadline overflowed. A worker without a start time whose name ends in @ and a number was taken for an incarnation of another one, which then got no tasks. In a build with overflow checks the owner ended.

Sums and products of callers' numbers, clocks and capacities saturate or are wide enough.

--- a/src/cell/incarnation.rs
+++ b/src/cell/incarnation.rs
@@ -27,14 +27,19 @@
     /// let incarnation =
     ///     WorkerIncarnation { listed_name: "i-7f3a", started_at_ms: Some(1_700_000_000_000) };
     /// assert_eq!(WorkerIncarnation::parse(&incarnation.worker_id()), incarnation);
-    /// let unnumbered = WorkerIncarnation { listed_name: "i-7f3a", started_at_ms: None };
-    /// assert_eq!(WorkerIncarnation::parse("i-7f3a"), unnumbered);
+    /// for listed_name in ["i-7f3a", "i-7f3a@5"] {
+    ///     let unnumbered = WorkerIncarnation { listed_name, started_at_ms: None };
+    ///     assert_eq!(WorkerIncarnation::parse(&unnumbered.worker_id()), unnumbered);
+    /// }
     /// ```
     pub fn parse(name: &'a str) -> Self {
         let parts = name.rsplit_once(SEPARATOR);
         let parsed = parts.and_then(|(listed_name, started_at_ms)| {
             Some((listed_name, started_at_ms.parse().ok()?))
         });
+        if let Some((listed_name, "")) = parts {
+            return Self { listed_name, started_at_ms: None };
+        }
         match parsed {
             Some((listed_name, started_at_ms)) => {
                 Self { listed_name, started_at_ms: Some(started_at_ms) }
@@ -43,9 +48,13 @@
         }
     }
 
-    /// The ID.
+    /// The ID. A name that contains the separator is followed by another one, so that it is not
+    /// taken for an incarnation of another worker.
     pub fn worker_id(&self) -> WorkerId {
         match self.started_at_ms {
+            None if self.listed_name.contains(SEPARATOR) => {
+                format!("{}{SEPARATOR}", self.listed_name).into()
+            }
             Some(started_at_ms) => format!("{}{SEPARATOR}{started_at_ms}", self.listed_name).into(),
             None => self.listed_name.into(),
         }
--- a/src/cell/lease.rs
+++ b/src/cell/lease.rs
@@ -51,7 +51,7 @@
     /// full lease from now, because the worker refuses their renewals from this response on.
     pub fn observe_clock(&mut self, worker_ms: u64, received: Instant) {
         if self.reading.is_none() {
-            self.granted_ms = worker_ms + millis(self.length);
+            self.granted_ms = worker_ms.saturating_add(millis(self.length));
         }
         self.reading = Some(ClockReading { worker_ms, received });
     }
@@ -67,7 +67,8 @@
         let reading = self.reading?;
         // A lower bound of the worker's clock, which may run slow by the drift.
         let passed = millis(now.since(reading.received)) as f64 * (1.0 - CLOCK_DRIFT);
-        let until = reading.worker_ms + passed as u64 + millis(self.length);
+        let passed = (passed as u64).saturating_add(millis(self.length));
+        let until = reading.worker_ms.saturating_add(passed);
         self.granted_ms = self.granted_ms.max(until);
         Some(until)
     }
--- a/src/cell/machine/admission.rs
+++ b/src/cell/machine/admission.rs
@@ -73,7 +73,7 @@
             crate::logging::value(&job.queue),
             crate::logging::value(customer),
             refusal.wait_ms,
-            refusal.wait_ms + path as u64,
+            refusal.wait_ms.saturating_add(path as u64),
             objective as u64,
             refusal.retry_after_ms,
             caller.understands_busy
--- a/src/cell/machine/explain/capacity.rs
+++ b/src/cell/machine/explain/capacity.rs
@@ -55,7 +55,8 @@
                     if step.queue.policy.is_none() || ticket.is_some() {
                         capacity.fits_ticketed += fits;
                     }
-                    capacity.free_cpu_millis += worker.free_capacity().cpu_millis;
+                    let free = worker.free_capacity().cpu_millis;
+                    capacity.free_cpu_millis = capacity.free_cpu_millis.saturating_add(free);
                     oldest = Some(oldest.unwrap_or(worker.info_at).min(worker.info_at));
                 }
             }
--- a/src/cell/machine/explain/wait.rs
+++ b/src/cell/machine/explain/wait.rs
@@ -42,7 +42,10 @@
             place: before.len() + 1,
             steps: self.steps.len() + usize::from(!is_examined),
             tasks_before: before.iter().map(|step| step.pending.len() as u64).sum(),
-            cpu_millis_before: before.iter().map(PendingStep::cpu_millis).sum(),
+            cpu_millis_before: before
+                .iter()
+                .map(PendingStep::cpu_millis)
+                .fold(0, u64::saturating_add),
             partial: self.partial,
         }
     }
--- a/src/cell/machine/preemption.rs
+++ b/src/cell/machine/preemption.rs
@@ -65,7 +65,8 @@
         if choice.victims.is_empty() || spec.gang && choice.placeable < count {
             return;
         }
-        let work = demand.cpu_millis * choice.placeable as u64 * self.expected_ms(step);
+        let placeable = demand.cpu_millis.saturating_mul(choice.placeable as u64);
+        let work = placeable.saturating_mul(self.expected_ms(step));
         if choice.lost_work > work {
             return;
         }
--- a/src/cell/machine/rank.rs
+++ b/src/cell/machine/rank.rs
@@ -88,7 +88,7 @@
         } else {
             Timeliness::OnTime
         };
-        let deadline = begin + objective as u64;
+        let deadline = begin.saturating_add(objective as u64);
         Rank { timeliness, start_tag: 0, priority: queue.priority, deadline }
     }
 
@@ -209,6 +209,6 @@
         timeliness: Timeliness::OnTime,
         start_tag: 0,
         priority: queue.priority,
-        deadline: accepted + queue.target_ms,
+        deadline: accepted.saturating_add(queue.target_ms),
     }
 }
--- a/src/cell/machine/view.rs
+++ b/src/cell/machine/view.rs
@@ -91,9 +91,10 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Totals {
     count: usize,
-    /// CPU in thousandths of a core, in total and unallocated.
-    cpu_millis: u64,
-    free_cpu_millis: u64,
+    /// CPU in thousandths of a core, in total and unallocated. The sums of any numbers that workers
+    /// may list fit.
+    cpu_millis: u128,
+    free_cpu_millis: u128,
 }
 
 impl WorkerViews {
@@ -123,13 +124,13 @@
     }
 
     /// Their CPU that is free at the start of the round, in thousandths of a core.
-    pub(super) const fn free_cpu_millis(&self) -> u64 {
-        self.open.free_cpu_millis
+    pub(super) fn free_cpu_millis(&self) -> u64 {
+        u64::try_from(self.open.free_cpu_millis).unwrap_or(u64::MAX)
     }
 
     /// Their total CPU, in thousandths of a core.
-    pub(super) const fn cpu_millis(&self) -> u64 {
-        self.open.cpu_millis
+    pub(super) fn cpu_millis(&self) -> u64 {
+        u64::try_from(self.open.cpu_millis).unwrap_or(u64::MAX)
     }
 
     pub(super) fn get(&self, at: usize) -> &WorkerView {
@@ -197,16 +198,16 @@
     fn add(&mut self, view: &WorkerView) {
         if view.open {
             self.count += 1;
-            self.cpu_millis += view.listed.capacity.cpu_millis;
-            self.free_cpu_millis += view.free_cpu_millis;
+            self.cpu_millis += u128::from(view.listed.capacity.cpu_millis);
+            self.free_cpu_millis += u128::from(view.free_cpu_millis);
         }
     }
 
     fn remove(&mut self, view: &WorkerView) {
         if view.open {
             self.count -= 1;
-            self.cpu_millis -= view.listed.capacity.cpu_millis;
-            self.free_cpu_millis -= view.free_cpu_millis;
+            self.cpu_millis -= u128::from(view.listed.capacity.cpu_millis);
+            self.free_cpu_millis -= u128::from(view.free_cpu_millis);
         }
     }
 }
--- a/src/cell/preempt.rs
+++ b/src/cell/preempt.rs
@@ -25,7 +25,7 @@
 impl Victim {
     /// Work lost by stopping it, in thousandths of a core times milliseconds.
     const fn lost(&self) -> u64 {
-        self.demand.cpu_millis * PREEMPTION_COST_MS
+        self.demand.cpu_millis.saturating_mul(PREEMPTION_COST_MS)
     }
 }
 
@@ -73,7 +73,7 @@
         let options = options.filter_map(|(at, worker)| Some((at, worker.victims_for(demand)?)));
         let cost = |(at, taken): &(usize, Vec<usize>)| (workers[*at].lost(taken), *at);
         let Some((at, taken)) = options.min_by_key(cost) else { break };
-        choice.lost_work += workers[at].lost(&taken);
+        choice.lost_work = choice.lost_work.saturating_add(workers[at].lost(&taken));
         choice.victims.extend(workers[at].place_task(demand, &taken));
         choice.placeable += 1;
     }
@@ -114,7 +114,8 @@
     }
 
     fn lost(&self, taken: &[usize]) -> u64 {
-        taken.iter().map(|&number| self.victims[number].lost()).sum()
+        let lost = taken.iter().map(|&number| self.victims[number].lost());
+        lost.fold(0, u64::saturating_add)
     }
 
     fn place_task(&mut self, demand: &Amount, taken: &[usize]) -> Vec<Run> {
--- a/tests/logic/cell/mod.rs
+++ b/tests/logic/cell/mod.rs
@@ -15,6 +15,7 @@
 mod fair_shares;
 mod harness;
 mod histories;
+mod largest_numbers;
 mod lease;
 mod lost_records;
 mod machine;
