Forget what is kept for steps that are over, and count the policy service's answers

What callers would have seen: an owner of a job that repeats often exceeds its memory after some hours.

Cause: tickets, workers on which a step has failed and the time of its next preemption were kept by step until the job ended, and a repeated job has new steps with each occurrence. None of it was counted.

Change: they go with the last run of the step. Tickets are counted with the jobs' memory. A report to operators examines no further jobs from 8,192 waiting steps on; 4,096 jobs have up to a million.

Test: occurrences_that_are_over_hold_nothing; without the change to end.rs it fails with tickets of more steps than are open.

--- a/src/cell/machine/end.rs
+++ b/src/cell/machine/end.rs
@@ -30,6 +30,7 @@
         self.history.note_end(run, &active.worker, end, took, self.now);
         self.update_stats(&run, &active, end);
         self.record(Record::Ended { run, worker: active.worker, outcome: end, checkpoint: saved });
+        self.forget_step_if_over(&run.task.step);
         if was_final {
             return;
         }
--- a/src/cell/machine/explain/mod.rs
+++ b/src/cell/machine/explain/mod.rs
@@ -34,6 +34,9 @@
 /// bound; each takes about a microsecond.
 const MAX_EXAMINED_JOBS: usize = 4_096;
 
+/// Waiting steps from which on no further jobs are examined for a report: a job has up to 256.
+const MAX_EXAMINED_STEPS: usize = 8_192;
+
 impl Machine {
     /// Explains a subject. Takes at most a few milliseconds and has no effects.
     pub fn explain(&self, subject: Subject) -> Reply {
--- a/src/cell/machine/explain/wait.rs
+++ b/src/cell/machine/explain/wait.rs
@@ -7,9 +7,9 @@
 use super::super::caps::CapDecision;
 use super::super::pending::PendingStep;
 use super::super::rank::Timeliness;
-use super::MAX_EXAMINED_JOBS;
 use super::passed_over::Situation;
 use super::reason::Reason;
+use super::{MAX_EXAMINED_JOBS, MAX_EXAMINED_STEPS};
 use crate::cell::customer::Name;
 use crate::cell::explain::{CapUse, Capacity, Order, PolicyState, Query, Wait};
 use crate::cell::job::Id;
@@ -95,7 +95,10 @@
     /// Returns the waiting steps of a bounded number of open jobs, in order of rank.
     pub(super) fn examined_steps(&self) -> Examined {
         let mut steps = Vec::new();
-        for id in self.state.open.iter().copied().take(MAX_EXAMINED_JOBS) {
+        let mut jobs = self.state.open.iter().copied().take(MAX_EXAMINED_JOBS);
+        while steps.len() < MAX_EXAMINED_STEPS
+            && let Some(id) = jobs.next()
+        {
             let first_new = steps.len();
             // The next round fails a job of which a task may not be attempted again.
             if self.add_pending_steps(id, &mut steps).is_some() {
@@ -103,7 +106,8 @@
             }
         }
         steps.sort_by_key(|step| (step.rank, step.key));
-        Examined { steps, partial: self.state.open.len() > MAX_EXAMINED_JOBS }
+        let partial = jobs.next().is_some() || self.state.open.len() > MAX_EXAMINED_JOBS;
+        Examined { steps, partial }
     }
 
     /// Whether the cap of its customer lets a step be considered beside the steps `before` it.
--- a/src/cell/machine/forget.rs
+++ b/src/cell/machine/forget.rs
@@ -1,4 +1,4 @@
-//! Removes the state of jobs that ended a while ago.
+//! Removes the state of jobs that ended a while ago, and of steps that are over.
 
 use std::collections::BTreeMap;
 
@@ -19,6 +19,20 @@
         }
         self.deferrals.forget_ended(self.now);
     }
+
+    /// Removes what is kept for a step once nothing of it will run any more.
+    ///
+    /// Guards against a repeated job that holds more with each of its occurrences until it ends,
+    /// which may be never.
+    pub(super) fn forget_step_if_over(&mut self, key: &StepKey) {
+        let step = self.state.step(key);
+        if step.is_some_and(|step| !step.is_done() || step.is_live()) {
+            return;
+        }
+        self.tickets.remove(key);
+        self.failed_workers.remove(key);
+        self.next_preemption.remove(key);
+    }
 }
 
 /// Removes the entries of a job's steps.
--- a/src/cell/machine/job_bytes.rs
+++ b/src/cell/machine/job_bytes.rs
@@ -3,8 +3,8 @@
 //! Accepted jobs are kept until they end, so that callers who submit jobs without a pause would
 //! exhaust the owner's memory, and that of each instance that takes over. Jobs beyond the limits are
 //! refused; they are not accepted. What has been accepted grows with what happens to it: with its
-//! runs, and with the tasks whose states differ from those of their neighbours. It is counted too,
-//! and runs beyond the limit wait.
+//! runs, with the policy service's answers, and with the tasks whose states differ from those of
+//! their neighbours. It is counted too, and runs beyond the limit wait.
 
 use std::collections::HashMap;
 
@@ -14,6 +14,7 @@
 use crate::cell::customer::Name;
 use crate::cell::job::{Job, Step};
 use crate::cell::job_state::JobState;
+use crate::cell::ticket::Tickets;
 use crate::logging::Repeats;
 use crate::telemetry::names;
 
@@ -68,6 +69,7 @@
         open.for_each(|entry| count.add(&entry.job, state_bytes(entry)));
         let delayed = self.delayed_jobs.iter().map(|(_, job)| job);
         delayed.for_each(|job| count.add(job, new_state_bytes(job)));
+        count.state += self.tickets.values().map(Tickets::heap_bytes).sum::<usize>();
         self.job_bytes = count;
         names::CELL_JOB_BYTES.set(self.state_bytes() as f64, &[]);
         if self.free_runs() == 0 {
--- a/src/cell/machine/rank.rs
+++ b/src/cell/machine/rank.rs
@@ -139,10 +139,8 @@
     }
 }
 
-/// Times of a job and of all its steps, in one pass over them.
-///
-/// Guards against placement rounds that pass over all steps of a job for each of these: with 60 jobs
-/// of 256 steps a round took so long that the owner was replaced.
+/// Times of a job and of all its steps, in one pass over them. Computed for each step by itself they
+/// would take a round the square of the number of steps.
 pub(super) struct Paths {
     /// Time within which the job should end, in milliseconds.
     objective_ms: f64,
--- a/src/cell/ticket.rs
+++ b/src/cell/ticket.rs
@@ -30,7 +30,15 @@
     next_query_at: Instant,
 }
 
+/// Memory of what is kept about one worker, in bytes.
+const WORKER_BYTES: usize = 160;
+
 impl Tickets {
+    /// Memory that they take, in bytes.
+    pub fn heap_bytes(&self) -> usize {
+        (self.eligible.len() + self.refused.len() + self.queried.len()) * WORKER_BYTES
+    }
+
     /// Records that a query about `workers` is pending.
     pub fn mark_queried(&mut self, workers: &[WorkerId]) {
         self.queried.extend(workers.iter().cloned());
--- a/tests/logic/cell/occurrences.rs
+++ b/tests/logic/cell/occurrences.rs
@@ -4,7 +4,8 @@
 
 use oriolefork::cell::Epoch;
 use oriolefork::cell::job::{Job, Phase, Run, RunOutcome, Schedule, Step, StepKey, TaskKey};
-use oriolefork::cell::machine::{Answer, Call, Machine};
+use oriolefork::cell::machine::{Answer, Call, Machine, Message};
+use oriolefork::cell::queue::PolicyTiming;
 use oriolefork::cell::record::Record;
 use oriolefork::cell::state::State;
 use oriolefork::cell::timings::Timings;
@@ -138,6 +139,29 @@
     assert_eq!(harness.phase(JOB), Some(Answer::Phase(Phase::Completed)));
 }
 
+/// Guards against a repeated job that holds more with each occurrence that is over: the answers of
+/// the policy service, and the workers on which a task has failed.
+#[test]
+fn occurrences_that_are_over_hold_nothing() {
+    let mut harness = OwnerHarness::new(1);
+    let timing = PolicyTiming { decide_ms: 1.0, per_worker_ms: 0.0, valid_ms: 60_000 };
+    harness.deliver(Message::ConfigChanged(model::policy_config(timing)));
+    harness.call(JOB, Call::Submit(overdue(30, single())));
+    let mut ends = Ends::default();
+    for _ in 0..200 {
+        harness.see_instance(1);
+        settle(&mut harness);
+        for query in harness.drain_queries() {
+            harness.allow_all(&query);
+        }
+        let runs = live(&harness);
+        ends.succeed(&mut harness, &runs);
+        let open = harness.machine.state.jobs[&id(JOB)].open.len();
+        assert!(harness.machine.tickets.len() <= open, "{open} open");
+    }
+    assert_eq!(harness.phase(JOB), Some(Answer::Phase(Phase::Completed)));
+}
+
 /// Guards against a job that cannot be cancelled while most of its times are not open.
 #[test]
 fn cancel_ends_all_occurrences() {
