Count jobs from 16 KiB on as large

What callers would have seen: 460 waiting jobs that repeat, of 36 kB each, on 64 MB: every small job is refused as long as they wait.

Cause: a job counted as large from 1/256 of the limit on, 65 kB there, so that jobs of 36 kB filled the quarter that is left to small ones.

Change: from 16 KiB on, as for requests. An ordinary job takes 2 to 4 kB.

--- a/src/cell/machine/job_bytes.rs
+++ b/src/cell/machine/job_bytes.rs
@@ -41,8 +41,8 @@
 /// Part of a limit from which on a customer no longer holds little.
 const MODEST_SHARE: (usize, usize) = (1, 4);
 
-/// A job counts as large from this part of a limit on, one in so many.
-const LARGE_JOB_DIVISOR: usize = 256;
+/// Size from which on a job counts as large, in bytes.
+const LARGE_JOB_BYTES: usize = 16 * 1024;
 
 /// Runs that an owner may have whatever its jobs take: accepted work ends, and leaves room, only if
 /// it runs.
@@ -142,7 +142,7 @@
     limit: Option<usize>,
 ) -> Option<(usize, usize)> {
     let limit = limit?;
-    let is_large = added > limit / LARGE_JOB_DIVISOR;
+    let is_large = added >= LARGE_JOB_BYTES;
     let is_modest = held.is_none_or(|held| held <= part(limit, MODEST_SHARE));
     let limit = if is_large || !is_modest { part(limit, COMMON_SHARE) } else { limit };
     let total = present.saturating_add(added);
