Name the two counts of a job's memory apart, and drop an unused method

job_bytes.rs had a method and a function named state_bytes, and a variable that hid the function exceeded. IndexSet::first was left without a caller. Names and comments alone; behaviour is as it was.

--- a/src/cell/index_set.rs
+++ b/src/cell/index_set.rs
@@ -85,11 +85,6 @@
         starts.zip(ends).flat_map(|(start, end)| start..end)
     }
 
-    /// Returns the first `count` numbers.
-    pub fn first(&self, count: usize) -> Self {
-        self.iter().take(count).collect()
-    }
-
     /// Memory that it takes beyond the set itself, in bytes.
     pub const fn heap_bytes(&self) -> usize {
         self.ranges.capacity() * size_of::<Range<u32>>()
--- a/src/cell/job_state.rs
+++ b/src/cell/job_state.rs
@@ -192,7 +192,7 @@
         }
     }
 
-    /// What has happened to it takes so much memory, in bytes, beside its open occurrences.
+    /// Memory of what has happened to its occurrences, in bytes.
     pub fn heap_bytes(&self) -> usize {
         let steps = self.open.values().flatten();
         let steps: usize = steps.map(StepState::heap_bytes).sum();
--- a/src/cell/machine/job_bytes.rs
+++ b/src/cell/machine/job_bytes.rs
@@ -66,9 +66,9 @@
         let mut count = std::mem::take(&mut self.job_bytes);
         count.clear();
         let open = self.state.open.iter().filter_map(|id| self.state.jobs.get(id));
-        open.for_each(|entry| count.add(&entry.job, state_bytes(entry)));
+        open.for_each(|entry| count.add(&entry.job, open_job_bytes(entry)));
         let delayed = self.delayed_jobs.iter().map(|(_, job)| job);
-        delayed.for_each(|job| count.add(job, new_state_bytes(job)));
+        delayed.for_each(|job| count.add(job, new_job_bytes(job)));
         count.state += self.tickets.values().map(Tickets::heap_bytes).sum::<usize>();
         self.job_bytes = count;
         names::CELL_JOB_BYTES.set(self.state_bytes() as f64, &[]);
@@ -80,12 +80,12 @@
 
     /// Whether there is memory for one more job, which is counted then.
     pub(super) fn has_memory_for(&mut self, job: &Job) -> bool {
-        let (encoded, state) = (job_size(job), new_state_bytes(job));
+        let (encoded, state) = (job_size(job), new_job_bytes(job));
         let max_state = self.timings.max_state_bytes.map(|limit| part(limit, ADMITTED_SHARE));
         let held = job.customer.as_ref().map(|name| self.job_bytes.of_customer(name));
-        let exceeded = exceeded(self.job_bytes.encoded, encoded, held, self.timings.max_job_bytes)
+        let refusal = exceeded(self.job_bytes.encoded, encoded, held, self.timings.max_job_bytes)
             .or_else(|| exceeded(self.state_bytes(), state, held, max_state));
-        let Some((bytes, limit)) = exceeded else {
+        let Some((bytes, limit)) = refusal else {
             self.job_bytes.add(job, state);
             return true;
         };
@@ -154,17 +154,17 @@
 }
 
 /// What a new job takes as soon as all is open of it that may wait at once.
-fn new_state_bytes(job: &Job) -> usize {
+fn new_job_bytes(job: &Job) -> usize {
     let occurrences = max_waiting_occurrences(job).min(job.occurrences() as usize);
     fixed_bytes(job) + occurrences * occurrence_bytes(job)
 }
 
 /// What an open job takes, at least as much as when it was new.
-fn state_bytes(entry: &JobState) -> usize {
+fn open_job_bytes(entry: &JobState) -> usize {
     let grown = fixed_bytes(&entry.job)
         + entry.open.len() * occurrence_bytes(&entry.job)
         + entry.heap_bytes();
-    grown.max(new_state_bytes(&entry.job))
+    grown.max(new_job_bytes(&entry.job))
 }
 
 /// What a job takes without its occurrences.
